--- /dev/null
+++ b/crates/geraniumwinch-core/src/grant_desk/grant_table.rs
@@ -0,0 +1,89 @@
+//! The grants that are out, by ticket and by expiry.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::time::Instant;
+
+use crate::EndpointKey;
+use crate::Name;
+
+use super::GrantTicket;
+
+/// A slot that an entry holds.
+#[derive(Debug, Clone)]
+pub(super) struct SlotGrant {
+    /// The endpoint.
+    pub(super) endpoint: EndpointKey,
+    /// The team, or none on an open queue.
+    pub(super) team: Option<Name>,
+    /// The queue.
+    pub(super) queue: Name,
+    /// When it was granted.
+    pub(super) granted: Instant,
+    /// When the slot is free again even if it is not given back.
+    pub(super) expires: Instant,
+}
+
+/// The grants that are out.
+#[derive(Debug)]
+pub(super) struct GrantTable {
+    epoch: u64,
+    serial: u64,
+    grants: HashMap<GrantTicket, SlotGrant>,
+    by_expiry: BTreeSet<(Instant, GrantTicket)>,
+}
+
+impl GrantTable {
+    /// Creates an empty table whose tickets carry the epoch.
+    pub(super) fn new(epoch: u64) -> Self {
+        GrantTable {
+            epoch,
+            serial: 0,
+            grants: HashMap::new(),
+            by_expiry: BTreeSet::new(),
+        }
+    }
+
+    /// Adds a grant under a new ticket.
+    pub(super) fn insert(&mut self, grant: SlotGrant) -> GrantTicket {
+        self.serial += 1;
+        let ticket = GrantTicket((self.epoch << 32) | self.serial);
+        self.insert_as(ticket, grant);
+        ticket
+    }
+
+    /// Adds a grant under a ticket of a former owner.
+    pub(super) fn insert_as(&mut self, ticket: GrantTicket, grant: SlotGrant) {
+        self.by_expiry.insert((grant.expires, ticket));
+        self.grants.insert(ticket, grant);
+    }
+
+    /// Returns whether a ticket is out.
+    pub(super) fn contains(&self, ticket: GrantTicket) -> bool {
+        self.grants.contains_key(&ticket)
+    }
+
+    /// Removes a grant.
+    pub(super) fn remove(&mut self, ticket: GrantTicket) -> Option<SlotGrant> {
+        let grant = self.grants.remove(&ticket)?;
+        self.by_expiry.remove(&(grant.expires, ticket));
+        Some(grant)
+    }
+
+    /// Removes a grant that has expired, if there is one.
+    pub(super) fn pop_expired(
+        &mut self,
+        now: Instant,
+    ) -> Option<(GrantTicket, SlotGrant)> {
+        let &(expires, ticket) = self.by_expiry.first()?;
+        if expires > now {
+            return None;
+        }
+        self.remove(ticket).map(|grant| (ticket, grant))
+    }
+
+    /// Returns the number of grants.
+    pub(super) fn len(&self) -> usize {
+        self.grants.len()
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-core/src/lib.rs
@@ -0,0 +1,67 @@
+//! Decisions of one failure domain: slots, shares, limits, placement and request records.
+//!
+//! Nothing in this crate does I/O or reads a clock; every call is given the current time.
+
+mod backoff;
+mod endpoint_table;
+mod error_answer;
+mod error_kind;
+mod grant_desk;
+mod home_map;
+mod job_id;
+mod job_spec;
+mod placement_board;
+mod record_table;
+mod resource_vector;
+mod retry_budget;
+mod run_state;
+mod system_clock;
+mod task_id;
+mod team_ledger;
+mod worker_table;
+
+pub use self::backoff::RetryBackoff;
+pub use self::endpoint_table::EndpointKey;
+pub use self::endpoint_table::EndpointSpec;
+pub use self::endpoint_table::EndpointTable;
+pub use self::error_answer::ErrorAnswer;
+pub use self::error_kind::ErrorKind;
+pub use self::grant_desk::AdoptedGrant;
+pub use self::grant_desk::DeskOutcome;
+pub use self::grant_desk::GrantDesk;
+pub use self::grant_desk::GrantOffer;
+pub use self::grant_desk::GrantTicket;
+pub use self::grant_desk::QueuePolicy;
+pub use self::grant_desk::SlotRequest;
+pub use self::home_map::home_domain;
+pub use self::job_id::JobId;
+pub use self::job_spec::JobKind;
+pub use self::job_spec::JobSpec;
+pub use self::placement_board::BoardCommand;
+pub use self::placement_board::JobView;
+pub use self::placement_board::PlacementBoard;
+pub use self::placement_board::TaskEnd;
+pub use self::placement_board::TaskReport;
+pub use self::placement_board::TaskSighting;
+pub use self::record_table::RecordBegin;
+pub use self::record_table::RecordDigest;
+pub use self::record_table::RecordState;
+pub use self::record_table::RecordTable;
+pub use self::record_table::StoredAnswer;
+pub use self::resource_vector::ResourceVector;
+pub use self::retry_budget::RetryBudget;
+pub use self::run_state::RunState;
+pub use self::system_clock::NodeClock;
+pub use self::system_clock::SystemClock;
+pub use self::task_id::TaskId;
+pub use self::team_ledger::TeamLedger;
+pub use self::team_ledger::TeamPolicy;
+pub use self::team_ledger::TeamUse;
+pub use self::worker_table::WorkerKey;
+pub use self::worker_table::WorkerSpec;
+pub use self::worker_table::WorkerTable;
+
+use std::sync::Arc;
+
+/// A shared immutable name of a team, queue, domain, VM or endpoint.
+pub type Name = Arc<str>;
--- /dev/null
+++ b/crates/geraniumwinch-core/src/placement_board.rs
@@ -0,0 +1,304 @@
+//! Jobs of one failure domain and the placement of their tasks on workers.
+
+mod board_command;
+mod inventory;
+mod job_state;
+mod job_view;
+mod placing;
+mod preemption;
+mod quarantine;
+mod recovery;
+mod team_line;
+
+pub use self::board_command::BoardCommand;
+pub use self::board_command::TaskEnd;
+pub use self::board_command::TaskReport;
+pub use self::board_command::TaskSighting;
+pub use self::job_view::JobView;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use slotmap::SlotMap;
+
+use crate::ErrorKind;
+use crate::JobId;
+use crate::JobSpec;
+use crate::Name;
+use crate::TaskId;
+use crate::TeamLedger;
+use crate::WorkerKey;
+use crate::WorkerSpec;
+use crate::WorkerTable;
+
+use self::job_state::JobKey;
+use self::job_state::JobState;
+use self::job_state::TaskPhase;
+use self::job_state::TaskPlace;
+use self::job_state::TaskRef;
+use self::job_state::TaskState;
+use self::team_line::TeamLine;
+
+/// The time for which a start command may be executed after it was sent.
+pub(crate) const START_EXPIRY: Duration = Duration::from_millis(1500);
+/// The difference of clocks and delays that leases allow for.
+pub(crate) const LEASE_MARGIN: Duration = Duration::from_millis(1000);
+/// The time after which an unanswered stop command is sent again.
+const STOP_REPEAT: Duration = Duration::from_millis(1000);
+
+/// The jobs of a failure domain and where their tasks run.
+#[derive(Debug)]
+pub struct PlacementBoard {
+    epoch: u64,
+    attempts: u64,
+    task_lease: Duration,
+    workers: WorkerTable,
+    jobs: SlotMap<JobKey, JobState>,
+    by_id: HashMap<JobId, JobKey>,
+    lines: BTreeMap<Name, TeamLine>,
+    on_worker: HashMap<WorkerKey, BTreeSet<TaskRef>>,
+    unlocated: BTreeSet<(Instant, TaskRef)>,
+    delayed: BTreeSet<(Instant, TaskRef)>,
+    stopping: BTreeSet<(Instant, TaskRef)>,
+    commands: Vec<BoardCommand>,
+}
+
+impl PlacementBoard {
+    /// Creates an empty board; the tasks of silent workers end after `task_lease`.
+    pub fn new(epoch: u64, task_lease: Duration) -> Self {
+        PlacementBoard {
+            epoch,
+            attempts: 0,
+            task_lease,
+            workers: WorkerTable::default(),
+            jobs: SlotMap::with_key(),
+            by_id: HashMap::new(),
+            lines: BTreeMap::new(),
+            on_worker: HashMap::new(),
+            unlocated: BTreeSet::new(),
+            delayed: BTreeSet::new(),
+            stopping: BTreeSet::new(),
+            commands: Vec::new(),
+        }
+    }
+
+    /// Takes over a new VM list.
+    pub fn set_workers(&mut self, specs: &[WorkerSpec]) {
+        self.workers.set_list(specs);
+    }
+
+    /// Returns the workers.
+    pub fn workers(&self) -> &WorkerTable {
+        &self.workers
+    }
+
+    /// Returns the commands that the last calls gave rise to.
+    pub fn take_commands(&mut self) -> Vec<BoardCommand> {
+        std::mem::take(&mut self.commands)
+    }
+
+    /// Checks whether a job could ever run here.
+    pub fn check(
+        &self,
+        spec: &JobSpec,
+        team: &Name,
+        ledger: &TeamLedger,
+    ) -> Option<ErrorKind> {
+        if !self.workers.ever_fits(&spec.size) {
+            return Some(ErrorKind::JobNeverFits);
+        }
+        let together = match spec.kind {
+            crate::JobKind::Gang => spec.tasks,
+            crate::JobKind::Batch | crate::JobKind::Service => 1,
+        };
+        if !ledger.ever_allows(team, together) {
+            return Some(ErrorKind::TeamLimit);
+        }
+        None
+    }
+
+    /// Adds an accepted job; adding it again changes nothing.
+    pub fn submit(
+        &mut self,
+        id: JobId,
+        spec: JobSpec,
+        team: Name,
+        queue: Name,
+        now: Instant,
+    ) {
+        if self.by_id.contains_key(&id) {
+            return;
+        }
+        let job = JobState::new(id.clone(), spec, team, queue, now);
+        let key = self.jobs.insert(job);
+        self.by_id.insert(id, key);
+        self.enqueue(key);
+    }
+
+    /// Cancels a job: waiting tasks end at once, running ones are stopped.
+    pub fn cancel(&mut self, id: &JobId, ledger: &mut TeamLedger, now: Instant) -> bool {
+        let Some(&key) = self.by_id.get(id) else { return false };
+        let job = &mut self.jobs[key];
+        if job.cancelled {
+            return true;
+        }
+        job.cancelled = true;
+        job.pending.clear();
+        for index in 0..job.tasks.len() as u32 {
+            let task = (key, index);
+            match self.jobs[key].tasks[index as usize] {
+                TaskState::Pending | TaskState::Delayed { .. } => {
+                    self.end_task(task, TaskEnd::Cancelled);
+                }
+                TaskState::Placed(place) if place.phase == TaskPhase::Reserved => {
+                    self.unplace(task, ledger);
+                    self.end_task(task, TaskEnd::Cancelled);
+                }
+                TaskState::Placed(_) => self.stop_task(task, false, now),
+                TaskState::Unlocated { .. } | TaskState::Ended(_) => {}
+            }
+        }
+        true
+    }
+
+    /// Does what has become due: repeats stops, gives up silent workers, ends waits.
+    pub fn tick(&mut self, ledger: &mut TeamLedger, now: Instant) {
+        self.give_up_silent_workers(ledger, now);
+        while let Some(&(due, task)) = self.unlocated.first() {
+            if due > now {
+                break;
+            }
+            self.unlocated.pop_first();
+            self.requeue(task);
+        }
+        while let Some(&(due, task)) = self.delayed.first() {
+            if due > now {
+                break;
+            }
+            self.delayed.pop_first();
+            self.requeue(task);
+        }
+        while let Some(&(due, task)) = self.stopping.first() {
+            if due > now {
+                break;
+            }
+            self.stopping.pop_first();
+            self.send_stop(task, now);
+        }
+    }
+
+    /// Makes a task that runs nowhere wait for a worker again, unless its job was cancelled.
+    fn requeue(&mut self, task: TaskRef) {
+        let (key, index) = task;
+        let Some(job) = self.jobs.get_mut(key) else { return };
+        if matches!(job.tasks[index as usize], TaskState::Ended(_) | TaskState::Placed(_))
+        {
+            return;
+        }
+        if job.cancelled {
+            self.end_task(task, TaskEnd::Cancelled);
+            return;
+        }
+        job.tasks[index as usize] = TaskState::Pending;
+        job.pending.push_back(index);
+        self.enqueue(key);
+    }
+
+    /// Puts a job that has waiting tasks into the line of its team.
+    fn enqueue(&mut self, key: JobKey) {
+        let job = &mut self.jobs[key];
+        if job.queued {
+            return;
+        }
+        job.queued = true;
+        let line = self.lines.entry(job.team.clone()).or_default();
+        line.push(key, job.spec.urgent);
+    }
+
+    /// Records the end of a task that runs nowhere, and of its job with the last one.
+    fn end_task(&mut self, task: TaskRef, end: TaskEnd) {
+        let (key, index) = task;
+        let job = &mut self.jobs[key];
+        if matches!(job.tasks[index as usize], TaskState::Ended(_)) {
+            return;
+        }
+        job.tasks[index as usize] = TaskState::Ended(end);
+        job.ended += 1;
+        let id = job.id.clone();
+        let last = job.ended as usize == job.tasks.len();
+        self.commands.push(BoardCommand::RecordEnd { job: id.clone(), index, end });
+        if last {
+            self.commands.push(BoardCommand::RecordJobEnd { job: id });
+        }
+    }
+
+    /// Forgets a job whose end has been recorded and read long enough.
+    pub fn forget(&mut self, id: &JobId) {
+        if let Some(key) = self.by_id.remove(id) {
+            self.jobs.remove(key);
+        }
+    }
+
+    /// Releases the room of a placed task and returns where it was.
+    fn unplace(&mut self, task: TaskRef, ledger: &mut TeamLedger) -> Option<TaskPlace> {
+        let (key, index) = task;
+        let job = self.jobs.get_mut(key)?;
+        let TaskState::Placed(place) = job.tasks[index as usize] else { return None };
+        job.tasks[index as usize] = TaskState::Pending;
+        self.workers.release(place.worker, &job.spec.size);
+        ledger.release(&job.team, &job.spec.size);
+        if let Some(tasks) = self.on_worker.get_mut(&place.worker) {
+            tasks.remove(&task);
+        }
+        Some(place)
+    }
+
+    /// Begins to stop a placed task.
+    fn stop_task(&mut self, task: TaskRef, checkpoint: bool, now: Instant) {
+        let (key, index) = task;
+        if let TaskState::Placed(place) = &mut self.jobs[key].tasks[index as usize] {
+            if matches!(place.phase, TaskPhase::Stopping { .. }) {
+                return;
+            }
+            place.phase = TaskPhase::Stopping { checkpoint };
+            self.send_stop(task, now);
+        }
+    }
+
+    /// Sends a stop command and plans its repetition.
+    fn send_stop(&mut self, task: TaskRef, now: Instant) {
+        let (key, index) = task;
+        let Some(job) = self.jobs.get(key) else { return };
+        let TaskState::Placed(place) = job.tasks[index as usize] else { return };
+        let TaskPhase::Stopping { checkpoint } = place.phase else { return };
+        let Some(worker) = self.workers.get(place.worker) else { return };
+        self.commands.push(BoardCommand::Stop {
+            worker: worker.spec.name.clone(),
+            address: worker.spec.address.clone(),
+            task: TaskId { job: job.id.clone(), index, attempt: place.attempt },
+            checkpoint,
+        });
+        self.stopping.insert((now + STOP_REPEAT, task));
+    }
+
+    /// Finds the placed task that an identifier names, if that attempt is the current one.
+    fn find_placed(&self, id: &TaskId) -> Option<(TaskRef, TaskPlace)> {
+        let &key = self.by_id.get(&id.job)?;
+        match self.jobs[key].tasks.get(id.index as usize)? {
+            TaskState::Placed(place) if place.attempt == id.attempt => {
+                Some(((key, id.index), *place))
+            }
+            _ => None,
+        }
+    }
+
+    /// Returns the number of jobs, of waiting tasks and of placed tasks.
+    pub fn counts(&self) -> (usize, usize, usize) {
+        let waiting = self.jobs.values().map(|job| job.pending.len()).sum();
+        let placed = self.on_worker.values().map(BTreeSet::len).sum();
+        (self.jobs.len(), waiting, placed)
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-core/src/placement_board/job_view.rs
@@ -0,0 +1,157 @@
+//! What callers see of a job.
+
+use std::time::Instant;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::JobId;
+use crate::JobKind;
+use crate::Name;
+use crate::TeamLedger;
+
+use super::PlacementBoard;
+use super::TaskEnd;
+use super::job_state::JobState;
+use super::job_state::TaskPhase;
+use super::job_state::TaskState;
+
+/// What callers see of a job.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobView {
+    /// The identifier.
+    pub id: String,
+    /// The team that it runs for.
+    pub team: Name,
+    /// The queue that it was submitted to.
+    pub queue: Name,
+    /// `waiting`, `running`, `ended` or `cancelled`.
+    pub state: String,
+    /// The number of tasks that wait.
+    pub waiting: u32,
+    /// The number of tasks that are placed on workers.
+    pub running: u32,
+    /// The number of tasks that did their work.
+    pub succeeded: u32,
+    /// The number of tasks that failed.
+    pub failed: u32,
+    /// The number of tasks that were cancelled.
+    pub cancelled: u32,
+    /// What the waiting tasks wait for.
+    pub waits_for: Option<String>,
+    /// The time since it was accepted or taken over, in milliseconds.
+    pub age_ms: u64,
+}
+
+impl PlacementBoard {
+    /// Describes a job.
+    pub fn view(&self, id: &JobId, ledger: &TeamLedger, now: Instant) -> Option<JobView> {
+        let job = &self.jobs[*self.by_id.get(id)?];
+        let count = |wanted: fn(&TaskState) -> bool| {
+            job.tasks.iter().filter(|state| wanted(state)).count() as u32
+        };
+        let running = count(|state| matches!(state, TaskState::Placed(_)));
+        let ended = job.ended as usize == job.tasks.len();
+        let state = match (ended, job.cancelled, running) {
+            (true, true, _) => "cancelled",
+            (true, false, _) => "ended",
+            (false, _, 0) => "waiting",
+            (false, _, _) => "running",
+        };
+        Some(JobView {
+            id: id.to_string(),
+            team: job.team.clone(),
+            queue: job.queue.clone(),
+            state: state.to_owned(),
+            waiting: job.tasks.len() as u32 - running - job.ended,
+            running,
+            succeeded: count(|state| *state == TaskState::Ended(TaskEnd::Succeeded)),
+            failed: count(|state| *state == TaskState::Ended(TaskEnd::Failed)),
+            cancelled: count(|state| *state == TaskState::Ended(TaskEnd::Cancelled)),
+            waits_for: self.wait_reason(job, ledger, now),
+            age_ms: now.saturating_duration_since(job.accepted).as_millis() as u64,
+        })
+    }
+
+    /// Says what a job's first waiting task waits for.
+    fn wait_reason(
+        &self,
+        job: &JobState,
+        ledger: &TeamLedger,
+        now: Instant,
+    ) -> Option<String> {
+        let reserved = |state: &TaskState| match state {
+            TaskState::Placed(place) => place.phase == TaskPhase::Reserved,
+            _ => false,
+        };
+        if job.tasks.iter().any(|state| matches!(state, TaskState::Unlocated { .. })) {
+            return Some("workers that have not reported since the takeover".to_owned());
+        }
+        if job.tasks.iter().any(|state| matches!(state, TaskState::Delayed { .. })) {
+            return Some("the backoff after a failed start".to_owned());
+        }
+        if job.tasks.iter().any(reserved) {
+            return Some("preempted tasks to leave their worker".to_owned());
+        }
+        if job.pending.is_empty() {
+            return None;
+        }
+        let together = match job.spec.kind {
+            JobKind::Gang => job.pending.len() as u32,
+            JobKind::Batch | JobKind::Service => 1,
+        };
+        if !ledger.allows(&job.team, together) {
+            return Some(format!("the upper limit of team {}", job.team));
+        }
+        if self.workers.best_fit(&job.spec.size, now).is_none() {
+            return Some("a worker with enough free room".to_owned());
+        }
+        Some("its turn".to_owned())
+    }
+
+    /// Returns every job that has not been forgotten, as a snapshot needs it.
+    pub fn kept_jobs(&self) -> impl Iterator<Item = KeptJob<'_>> {
+        self.jobs.values().map(|job| KeptJob { job })
+    }
+}
+
+/// A job as a snapshot needs it.
+#[derive(Debug)]
+pub struct KeptJob<'a> {
+    job: &'a JobState,
+}
+
+impl KeptJob<'_> {
+    /// Returns the identifier.
+    pub fn id(&self) -> &JobId {
+        &self.job.id
+    }
+
+    /// Returns the description.
+    pub fn spec(&self) -> &crate::JobSpec {
+        &self.job.spec
+    }
+
+    /// Returns the team and the queue.
+    pub fn team_and_queue(&self) -> (&Name, &Name) {
+        (&self.job.team, &self.job.queue)
+    }
+
+    /// Returns whether every task has ended.
+    pub fn ended(&self) -> bool {
+        self.job.ended as usize == self.job.tasks.len()
+    }
+
+    /// Returns whether the job was cancelled.
+    pub fn cancelled(&self) -> bool {
+        self.job.cancelled
+    }
+
+    /// Returns the ended tasks.
+    pub fn ends(&self) -> impl Iterator<Item = (u32, TaskEnd)> {
+        self.job.tasks.iter().enumerate().filter_map(|(index, state)| match state {
+            TaskState::Ended(end) => Some((index as u32, *end)),
+            _ => None,
+        })
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-core/src/resource_vector.rs
@@ -0,0 +1,58 @@
+//! Amounts of the resources that tasks use and workers have.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// An amount of each resource of a VM.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ResourceVector {
+    /// Processor time in thousandths of a core.
+    pub cpu_millis: u64,
+    /// Memory in bytes.
+    pub memory_bytes: u64,
+    /// Whole accelerators.
+    pub accelerators: u32,
+}
+
+impl ResourceVector {
+    /// Returns whether every amount is at most that of `room`.
+    pub fn fits(&self, room: &ResourceVector) -> bool {
+        self.cpu_millis <= room.cpu_millis
+            && self.memory_bytes <= room.memory_bytes
+            && self.accelerators <= room.accelerators
+    }
+
+    /// Adds another vector.
+    pub fn add(&mut self, other: &ResourceVector) {
+        self.cpu_millis += other.cpu_millis;
+        self.memory_bytes += other.memory_bytes;
+        self.accelerators += other.accelerators;
+    }
+
+    /// Subtracts another vector and stops at zero.
+    pub fn subtract(&mut self, other: &ResourceVector) {
+        self.cpu_millis = self.cpu_millis.saturating_sub(other.cpu_millis);
+        self.memory_bytes = self.memory_bytes.saturating_sub(other.memory_bytes);
+        self.accelerators = self.accelerators.saturating_sub(other.accelerators);
+    }
+
+    /// Returns what remains of `self` after `used`, at least zero in each resource.
+    pub fn minus(&self, used: &ResourceVector) -> ResourceVector {
+        let mut rest = *self;
+        rest.subtract(used);
+        rest
+    }
+
+    /// Returns the largest fraction that `self` takes of any resource of `total`.
+    pub fn dominant_share(&self, total: &ResourceVector) -> f64 {
+        let cpu = fraction(self.cpu_millis, total.cpu_millis);
+        let memory = fraction(self.memory_bytes, total.memory_bytes);
+        let accelerators = fraction(self.accelerators.into(), total.accelerators.into());
+        cpu.max(memory).max(accelerators)
+    }
+}
+
+/// Returns `part / whole`, or 0 if there is no whole.
+fn fraction(part: u64, whole: u64) -> f64 {
+    if whole == 0 { 0.0 } else { part as f64 / whole as f64 }
+}
--- /dev/null
+++ b/crates/geraniumwinch-core/src/task_id.rs
@@ -0,0 +1,38 @@
+//! Identifiers of attempts to run a task.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::JobId;
+
+/// One attempt to run one task of a job; its text is `JOB/INDEX/ATTEMPT`.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct TaskId {
+    /// The job.
+    pub job: JobId,
+    /// The index of the task within the job, counted from 0.
+    pub index: u32,
+    /// The number of the attempt, counted from 0; it has the owner's epoch in its upper half.
+    pub attempt: u64,
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}/{}", self.job, self.index, self.attempt)
+    }
+}
+
+impl FromStr for TaskId {
+    type Err = ();
+
+    fn from_str(text: &str) -> std::result::Result<Self, ()> {
+        let mut parts = text.rsplitn(3, '/');
+        let attempt = parts.next().and_then(|part| part.parse().ok()).ok_or(())?;
+        let index = parts.next().and_then(|part| part.parse().ok()).ok_or(())?;
+        let job = parts.next().ok_or(())?.parse()?;
+        Ok(TaskId { job, index, attempt })
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/catalog_state.rs
@@ -0,0 +1,112 @@
+//! The configuration in force in this process.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use geraniumwinch_config::ConfigurationSet;
+use geraniumwinch_config::SetDelta;
+use geraniumwinch_config::TeamCatalog;
+use geraniumwinch_wire::ConfigAnswer;
+
+use crate::node_metrics;
+
+/// The number of changes that are kept for processes that lag.
+const HISTORY: usize = 256;
+
+/// A revision of the configuration.
+#[derive(Debug, Default)]
+pub(crate) struct CatalogView {
+    /// The revision; 0 stands for none.
+    pub(crate) revision: u64,
+    /// The set.
+    pub(crate) set: ConfigurationSet,
+    /// The set in the form in which it is used.
+    pub(crate) catalog: TeamCatalog,
+}
+
+/// The configuration in force, its last changes, and when it was last known to be the newest one.
+#[derive(Debug, Default)]
+pub(crate) struct CatalogState {
+    current: ArcSwap<CatalogView>,
+    history: Mutex<VecDeque<(u64, SetDelta)>>,
+    fresh: Mutex<Option<Instant>>,
+}
+
+impl CatalogState {
+    /// Returns the revision in force.
+    pub(crate) fn view(&self) -> Arc<CatalogView> {
+        self.current.load_full()
+    }
+
+    /// Puts a higher revision in force; a lower or equal one changes nothing.
+    pub(crate) fn apply(&self, revision: u64, set: ConfigurationSet) -> bool {
+        let mut history =
+            self.history.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let current = self.view();
+        if revision <= current.revision {
+            return false;
+        }
+        if revision == current.revision + 1 {
+            history.push_back((revision, SetDelta::between(&current.set, &set)));
+            if history.len() > HISTORY {
+                history.pop_front();
+            }
+        } else {
+            history.clear();
+        }
+        let catalog = TeamCatalog::of(&set);
+        self.current.store(Arc::new(CatalogView { revision, set, catalog }));
+        node_metrics::show_revision(revision);
+        true
+    }
+
+    /// Applies an answer of a peer or of the store.
+    pub(crate) fn apply_answer(&self, revision: u64, answer: ConfigAnswer) -> bool {
+        match answer {
+            ConfigAnswer::Whole(set) => self.apply(revision, set),
+            ConfigAnswer::Deltas(deltas) => {
+                let current = self.view();
+                let mut next = current.revision;
+                let mut set = current.set.clone();
+                let mut applied = false;
+                for delta in deltas {
+                    next += 1;
+                    delta.apply(&mut set);
+                    applied |= self.apply(next, set.clone());
+                }
+                applied && next == revision
+            }
+        }
+    }
+
+    /// Returns what leads a process from a revision to the one in force.
+    pub(crate) fn answer_from(&self, revision: u64) -> (u64, ConfigAnswer) {
+        let history =
+            self.history.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let current = self.view();
+        let missing = history.iter().filter(|(next, _)| *next > revision);
+        let deltas: Vec<SetDelta> = missing.map(|(_, delta)| delta.clone()).collect();
+        if deltas.len() as u64 == current.revision.saturating_sub(revision) {
+            (current.revision, ConfigAnswer::Deltas(deltas))
+        } else {
+            (current.revision, ConfigAnswer::Whole(current.set.clone()))
+        }
+    }
+
+    /// Notes that the revision in force was the newest one at a time.
+    pub(crate) fn confirm(&self, at: Instant) {
+        let mut fresh =
+            self.fresh.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        *fresh = Some(fresh.map_or(at, |earlier| earlier.max(at)));
+    }
+
+    /// Returns the time since the revision in force was last known to be the newest one.
+    pub(crate) fn fresh_age(&self, now: Instant) -> Option<Duration> {
+        let fresh = self.fresh.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        fresh.map(|at| now.saturating_duration_since(at))
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/config_keeper.rs
@@ -0,0 +1,259 @@
+//! Keeps the configuration in force the newest one, and the other domains in view.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use geraniumwinch_config::ConfigurationSet;
+use geraniumwinch_config::SetDelta;
+use geraniumwinch_core::Name;
+use geraniumwinch_wire::ConfigAnswer;
+use geraniumwinch_wire::DomainDigest;
+use geraniumwinch_wire::PeerMessage;
+use geraniumwinch_wire::ProbeReport;
+
+use crate::NodeError;
+use crate::Result;
+use crate::dispatcher::CatalogChanged;
+use crate::event_log::log_event;
+use crate::node_shared::NodeShared;
+use crate::platform_store::PlatformStore;
+use crate::publisher::ConfigHead;
+use crate::store_keys;
+
+/// The greatest number of changes that are read one by one.
+const MAX_DELTAS: u64 = 16;
+
+/// Keeps the configuration in force the newest one.
+pub(crate) struct ConfigKeeper {
+    shared: Arc<NodeShared>,
+    store: Rc<dyn PlatformStore>,
+}
+
+impl ConfigKeeper {
+    /// Creates a keeper.
+    pub(crate) fn new(shared: Arc<NodeShared>, store: Rc<dyn PlatformStore>) -> Self {
+        ConfigKeeper { shared, store }
+    }
+
+    /// Looks for new revisions until the process ends.
+    ///
+    /// The owner of a domain reads the store; other processes hear from their owner, and read the
+    /// store only while they have none.
+    pub(crate) async fn run_store(self) {
+        loop {
+            let own = self.shared.fence.epoch().is_some();
+            if own || self.shared.live_owner().is_none() {
+                if let Err(error) = self.read_head().await {
+                    log_event!(Debug, "configuration-unread", error = error);
+                }
+                if own {
+                    self.infer_freshness();
+                }
+            }
+            tokio::time::sleep(self.shared.settings.config_poll).await;
+        }
+    }
+
+    /// Reads the head and whatever leads to it.
+    async fn read_head(&self) -> Result<()> {
+        let asked = self.shared.now();
+        let head = self.store.get(store_keys::CONFIG_HEAD).await;
+        self.shared.note_store(head.is_ok());
+        let Some(head) = head?.as_ref().map(ConfigHead::read).transpose()? else {
+            self.shared.catalog.confirm(asked);
+            return Ok(());
+        };
+        let current = self.shared.catalog.view().revision;
+        if head.revision > current {
+            if !self.read_deltas(current, &head).await? {
+                self.read_whole().await?;
+            }
+            self.announce();
+        }
+        if self.shared.catalog.view().revision >= head.revision {
+            self.shared.catalog.confirm(asked);
+        }
+        Ok(())
+    }
+
+    /// Reads the changes up to the head; returns whether they lead there.
+    async fn read_deltas(&self, current: u64, head: &ConfigHead) -> Result<bool> {
+        if current == 0 || head.revision - current > MAX_DELTAS {
+            return Ok(false);
+        }
+        let mut set = self.shared.catalog.view().set.clone();
+        for revision in current + 1..=head.revision {
+            let key = store_keys::config_delta(revision);
+            let Some(record) = self.store.get(&key).await? else { return Ok(false) };
+            let Ok(delta) = serde_json::from_slice::<SetDelta>(&record.value) else {
+                return Ok(false);
+            };
+            delta.apply(&mut set);
+        }
+        if set.digest() != head.digest {
+            return Ok(false);
+        }
+        Ok(self.shared.catalog.apply(head.revision, set))
+    }
+
+    /// Reads the whole set.
+    async fn read_whole(&self) -> Result<()> {
+        let Some(head) = self.store.get(store_keys::CONFIG_HEAD).await? else {
+            return Ok(());
+        };
+        let head = ConfigHead::read(&head)?;
+        let Some(record) = self.store.get(store_keys::CONFIG_CURRENT).await? else {
+            return Ok(());
+        };
+        let text = String::from_utf8_lossy(&record.value);
+        let set = ConfigurationSet::parse(store_keys::CONFIG_CURRENT, &text);
+        match set {
+            Ok(set) if set.digest() == head.digest => {
+                self.shared.catalog.apply(head.revision, set);
+                Ok(())
+            }
+            // The head moved on between the two reads; the next look will find both.
+            _ => Err(NodeError::StoredValue {
+                key: store_keys::CONFIG_CURRENT.to_owned(),
+                message: "the set does not match its head".to_owned(),
+            }),
+        }
+    }
+
+    /// Tells the dispatcher of a new revision.
+    fn announce(&self) {
+        announce(&self.shared);
+    }
+
+    /// Concludes from an outage of the store in every domain that nothing can have changed.
+    fn infer_freshness(&self) {
+        let shared = &self.shared;
+        if !shared.store_down.load(Ordering::Relaxed) {
+            return;
+        }
+        let revision = shared.catalog.view().revision;
+        let mut known_at = shared.now();
+        for domain in shared.settings.domain_names() {
+            if domain == *shared.domain() {
+                continue;
+            }
+            let Some(row) = shared.domains.get(&domain) else { return };
+            if !row.digest.store_down || row.digest.revision > revision {
+                return;
+            }
+            known_at = known_at.min(row.made);
+        }
+        shared.catalog.confirm(known_at);
+    }
+}
+
+/// Tells the dispatcher of this process, if there is one, of a new revision.
+pub(crate) fn announce(shared: &NodeShared) {
+    let revision = shared.catalog.view().revision;
+    log_event!(Info, "configuration-applied", revision = revision);
+    if let Some(dispatcher) = shared.dispatcher.load_full() {
+        dispatcher.do_send(CatalogChanged);
+    }
+}
+
+/// Fetches newer revisions that a process hears of from its peers, until the process ends.
+pub(crate) async fn run_peers(shared: Arc<NodeShared>) {
+    loop {
+        tokio::time::sleep(shared.settings.peer_heartbeat).await;
+        if shared.fence.epoch().is_some() {
+            exchange_digests(&shared).await;
+        } else if let Some(owner) = shared.live_owner()
+            && shared.heard_revision.load(Ordering::Relaxed)
+                > shared.catalog.view().revision
+        {
+            ask_configuration(&shared, owner.address).await;
+        }
+        shared.link.close_idle(shared.now());
+    }
+}
+
+/// Asks a peer for a newer configuration if it has one.
+async fn ask_configuration(shared: &NodeShared, peer: std::net::SocketAddr) {
+    let revision = shared.catalog.view().revision;
+    let message = PeerMessage::ConfigAsk { revision };
+    let timeout = shared.settings.peer_heartbeat * 2;
+    let answer = shared.link.call(peer, message, timeout).await;
+    let Ok(PeerMessage::ConfigAnswer { revision, answer }) = answer else { return };
+    let nothing = matches!(&answer, ConfigAnswer::Deltas(deltas) if deltas.is_empty());
+    if !nothing && shared.catalog.apply_answer(revision, answer) {
+        announce(shared);
+    }
+}
+
+/// Exchanges digests with the owners of the other domains.
+async fn exchange_digests(shared: &Arc<NodeShared>) {
+    let own = &shared.own_digest;
+    let digest = own.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone();
+    let Some(mut digest) = digest else { return };
+    fill_freshness(shared, &mut digest);
+    let others = shared.settings.domain_names();
+    let calls = others
+        .into_iter()
+        .filter(|domain| domain != shared.domain())
+        .map(|domain| exchange_with(shared, domain, digest.clone()));
+    futures_util::future::join_all(calls).await;
+}
+
+/// Completes a digest by what is known of the store at this moment.
+pub(crate) fn fill_freshness(shared: &NodeShared, digest: &mut DomainDigest) {
+    digest.store_down = shared.store_down.load(Ordering::Relaxed);
+    digest.revision = shared.catalog.view().revision;
+    let age = shared.catalog.fresh_age(shared.now());
+    digest.fresh_age_ms = age.map(|age| age.as_millis() as u64);
+}
+
+/// Exchanges digests with the owner of one domain.
+async fn exchange_with(shared: &Arc<NodeShared>, domain: Name, digest: DomainDigest) {
+    let timeout = shared.settings.peer_heartbeat * 2;
+    let known = shared.domains.get(&domain).map(|row| row.digest.owner.address);
+    let seeds = shared.settings.domains.iter().find(|seeds| seeds.domain == domain);
+    let seeds = seeds.map(|seeds| seeds.seeds.clone()).unwrap_or_default();
+    for address in known.into_iter().chain(seeds) {
+        let sent = shared.now();
+        let message = PeerMessage::Digest(Box::new(digest.clone()));
+        match shared.link.call(address, message, timeout).await {
+            Ok(PeerMessage::Digest(theirs)) => {
+                take_digest(shared, *theirs, sent, address).await;
+                return;
+            }
+            Ok(PeerMessage::NotOwner(ProbeReport { owner: Some(owner) })) => {
+                let message = PeerMessage::Digest(Box::new(digest.clone()));
+                let sent = shared.now();
+                let answer = shared.link.call(owner.address, message, timeout).await;
+                if let Ok(PeerMessage::Digest(theirs)) = answer {
+                    take_digest(shared, *theirs, sent, owner.address).await;
+                    return;
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Takes in a digest that was asked for at a time, and the newer configuration that it tells of.
+async fn take_digest(
+    shared: &Arc<NodeShared>,
+    digest: DomainDigest,
+    sent: Instant,
+    address: std::net::SocketAddr,
+) {
+    let revision = shared.catalog.view().revision;
+    if digest.revision > revision {
+        ask_configuration(shared, address).await;
+    }
+    if let Some(age_ms) = digest.fresh_age_ms
+        && digest.revision == shared.catalog.view().revision
+        && let Some(at) = sent.checked_sub(Duration::from_millis(age_ms))
+    {
+        shared.catalog.confirm(at);
+    }
+    shared.domains.update(digest, sent);
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/dispatcher.rs
@@ -0,0 +1,186 @@
+//! The dispatcher: every decision of one failure domain.
+
+mod dispatch_digest;
+mod dispatch_jobs;
+mod dispatch_slots;
+mod dispatch_workers;
+mod dispatcher_mail;
+mod dispatcher_restore;
+mod journal_orders;
+
+pub(crate) use self::dispatcher_mail::CatalogChanged;
+pub(crate) use self::dispatcher_mail::FreezeDispatcher;
+pub(crate) use self::dispatcher_mail::PeerMail;
+pub(crate) use self::dispatcher_mail::ReportedGrants;
+pub(crate) use self::dispatcher_mail::SnapshotWanted;
+pub(crate) use self::dispatcher_mail::VmsRead;
+pub(crate) use self::dispatcher_mail::WorkerEvent;
+pub(crate) use self::dispatcher_restore::DispatcherStart;
+pub(crate) use self::dispatcher_restore::TakeoverKind;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix::Actor;
+use actix::AsyncContext;
+use actix::Context;
+use geraniumwinch_core::ErrorKind;
+use geraniumwinch_core::GrantDesk;
+use geraniumwinch_core::GrantTicket;
+use geraniumwinch_core::JobId;
+use geraniumwinch_core::Name;
+use geraniumwinch_core::PlacementBoard;
+use geraniumwinch_core::RecordDigest;
+use geraniumwinch_core::RecordTable;
+use geraniumwinch_core::TeamLedger;
+use geraniumwinch_core::TeamPolicy;
+use geraniumwinch_wire::HeldGrant;
+use geraniumwinch_wire::PeerIdentity;
+use geraniumwinch_wire::PeerMessage;
+use geraniumwinch_wire::SlotRecord;
+
+use crate::journal::JournalSender;
+use crate::node_metrics;
+use crate::node_shared::NodeShared;
+use crate::worker_caller::CallerSender;
+
+use self::journal_orders::JournalFollowUp;
+
+/// The time between two looks at what has become due.
+const TICK: Duration = Duration::from_millis(20);
+/// The time for which ended jobs can be queried.
+const ENDED_JOBS_KEPT: Duration = Duration::from_secs(600);
+
+/// Whom to answer about a request for a slot.
+#[derive(Debug, Clone)]
+pub(crate) struct AskContext {
+    from: PeerIdentity,
+    correlation: u128,
+    queue: Name,
+    team: Option<Name>,
+    deadline: Instant,
+    record: Option<SlotRecord>,
+    asked: Instant,
+}
+
+/// What the dispatcher knows of a grant that is out.
+#[derive(Debug, Clone)]
+struct GrantNote {
+    entry: Name,
+    held: HeldGrant,
+    record: Option<SlotRecord>,
+    closes: Instant,
+}
+
+/// The dispatcher of one failure domain in one epoch of its ownership.
+pub(crate) struct Dispatcher {
+    shared: Arc<NodeShared>,
+    epoch: u64,
+    desk: GrantDesk<AskContext>,
+    board: PlacementBoard,
+    ledger: TeamLedger,
+    records: RecordTable,
+    grant_notes: HashMap<GrantTicket, GrantNote>,
+    claimed: HashSet<RecordDigest>,
+    job_keys: HashMap<RecordDigest, JobId>,
+    ended_jobs: VecDeque<(Instant, JobId)>,
+    job_serial: u64,
+    journal: JournalSender,
+    orders: BTreeMap<u64, JournalFollowUp>,
+    order_serial: u64,
+    caller: CallerSender,
+    frozen: bool,
+    digest_made: Option<Instant>,
+    awaited: BTreeSet<Name>,
+}
+
+impl Actor for Dispatcher {
+    type Context = Context<Self>;
+
+    fn started(&mut self, context: &mut Context<Self>) {
+        context.run_interval(TICK, |dispatcher, _| dispatcher.tick());
+        self.apply_catalog();
+        self.make_digest(self.shared.now());
+    }
+}
+
+impl Dispatcher {
+    /// Returns whether decisions may be sent now.
+    fn may_decide(&self) -> bool {
+        !self.frozen && self.shared.fence.allows(self.epoch, self.shared.now())
+    }
+
+    /// Does what has become due.
+    fn tick(&mut self) {
+        let now = self.shared.now();
+        if !self.may_decide() {
+            return;
+        }
+        let started = now;
+        for ticket in self.desk.expire(&mut self.ledger, now) {
+            self.expire_grant(ticket, now);
+        }
+        self.records.expire(now);
+        self.board.tick(&mut self.ledger, now);
+        self.forget_ended_jobs(now);
+        self.decide();
+        self.make_digest(now);
+        node_metrics::record_decision(self.shared.now() - started);
+    }
+
+    /// Grants slots and places tasks.
+    fn decide(&mut self) {
+        if !self.may_decide() {
+            return;
+        }
+        let now = self.shared.now();
+        let outcomes = self.desk.pump(&mut self.ledger, now);
+        outcomes.into_iter().for_each(|outcome| self.answer_outcome(outcome, now));
+        self.board.place(&mut self.ledger, now);
+        self.run_commands();
+    }
+
+    /// Takes over the configuration in force.
+    fn apply_catalog(&mut self) {
+        let view = self.shared.catalog.view();
+        let domains = self.shared.settings.domain_names();
+        let mut policies = BTreeMap::new();
+        for (name, team) in &view.catalog.teams {
+            let allowance = domain_part(team.limit, &domains, self.shared.domain());
+            policies.insert(name.clone(), TeamPolicy { weight: team.weight, allowance });
+        }
+        self.ledger.set_policies(&policies);
+        let queues = view.catalog.queues.iter();
+        let queues =
+            queues.map(|(name, queue)| (name.clone(), queue.policy.clone())).collect();
+        let outcomes = self.desk.set_queues(&queues);
+        let now = self.shared.now();
+        outcomes.into_iter().for_each(|outcome| self.answer_outcome(outcome, now));
+    }
+
+    /// Answers a call.
+    fn answer(&self, to: &PeerIdentity, correlation: u128, body: PeerMessage) {
+        self.shared.link.answer(to.address, correlation, body);
+    }
+
+    /// Refuses a call that the process may not decide now.
+    fn refuse_undecided(&self, mail: &PeerMail) {
+        let body = crate::peer_router::refusal_for(&mail.body, ErrorKind::DomainUnowned);
+        if let Some(body) = body {
+            self.answer(&mail.from, mail.correlation, body);
+        }
+    }
+}
+
+/// Returns the part of a fleet-wide limit that a domain may use; the parts add up to the limit.
+fn domain_part(limit: u32, domains: &[Name], domain: &Name) -> u32 {
+    let count = domains.len().max(1) as u32;
+    let position = domains.iter().position(|name| name == domain).unwrap_or(0) as u32;
+    limit / count + u32::from(position < limit % count)
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatch_digest.rs
@@ -0,0 +1,95 @@
+//! What the dispatcher tells of its domain.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use geraniumwinch_wire::DomainDigest;
+use geraniumwinch_wire::OwnerView;
+use geraniumwinch_wire::QueueLoad;
+use geraniumwinch_wire::StatusReport;
+use geraniumwinch_wire::TeamRow;
+
+use crate::node_metrics;
+
+use super::Dispatcher;
+
+/// The time between two digests.
+const DIGEST_PERIOD: Duration = Duration::from_millis(100);
+
+impl Dispatcher {
+    /// Makes a new digest if the last one is old enough.
+    pub(super) fn make_digest(&mut self, now: Instant) {
+        let recent = |made: Instant| now.saturating_duration_since(made) < DIGEST_PERIOD;
+        if self.digest_made.is_some_and(recent) {
+            return;
+        }
+        self.digest_made = Some(now);
+        let digest = self.digest(now);
+        for (team, policy, usage) in self.ledger.iter() {
+            node_metrics::show_team(team, usage.running, policy.allowance);
+        }
+        let own = &self.shared.own_digest;
+        *own.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = Some(digest);
+    }
+
+    /// Describes the domain to other domains.
+    fn digest(&self, now: Instant) -> DomainDigest {
+        let recovering = self.desk.recovering(now).is_some();
+        let load =
+            self.desk.queue_load().map(|(queue, free, slots, waiting)| QueueLoad {
+                queue: queue.clone(),
+                free: if recovering { 0 } else { free },
+                slots,
+                waiting: waiting as u32,
+            });
+        let identity = self.shared.link.identity();
+        DomainDigest {
+            domain: identity.domain.clone(),
+            owner: OwnerView {
+                name: identity.name.clone(),
+                address: identity.address,
+                epoch: self.epoch,
+            },
+            revision: self.shared.catalog.view().revision,
+            store_down: self.shared.store_down.load(Ordering::Relaxed),
+            fresh_age_ms: None,
+            queues: load.collect(),
+        }
+    }
+
+    /// Describes the domain to operators.
+    pub(super) fn status(&self, now: Instant) -> StatusReport {
+        let total = self.board.workers().total();
+        let teams = self.ledger.iter().map(|(team, policy, usage)| TeamRow {
+            team: team.clone(),
+            weight: policy.weight,
+            running: usage.running,
+            allowance: policy.allowance,
+            share: usage.booked.dominant_share(&total),
+        });
+        let workers = || self.board.workers().iter().map(|(_, state)| state);
+        let listed = workers().filter(|state| state.listed).count();
+        let taking = workers().filter(|state| state.takes_work(now)).count();
+        let quarantined = workers()
+            .filter(|state| state.quarantined_until.is_some_and(|until| until > now))
+            .map(|state| state.spec.name.clone());
+        let (jobs, waiting, placed) = self.board.counts();
+        let mut digest = self.digest(now);
+        let fresh = self.shared.catalog.fresh_age(now);
+        digest.fresh_age_ms = fresh.map(|age| age.as_millis() as u64);
+        StatusReport {
+            digest,
+            teams: teams.collect(),
+            members: self.shared.members.rows(now),
+            workers: taking as u32,
+            workers_out: (listed - taking) as u32,
+            quarantined: quarantined.collect(),
+            jobs: jobs as u32,
+            tasks_waiting: waiting as u32,
+            tasks_placed: placed as u32,
+            grants: self.desk.grants_out() as u32,
+            records: self.records.len() as u32,
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatch_jobs.rs
@@ -0,0 +1,180 @@
+//! Calls about jobs.
+
+use std::time::Instant;
+
+use geraniumwinch_core::ErrorKind;
+use geraniumwinch_core::JobId;
+use geraniumwinch_core::JobSpec;
+use geraniumwinch_core::Name;
+use geraniumwinch_core::RecordDigest;
+use geraniumwinch_wire::JobAnswer;
+use geraniumwinch_wire::JournalEntry;
+use geraniumwinch_wire::PeerIdentity;
+use geraniumwinch_wire::PeerMessage;
+
+use crate::journal::JournalFate;
+
+use super::Dispatcher;
+use super::ENDED_JOBS_KEPT;
+use super::journal_orders::FollowUp;
+use super::journal_orders::JobAdmission;
+
+impl Dispatcher {
+    /// Takes in a job; it is accepted once the journal has it.
+    pub(super) fn take_job(
+        &mut self,
+        from: &PeerIdentity,
+        correlation: u128,
+        spec: JobSpec,
+        team: Name,
+        queue: Name,
+        key: Option<RecordDigest>,
+    ) {
+        if let Some(key) = &key {
+            if let Some(job) = self.job_keys.get(key) {
+                let answer = JobAnswer::Accepted(job.clone());
+                self.answer(from, correlation, PeerMessage::JobAnswer(answer));
+                return;
+            }
+            if self.claimed.contains(key) {
+                self.refuse_job(from, correlation, ErrorKind::StillRunning, "");
+                return;
+            }
+        }
+        if let Some(kind) = self.board.check(&spec, &team, &self.ledger) {
+            let detail = match kind {
+                ErrorKind::JobNeverFits => "no worker of the domain is large enough",
+                _ => "the team's upper limit never allows it in this domain",
+            };
+            self.refuse_job(from, correlation, kind, detail);
+            return;
+        }
+        self.job_serial += 1;
+        let domain = self.shared.domain().clone();
+        let job = JobId { domain, epoch: self.epoch, serial: self.job_serial };
+        self.claimed.extend(key);
+        let entry = JournalEntry::JobAccepted {
+            job: job.clone(),
+            spec: spec.clone(),
+            team: team.clone(),
+            queue: queue.clone(),
+            key,
+        };
+        let from = from.clone();
+        let admission = JobAdmission { from, correlation, job, spec, team, queue, key };
+        self.order(vec![entry], FollowUp::AdmitJob(Box::new(admission)));
+    }
+
+    /// Refuses a call about a job.
+    fn refuse_job(
+        &self,
+        to: &PeerIdentity,
+        correlation: u128,
+        kind: ErrorKind,
+        detail: &str,
+    ) {
+        let answer = refused(kind, detail);
+        self.answer(to, correlation, PeerMessage::JobAnswer(answer));
+    }
+
+    /// Admits a job that the journal has dealt with.
+    pub(super) fn admit_job(&mut self, admission: JobAdmission, fate: JournalFate) {
+        let now = self.shared.now();
+        let JobAdmission { from, correlation, job, spec, team, queue, key } = admission;
+        if let Some(key) = &key {
+            self.claimed.remove(key);
+        }
+        if fate == JournalFate::Refused {
+            self.refuse_job(&from, correlation, ErrorKind::StoreUnavailable, "");
+            return;
+        }
+        if let Some(key) = key {
+            self.job_keys.insert(key, job.clone());
+        }
+        self.board.submit(job.clone(), spec, team, queue, now);
+        let answer = match fate {
+            JournalFate::Kept => JobAnswer::Accepted(job),
+            _ => refused(ErrorKind::StoreUnknown, &format!("the job would be {job}")),
+        };
+        self.answer(&from, correlation, PeerMessage::JobAnswer(answer));
+    }
+
+    /// Describes a job to its team or to an operator.
+    pub(super) fn job_view(
+        &self,
+        job: &JobId,
+        team: Option<&Name>,
+        now: Instant,
+    ) -> JobAnswer {
+        match self.board.view(job, &self.ledger, now) {
+            Some(view) if team.is_some_and(|team| view.team != *team) => {
+                refused(ErrorKind::TeamForbidden, "")
+            }
+            Some(view) => JobAnswer::View(view),
+            None => refused(ErrorKind::JobUnknown, ""),
+        }
+    }
+
+    /// Cancels a job; the caller is answered once the journal has the cancellation.
+    pub(super) fn cancel_job(
+        &mut self,
+        from: &PeerIdentity,
+        correlation: u128,
+        job: JobId,
+        team: Option<&Name>,
+        now: Instant,
+    ) {
+        let view = self.job_view(&job, team, now);
+        if matches!(view, JobAnswer::Refused { .. }) {
+            self.answer(from, correlation, PeerMessage::JobAnswer(view));
+            return;
+        }
+        self.board.cancel(&job, &mut self.ledger, now);
+        let entry = JournalEntry::JobCancelled { job: job.clone() };
+        let follow_up = FollowUp::Cancelled { from: from.clone(), correlation, job };
+        self.order(vec![entry], follow_up);
+        self.run_commands();
+    }
+
+    /// Answers the caller of a cancellation.
+    pub(super) fn answer_cancelled(
+        &self,
+        to: &PeerIdentity,
+        correlation: u128,
+        job: &JobId,
+        fate: JournalFate,
+    ) {
+        let answer = match fate {
+            JournalFate::Kept => self.job_view(job, None, self.shared.now()),
+            _ => refused(ErrorKind::StoreUnknown, "the cancellation may be lost"),
+        };
+        self.answer(to, correlation, PeerMessage::JobAnswer(answer));
+    }
+
+    /// Notes that a job has ended.
+    pub(super) fn note_job_end(&mut self, job: JobId) {
+        self.ended_jobs.push_back((self.shared.now(), job));
+    }
+
+    /// Forgets the jobs that ended long ago.
+    pub(super) fn forget_ended_jobs(&mut self, now: Instant) {
+        while let Some((ended, _)) = self.ended_jobs.front() {
+            if now.saturating_duration_since(*ended) < ENDED_JOBS_KEPT {
+                return;
+            }
+            if let Some((_, job)) = self.ended_jobs.pop_front() {
+                self.board.forget(&job);
+                self.job_keys.retain(|_, kept| *kept != job);
+            }
+        }
+    }
+}
+
+/// Creates the refusal of a call about a job.
+pub(super) fn refused(kind: ErrorKind, detail: &str) -> JobAnswer {
+    JobAnswer::Refused {
+        kind,
+        retry_after_ms: kind.answer().retry_after.map(|time| time.as_millis() as u64),
+        detail: detail.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatch_slots.rs
@@ -0,0 +1,297 @@
+//! Requests for slots.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use geraniumwinch_core::AdoptedGrant;
+use geraniumwinch_core::DeskOutcome;
+use geraniumwinch_core::ErrorKind;
+use geraniumwinch_core::GrantOffer;
+use geraniumwinch_core::GrantTicket;
+use geraniumwinch_core::Name;
+use geraniumwinch_core::RecordBegin;
+use geraniumwinch_core::RecordState;
+use geraniumwinch_core::SlotRequest;
+use geraniumwinch_wire::HeldGrant;
+use geraniumwinch_wire::JournalEntry;
+use geraniumwinch_wire::PeerIdentity;
+use geraniumwinch_wire::PeerMessage;
+use geraniumwinch_wire::ReleaseOutcome;
+use geraniumwinch_wire::SlotAnswer;
+use geraniumwinch_wire::SlotAsk;
+use geraniumwinch_wire::SlotRecord;
+use geraniumwinch_wire::SlotRelease;
+use rand::Rng;
+
+use crate::journal::JournalFate;
+use crate::node_metrics;
+
+use super::AskContext;
+use super::Dispatcher;
+use super::GrantNote;
+use super::journal_orders::FollowUp;
+
+/// The age up to which another domain's digest is used to send requests there.
+const DIGEST_AGE: Duration = Duration::from_millis(2000);
+
+impl Dispatcher {
+    /// Takes in a request for a slot.
+    pub(super) fn take_ask(
+        &mut self,
+        from: PeerIdentity,
+        correlation: u128,
+        ask: SlotAsk,
+        now: Instant,
+    ) {
+        if let Some(record) = &ask.record
+            && let Some(answer) = self.known_record(record)
+        {
+            self.answer(&from, correlation, PeerMessage::SlotAnswer(answer));
+            return;
+        }
+        if ask.may_spill
+            && let Some(domain) = self.better_domain(&ask, now)
+        {
+            let answer = SlotAnswer::Elsewhere { domain };
+            self.answer(&from, correlation, PeerMessage::SlotAnswer(answer));
+            return;
+        }
+        let deadline = now + Duration::from_millis(ask.remaining_ms);
+        let context = AskContext {
+            from,
+            correlation,
+            queue: ask.queue.clone(),
+            team: ask.team.clone(),
+            deadline,
+            record: ask.record,
+            asked: now,
+        };
+        if let Some(record) = &ask.record {
+            self.claimed.insert(record.digest);
+        }
+        let request = SlotRequest {
+            id: correlation,
+            queue: ask.queue,
+            team: ask.team,
+            deadline,
+            excluded: ask.excluded,
+            context,
+        };
+        if let Some(outcome) = self.desk.submit(request, &self.ledger, now) {
+            self.answer_outcome(outcome, now);
+        }
+    }
+
+    /// Returns the answer to a request whose idempotency key is known.
+    fn known_record(&self, record: &SlotRecord) -> Option<SlotAnswer> {
+        let refused = |kind: ErrorKind| {
+            let retry_after_ms = retry_millis(kind.answer().retry_after);
+            Some(SlotAnswer::Refused { kind, retry_after_ms })
+        };
+        if self.claimed.contains(&record.digest) {
+            return refused(ErrorKind::StillRunning);
+        }
+        match self.records.peek(&record.digest, &record.fingerprint) {
+            RecordBegin::New => None,
+            RecordBegin::Known(RecordState::Intent) => refused(ErrorKind::StillRunning),
+            RecordBegin::Known(state) => Some(SlotAnswer::Known { state }),
+            RecordBegin::Reused => refused(ErrorKind::KeyReused),
+            RecordBegin::Full => refused(ErrorKind::RecordsFull),
+        }
+    }
+
+    /// Returns another domain with free slots if this one has none.
+    ///
+    /// The choice is random by the number of free slots, so that domains with lagging digests do not
+    /// all send to the same one.
+    fn better_domain(&self, ask: &SlotAsk, now: Instant) -> Option<Name> {
+        let load = self.desk.queue_load().find(|(queue, ..)| **queue == ask.queue);
+        let (_, free, _, waiting) = load?;
+        let limited = ask.team.as_ref().is_some_and(|team| !self.ledger.allows(team, 1));
+        let recovering = self.desk.recovering(now).is_some();
+        if free as usize > waiting && !limited && !recovering {
+            return None;
+        }
+        let domains = self.shared.domains.with_free_slots(&ask.queue, DIGEST_AGE, now);
+        let total: u32 = domains.iter().map(|(_, free)| free).sum();
+        let mut point = rand::rng().random_range(0..total.max(1));
+        domains.into_iter().find_map(|(domain, free)| {
+            let chosen = point < free;
+            point = point.saturating_sub(free);
+            chosen.then_some(domain)
+        })
+    }
+
+    /// Answers a request whose wait has ended.
+    pub(super) fn answer_outcome(
+        &mut self,
+        outcome: DeskOutcome<AskContext>,
+        now: Instant,
+    ) {
+        let context = outcome.context;
+        let offer = match outcome.result {
+            Ok(offer) => offer,
+            Err((kind, retry_after)) => {
+                if let Some(record) = &context.record {
+                    self.claimed.remove(&record.digest);
+                }
+                let retry_after_ms = retry_millis(retry_after);
+                let answer = SlotAnswer::Refused { kind, retry_after_ms };
+                self.answer_ask(&context, answer);
+                return;
+            }
+        };
+        node_metrics::record_slot_wait(now - context.asked);
+        let Some(record) = context.record else {
+            self.hand_out(context, offer);
+            return;
+        };
+        self.claimed.remove(&record.digest);
+        match self.records.begin(record.digest, record.fingerprint, now) {
+            RecordBegin::New => {
+                let entry = record_entry(&record, Some(RecordState::Intent));
+                self.order(vec![entry], FollowUp::Grant(Box::new(context), offer));
+            }
+            _ => {
+                self.desk.release(offer.ticket, &mut self.ledger, now);
+                let kind = ErrorKind::RecordsFull;
+                let answer = SlotAnswer::Refused { kind, retry_after_ms: None };
+                self.answer_ask(&context, answer);
+            }
+        }
+    }
+
+    /// Hands out a slot once the journal has dealt with the intent.
+    pub(super) fn grant_kept(
+        &mut self,
+        context: AskContext,
+        offer: GrantOffer,
+        fate: JournalFate,
+    ) {
+        let now = self.shared.now();
+        let in_time = now < context.deadline;
+        if fate == JournalFate::Kept && in_time && self.may_decide() {
+            self.hand_out(context, offer);
+            return;
+        }
+        // The slot was never handed out, so the request is known not to have run.
+        self.desk.release(offer.ticket, &mut self.ledger, now);
+        if let Some(record) = &context.record {
+            self.records.remove(&record.digest);
+            if fate != JournalFate::Refused {
+                self.order(vec![record_entry(record, None)], FollowUp::None);
+            }
+        }
+        let kind = match in_time {
+            true => ErrorKind::StoreUnavailable,
+            false => ErrorKind::DeadlinePassed,
+        };
+        let retry_after_ms = retry_millis(kind.answer().retry_after);
+        self.answer_ask(&context, SlotAnswer::Refused { kind, retry_after_ms });
+    }
+
+    /// Hands out a slot.
+    fn hand_out(&mut self, context: AskContext, offer: GrantOffer) {
+        node_metrics::count_grant();
+        let note = GrantNote {
+            entry: context.from.name.clone(),
+            held: HeldGrant {
+                offer: offer.clone(),
+                queue: context.queue.clone(),
+                team: context.team.clone(),
+                remaining_ms: 0,
+            },
+            record: context.record,
+            closes: context.deadline,
+        };
+        self.grant_notes.insert(offer.ticket, note);
+        self.answer_ask(&context, SlotAnswer::Granted { offer });
+    }
+
+    /// Answers a request for a slot.
+    fn answer_ask(&self, context: &AskContext, answer: SlotAnswer) {
+        let body = PeerMessage::SlotAnswer(answer);
+        self.answer(&context.from, context.correlation, body);
+    }
+
+    /// Takes a slot back.
+    pub(super) fn take_release(&mut self, release: &SlotRelease, now: Instant) {
+        self.desk.release(release.ticket, &mut self.ledger, now);
+        let note = self.grant_notes.remove(&release.ticket);
+        let record = note.and_then(|note| note.record).or(release.record);
+        let Some(record) = record else { return };
+        let state = match &release.outcome {
+            ReleaseOutcome::NotSent => None,
+            ReleaseOutcome::Answered(answer) => Some(RecordState::Ended(answer.clone())),
+            ReleaseOutcome::Unknown => Some(RecordState::Unknown),
+        };
+        self.settle_record(&record, state, now);
+    }
+
+    /// Settles the record of a grant that its entry has let expire.
+    pub(super) fn expire_grant(&mut self, ticket: GrantTicket, now: Instant) {
+        let note = self.grant_notes.remove(&ticket);
+        if let Some(record) = note.and_then(|note| note.record) {
+            self.settle_record(&record, Some(RecordState::Unknown), now);
+        }
+    }
+
+    /// Changes a record and has the journal keep the change.
+    fn settle_record(
+        &mut self,
+        record: &SlotRecord,
+        state: Option<RecordState>,
+        now: Instant,
+    ) {
+        match &state {
+            None => self.records.remove(&record.digest),
+            Some(state) => {
+                self.records.restore(
+                    record.digest,
+                    record.fingerprint,
+                    state.clone(),
+                    now,
+                );
+            }
+        }
+        self.order(vec![record_entry(record, state)], FollowUp::None);
+    }
+
+    /// Takes over a grant of a former owner.
+    pub(super) fn adopt_grant(&mut self, entry: Name, held: HeldGrant, now: Instant) {
+        let closes = now + Duration::from_millis(held.remaining_ms);
+        let grant = AdoptedGrant {
+            offer: held.offer.clone(),
+            queue: held.queue.clone(),
+            team: held.team.clone(),
+            closes,
+        };
+        self.desk.adopt(grant, &mut self.ledger, now);
+        let note = GrantNote { entry, record: None, closes, held };
+        self.grant_notes.entry(note.held.offer.ticket).or_insert(note);
+    }
+
+    /// Ends the recovery once every other process of the domain has reported its slots.
+    pub(super) fn end_recovery_if_known(&mut self) {
+        if self.awaited.is_empty() {
+            return;
+        }
+        let members = self.shared.members.list();
+        for (name, _) in members.into_iter().filter(|(_, member)| member.reported) {
+            self.awaited.remove(&name);
+        }
+        if self.awaited.is_empty() {
+            self.desk.end_recovery();
+        }
+    }
+}
+
+/// Creates the journal entry of a record.
+fn record_entry(record: &SlotRecord, state: Option<RecordState>) -> JournalEntry {
+    JournalEntry::Record { digest: record.digest, fingerprint: record.fingerprint, state }
+}
+
+/// Returns a time to come back in milliseconds.
+fn retry_millis(retry_after: Option<Duration>) -> Option<u64> {
+    retry_after.map(|time| time.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/domain_map.rs
@@ -0,0 +1,76 @@
+//! What this process knows of the other failure domains.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
+
+use geraniumwinch_core::Name;
+use geraniumwinch_wire::DomainDigest;
+
+/// The last digest of a domain and the time at which it was true.
+#[derive(Debug, Clone)]
+pub(crate) struct DomainRow {
+    /// The digest.
+    pub(crate) digest: DomainDigest,
+    /// A time at or before which the digest was made.
+    pub(crate) made: Instant,
+}
+
+/// The last digests of the other failure domains.
+#[derive(Debug, Default)]
+pub(crate) struct DomainMap {
+    rows: Mutex<BTreeMap<Name, DomainRow>>,
+}
+
+impl DomainMap {
+    /// Takes in a digest that is newer than the known one.
+    pub(crate) fn update(&self, digest: DomainDigest, made: Instant) {
+        let mut rows = self.lock();
+        let newer = rows.get(&digest.domain).is_none_or(|row| {
+            digest.owner.epoch > row.digest.owner.epoch
+                || (digest.owner.epoch == row.digest.owner.epoch && made > row.made)
+        });
+        if newer {
+            rows.insert(digest.domain.clone(), DomainRow { digest, made });
+        }
+    }
+
+    /// Returns the last digest of a domain.
+    pub(crate) fn get(&self, domain: &str) -> Option<DomainRow> {
+        self.lock().get(domain).cloned()
+    }
+
+    /// Returns every digest.
+    pub(crate) fn rows(&self) -> Vec<DomainRow> {
+        self.lock().values().cloned().collect()
+    }
+
+    /// Returns the domains with free slots for a queue that were heard of within a time, with the
+    /// number of free slots, most first.
+    pub(crate) fn with_free_slots(
+        &self,
+        queue: &str,
+        max_age: Duration,
+        now: Instant,
+    ) -> Vec<(Name, u32)> {
+        let rows = self.lock();
+        let mut domains: Vec<(Name, u32)> = rows
+            .values()
+            .filter(|row| now.saturating_duration_since(row.made) <= max_age)
+            .filter_map(|row| {
+                let load = row.digest.queues.iter().find(|load| &*load.queue == queue)?;
+                let free = load.free.saturating_sub(load.waiting);
+                (free > 0).then(|| (row.digest.domain.clone(), free))
+            })
+            .collect();
+        domains.sort_by_key(|(_, free)| std::cmp::Reverse(*free));
+        domains
+    }
+
+    /// Locks the map.
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<Name, DomainRow>> {
+        self.rows.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/endpoint_exchange.rs
@@ -0,0 +1,156 @@
+//! One exchange with an endpoint over its own connection.
+//!
+//! The codec of `actix-http`, on which `awc` stands, is used directly: `awc` reports a connection that
+//! closes after the request was sent as a failure to connect, and ends a truncated body like a whole
+//! one. Neither may be confused here.
+
+use std::net::IpAddr;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_codec::Framed;
+use actix_http::Method;
+use actix_http::RequestHead;
+use actix_http::RequestHeadType;
+use actix_http::body::BodySize;
+use actix_http::h1::ClientCodec;
+use actix_http::h1::ClientPayloadCodec;
+use actix_http::h1::Message;
+use actix_http::h1::MessageType;
+use actix_http::header::HeaderMap;
+use bytes::Bytes;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
+
+/// The time after which an attempt to connect is given up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+
+/// A request as it is sent to an endpoint.
+#[derive(Debug, Clone)]
+pub(crate) struct EndpointRequest {
+    /// The method.
+    pub(crate) method: Method,
+    /// The path with its query.
+    pub(crate) target: String,
+    /// The headers.
+    pub(crate) headers: HeaderMap,
+    /// The body.
+    pub(crate) body: Bytes,
+}
+
+/// The head of an endpoint's answer.
+pub(crate) struct AnswerHead {
+    /// The status code.
+    pub(crate) status: u16,
+    /// The headers.
+    pub(crate) headers: HeaderMap,
+    /// The rest of the answer.
+    pub(crate) body: AnswerBody,
+}
+
+/// The body of an endpoint's answer as it arrives.
+pub(crate) enum AnswerBody {
+    /// There is none.
+    Empty,
+    /// It is read from the connection.
+    Stream(Box<Framed<TcpStream, ClientPayloadCodec>>),
+}
+
+/// The next part of a body.
+#[derive(Debug)]
+pub(crate) enum BodyPart {
+    /// Some bytes.
+    Chunk(Bytes),
+    /// The body is whole.
+    End,
+    /// The connection ended before the body was whole.
+    Truncated,
+}
+
+/// Why there is no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ExchangeFailure {
+    /// No byte has left.
+    NotSent,
+    /// The endpoint may have executed the request.
+    Lost,
+}
+
+/// Connects to an endpoint from an IP address.
+async fn connect(local: IpAddr, address: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(local, 0))?;
+    let stream = socket.connect(address).await?;
+    stream.set_nodelay(true)?;
+    Ok(stream)
+}
+
+/// Sends a request over a new connection and reads the head of the answer.
+///
+/// `may_send` is asked directly before the first byte leaves.
+pub(crate) async fn exchange(
+    local: IpAddr,
+    address: &str,
+    request: EndpointRequest,
+    may_send: impl FnOnce() -> bool,
+) -> std::result::Result<AnswerHead, ExchangeFailure> {
+    let address: SocketAddr = address.parse().map_err(|_| ExchangeFailure::NotSent)?;
+    let stream = tokio::time::timeout(CONNECT_TIMEOUT, connect(local, address)).await;
+    let Ok(Ok(stream)) = stream else { return Err(ExchangeFailure::NotSent) };
+    if !may_send() {
+        return Err(ExchangeFailure::NotSent);
+    }
+    let mut framed = Framed::new(stream, ClientCodec::default());
+    send(&mut framed, request).await.map_err(|_| ExchangeFailure::Lost)?;
+    let Some(Ok(head)) = framed.next().await else { return Err(ExchangeFailure::Lost) };
+    let body = match framed.codec_ref().message_type() {
+        MessageType::None => AnswerBody::Empty,
+        MessageType::Payload | MessageType::Stream => AnswerBody::Stream(Box::new(
+            framed.into_map_codec(|codec| codec.into_payload_codec()),
+        )),
+    };
+    Ok(AnswerHead { status: head.status.as_u16(), headers: head.headers.clone(), body })
+}
+
+/// Writes a request.
+async fn send(
+    framed: &mut Framed<TcpStream, ClientCodec>,
+    request: EndpointRequest,
+) -> std::io::Result<()> {
+    let mut head = RequestHead::default();
+    head.method = request.method;
+    head.uri = request.target.parse().map_err(std::io::Error::other)?;
+    head.headers = request.headers;
+    head.set_connection_type(actix_http::ConnectionType::Close);
+    let size = match request.body.len() {
+        0 => BodySize::None,
+        length => BodySize::Sized(length as u64),
+    };
+    let head = RequestHeadType::Owned(head);
+    framed.feed(Message::Item((head, size))).await?;
+    if !request.body.is_empty() {
+        framed.feed(Message::Chunk(Some(request.body))).await?;
+        framed.feed(Message::Chunk(None)).await?;
+    }
+    framed.flush().await
+}
+
+impl AnswerBody {
+    /// Reads the next part.
+    pub(crate) async fn next(&mut self) -> BodyPart {
+        let AnswerBody::Stream(framed) = self else { return BodyPart::End };
+        match framed.next().await {
+            Some(Ok(Some(chunk))) => BodyPart::Chunk(chunk),
+            Some(Ok(None)) => {
+                *self = AnswerBody::Empty;
+                BodyPart::End
+            }
+            Some(Err(_)) | None => BodyPart::Truncated,
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/entry_server.rs
@@ -0,0 +1,347 @@
+//! The HTTP server for callers and operators.
+
+mod budget_table;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix_web::App;
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::HttpServer;
+use actix_web::dev::Server;
+use actix_web::http::Method;
+use actix_web::http::header;
+use actix_web::http::header::HeaderMap;
+use actix_web::web;
+use geraniumwinch_config::ConfigurationSet;
+use geraniumwinch_config::KeyHash;
+use geraniumwinch_config::StaleKeys;
+use geraniumwinch_core::ErrorKind;
+use geraniumwinch_core::Name;
+use geraniumwinch_core::RecordDigest;
+use geraniumwinch_core::home_domain;
+use geraniumwinch_wire::SlotRecord;
+use snafu::ResultExt;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::Result;
+use crate::endpoint_exchange::EndpointRequest;
+use crate::job_calls;
+use crate::node_error::HttpListenSnafu;
+use crate::node_shared::NodeShared;
+use crate::operator_calls;
+use crate::publisher::PublishEnd;
+use crate::refusal_answer::RefusalAnswer;
+use crate::request_carrier::CarriedRequest;
+use crate::request_carrier::carry;
+use crate::request_carrier::is_hop_header;
+use crate::slot_client::SlotWish;
+
+use self::budget_table::BudgetTable;
+
+/// The number of threads that serve callers.
+const HTTP_THREADS: usize = 2;
+/// The greatest length of an idempotency key in bytes.
+const MAX_IDEMPOTENCY_KEY: usize = 256;
+/// The header that names a request's deadline in milliseconds from its arrival.
+const DEADLINE_HEADER: &str = "Request-Timeout-Ms";
+/// The time for which a connection without a call stays open.
+const KEEP_ALIVE: Duration = Duration::from_secs(60);
+
+/// A set that is to be published.
+pub(crate) struct PublishOrder {
+    /// The revision that it is based on.
+    pub(crate) base: u64,
+    /// The set.
+    pub(crate) set: ConfigurationSet,
+    /// Told how it ended.
+    pub(crate) done: oneshot::Sender<PublishEnd>,
+}
+
+/// What the HTTP handlers share.
+#[derive(Clone)]
+pub(crate) struct EntryState {
+    /// What the parts of the process share.
+    pub(crate) shared: Arc<NodeShared>,
+    /// The way to the publisher.
+    pub(crate) publisher: mpsc::UnboundedSender<PublishOrder>,
+    /// The budgets for repeated attempts.
+    pub(crate) budgets: Arc<BudgetTable>,
+}
+
+impl EntryState {
+    /// Creates the state.
+    pub(crate) fn new(
+        shared: Arc<NodeShared>,
+        publisher: mpsc::UnboundedSender<PublishOrder>,
+    ) -> Self {
+        EntryState { shared, publisher, budgets: Arc::new(BudgetTable::default()) }
+    }
+}
+
+/// Starts the server.
+pub(crate) fn start(state: EntryState) -> Result<Server> {
+    let address = state.shared.settings.http;
+    let limit = state.shared.settings.stop_limit;
+    let server = HttpServer::new(move || build_app(state.clone()))
+        .workers(HTTP_THREADS)
+        .keep_alive(KEEP_ALIVE)
+        .disable_signals()
+        .shutdown_timeout(limit.as_secs().max(1))
+        .bind(address)
+        .context(HttpListenSnafu { address })?;
+    Ok(server.run())
+}
+
+/// Builds the routes of one thread.
+fn build_app(
+    state: EntryState,
+) -> App<
+    impl actix_web::dev::ServiceFactory<
+        actix_web::dev::ServiceRequest,
+        Config = (),
+        Response = actix_web::dev::ServiceResponse,
+        Error = actix_web::Error,
+        InitError = (),
+    >,
+> {
+    let limit = state.shared.settings.max_body;
+    let payload = web::PayloadConfig::new(limit);
+    App::new()
+        .app_data(web::Data::new(state))
+        .app_data(payload)
+        .route("/healthz", web::get().to(health))
+        .route("/metrics", web::get().to(metrics))
+        .route("/v1/status", web::get().to(operator_calls::status))
+        .route("/v1/configuration", web::get().to(operator_calls::show_configuration))
+        .route("/v1/configuration", web::put().to(operator_calls::publish_configuration))
+        .route(
+            "/v1/configuration/check",
+            web::post().to(operator_calls::check_configuration),
+        )
+        .route("/v1/queues/{queue}/jobs", web::post().to(job_calls::submit))
+        .route("/v1/jobs/{job}", web::get().to(job_calls::query))
+        .route("/v1/jobs/{job}", web::delete().to(job_calls::cancel))
+        .route("/v1/queues/{queue}/requests", web::route().to(carry_request))
+        .route("/v1/queues/{queue}/requests/{path:.*}", web::route().to(carry_request))
+        .default_service(web::route().to(unknown_path))
+}
+
+/// Tells the platform's balancer whether to send calls here.
+async fn health(state: web::Data<EntryState>) -> HttpResponse {
+    if state.shared.stopping() {
+        return RefusalAnswer::new(ErrorKind::ProcessStopping, "").into_response();
+    }
+    HttpResponse::Ok().body("ok\n")
+}
+
+/// Renders the metrics.
+async fn metrics(state: web::Data<EntryState>) -> HttpResponse {
+    HttpResponse::Ok()
+        .insert_header((header::CONTENT_TYPE, "text/plain; version=0.0.4"))
+        .body(state.shared.metrics.render())
+}
+
+/// Answers a call to a path that is not served.
+async fn unknown_path() -> HttpResponse {
+    let detail = "hint: see docs/protocols.md for the paths";
+    RefusalAnswer::new(ErrorKind::QueueUnknown, detail).into_response()
+}
+
+/// Carries a caller's request to an endpoint.
+async fn carry_request(
+    state: web::Data<EntryState>,
+    request: HttpRequest,
+    body: std::result::Result<web::Bytes, actix_web::Error>,
+) -> HttpResponse {
+    match prepare(&state, &request, body) {
+        Ok(carried) => carry(&state, carried).await,
+        Err(refusal) => refusal.into_response(),
+    }
+}
+
+/// Checks a request and describes what is to be carried.
+fn prepare(
+    state: &EntryState,
+    request: &HttpRequest,
+    body: std::result::Result<web::Bytes, actix_web::Error>,
+) -> std::result::Result<CarriedRequest, RefusalAnswer> {
+    let shared = &state.shared;
+    let arrived = shared.now();
+    let queue: Name = request.match_info().get("queue").unwrap_or_default().into();
+    let team = caller_team(state, request, &queue)?;
+    let body = body.map_err(|error| read_body_error(&error))?;
+    let deadline = arrived + deadline_of(state, request, &queue)?;
+    let method = request.method().clone();
+    let declared =
+        request.headers().get("Idempotent").is_some_and(|value| value == "true");
+    let natural = matches!(
+        method,
+        Method::GET | Method::HEAD | Method::PUT | Method::DELETE | Method::OPTIONS
+    );
+    let idempotent = natural || declared;
+    let path = request.match_info().get("path").unwrap_or_default();
+    let target = match request.query_string() {
+        "" => format!("/{path}"),
+        query => format!("/{path}?{query}"),
+    };
+    let key = idempotency_key(request)?;
+    let record = match key {
+        Some(key) if !idempotent => {
+            let record = record_of(&team, &queue, &key, &method, &target, &body);
+            let domains = shared.settings.domain_names();
+            let home = home_domain(&record.digest, &domains).cloned();
+            home.map(|home| (record, home))
+        }
+        _ => None,
+    };
+    let mut headers = carried_headers(request.headers());
+    let id = shared.link.next_id();
+    let id_value = format!("{id:032x}").parse().expect("digits are a valid header");
+    headers.insert("Request-Id".parse().expect("the name is valid"), id_value);
+    Ok(CarriedRequest {
+        id,
+        request: EndpointRequest { method, target, headers, body },
+        idempotent,
+        wish: SlotWish { queue, team, deadline, excluded: Vec::new(), record },
+        arrived,
+    })
+}
+
+/// Returns the refusal of a body that could not be read.
+fn read_body_error(error: &actix_web::Error) -> RefusalAnswer {
+    let status = error.as_response_error().status_code();
+    let kind = match status.as_u16() {
+        413 => ErrorKind::BodyTooLarge,
+        _ => ErrorKind::BodyIncomplete,
+    };
+    RefusalAnswer::new(kind, error.to_string())
+}
+
+/// Returns the record of a request with an idempotency key.
+fn record_of(
+    team: &Option<Name>,
+    queue: &Name,
+    key: &str,
+    method: &Method,
+    target: &str,
+    body: &[u8],
+) -> SlotRecord {
+    let team = team.as_deref().unwrap_or_default();
+    let digest = RecordDigest::of(&[team.as_bytes(), queue.as_bytes(), key.as_bytes()]);
+    let method = method.as_str().as_bytes();
+    let fingerprint = RecordDigest::of(&[method, target.as_bytes(), body]);
+    SlotRecord { digest, fingerprint }
+}
+
+/// Returns the headers that go to the endpoint: neither the key nor those of the connection.
+fn carried_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut carried = HeaderMap::new();
+    for (name, value) in headers {
+        if *name != header::AUTHORIZATION
+            && *name != header::EXPECT
+            && !is_hop_header(name)
+        {
+            carried.append(name.clone(), value.clone());
+        }
+    }
+    carried
+}
+
+/// Returns the time that a request has.
+fn deadline_of(
+    state: &EntryState,
+    request: &HttpRequest,
+    queue: &Name,
+) -> std::result::Result<Duration, RefusalAnswer> {
+    let view = state.shared.catalog.view();
+    let Some(queue) = view.catalog.queues.get(queue) else {
+        return Err(RefusalAnswer::new(ErrorKind::QueueUnknown, ""));
+    };
+    let Some(value) = request.headers().get(DEADLINE_HEADER) else {
+        return Ok(queue.policy.default_deadline);
+    };
+    let given = value.to_str().ok().and_then(|text| text.parse().ok());
+    let greatest = queue.policy.max_deadline;
+    match given.map(Duration::from_millis) {
+        Some(time) if !time.is_zero() && time <= greatest => Ok(time),
+        _ => {
+            let detail = format!(
+                "`{DEADLINE_HEADER}` is out of range; hint: give 1 to {} ms",
+                greatest.as_millis()
+            );
+            Err(RefusalAnswer::new(ErrorKind::HeaderMalformed, detail))
+        }
+    }
+}
+
+/// Returns the idempotency key of a request.
+pub(crate) fn idempotency_key(
+    request: &HttpRequest,
+) -> std::result::Result<Option<String>, RefusalAnswer> {
+    let Some(value) = request.headers().get("Idempotency-Key") else { return Ok(None) };
+    match value.to_str() {
+        Ok(key) if !key.is_empty() && key.len() <= MAX_IDEMPOTENCY_KEY => {
+            Ok(Some(key.to_owned()))
+        }
+        _ => {
+            let detail =
+                "`Idempotency-Key` is out of range; hint: give 1 to 256 characters";
+            Err(RefusalAnswer::new(ErrorKind::HeaderMalformed, detail))
+        }
+    }
+}
+
+/// Returns the bearer token of a request.
+fn bearer(request: &HttpRequest) -> Option<&str> {
+    let value = request.headers().get(header::AUTHORIZATION)?.to_str().ok()?;
+    value.strip_prefix("Bearer ").map(str::trim)
+}
+
+/// Returns whether a request carries the operators' key.
+pub(crate) fn is_operator(state: &EntryState, request: &HttpRequest) -> bool {
+    let own = &state.shared.settings.operator_key;
+    bearer(request).is_some_and(|key| KeyHash::of(key).matches(own))
+}
+
+/// Returns the team whose key came with a request, or none on an open queue.
+///
+/// An empty queue name stands for calls that belong to no queue and always need a key.
+pub(crate) fn caller_team(
+    state: &EntryState,
+    request: &HttpRequest,
+    queue: &str,
+) -> std::result::Result<Option<Name>, RefusalAnswer> {
+    let shared = &state.shared;
+    let view = shared.catalog.view();
+    let policy = view.catalog.queues.get(queue);
+    if policy.is_none() && !queue.is_empty() {
+        return Err(RefusalAnswer::new(ErrorKind::QueueUnknown, ""));
+    }
+    let Some(key) = bearer(request) else {
+        if policy.is_some_and(|queue| queue.open) {
+            return Ok(None);
+        }
+        let detail = "hint: send `Authorization: Bearer` with a key of a team";
+        return Err(RefusalAnswer::new(ErrorKind::KeyMissing, detail));
+    };
+    let fresh = shared
+        .catalog
+        .fresh_age(shared.now())
+        .is_some_and(|age| age <= shared.settings.keys_fresh);
+    if !fresh && shared.settings.when_stale == StaleKeys::Refuse {
+        let detail = "the configuration is not known to be fresh";
+        return Err(RefusalAnswer::new(ErrorKind::KeysStale, detail));
+    }
+    let Some(team) = view.catalog.team_of(key) else {
+        return Err(RefusalAnswer::new(ErrorKind::KeyUnknown, ""));
+    };
+    let allowed =
+        policy.is_none_or(|queue| queue.teams.is_empty() || queue.teams.contains(team));
+    if !allowed {
+        return Err(RefusalAnswer::new(ErrorKind::TeamForbidden, ""));
+    }
+    Ok(Some(team.clone()))
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/job_calls.rs
@@ -0,0 +1,230 @@
+//! Callers' calls about jobs.
+
+use std::time::Duration;
+
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::http::StatusCode;
+use actix_web::http::header;
+use actix_web::web;
+use geraniumwinch_core::ErrorKind;
+use geraniumwinch_core::JobId;
+use geraniumwinch_core::JobKind;
+use geraniumwinch_core::JobSpec;
+use geraniumwinch_core::Name;
+use geraniumwinch_core::RecordDigest;
+use geraniumwinch_core::ResourceVector;
+use geraniumwinch_core::home_domain;
+use geraniumwinch_wire::JobAnswer;
+use geraniumwinch_wire::PeerMessage;
+use serde::Deserialize;
+
+use crate::entry_server::EntryState;
+use crate::entry_server::caller_team;
+use crate::entry_server::idempotency_key;
+use crate::entry_server::is_operator;
+use crate::refusal_answer::RefusalAnswer;
+
+/// The time that a dispatcher has to answer a call about a job.
+const JOB_TIMEOUT: Duration = Duration::from_millis(4000);
+
+/// A job as callers describe it.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct JobRequest {
+    kind: JobKind,
+    #[serde(default = "one")]
+    tasks: u32,
+    cpu_millis: u64,
+    memory_bytes: u64,
+    #[serde(default)]
+    accelerators: u32,
+    #[serde(default)]
+    run_time_ms: u64,
+    #[serde(default)]
+    urgent: bool,
+    #[serde(default)]
+    checkpointable: bool,
+}
+
+/// The default number of tasks.
+fn one() -> u32 {
+    1
+}
+
+impl JobRequest {
+    /// Turns the request into a description.
+    fn into_spec(self) -> JobSpec {
+        JobSpec {
+            kind: self.kind,
+            tasks: self.tasks,
+            size: ResourceVector {
+                cpu_millis: self.cpu_millis,
+                memory_bytes: self.memory_bytes,
+                accelerators: self.accelerators,
+            },
+            run_time_ms: self.run_time_ms,
+            urgent: self.urgent,
+            checkpointable: self.checkpointable,
+        }
+    }
+}
+
+/// Submits a job.
+pub(crate) async fn submit(
+    state: web::Data<EntryState>,
+    request: HttpRequest,
+    queue: web::Path<String>,
+    body: web::Bytes,
+) -> HttpResponse {
+    let queue: Name = queue.into_inner().into();
+    match try_submit(&state, &request, queue, &body).await {
+        Ok(job) => {
+            let location = format!("/v1/jobs/{job}");
+            let mut response = HttpResponse::build(StatusCode::ACCEPTED);
+            response.insert_header((header::LOCATION, location));
+            response.json(serde_json::json!({ "job": job.to_string() }))
+        }
+        Err(refusal) => refusal.into_response(),
+    }
+}
+
+/// Submits a job and returns its identifier.
+async fn try_submit(
+    state: &EntryState,
+    request: &HttpRequest,
+    queue: Name,
+    body: &[u8],
+) -> Result<JobId, RefusalAnswer> {
+    let team = caller_team(state, request, &queue)?;
+    let Some(team) = team else {
+        let detail = "a job needs a team; hint: send the key of one";
+        return Err(RefusalAnswer::new(ErrorKind::KeyMissing, detail));
+    };
+    let malformed = |detail: String| RefusalAnswer::new(ErrorKind::JobMalformed, detail);
+    let job: JobRequest =
+        serde_json::from_slice(body).map_err(|error| malformed(error.to_string()))?;
+    let spec = job.into_spec();
+    if let Some(problem) = spec.problem() {
+        return Err(malformed(problem));
+    }
+    let key = idempotency_key(request)?;
+    let key = key.map(|key| {
+        RecordDigest::of(&[b"job", team.as_bytes(), queue.as_bytes(), key.as_bytes()])
+    });
+    let domains = state.shared.settings.domain_names();
+    let home = key.as_ref().and_then(|key| home_domain(key, &domains)).cloned();
+    let mut order = vec![home.clone().unwrap_or_else(|| state.shared.domain().clone())];
+    if home.is_none() {
+        // A job that never fits here may fit the workers of another domain.
+        order
+            .extend(domains.into_iter().filter(|domain| domain != state.shared.domain()));
+    }
+    let unreachable = match home {
+        Some(_) => ErrorKind::HomeUnreachable,
+        None => ErrorKind::DomainUnowned,
+    };
+    let mut refusal = RefusalAnswer::new(unreachable, "");
+    for domain in order {
+        let message = PeerMessage::JobSubmit {
+            spec: spec.clone(),
+            team: team.clone(),
+            queue: queue.clone(),
+            key,
+        };
+        match call_domain(state, &domain, message, unreachable).await {
+            Ok(JobAnswer::Accepted(job)) => return Ok(job),
+            Ok(_) => {}
+            Err(other) if may_try_elsewhere(other.kind) => refusal = other,
+            Err(other) => return Err(other),
+        }
+    }
+    Err(refusal)
+}
+
+/// Returns whether a refusal of one domain says nothing of the others.
+fn may_try_elsewhere(kind: ErrorKind) -> bool {
+    matches!(
+        kind,
+        ErrorKind::JobNeverFits | ErrorKind::TeamLimit | ErrorKind::DomainUnowned
+    )
+}
+
+/// Calls the dispatcher of a domain about a job.
+async fn call_domain(
+    state: &EntryState,
+    domain: &Name,
+    message: PeerMessage,
+    unreachable: ErrorKind,
+) -> Result<JobAnswer, RefusalAnswer> {
+    let shared = &state.shared;
+    let submits = matches!(message, PeerMessage::JobSubmit { .. });
+    let Some(address) = shared.dispatcher_address(domain) else {
+        return Err(RefusalAnswer::new(unreachable, format!("domain {domain}")));
+    };
+    match shared.link.call(address, message, JOB_TIMEOUT).await {
+        Ok(PeerMessage::JobAnswer(JobAnswer::Refused {
+            kind,
+            retry_after_ms,
+            detail,
+        })) => Err(RefusalAnswer::told(kind, retry_after_ms, &detail)),
+        Ok(PeerMessage::JobAnswer(answer)) => Ok(answer),
+        _ if submits => {
+            let detail = "the dispatcher did not answer; the job may have been accepted";
+            Err(RefusalAnswer::new(ErrorKind::StoreUnknown, detail))
+        }
+        _ => Err(RefusalAnswer::new(unreachable, format!("domain {domain}"))),
+    }
+}
+
+/// Describes a job.
+pub(crate) async fn query(
+    state: web::Data<EntryState>,
+    request: HttpRequest,
+    id: web::Path<String>,
+) -> HttpResponse {
+    let build = |job, team| PeerMessage::JobQuery { job, team };
+    answer_about_job(&state, &request, &id, build).await
+}
+
+/// Cancels a job.
+pub(crate) async fn cancel(
+    state: web::Data<EntryState>,
+    request: HttpRequest,
+    id: web::Path<String>,
+) -> HttpResponse {
+    let build = |job, team| PeerMessage::JobCancel { job, team };
+    answer_about_job(&state, &request, &id, build).await
+}
+
+/// Passes a call about a job to the dispatcher that accepted it.
+async fn answer_about_job(
+    state: &EntryState,
+    request: &HttpRequest,
+    id: &str,
+    build: impl FnOnce(JobId, Option<Name>) -> PeerMessage,
+) -> HttpResponse {
+    let team = match is_operator(state, request) {
+        true => None,
+        false => match caller_team(state, request, "") {
+            Ok(Some(team)) => Some(team),
+            Ok(None) => {
+                return RefusalAnswer::new(ErrorKind::KeyMissing, "").into_response();
+            }
+            Err(refusal) => return refusal.into_response(),
+        },
+    };
+    let Ok(job) = id.parse::<JobId>() else {
+        return RefusalAnswer::new(ErrorKind::JobUnknown, "").into_response();
+    };
+    let domain = job.domain.clone();
+    if !state.shared.settings.domain_names().contains(&domain) {
+        return RefusalAnswer::new(ErrorKind::JobUnknown, "").into_response();
+    }
+    let message = build(job, team);
+    match call_domain(state, &domain, message, ErrorKind::DomainUnowned).await {
+        Ok(JobAnswer::View(view)) => HttpResponse::Ok().json(view),
+        Ok(_) => RefusalAnswer::new(ErrorKind::JobUnknown, "").into_response(),
+        Err(refusal) => refusal.into_response(),
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/journal.rs
@@ -0,0 +1,308 @@
+//! The journal of a failure domain in the store.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use geraniumwinch_core::Name;
+use geraniumwinch_wire::JournalEntry;
+use geraniumwinch_wire::MirrorBatch;
+use geraniumwinch_wire::PeerMessage;
+use tokio::sync::mpsc;
+
+use crate::NodeError;
+use crate::Result;
+use crate::dispatcher::SnapshotWanted;
+use crate::event_log::log_event;
+use crate::node_metrics;
+use crate::node_shared::NodeShared;
+use crate::platform_store::PlatformStore;
+use crate::platform_store::StoreCondition;
+use crate::platform_store::StoreWrite;
+use crate::store_keys;
+
+/// The greatest number of entries in a batch, which keeps a value well below a megabyte.
+const MAX_BATCH: usize = 1000;
+/// The number of batches after which the journal is compacted.
+const COMPACT_AFTER: u64 = 300;
+/// The number of batches that are read at a time.
+const PAGE: usize = 100;
+/// The time that another process has to confirm a batch.
+const MIRROR_TIMEOUT: Duration = Duration::from_millis(500);
+/// The time between two attempts to reach the store during an outage.
+const OUTAGE_RETRY: Duration = Duration::from_millis(500);
+
+/// What became of journal entries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum JournalFate {
+    /// The store has them, or another process of the domain while the store is out.
+    Kept,
+    /// They may have been written, and will be if possible.
+    Unknown,
+    /// They were not written and never will be.
+    Refused,
+}
+
+/// Entries that are to be kept, and whom to tell.
+pub(crate) struct JournalOrder {
+    /// The entries.
+    pub(crate) entries: Vec<JournalEntry>,
+    /// Whether the entries replace all that was written before.
+    pub(crate) snapshot: bool,
+    /// Told what became of the entries.
+    pub(crate) done: Box<dyn FnOnce(JournalFate) + Send>,
+}
+
+/// The end at which the dispatcher hands its entries in.
+pub(crate) type JournalSender = mpsc::UnboundedSender<JournalOrder>;
+
+/// A batch of entries under its sequence number.
+#[derive(Debug, Clone)]
+struct JournalBatch {
+    sequence: u64,
+    entries: Vec<JournalEntry>,
+}
+
+/// Writes the journal of a domain: one write in flight, and all that waits goes into the next.
+pub(crate) struct JournalWriter {
+    shared: Arc<NodeShared>,
+    store: Rc<dyn PlatformStore>,
+    epoch: u64,
+    owner_revision: i64,
+    sequence: u64,
+    since_snapshot: u64,
+    snapshot_wanted: bool,
+    backlog: VecDeque<JournalBatch>,
+}
+
+/// How a write to the store ended.
+enum WriteEnd {
+    Written,
+    Failed,
+    OwnershipLost,
+}
+
+impl JournalWriter {
+    /// Creates a writer for an epoch, whose ownership record has a revision in the store.
+    pub(crate) fn new(
+        shared: Arc<NodeShared>,
+        store: Rc<dyn PlatformStore>,
+        epoch: u64,
+        owner_revision: i64,
+    ) -> Self {
+        JournalWriter {
+            shared,
+            store,
+            epoch,
+            owner_revision,
+            sequence: 0,
+            since_snapshot: 0,
+            snapshot_wanted: false,
+            backlog: VecDeque::new(),
+        }
+    }
+
+    /// Writes until the dispatcher is gone or the ownership is lost; returns whether it was lost.
+    pub(crate) async fn run(
+        mut self,
+        mut orders: mpsc::UnboundedReceiver<JournalOrder>,
+    ) -> bool {
+        loop {
+            let order = if self.backlog.is_empty() {
+                orders.recv().await
+            } else {
+                match tokio::time::timeout(OUTAGE_RETRY, orders.recv()).await {
+                    Ok(order) => order,
+                    Err(_) => {
+                        if self.flush_backlog().await {
+                            return true;
+                        }
+                        continue;
+                    }
+                }
+            };
+            let Some(first) = order else { return false };
+            let mut batch = vec![first];
+            let mut size = batch[0].entries.len();
+            while size < MAX_BATCH && !batch[0].snapshot {
+                let Ok(next) = orders.try_recv() else { break };
+                size += next.entries.len();
+                batch.push(next);
+            }
+            if self.write_orders(batch).await {
+                return true;
+            }
+        }
+    }
+
+    /// Keeps the entries of some orders; returns whether the ownership is lost.
+    async fn write_orders(&mut self, orders: Vec<JournalOrder>) -> bool {
+        let mut lost = false;
+        let mut fate = JournalFate::Kept;
+        let mut done = Vec::new();
+        for order in orders {
+            let first = self.sequence + 1;
+            let mut written = true;
+            for chunk in order.entries.chunks(MAX_BATCH) {
+                let (chunk_fate, chunk_lost) = self.keep(chunk.to_vec(), &mut done).await;
+                fate = chunk_fate;
+                lost |= chunk_lost;
+                written &= fate == JournalFate::Kept && !lost;
+            }
+            if order.snapshot && written && self.backlog.is_empty() {
+                self.drop_before(first).await;
+            }
+            done.push(order.done);
+        }
+        done.into_iter().for_each(|done| done(fate));
+        if !lost && self.since_snapshot >= COMPACT_AFTER && !self.snapshot_wanted {
+            self.snapshot_wanted = true;
+            if let Some(dispatcher) = self.shared.dispatcher.load_full() {
+                dispatcher.do_send(SnapshotWanted);
+            }
+        }
+        lost
+    }
+
+    /// Keeps some entries in the store, or in another process while the store is out.
+    async fn keep(
+        &mut self,
+        entries: Vec<JournalEntry>,
+        _done: &mut [Box<dyn FnOnce(JournalFate) + Send>],
+    ) -> (JournalFate, bool) {
+        self.sequence += 1;
+        self.since_snapshot += 1;
+        let batch = JournalBatch { sequence: self.sequence, entries };
+        if !self.backlog.is_empty() && self.flush_backlog().await {
+            return (JournalFate::Unknown, true);
+        }
+        let mut attempted = false;
+        if self.backlog.is_empty() {
+            attempted = true;
+            match self.write(&batch).await {
+                WriteEnd::Written => return (JournalFate::Kept, false),
+                WriteEnd::OwnershipLost => return (JournalFate::Unknown, true),
+                WriteEnd::Failed => {}
+            }
+        }
+        let mirrored = self.mirror(&batch).await;
+        if mirrored || attempted {
+            self.backlog.push_back(batch);
+        }
+        match (mirrored, attempted) {
+            (true, _) => (JournalFate::Kept, false),
+            (false, true) => (JournalFate::Unknown, false),
+            (false, false) => (JournalFate::Refused, false),
+        }
+    }
+
+    /// Writes what the store does not have yet; returns whether the ownership is lost.
+    async fn flush_backlog(&mut self) -> bool {
+        while let Some(batch) = self.backlog.front().cloned() {
+            match self.write(&batch).await {
+                WriteEnd::Written => {
+                    self.backlog.pop_front();
+                }
+                WriteEnd::Failed => return false,
+                WriteEnd::OwnershipLost => return true,
+            }
+        }
+        false
+    }
+
+    /// Writes a batch once; a batch whose earlier write took effect counts as written.
+    async fn write(&mut self, batch: &JournalBatch) -> WriteEnd {
+        let started = self.shared.now();
+        let domain = self.shared.domain();
+        let key = store_keys::journal(domain, self.epoch, batch.sequence);
+        let value =
+            serde_json::to_vec(&batch.entries).expect("entries can be written as JSON");
+        let owner =
+            StoreCondition::Unchanged(store_keys::owner(domain), self.owner_revision);
+        let absent = StoreCondition::Absent(key.clone());
+        let put = StoreWrite::Put { key: key.clone(), value: value.clone(), lease: None };
+        let commit = self.store.commit(&[owner, absent], &[put]).await;
+        self.shared.note_store(commit.is_ok());
+        let end = match commit {
+            Ok(commit) if commit.succeeded => WriteEnd::Written,
+            Ok(_) => self.resolve(&key, &value).await,
+            Err(_) => WriteEnd::Failed,
+        };
+        if matches!(end, WriteEnd::Written) {
+            self.shared.committed.store(batch.sequence, Ordering::Relaxed);
+            node_metrics::record_journal(self.shared.now() - started);
+        }
+        end
+    }
+
+    /// Finds out why a write was refused: it had taken effect before, or the ownership is lost.
+    async fn resolve(&self, key: &str, value: &[u8]) -> WriteEnd {
+        match self.store.get(key).await {
+            Ok(Some(record)) if record.value == value => WriteEnd::Written,
+            Ok(_) => WriteEnd::OwnershipLost,
+            Err(_) => WriteEnd::Failed,
+        }
+    }
+
+    /// Has another process of the domain keep a batch.
+    async fn mirror(&self, batch: &JournalBatch) -> bool {
+        let message = PeerMessage::MirrorAppend(MirrorBatch {
+            epoch: self.epoch,
+            sequence: batch.sequence,
+            entries: batch.entries.clone(),
+        });
+        for (_, member) in self.shared.members.list() {
+            if member.stopping {
+                continue;
+            }
+            let call =
+                self.shared.link.call(member.address, message.clone(), MIRROR_TIMEOUT);
+            if matches!(call.await, Ok(PeerMessage::Done)) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Removes the batches before a snapshot.
+    async fn drop_before(&mut self, sequence: u64) {
+        let domain = self.shared.domain();
+        let prefix = store_keys::journal_prefix(domain);
+        let first = store_keys::journal(domain, self.epoch, sequence);
+        let owner =
+            StoreCondition::Unchanged(store_keys::owner(domain), self.owner_revision);
+        let delete = StoreWrite::DeleteRange(prefix, first);
+        let commit = self.store.commit(&[owner], &[delete]).await;
+        self.shared.note_store(commit.is_ok());
+        self.since_snapshot = 0;
+        self.snapshot_wanted = false;
+        log_event!(Info, "journal-compacted", domain = domain, sequence = sequence);
+    }
+}
+
+/// Reads the whole journal of a domain.
+pub(crate) async fn read_journal(
+    store: &dyn PlatformStore,
+    domain: &Name,
+) -> Result<Vec<JournalEntry>> {
+    let prefix = store_keys::journal_prefix(domain);
+    let mut entries = Vec::new();
+    let mut after: Option<String> = None;
+    loop {
+        let page = store.list(&prefix, after.as_deref(), PAGE).await?;
+        for record in &page {
+            let batch: Vec<JournalEntry> = serde_json::from_slice(&record.value)
+                .map_err(|error| {
+                    let key = record.key.clone();
+                    NodeError::StoredValue { key, message: error.to_string() }
+                })?;
+            entries.extend(batch);
+        }
+        match page.last() {
+            Some(last) if page.len() == PAGE => after = Some(last.key.clone()),
+            _ => return Ok(entries),
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/lib.rs
@@ -0,0 +1,44 @@
+//! The processes of the system: entry, dispatcher and publisher, and what connects them.
+
+mod catalog_state;
+mod config_keeper;
+mod dispatcher;
+mod domain_map;
+mod endpoint_exchange;
+mod entry_server;
+mod etcd_store;
+mod event_log;
+mod fallible_loop;
+mod held_table;
+mod http_client;
+mod job_calls;
+mod journal;
+mod member_table;
+mod mirror_table;
+mod node_error;
+mod node_metrics;
+mod node_shared;
+mod node_supervisor;
+mod operator_calls;
+mod owner_fence;
+mod ownership;
+mod peer_link;
+mod peer_router;
+mod pending_calls;
+mod platform_store;
+mod publisher;
+mod refusal_answer;
+mod request_carrier;
+mod slot_client;
+mod store_keys;
+mod vm_list;
+mod worker_caller;
+mod worker_port;
+
+pub use self::node_error::NodeError;
+pub use self::node_error::Result;
+pub use self::node_metrics::METRIC_ROWS;
+pub use self::node_metrics::MetricRow;
+pub use self::node_supervisor::run_node;
+
+pub use geraniumwinch_core::SystemClock;
--- /dev/null
+++ b/crates/geraniumwinch-node/src/member_table.rs
@@ -0,0 +1,101 @@
+//! The processes of a domain as its owner knows them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+use std::time::Instant;
+
+use geraniumwinch_core::Name;
+use geraniumwinch_wire::MemberRow;
+use geraniumwinch_wire::PeerIdentity;
+
+/// A process of the domain.
+#[derive(Debug, Clone)]
+pub(crate) struct DomainMember {
+    /// Its peer address.
+    pub(crate) address: SocketAddr,
+    /// The revision of the configuration in force.
+    pub(crate) revision: u64,
+    /// When its last heartbeat came.
+    pub(crate) heard: Instant,
+    /// Whether it is about to stop.
+    pub(crate) stopping: bool,
+    /// Whether it has reported the slots that it holds to this owner.
+    pub(crate) reported: bool,
+}
+
+/// The processes of a domain as its owner knows them, without the owner itself.
+#[derive(Debug, Default)]
+pub(crate) struct MemberTable {
+    members: Mutex<BTreeMap<Name, DomainMember>>,
+}
+
+impl MemberTable {
+    /// Takes in a heartbeat; returns whether the process still has to report its slots.
+    pub(crate) fn heard(
+        &self,
+        from: &PeerIdentity,
+        revision: u64,
+        stopping: bool,
+        reports: bool,
+        now: Instant,
+    ) -> bool {
+        let mut members = self.lock();
+        let member = members.entry(from.name.clone()).or_insert_with(|| DomainMember {
+            address: from.address,
+            revision,
+            heard: now,
+            stopping,
+            reported: false,
+        });
+        member.address = from.address;
+        member.revision = revision;
+        member.heard = now;
+        member.stopping = stopping;
+        member.reported |= reports;
+        !member.reported
+    }
+
+    /// Forgets every process, as when the ownership begins or ends.
+    pub(crate) fn clear(&self) {
+        self.lock().clear();
+    }
+
+    /// Forgets the processes that have been silent for a time.
+    pub(crate) fn drop_silent(&self, patience: Duration, now: Instant) {
+        let alive = |member: &DomainMember| {
+            now.saturating_duration_since(member.heard) < patience
+        };
+        self.lock().retain(|_, member| alive(member));
+    }
+
+    /// Returns the processes.
+    pub(crate) fn list(&self) -> Vec<(Name, DomainMember)> {
+        self.lock().iter().map(|(name, member)| (name.clone(), member.clone())).collect()
+    }
+
+    /// Returns the process that was heard last among those that stay.
+    pub(crate) fn successor(&self) -> Option<DomainMember> {
+        let members = self.lock();
+        let staying = members.values().filter(|member| !member.stopping);
+        staying.max_by_key(|member| member.heard).cloned()
+    }
+
+    /// Describes the processes for operators.
+    pub(crate) fn rows(&self, now: Instant) -> Vec<MemberRow> {
+        let describe = |(name, member): (Name, DomainMember)| MemberRow {
+            name,
+            address: member.address,
+            revision: member.revision,
+            silent_ms: now.saturating_duration_since(member.heard).as_millis() as u64,
+        };
+        self.list().into_iter().map(describe).collect()
+    }
+
+    /// Locks the table.
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<Name, DomainMember>> {
+        self.members.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/mirror_table.rs
@@ -0,0 +1,50 @@
+//! Journal entries that this process keeps for the owner of its domain.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use geraniumwinch_wire::JournalEntry;
+use geraniumwinch_wire::MirrorBatch;
+
+/// The greatest number of batches that are kept.
+const CAPACITY: usize = 10_000;
+
+/// Journal entries that the store did not have when the owner sent them.
+#[derive(Debug, Default)]
+pub(crate) struct MirrorTable {
+    batches: Mutex<BTreeMap<(u64, u64), Vec<JournalEntry>>>,
+}
+
+impl MirrorTable {
+    /// Keeps a batch and returns whether there was room for it.
+    pub(crate) fn keep(&self, batch: MirrorBatch) -> bool {
+        let mut batches = self.lock();
+        if batches.len() >= CAPACITY {
+            return false;
+        }
+        batches.insert((batch.epoch, batch.sequence), batch.entries);
+        true
+    }
+
+    /// Drops what the store has by now.
+    pub(crate) fn drop_committed(&self, epoch: u64, sequence: u64) {
+        let mut batches = self.lock();
+        *batches = batches.split_off(&(epoch, sequence + 1));
+    }
+
+    /// Returns every batch in order.
+    pub(crate) fn batches(&self) -> Vec<MirrorBatch> {
+        let batches = self.lock();
+        let describe =
+            |(&(epoch, sequence), entries): (&(u64, u64), &Vec<JournalEntry>)| {
+                MirrorBatch { epoch, sequence, entries: entries.clone() }
+            };
+        batches.iter().map(describe).collect()
+    }
+
+    /// Locks the table.
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<(u64, u64), Vec<JournalEntry>>> {
+        self.batches.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/node_metrics.rs
@@ -0,0 +1,154 @@
+//! The counters, gauges and histograms of a process.
+
+use std::time::Duration;
+
+use geraniumwinch_core::ErrorKind;
+use metrics::counter;
+use metrics::gauge;
+use metrics::histogram;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+/// A metric with its meaning.
+#[derive(Debug, Clone, Copy)]
+pub struct MetricRow {
+    /// The name.
+    pub name: &'static str,
+    /// `counter`, `gauge` or `histogram`.
+    pub kind: &'static str,
+    /// The labels, separated by commas.
+    pub labels: &'static str,
+    /// What it counts or measures, with its unit.
+    pub doc: &'static str,
+}
+
+/// Declares the names of the metrics and their table.
+macro_rules! metric_rows {
+    ($($constant:ident = $name:literal, $kind:literal, $labels:literal, $doc:literal;)*) => {
+        $(const $constant: &str = $name;)*
+
+        /// Every metric.
+        pub const METRIC_ROWS: &[MetricRow] = &[
+            $(MetricRow { name: $name, kind: $kind, labels: $labels, doc: $doc },)*
+        ];
+    };
+}
+
+metric_rows! {
+    REFUSALS = "geraniumwinch_refusals_total", "counter", "reason", "Calls refused, by error kind.";
+    RETRIES = "geraniumwinch_retries_total", "counter", "reason", "Repeated attempts, by the error kind that caused them.";
+    REQUESTS = "geraniumwinch_requests_total", "counter", "", "Requests that were answered by an endpoint.";
+    MESSAGES = "geraniumwinch_peer_messages_total", "counter", "fate", "Peer messages, by whether they were sent, dropped, refused or late.";
+    MESSAGE_BYTES = "geraniumwinch_peer_bytes_total", "counter", "", "Bytes of peer messages sent.";
+    STORE_CALLS = "geraniumwinch_store_calls_total", "counter", "fate", "Calls on the store, by whether they were answered or failed.";
+    TAKEOVERS = "geraniumwinch_takeovers_total", "counter", "", "Ownerships of the failure domain that this process took.";
+    STARTS = "geraniumwinch_task_starts_total", "counter", "fate", "Start commands, by whether they were confirmed, refused or lost.";
+    STOPS = "geraniumwinch_task_stops_total", "counter", "", "Stop commands.";
+    GRANTS = "geraniumwinch_grants_total", "counter", "", "Slots granted.";
+    CONFIG_REVISION = "geraniumwinch_config_revision", "gauge", "", "Revision of the configuration in force.";
+    OWNER_EPOCH = "geraniumwinch_owner_epoch", "gauge", "", "Epoch of the ownership that this process holds, or 0.";
+    TEAM_RUNNING = "geraniumwinch_team_running", "gauge", "team", "Running tasks and requests of a team in the domain.";
+    TEAM_ALLOWANCE = "geraniumwinch_team_allowance", "gauge", "team", "Tasks and requests that a team may run in the domain.";
+    SLOT_WAIT = "geraniumwinch_slot_wait_seconds", "histogram", "", "Time from a request's arrival to its slot in seconds.";
+    REQUEST_TIME = "geraniumwinch_request_seconds", "histogram", "", "Time from a request's arrival to the head of its answer in seconds.";
+    DECISION_TIME = "geraniumwinch_decision_seconds", "histogram", "", "Time that the dispatcher spends on one message in seconds.";
+    JOURNAL_TIME = "geraniumwinch_journal_seconds", "histogram", "", "Time that a batch of the journal takes in seconds.";
+}
+
+/// The bounds of the histograms' buckets in seconds.
+const BUCKETS: &[f64] = &[
+    0.000_05, 0.000_1, 0.000_25, 0.000_5, 0.001, 0.002_5, 0.005, 0.01, 0.025, 0.05, 0.1,
+    0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
+];
+
+/// Installs the recorder and returns the handle that renders the metrics as text.
+pub(crate) fn install() -> PrometheusHandle {
+    let builder = PrometheusBuilder::new();
+    let builder = builder.set_buckets(BUCKETS).expect("the list of buckets is not empty");
+    builder.install_recorder().expect("the recorder is installed once")
+}
+
+/// Counts a refusal.
+pub(crate) fn count_refusal(kind: ErrorKind) {
+    counter!(REFUSALS, "reason" => kind.answer().name).increment(1);
+}
+
+/// Counts a repeated attempt.
+pub(crate) fn count_retry(kind: ErrorKind) {
+    counter!(RETRIES, "reason" => kind.answer().name).increment(1);
+}
+
+/// Counts a request that was answered by an endpoint.
+pub(crate) fn count_request(time: Duration) {
+    counter!(REQUESTS).increment(1);
+    histogram!(REQUEST_TIME).record(time.as_secs_f64());
+}
+
+/// Counts a peer message that was dropped, refused or late.
+pub(crate) fn count_message(fate: &'static str) {
+    counter!(MESSAGES, "fate" => fate).increment(1);
+}
+
+/// Counts a peer message that was sent.
+pub(crate) fn count_sent(bytes: usize) {
+    count_message("sent");
+    counter!(MESSAGE_BYTES).increment(bytes as u64);
+}
+
+/// Counts a call on the store.
+pub(crate) fn count_store_call(answered: bool) {
+    let fate = if answered { "answered" } else { "failed" };
+    counter!(STORE_CALLS, "fate" => fate).increment(1);
+}
+
+/// Counts a takeover and shows the epoch.
+pub(crate) fn count_takeover(epoch: u64) {
+    counter!(TAKEOVERS).increment(1);
+    show_epoch(epoch);
+}
+
+/// Shows the epoch of the ownership that this process holds.
+pub(crate) fn show_epoch(epoch: u64) {
+    gauge!(OWNER_EPOCH).set(epoch as f64);
+}
+
+/// Counts a start command.
+pub(crate) fn count_start(fate: &'static str) {
+    counter!(STARTS, "fate" => fate).increment(1);
+}
+
+/// Counts a stop command.
+pub(crate) fn count_stop() {
+    counter!(STOPS).increment(1);
+}
+
+/// Counts a granted slot.
+pub(crate) fn count_grant() {
+    counter!(GRANTS).increment(1);
+}
+
+/// Shows the revision of the configuration in force.
+pub(crate) fn show_revision(revision: u64) {
+    gauge!(CONFIG_REVISION).set(revision as f64);
+}
+
+/// Shows what a team runs.
+pub(crate) fn show_team(team: &str, running: u32, allowance: u32) {
+    gauge!(TEAM_RUNNING, "team" => team.to_owned()).set(f64::from(running));
+    gauge!(TEAM_ALLOWANCE, "team" => team.to_owned()).set(f64::from(allowance));
+}
+
+/// Records how long a request waited for its slot.
+pub(crate) fn record_slot_wait(time: Duration) {
+    histogram!(SLOT_WAIT).record(time.as_secs_f64());
+}
+
+/// Records how long the dispatcher spent on a message.
+pub(crate) fn record_decision(time: Duration) {
+    histogram!(DECISION_TIME).record(time.as_secs_f64());
+}
+
+/// Records how long a batch of the journal took.
+pub(crate) fn record_journal(time: Duration) {
+    histogram!(JOURNAL_TIME).record(time.as_secs_f64());
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/node_shared.rs
@@ -0,0 +1,126 @@
+//! What the parts of a process share.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Instant;
+
+use actix::Addr;
+use arc_swap::ArcSwapOption;
+use geraniumwinch_config::NodeSettings;
+use geraniumwinch_core::Name;
+use geraniumwinch_core::NodeClock;
+use geraniumwinch_wire::DomainDigest;
+use geraniumwinch_wire::OwnerView;
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::sync::watch;
+
+use crate::catalog_state::CatalogState;
+use crate::dispatcher::Dispatcher;
+use crate::domain_map::DomainMap;
+use crate::held_table::HeldTable;
+use crate::member_table::MemberTable;
+use crate::mirror_table::MirrorTable;
+use crate::owner_fence::OwnerFence;
+use crate::peer_link::PeerLink;
+
+/// The owner of the process's domain and when it was last heard of.
+#[derive(Debug, Clone)]
+pub(crate) struct FollowedOwner {
+    /// The owner.
+    pub(crate) view: OwnerView,
+    /// When it last answered a heartbeat.
+    pub(crate) heard: Instant,
+}
+
+/// What the parts of a process share.
+pub(crate) struct NodeShared {
+    /// The settings.
+    pub(crate) settings: NodeSettings,
+    /// The clock.
+    pub(crate) clock: Arc<dyn NodeClock>,
+    /// The transport to peers.
+    pub(crate) link: Arc<PeerLink>,
+    /// The configuration in force.
+    pub(crate) catalog: CatalogState,
+    /// The other failure domains.
+    pub(crate) domains: DomainMap,
+    /// The slots that this process holds.
+    pub(crate) held: HeldTable,
+    /// The processes of the domain, while this process owns it.
+    pub(crate) members: MemberTable,
+    /// Journal entries kept for the owner.
+    pub(crate) mirror: MirrorTable,
+    /// The guard of this process's ownership.
+    pub(crate) fence: OwnerFence,
+    /// The owner of the domain; readers are woken when it changes.
+    pub(crate) owner: watch::Sender<Option<FollowedOwner>>,
+    /// The dispatcher, while this process owns the domain.
+    pub(crate) dispatcher: ArcSwapOption<Addr<Dispatcher>>,
+    /// The domain's own digest, while this process owns it.
+    pub(crate) own_digest: Mutex<Option<DomainDigest>>,
+    /// The newest sequence number of the journal that the store has.
+    pub(crate) committed: AtomicU64,
+    /// The newest revision of the configuration that a peer has told of.
+    pub(crate) heard_revision: AtomicU64,
+    /// Whether the last call on the store failed.
+    pub(crate) store_down: AtomicBool,
+    /// Whether the process is about to stop.
+    pub(crate) stopping: AtomicBool,
+    /// The handle that renders the metrics.
+    pub(crate) metrics: PrometheusHandle,
+}
+
+impl NodeShared {
+    /// Returns the monotonic time.
+    pub(crate) fn now(&self) -> Instant {
+        self.clock.now()
+    }
+
+    /// Returns the name of the process's domain.
+    pub(crate) fn domain(&self) -> &Name {
+        &self.settings.domain
+    }
+
+    /// Returns the owner of the process's domain if it was heard of within a few heartbeats.
+    pub(crate) fn live_owner(&self) -> Option<OwnerView> {
+        let owner = self.owner.borrow();
+        let owner = owner.as_ref()?;
+        let silence = self.now().saturating_duration_since(owner.heard);
+        let own = owner.view.address == self.link.identity().address;
+        (own || silence <= self.settings.peer_heartbeat * 4).then(|| owner.view.clone())
+    }
+
+    /// Returns the peer address of a domain's dispatcher if it was heard of lately.
+    pub(crate) fn dispatcher_address(&self, domain: &str) -> Option<SocketAddr> {
+        if domain == &**self.domain() {
+            return self.live_owner().map(|owner| owner.address);
+        }
+        let row = self.domains.get(domain)?;
+        let age = self.now().saturating_duration_since(row.made);
+        (age <= self.settings.owner_lease).then_some(row.digest.owner.address)
+    }
+
+    /// Notes the owner of the domain and wakes those who wait for a change of it.
+    pub(crate) fn follow(&self, view: OwnerView, heard: Instant) {
+        self.owner.send_if_modified(|owner| {
+            let changed = owner.as_ref().is_none_or(|known| known.view != view);
+            *owner = Some(FollowedOwner { view, heard });
+            changed
+        });
+    }
+
+    /// Returns whether the process is about to stop.
+    pub(crate) fn stopping(&self) -> bool {
+        self.stopping.load(Ordering::Relaxed)
+    }
+
+    /// Notes whether the store answered.
+    pub(crate) fn note_store(&self, answered: bool) {
+        self.store_down.store(!answered, Ordering::Relaxed);
+        crate::node_metrics::count_store_call(answered);
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/node_supervisor.rs
@@ -0,0 +1,191 @@
+//! The supervisor of a process: starts its parts, restarts what fails, and stops in order.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use futures_util::FutureExt;
+use geraniumwinch_config::NodeSettings;
+use geraniumwinch_core::NodeClock;
+use geraniumwinch_wire::PeerIdentity;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
+use crate::Result;
+use crate::catalog_state::CatalogState;
+use crate::config_keeper;
+use crate::config_keeper::ConfigKeeper;
+use crate::domain_map::DomainMap;
+use crate::entry_server;
+use crate::entry_server::EntryState;
+use crate::entry_server::PublishOrder;
+use crate::etcd_store::EtcdStore;
+use crate::event_log::log_event;
+use crate::fallible_loop::supervise;
+use crate::held_table::HeldTable;
+use crate::http_client::HttpClient;
+use crate::member_table::MemberTable;
+use crate::mirror_table::MirrorTable;
+use crate::node_metrics;
+use crate::node_shared::NodeShared;
+use crate::owner_fence::OwnerFence;
+use crate::ownership::OwnershipKeeper;
+use crate::ownership::OwnershipOrder;
+use crate::ownership::PlatformPorts;
+use crate::peer_link::PeerLink;
+use crate::peer_router::PeerRouter;
+use crate::publisher::ConfigPublisher;
+use crate::vm_list::HttpVmList;
+use crate::worker_port::HttpWorkerPort;
+
+/// The time between two looks at the slots that a stopping process still holds.
+const STOP_POLL: Duration = Duration::from_millis(20);
+
+/// Runs a process until it is told to stop.
+pub fn run_node(settings: NodeSettings, clock: Arc<dyn NodeClock>) -> Result<()> {
+    let system = actix::System::new();
+    system.block_on(serve(settings, clock))
+}
+
+/// Starts the parts of a process, waits for the signal to stop, and stops in order.
+async fn serve(settings: NodeSettings, clock: Arc<dyn NodeClock>) -> Result<()> {
+    let shared = share(settings, clock);
+    let (ownership, ownership_orders) = mpsc::unbounded_channel();
+    let router = PeerRouter::new(shared.clone(), ownership.clone());
+    shared.link.listen(Box::new(move |envelope| router.route(envelope)))?;
+    let ports = Rc::new(platform_ports(&shared.settings));
+    start_loops(&shared, &ports, ownership_orders);
+    let publisher = start_publisher(&shared, &ports);
+    let server = entry_server::start(EntryState::new(shared.clone(), publisher))?;
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    log_event!(
+        Info,
+        "process-started",
+        process = shared.settings.name,
+        domain = shared.domain(),
+        http = shared.settings.http,
+        peer = shared.settings.peer,
+    );
+    wait_for_signal().await;
+    stop(&shared, &ownership, handle).await;
+    Ok(())
+}
+
+/// Creates what the parts share.
+fn share(settings: NodeSettings, clock: Arc<dyn NodeClock>) -> Arc<NodeShared> {
+    let identity = PeerIdentity {
+        name: settings.name.clone(),
+        domain: settings.domain.clone(),
+        address: settings.advertise,
+    };
+    Arc::new(NodeShared {
+        link: PeerLink::new(identity, settings.peer),
+        catalog: CatalogState::default(),
+        domains: DomainMap::default(),
+        held: HeldTable::default(),
+        members: MemberTable::default(),
+        mirror: MirrorTable::default(),
+        fence: OwnerFence::new(settings.owner_lease),
+        owner: watch::channel(None).0,
+        dispatcher: ArcSwapOption::empty(),
+        own_digest: Mutex::new(None),
+        committed: AtomicU64::new(0),
+        heard_revision: AtomicU64::new(0),
+        store_down: AtomicBool::new(false),
+        stopping: AtomicBool::new(false),
+        metrics: node_metrics::install(),
+        clock,
+        settings,
+    })
+}
+
+/// Creates the adapters of the platform.
+fn platform_ports(settings: &NodeSettings) -> PlatformPorts {
+    let client = HttpClient::new(settings.peer.ip(), settings.store_timeout);
+    PlatformPorts {
+        store: Rc::new(EtcdStore::new(client.clone(), &settings.store_url)),
+        vm_list: Rc::new(HttpVmList::new(client.clone(), &settings.vm_list_url)),
+        workers: Rc::new(HttpWorkerPort::new(client)),
+    }
+}
+
+/// Starts the loops under supervision.
+fn start_loops(
+    shared: &Arc<NodeShared>,
+    ports: &Rc<PlatformPorts>,
+    orders: mpsc::UnboundedReceiver<OwnershipOrder>,
+) {
+    let fence = shared.clone();
+    supervise("fence", move || OwnershipKeeper::run_fence(fence.clone()).boxed_local());
+    let keeper = OwnershipKeeper::new(shared.clone(), ports.clone());
+    let orders = Rc::new(tokio::sync::Mutex::new(orders));
+    supervise("ownership", move || keeper.clone().run(orders.clone()).boxed_local());
+    let (config, store) = (shared.clone(), ports.store.clone());
+    supervise("configuration", move || {
+        ConfigKeeper::new(config.clone(), store.clone()).run_store().boxed_local()
+    });
+    let peers = shared.clone();
+    supervise("peers", move || config_keeper::run_peers(peers.clone()).boxed_local());
+}
+
+/// Starts the publisher and returns the way to it.
+fn start_publisher(
+    shared: &Arc<NodeShared>,
+    ports: &Rc<PlatformPorts>,
+) -> mpsc::UnboundedSender<PublishOrder> {
+    let (sender, mut orders) = mpsc::unbounded_channel::<PublishOrder>();
+    let shared = shared.clone();
+    let store = ports.store.clone();
+    actix_rt::spawn(async move {
+        while let Some(order) = orders.recv().await {
+            let publisher = ConfigPublisher::new(shared.clone(), store.clone());
+            actix_rt::spawn(async move {
+                let end = publisher.publish(order.base, &order.set).await;
+                let _ = order.done.send(end);
+            });
+        }
+    });
+    sender
+}
+
+/// Waits until the platform asks the process to stop.
+async fn wait_for_signal() {
+    let mut terminate = signal(SignalKind::terminate()).expect("signals can be handled");
+    let mut interrupt = signal(SignalKind::interrupt()).expect("signals can be handled");
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
+/// Stops without cutting a call: notice, handover, last answers, end.
+async fn stop(
+    shared: &Arc<NodeShared>,
+    ownership: &mpsc::UnboundedSender<OwnershipOrder>,
+    server: actix_web::dev::ServerHandle,
+) {
+    log_event!(Info, "process-stopping", process = shared.settings.name);
+    shared.stopping.store(true, Ordering::Relaxed);
+    let (done, handed_over) = oneshot::channel();
+    if ownership.send(OwnershipOrder::HandOver(done)).is_ok() {
+        let _ = handed_over.await;
+    }
+    tokio::time::sleep(shared.settings.stop_notice).await;
+    server.stop(true).await;
+    let started = shared.now();
+    while shared.held.len() > 0 && shared.now() - started < shared.settings.stop_limit {
+        tokio::time::sleep(STOP_POLL).await;
+    }
+    // The last releases are on their way through the transport's own threads.
+    tokio::time::sleep(STOP_POLL * 5).await;
+    log_event!(Info, "process-stopped", process = shared.settings.name);
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/operator_calls.rs
@@ -0,0 +1,192 @@
+//! Operators' calls.
+
+use std::time::Duration;
+
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::http::header;
+use actix_web::web;
+use geraniumwinch_config::ConfigurationSet;
+use geraniumwinch_config::SetProblem;
+use geraniumwinch_core::ErrorKind;
+use geraniumwinch_core::Name;
+use geraniumwinch_wire::PeerMessage;
+use geraniumwinch_wire::StatusReport;
+use serde::Serialize;
+use tokio::sync::oneshot;
+
+use crate::entry_server::EntryState;
+use crate::entry_server::PublishOrder;
+use crate::entry_server::is_operator;
+use crate::publisher::PublishEnd;
+use crate::refusal_answer::RefusalAnswer;
+
+/// The time that a dispatcher has to describe its domain.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(1000);
+/// What a set is called in problems.
+const BODY: &str = "set";
+
+/// The state of one domain in the status.
+#[derive(Debug, Serialize)]
+struct DomainStatus {
+    domain: Name,
+    reachable: bool,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    report: Option<Box<StatusReport>>,
+}
+
+/// The status as this process sees it.
+#[derive(Debug, Serialize)]
+struct StatusBody {
+    process: Name,
+    domain: Name,
+    revision: u64,
+    fresh_age_ms: Option<u64>,
+    owner: Option<geraniumwinch_wire::OwnerView>,
+    held_slots: usize,
+    stopping: bool,
+    domains: Vec<DomainStatus>,
+}
+
+/// Refuses a caller that is no operator.
+fn require_operator(
+    state: &EntryState,
+    request: &HttpRequest,
+) -> Result<(), RefusalAnswer> {
+    if is_operator(state, request) {
+        return Ok(());
+    }
+    let detail = "hint: send `Authorization: Bearer` with the operators' key";
+    Err(RefusalAnswer::new(ErrorKind::OperatorKey, detail))
+}
+
+/// Gives the configuration in force in this process.
+pub(crate) async fn show_configuration(
+    state: web::Data<EntryState>,
+    request: HttpRequest,
+) -> HttpResponse {
+    if let Err(refusal) = require_operator(&state, &request) {
+        return refusal.into_response();
+    }
+    let view = state.shared.catalog.view();
+    HttpResponse::Ok()
+        .insert_header((header::ETAG, format!("\"{}\"", view.revision)))
+        .insert_header((header::CONTENT_TYPE, "text/plain; charset=utf-8"))
+        .body(view.set.to_ini())
+}
+
+/// Checks a set without publishing it.
+pub(crate) async fn check_configuration(
+    state: web::Data<EntryState>,
+    request: HttpRequest,
+    body: web::Bytes,
+) -> HttpResponse {
+    if let Err(refusal) = require_operator(&state, &request) {
+        return refusal.into_response();
+    }
+    match read_set(&body) {
+        Ok(set) => HttpResponse::Ok().json(serde_json::json!({ "objects": set.len() })),
+        Err(problems) => refuse_set(&problems),
+    }
+}
+
+/// Publishes a set that is based on the revision in `If-Match`.
+pub(crate) async fn publish_configuration(
+    state: web::Data<EntryState>,
+    request: HttpRequest,
+    body: web::Bytes,
+) -> HttpResponse {
+    if let Err(refusal) = require_operator(&state, &request) {
+        return refusal.into_response();
+    }
+    let Some(base) = base_revision(&request) else {
+        let detail =
+            "hint: send `If-Match` with the revision that the set is based on, or 0";
+        return RefusalAnswer::new(ErrorKind::HeaderMalformed, detail).into_response();
+    };
+    let set = match read_set(&body) {
+        Ok(set) => set,
+        Err(problems) => return refuse_set(&problems),
+    };
+    let (done, end) = oneshot::channel();
+    let order = PublishOrder { base, set, done };
+    let sent = state.publisher.send(order).is_ok();
+    match end.await {
+        Ok(PublishEnd::Published(revision)) if sent => HttpResponse::Ok()
+            .insert_header((header::ETAG, format!("\"{revision}\"")))
+            .json(serde_json::json!({ "revision": revision })),
+        Ok(PublishEnd::Conflict(newest)) => {
+            let detail =
+                format!("the newest revision is {newest}; hint: rebase the set on it");
+            let mut response =
+                RefusalAnswer::new(ErrorKind::RevisionConflict, detail).into_response();
+            let tag = format!("\"{newest}\"").parse().expect("a number is a valid tag");
+            response.headers_mut().insert(header::ETAG, tag);
+            response
+        }
+        _ => RefusalAnswer::new(ErrorKind::PublishUnknown, "").into_response(),
+    }
+}
+
+/// Reads and checks a set.
+fn read_set(body: &[u8]) -> Result<ConfigurationSet, Vec<SetProblem>> {
+    let text = std::str::from_utf8(body).map_err(|_| {
+        vec![SetProblem {
+            file: BODY.to_owned(),
+            line: 0,
+            section: String::new(),
+            message: "the set is not UTF-8 text".to_owned(),
+            hint: "send an INI text".to_owned(),
+        }]
+    })?;
+    ConfigurationSet::parse(BODY, text)
+}
+
+/// Refuses a set with every problem of it.
+fn refuse_set(problems: &[SetProblem]) -> HttpResponse {
+    let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+    RefusalAnswer::new(ErrorKind::SetInvalid, lines.join("\n")).into_response()
+}
+
+/// Returns the revision in `If-Match`.
+fn base_revision(request: &HttpRequest) -> Option<u64> {
+    let value = request.headers().get(header::IF_MATCH)?.to_str().ok()?;
+    value.trim().trim_matches('"').parse().ok()
+}
+
+/// Describes the system as this process sees it.
+pub(crate) async fn status(
+    state: web::Data<EntryState>,
+    request: HttpRequest,
+) -> HttpResponse {
+    if let Err(refusal) = require_operator(&state, &request) {
+        return refusal.into_response();
+    }
+    let shared = &state.shared;
+    let calls = shared.settings.domain_names().into_iter().map(|domain| async {
+        let report = ask_status(&state, &domain).await;
+        DomainStatus { domain, reachable: report.is_some(), report }
+    });
+    let domains = futures_util::future::join_all(calls).await;
+    let fresh = shared.catalog.fresh_age(shared.now());
+    HttpResponse::Ok().json(StatusBody {
+        process: shared.settings.name.clone(),
+        domain: shared.domain().clone(),
+        revision: shared.catalog.view().revision,
+        fresh_age_ms: fresh.map(|age| age.as_millis() as u64),
+        owner: shared.live_owner(),
+        held_slots: shared.held.len(),
+        stopping: shared.stopping(),
+        domains,
+    })
+}
+
+/// Asks the dispatcher of a domain for its state.
+async fn ask_status(state: &EntryState, domain: &Name) -> Option<Box<StatusReport>> {
+    let address = state.shared.dispatcher_address(domain)?;
+    let call = state.shared.link.call(address, PeerMessage::StatusAsk, STATUS_TIMEOUT);
+    match call.await {
+        Ok(PeerMessage::StatusAnswer(report)) => Some(report),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/ownership.rs
@@ -0,0 +1,292 @@
+//! The ownership of the process's failure domain.
+
+mod owned_domain;
+mod owner_record;
+mod take_over;
+
+pub(crate) use self::owned_domain::OwnedDomain;
+pub(crate) use self::owner_record::OwnerRecord;
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use geraniumwinch_wire::GreetReport;
+use geraniumwinch_wire::HandoverState;
+use geraniumwinch_wire::OwnerView;
+use geraniumwinch_wire::PeerMessage;
+use geraniumwinch_wire::ProbeReport;
+use geraniumwinch_wire::WelcomeReport;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::event_log::log_event;
+use crate::node_shared::NodeShared;
+use crate::platform_store::PlatformStore;
+use crate::store_keys;
+use crate::vm_list::VmList;
+use crate::worker_port::WorkerPort;
+
+/// The time between two ticks of the fence.
+const FENCE_TICK: Duration = Duration::from_millis(20);
+
+/// The interfaces to the platform.
+pub(crate) struct PlatformPorts {
+    /// The store.
+    pub(crate) store: Rc<dyn PlatformStore>,
+    /// The VM list.
+    pub(crate) vm_list: Rc<dyn VmList>,
+    /// The workers.
+    pub(crate) workers: Rc<dyn WorkerPort>,
+}
+
+/// A request to the part that keeps the ownership.
+pub(crate) enum OwnershipOrder {
+    /// Take the domain over from its owner, which has handed its state over.
+    TakeHandover(Box<HandoverState>, oneshot::Sender<bool>),
+    /// Hand the domain over to another process, if this process owns it.
+    HandOver(oneshot::Sender<()>),
+}
+
+/// Follows the owner of the domain, or keeps the ownership.
+pub(crate) struct OwnershipKeeper {
+    shared: Arc<NodeShared>,
+    ports: Rc<PlatformPorts>,
+    owned: RefCell<Option<OwnedDomain>>,
+    silent_since: RefCell<Option<(SocketAddr, Instant)>>,
+    reported_to: RefCell<u64>,
+}
+
+impl OwnershipKeeper {
+    /// Creates a keeper that owns nothing.
+    pub(crate) fn new(shared: Arc<NodeShared>, ports: Rc<PlatformPorts>) -> Rc<Self> {
+        Rc::new(OwnershipKeeper {
+            shared,
+            ports,
+            owned: RefCell::new(None),
+            silent_since: RefCell::new(None),
+            reported_to: RefCell::new(0),
+        })
+    }
+
+    /// Ticks the fence until the process ends.
+    pub(crate) async fn run_fence(shared: Arc<NodeShared>) {
+        let mut ticker = tokio::time::interval(FENCE_TICK);
+        ticker.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            ticker.tick().await;
+            if shared.fence.tick(shared.now()) {
+                log_event!(Warn, "ownership-suspended", domain = shared.domain());
+            }
+        }
+    }
+
+    /// Follows or keeps until the process ends, and serves orders.
+    pub(crate) async fn run(
+        self: Rc<Self>,
+        orders: Rc<tokio::sync::Mutex<mpsc::UnboundedReceiver<OwnershipOrder>>>,
+    ) {
+        let mut orders = orders.lock().await;
+        loop {
+            let period = self.shared.settings.peer_heartbeat;
+            tokio::select! {
+                Some(order) = orders.recv() => self.serve(order).await,
+                () = tokio::time::sleep(period) => self.step().await,
+            }
+        }
+    }
+
+    /// Serves an order.
+    async fn serve(&self, order: OwnershipOrder) {
+        match order {
+            OwnershipOrder::TakeHandover(state, done) => {
+                let taken = self.take_handover(*state).await;
+                let _ = done.send(taken);
+            }
+            OwnershipOrder::HandOver(done) => {
+                self.hand_over().await;
+                let _ = done.send(());
+            }
+        }
+    }
+
+    /// Does one heartbeat.
+    async fn step(&self) {
+        if self.owns() {
+            self.keep().await;
+            return;
+        }
+        let owner = self.shared.owner.borrow().clone();
+        match owner {
+            Some(owner) => self.greet(owner.view).await,
+            None => self.discover().await,
+        }
+    }
+
+    /// Returns whether this process owns the domain.
+    fn owns(&self) -> bool {
+        self.owned.borrow().is_some()
+    }
+
+    /// Renews the ownership, or confirms it after a gap.
+    async fn keep(&self) {
+        let owned = self.owned.borrow_mut().take();
+        let Some(mut owned) = owned else { return };
+        let kept = owned.keep().await;
+        if kept {
+            *self.owned.borrow_mut() = Some(owned);
+        } else {
+            self.step_down(owned);
+        }
+    }
+
+    /// Gives the domain up after another process has taken it over.
+    fn step_down(&self, owned: OwnedDomain) {
+        log_event!(
+            Warn,
+            "ownership-lost",
+            domain = self.shared.domain(),
+            epoch = owned.epoch()
+        );
+        owned.close();
+        self.shared.owner.send_replace(None);
+    }
+
+    /// Looks for the owner in the store and among the seeds; claims a domain that has none.
+    async fn discover(&self) {
+        let domain = self.shared.domain();
+        let record = self.ports.store.get(&store_keys::owner(domain)).await;
+        self.shared.note_store(record.is_ok());
+        match record {
+            Ok(None) => self.claim(None).await,
+            Ok(Some(record)) => {
+                if let Some(known) = OwnerRecord::read(&record) {
+                    self.follow(known.view);
+                }
+            }
+            Err(_) => self.ask_seeds().await,
+        }
+    }
+
+    /// Asks the seeds of the domain for its owner.
+    async fn ask_seeds(&self) {
+        let own = self.shared.link.identity().address;
+        let domain = self.shared.domain();
+        let seeds =
+            self.shared.settings.domains.iter().find(|seeds| seeds.domain == *domain);
+        let seeds = seeds.map(|seeds| seeds.seeds.clone()).unwrap_or_default();
+        for seed in seeds.into_iter().filter(|seed| *seed != own) {
+            let timeout = self.shared.settings.peer_heartbeat;
+            let answer = self.shared.link.call(seed, PeerMessage::Probe, timeout).await;
+            if let Ok(PeerMessage::ProbeAnswer(ProbeReport { owner: Some(owner) })) =
+                answer
+            {
+                self.follow(owner);
+                return;
+            }
+        }
+    }
+
+    /// Begins to follow an owner that has not answered a heartbeat yet.
+    fn follow(&self, view: OwnerView) {
+        let now = self.shared.now();
+        let long_ago = now.checked_sub(self.shared.settings.owner_lease).unwrap_or(now);
+        *self.silent_since.borrow_mut() = None;
+        self.shared.follow(view, long_ago);
+    }
+
+    /// Sends a heartbeat to the owner.
+    async fn greet(&self, owner: OwnerView) {
+        let now = self.shared.now();
+        let own = self.shared.link.identity().address;
+        let held = (*self.reported_to.borrow() != owner.epoch)
+            .then(|| self.shared.held.of_domain(self.shared.domain(), now));
+        let report = GreetReport {
+            epoch: owner.epoch,
+            revision: self.shared.catalog.view().revision,
+            held,
+            stopping: self.shared.stopping(),
+        };
+        let timeout = self.shared.settings.peer_heartbeat * 2;
+        let answer = if owner.address == own {
+            // A former instance of this process owned the domain.
+            Ok(PeerMessage::NotOwner(ProbeReport { owner: None }))
+        } else {
+            self.shared
+                .link
+                .call(owner.address, PeerMessage::Greet(report), timeout)
+                .await
+        };
+        match answer {
+            Ok(PeerMessage::Welcome(welcome)) if welcome.epoch >= owner.epoch => {
+                self.welcome(&owner, welcome, now);
+            }
+            Ok(PeerMessage::NotOwner(ProbeReport { owner: Some(other) }))
+                if other.epoch > owner.epoch =>
+            {
+                self.follow(other);
+            }
+            _ => self.suspect(&owner, now).await,
+        }
+    }
+
+    /// Takes in the owner's answer to a heartbeat that was sent at a time.
+    fn welcome(&self, owner: &OwnerView, welcome: WelcomeReport, sent: Instant) {
+        let shared = &self.shared;
+        *self.silent_since.borrow_mut() = None;
+        *self.reported_to.borrow_mut() = if welcome.want_held { 0 } else { owner.epoch };
+        let view = OwnerView { epoch: welcome.epoch, ..owner.clone() };
+        shared.follow(view, shared.now());
+        for (digest, age_ms) in welcome.domains {
+            let age = Duration::from_millis(age_ms);
+            if let Some(made) = sent.checked_sub(age) {
+                shared.domains.update(digest, made);
+            }
+        }
+        shared.mirror.drop_committed(welcome.epoch, welcome.committed);
+        shared.heard_revision.fetch_max(welcome.revision, Ordering::Relaxed);
+        if welcome.revision == shared.catalog.view().revision
+            && let Some(age_ms) = welcome.fresh_age_ms
+            && let Some(at) = sent.checked_sub(Duration::from_millis(age_ms))
+        {
+            shared.catalog.confirm(at);
+        }
+    }
+
+    /// Counts the silence of the owner, and takes the domain over once it is certain.
+    ///
+    /// It takes a lapsed lease in the store and a full lease time without an answer to direct calls.
+    async fn suspect(&self, owner: &OwnerView, dialled: Instant) {
+        let lease = self.shared.settings.owner_lease;
+        let since = {
+            let mut silent = self.silent_since.borrow_mut();
+            match *silent {
+                Some((address, since)) if address == owner.address => since,
+                _ => {
+                    *silent = Some((owner.address, dialled));
+                    dialled
+                }
+            }
+        };
+        if self.shared.now().saturating_duration_since(since) < lease
+            || self.shared.stopping()
+        {
+            return;
+        }
+        let domain = self.shared.domain();
+        let alive = self.ports.store.get(&store_keys::owner_alive(domain)).await;
+        self.shared.note_store(alive.is_ok());
+        let Ok(alive) = alive else { return };
+        let record = self.ports.store.get(&store_keys::owner(domain)).await;
+        let Ok(record) = record else { return };
+        match record.as_ref().and_then(OwnerRecord::read) {
+            Some(known) if known.view.epoch > owner.epoch => self.follow(known.view),
+            known if alive.is_none() => self.claim(known).await,
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/ownership/owned_domain.rs
@@ -0,0 +1,309 @@
+//! A failure domain that this process owns.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Instant;
+
+use actix::Actor;
+use actix::Addr;
+use actix_rt::Arbiter;
+use geraniumwinch_core::Name;
+use geraniumwinch_wire::JournalEntry;
+use geraniumwinch_wire::PeerMessage;
+use geraniumwinch_wire::ProbeReport;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+
+use crate::dispatcher::Dispatcher;
+use crate::dispatcher::DispatcherStart;
+use crate::dispatcher::TakeoverKind;
+use crate::dispatcher::VmsRead;
+use crate::event_log::log_event;
+use crate::journal::JournalOrder;
+use crate::journal::JournalSender;
+use crate::journal::JournalWriter;
+use crate::node_metrics;
+use crate::node_shared::NodeShared;
+use crate::platform_store::StoreCondition;
+use crate::platform_store::StoreWrite;
+use crate::store_keys;
+use crate::vm_list::DomainVms;
+use crate::worker_caller::WorkerCaller;
+
+use super::OwnerRecord;
+use super::PlatformPorts;
+use super::owner_record::MembersValue;
+
+/// How many leases a silent process stays a member.
+const MEMBER_PATIENCE: u32 = 3;
+
+/// A failure domain that this process owns, with the parts that serve it.
+pub(crate) struct OwnedDomain {
+    shared: Arc<NodeShared>,
+    ports: Rc<PlatformPorts>,
+    record: OwnerRecord,
+    lease: i64,
+    renewed: Option<Instant>,
+    dispatcher: Addr<Dispatcher>,
+    arbiter: Arbiter,
+    journal: JournalSender,
+    lost: Rc<Cell<bool>>,
+    loops: Vec<JoinHandle<()>>,
+    members: Vec<Name>,
+}
+
+impl OwnedDomain {
+    /// Starts the dispatcher, its journal and its calls to the platform.
+    pub(super) fn start(
+        shared: Arc<NodeShared>,
+        ports: Rc<PlatformPorts>,
+        record: OwnerRecord,
+        lease: i64,
+        kind: TakeoverKind,
+        entries: Vec<JournalEntry>,
+        vms: DomainVms,
+    ) -> OwnedDomain {
+        let epoch = record.view.epoch;
+        let (journal, journal_orders) = mpsc::unbounded_channel();
+        let (caller, caller_orders) = mpsc::unbounded_channel();
+        let arbiter = Arbiter::new();
+        let start = DispatcherStart {
+            shared: shared.clone(),
+            epoch,
+            kind,
+            entries,
+            vms: vms.clone(),
+            journal: journal.clone(),
+            caller,
+        };
+        let dispatcher = Dispatcher::start_in_arbiter(&arbiter.handle(), |_| {
+            Dispatcher::restore(start)
+        });
+        let lost = Rc::new(Cell::new(false));
+        let writer = JournalWriter::new(
+            shared.clone(),
+            ports.store.clone(),
+            epoch,
+            record.revision,
+        );
+        let lost_flag = lost.clone();
+        let journal_loop = actix_rt::spawn(async move {
+            if writer.run(journal_orders).await {
+                lost_flag.set(true);
+            }
+        });
+        let caller_loop = actix_rt::spawn(WorkerCaller::run(
+            shared.clone(),
+            ports.workers.clone(),
+            dispatcher.clone(),
+            epoch,
+            caller_orders,
+        ));
+        let vm_loop = actix_rt::spawn(read_vms(
+            shared.clone(),
+            ports.clone(),
+            dispatcher.clone(),
+            vms,
+        ));
+        OwnedDomain {
+            shared,
+            ports,
+            record,
+            lease,
+            renewed: None,
+            dispatcher,
+            arbiter,
+            journal,
+            lost,
+            loops: vec![journal_loop, caller_loop, vm_loop],
+            members: Vec::new(),
+        }
+    }
+
+    /// Returns the dispatcher.
+    pub(super) fn dispatcher(&self) -> Addr<Dispatcher> {
+        self.dispatcher.clone()
+    }
+
+    /// Returns the epoch.
+    pub(super) fn epoch(&self) -> u64 {
+        self.record.view.epoch
+    }
+
+    /// Returns the store's revision of the ownership record.
+    pub(super) fn record_revision(&self) -> i64 {
+        self.record.revision
+    }
+
+    /// Renews the lease and keeps the list of members; returns whether the domain is still owned.
+    pub(super) async fn keep(&mut self) -> bool {
+        if self.lost.get() || !self.dispatcher.connected() {
+            return false;
+        }
+        if self.shared.fence.suspended() && !self.confirm().await {
+            return false;
+        }
+        let now = self.shared.now();
+        let period = self.shared.settings.owner_lease / 4;
+        let due =
+            self.renewed.is_none_or(|at| now.saturating_duration_since(at) >= period);
+        if due {
+            self.renewed = Some(now);
+            if !self.renew().await {
+                return false;
+            }
+        }
+        let patience = self.shared.settings.owner_lease * MEMBER_PATIENCE;
+        self.shared.members.drop_silent(patience, now);
+        self.write_members().await;
+        true
+    }
+
+    /// Renews the lease, or takes a new one if it has lapsed in an outage of the store.
+    async fn renew(&mut self) -> bool {
+        let renewed = self.ports.store.renew_lease(self.lease).await;
+        self.shared.note_store(renewed.is_ok());
+        match renewed {
+            Ok(true) | Err(_) => true,
+            Ok(false) => self.replace_lease().await,
+        }
+    }
+
+    /// Takes a new lease; returns whether the domain is still owned.
+    async fn replace_lease(&mut self) -> bool {
+        let ttl = self.shared.settings.owner_lease;
+        let Ok(lease) = self.ports.store.grant_lease(ttl).await else { return true };
+        let domain = self.shared.domain();
+        let owner = store_keys::owner(domain);
+        let condition = StoreCondition::Unchanged(owner, self.record.revision);
+        let value = OwnerRecord::write(&self.record.view, self.record.change);
+        let key = store_keys::owner_alive(domain);
+        let put = StoreWrite::Put { key, value, lease: Some(lease) };
+        match self.ports.store.commit(&[condition], &[put]).await {
+            Ok(commit) if commit.succeeded => {
+                log_event!(Info, "ownership-lease-replaced", domain = domain);
+                self.lease = lease;
+                true
+            }
+            Ok(_) => false,
+            Err(_) => true,
+        }
+    }
+
+    /// Confirms the ownership after a gap; returns whether the domain may still be owned.
+    async fn confirm(&self) -> bool {
+        let domain = self.shared.domain();
+        let record = self.ports.store.get(&store_keys::owner(domain)).await;
+        self.shared.note_store(record.is_ok());
+        match record {
+            Ok(record) => {
+                let known = record.as_ref().and_then(OwnerRecord::read);
+                if known.is_none_or(|known| known.change != self.record.change) {
+                    return false;
+                }
+                self.resume("store");
+                true
+            }
+            Err(_) => self.confirm_by_members().await,
+        }
+    }
+
+    /// Confirms the ownership through every other process of the domain.
+    async fn confirm_by_members(&self) -> bool {
+        let members = self.shared.members.list();
+        let mut confirmed = !members.is_empty();
+        for (_, member) in members {
+            let timeout = self.shared.settings.peer_heartbeat;
+            let call = self.shared.link.call(member.address, PeerMessage::Probe, timeout);
+            match call.await {
+                Ok(PeerMessage::ProbeAnswer(ProbeReport { owner: Some(owner) })) => {
+                    if owner.epoch > self.epoch() {
+                        return false;
+                    }
+                    confirmed &= owner == self.record.view;
+                }
+                _ => confirmed = false,
+            }
+        }
+        if confirmed {
+            self.resume("members");
+        }
+        true
+    }
+
+    /// Lets decisions pass again.
+    fn resume(&self, by: &str) {
+        self.shared.fence.resume(self.epoch(), self.shared.now());
+        log_event!(Info, "ownership-confirmed", domain = self.shared.domain(), by = by);
+    }
+
+    /// Writes the list of members if it has changed.
+    async fn write_members(&mut self) {
+        let members = self.shared.members.list();
+        let names: Vec<Name> = members.iter().map(|(name, _)| name.clone()).collect();
+        if names == self.members {
+            return;
+        }
+        let addresses = members.iter().map(|(_, member)| member.address).collect();
+        let value = MembersValue { names: names.clone(), addresses };
+        let value = serde_json::to_vec(&value).expect("a list can be written as JSON");
+        let domain = self.shared.domain();
+        let owner = store_keys::owner(domain);
+        let condition = StoreCondition::Unchanged(owner, self.record.revision);
+        let put =
+            StoreWrite::Put { key: store_keys::members(domain), value, lease: None };
+        let commit = self.ports.store.commit(&[condition], &[put]).await;
+        self.shared.note_store(commit.is_ok());
+        if commit.is_ok() {
+            self.members = names;
+        }
+    }
+
+    /// Waits until the journal has dealt with everything that was handed in.
+    pub(super) async fn flush(&self) {
+        let (sender, receiver) = oneshot::channel();
+        let done = Box::new(move |_| {
+            let _ = sender.send(());
+        });
+        let order = JournalOrder { entries: Vec::new(), snapshot: false, done };
+        if self.journal.send(order).is_ok() {
+            let _ = receiver.await;
+        }
+    }
+
+    /// Ends every part that serves the domain.
+    pub(super) fn close(self) {
+        self.shared.fence.close();
+        self.shared.dispatcher.store(None);
+        let own = &self.shared.own_digest;
+        *own.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = None;
+        self.shared.members.clear();
+        self.loops.iter().for_each(JoinHandle::abort);
+        self.arbiter.stop();
+        node_metrics::show_epoch(0);
+    }
+}
+
+/// Reads the VM list and passes its changes on.
+async fn read_vms(
+    shared: Arc<NodeShared>,
+    ports: Rc<PlatformPorts>,
+    dispatcher: Addr<Dispatcher>,
+    first: DomainVms,
+) {
+    let mut known = first;
+    dispatcher.do_send(VmsRead(known.clone()));
+    loop {
+        tokio::time::sleep(shared.settings.vm_list_poll).await;
+        match ports.vm_list.read(shared.domain()).await {
+            Ok(vms) if vms != known => {
+                known = vms.clone();
+                dispatcher.do_send(VmsRead(vms));
+            }
+            Ok(_) => {}
+            Err(error) => log_event!(Warn, "vm-list-unread", error = error),
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/ownership/owner_record.rs
@@ -0,0 +1,50 @@
+//! The record of a domain's owner in the store.
+
+use geraniumwinch_core::Name;
+use geraniumwinch_wire::OwnerView;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::platform_store::StoreRecord;
+
+/// The record of a domain's owner.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct OwnerRecord {
+    /// The owner.
+    pub(crate) view: OwnerView,
+    /// The identifier of the change that wrote the record.
+    pub(crate) change: u128,
+    /// The store's revision of the record.
+    pub(crate) revision: i64,
+}
+
+/// The record's value.
+#[derive(Debug, Serialize, Deserialize)]
+struct OwnerValue {
+    owner: OwnerView,
+    change: String,
+}
+
+/// The value of the record that lists the processes of a domain.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct MembersValue {
+    /// The names of the processes.
+    pub(super) names: Vec<Name>,
+    /// Their peer addresses.
+    pub(super) addresses: Vec<std::net::SocketAddr>,
+}
+
+impl OwnerRecord {
+    /// Reads a record.
+    pub(crate) fn read(record: &StoreRecord) -> Option<OwnerRecord> {
+        let value: OwnerValue = serde_json::from_slice(&record.value).ok()?;
+        let change = u128::from_str_radix(&value.change, 16).ok()?;
+        Some(OwnerRecord { view: value.owner, change, revision: record.mod_revision })
+    }
+
+    /// Writes the value of a record.
+    pub(crate) fn write(view: &OwnerView, change: u128) -> Vec<u8> {
+        let value = OwnerValue { owner: view.clone(), change: format!("{change:032x}") };
+        serde_json::to_vec(&value).expect("a record can be written as JSON")
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/ownership/take_over.rs
@@ -0,0 +1,246 @@
+//! Claims, handovers and the start of the dispatcher.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use geraniumwinch_core::Name;
+use geraniumwinch_wire::HandoverState;
+use geraniumwinch_wire::JournalEntry;
+use geraniumwinch_wire::OwnerView;
+use geraniumwinch_wire::PeerMessage;
+use rand::Rng;
+
+use crate::dispatcher::FreezeDispatcher;
+use crate::dispatcher::ReportedGrants;
+use crate::dispatcher::TakeoverKind;
+use crate::event_log::log_event;
+use crate::journal::read_journal;
+use crate::node_metrics;
+use crate::platform_store::StoreCondition;
+use crate::platform_store::StoreWrite;
+use crate::store_keys;
+
+use super::OwnedDomain;
+use super::OwnerRecord;
+use super::OwnershipKeeper;
+use super::owner_record::MembersValue;
+
+/// The greatest random wait before a claim, which keeps two processes from racing.
+const CLAIM_JITTER: Duration = Duration::from_millis(100);
+/// The time that a process has to take over a domain that is handed to it.
+const HANDOVER_TIMEOUT: Duration = Duration::from_millis(3000);
+/// The wait before the journal is read again after a failure.
+const READ_RETRY: Duration = Duration::from_millis(100);
+/// The number of attempts to learn whether a claim took effect.
+const CLAIM_READS: u32 = 20;
+
+impl OwnershipKeeper {
+    /// Claims the domain from an owner that is gone, or one that never was.
+    pub(super) async fn claim(&self, former: Option<OwnerRecord>) {
+        if self.shared.stopping() {
+            return;
+        }
+        let jitter = CLAIM_JITTER.mul_f64(rand::rng().random::<f64>());
+        tokio::time::sleep(jitter).await;
+        let domain = self.shared.domain();
+        let mut conditions =
+            vec![StoreCondition::Absent(store_keys::owner_alive(domain))];
+        let mut members = BTreeSet::new();
+        match &former {
+            Some(record) => {
+                let key = store_keys::owner(domain);
+                conditions.push(StoreCondition::Unchanged(key, record.revision));
+                members = self.read_members().await;
+                members.insert(record.view.name.clone());
+            }
+            None => conditions.push(StoreCondition::Absent(store_keys::owner(domain))),
+        }
+        members.remove(&self.shared.link.identity().name);
+        let epoch = former.as_ref().map_or(1, |record| record.view.epoch + 1);
+        let kind = match former {
+            Some(_) => TakeoverKind::Lapse(members),
+            None => TakeoverKind::First,
+        };
+        if let Some((record, lease)) = self.write_claim(conditions, epoch).await {
+            self.begin(record, lease, kind).await;
+        }
+    }
+
+    /// Writes the ownership record and returns it with the lease if the claim took effect.
+    async fn write_claim(
+        &self,
+        conditions: Vec<StoreCondition>,
+        epoch: u64,
+    ) -> Option<(OwnerRecord, i64)> {
+        let domain = self.shared.domain();
+        let store = &self.ports.store;
+        let lease = store.grant_lease(self.shared.settings.owner_lease).await.ok()?;
+        let identity = self.shared.link.identity();
+        let view =
+            OwnerView { name: identity.name.clone(), address: identity.address, epoch };
+        let change = rand::random();
+        let value = OwnerRecord::write(&view, change);
+        let owner = store_keys::owner(domain);
+        let alive = store_keys::owner_alive(domain);
+        let writes = [
+            StoreWrite::Put { key: owner.clone(), value: value.clone(), lease: None },
+            StoreWrite::Put { key: alive, value, lease: Some(lease) },
+        ];
+        let commit = store.commit(&conditions, &writes).await;
+        self.shared.note_store(commit.is_ok());
+        match commit {
+            Ok(commit) if commit.succeeded => {
+                let revision = commit.revision;
+                return Some((OwnerRecord { view, change, revision }, lease));
+            }
+            Ok(_) => {}
+            Err(_) => {
+                // The answer was lost; the record's own change identifier tells what happened.
+                for _ in 0..CLAIM_READS {
+                    let Ok(record) = store.get(&owner).await else {
+                        tokio::time::sleep(READ_RETRY).await;
+                        continue;
+                    };
+                    let record = record.as_ref().and_then(OwnerRecord::read);
+                    if let Some(record) = record.filter(|record| record.change == change)
+                    {
+                        return Some((record, lease));
+                    }
+                    break;
+                }
+            }
+        }
+        let _ = store.revoke_lease(lease).await;
+        None
+    }
+
+    /// Reads the names of the domain's processes.
+    async fn read_members(&self) -> BTreeSet<Name> {
+        let key = store_keys::members(self.shared.domain());
+        let Ok(Some(record)) = self.ports.store.get(&key).await else {
+            return BTreeSet::new();
+        };
+        match serde_json::from_slice::<MembersValue>(&record.value) {
+            Ok(value) => value.names.into_iter().collect(),
+            Err(_) => BTreeSet::new(),
+        }
+    }
+
+    /// Starts the dispatcher of a domain that this process has come to own.
+    async fn begin(&self, record: OwnerRecord, lease: i64, kind: TakeoverKind) {
+        let shared = &self.shared;
+        let epoch = record.view.epoch;
+        let started = shared.now();
+        shared.members.clear();
+        shared.fence.open(epoch, started);
+        let entries = self.read_entries().await;
+        let vms = self.ports.vm_list.read(shared.domain()).await.unwrap_or_default();
+        let owned = OwnedDomain::start(
+            shared.clone(),
+            self.ports.clone(),
+            record.clone(),
+            lease,
+            kind,
+            entries,
+            vms,
+        );
+        let dispatcher = owned.dispatcher();
+        let held = shared.held.of_domain(shared.domain(), shared.now());
+        dispatcher.do_send(ReportedGrants { from: shared.link.identity().clone(), held });
+        shared.dispatcher.store(Some(std::sync::Arc::new(dispatcher)));
+        shared.follow(record.view, shared.now());
+        *self.owned.borrow_mut() = Some(owned);
+        node_metrics::count_takeover(epoch);
+        log_event!(
+            Info,
+            "ownership-taken",
+            domain = shared.domain(),
+            epoch = epoch,
+            took_ms = (shared.now() - started).as_millis(),
+        );
+    }
+
+    /// Reads the journal from the store and what other processes keep of it.
+    async fn read_entries(&self) -> Vec<JournalEntry> {
+        let store = &self.ports.store;
+        let mut entries = loop {
+            match read_journal(store.as_ref(), self.shared.domain()).await {
+                Ok(entries) => break entries,
+                Err(error) => {
+                    log_event!(Warn, "journal-unread", error = error);
+                    tokio::time::sleep(READ_RETRY).await;
+                }
+            }
+        };
+        let mut batches = self.shared.mirror.batches();
+        for address in self.member_addresses().await {
+            let timeout = self.shared.settings.peer_heartbeat * 2;
+            let answer =
+                self.shared.link.call(address, PeerMessage::MirrorAsk, timeout).await;
+            if let Ok(PeerMessage::MirrorAnswer(more)) = answer {
+                batches.extend(more);
+            }
+        }
+        batches.sort_by_key(|batch| (batch.epoch, batch.sequence));
+        entries.extend(batches.into_iter().flat_map(|batch| batch.entries));
+        entries
+    }
+
+    /// Returns the peer addresses of the domain's other processes.
+    async fn member_addresses(&self) -> Vec<std::net::SocketAddr> {
+        let own = self.shared.link.identity().address;
+        let key = store_keys::members(self.shared.domain());
+        let record = self.ports.store.get(&key).await.ok().flatten();
+        let value = record.and_then(|record| {
+            serde_json::from_slice::<MembersValue>(&record.value).ok()
+        });
+        let addresses = value.map(|value| value.addresses).unwrap_or_default();
+        addresses.into_iter().filter(|address| *address != own).collect()
+    }
+
+    /// Takes the domain over from its owner, which has stopped deciding.
+    pub(super) async fn take_handover(&self, state: HandoverState) -> bool {
+        if self.owns() || self.shared.stopping() {
+            return false;
+        }
+        let owner = store_keys::owner(self.shared.domain());
+        let condition = StoreCondition::Unchanged(owner, state.record_revision);
+        let epoch = state.epoch + 1;
+        match self.write_claim(vec![condition], epoch).await {
+            Some((record, lease)) => {
+                self.begin(record, lease, TakeoverKind::Handover(Box::new(state))).await;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Hands the domain over to another process of it, if there is one.
+    pub(super) async fn hand_over(&self) {
+        let owned = self.owned.borrow_mut().take();
+        let Some(owned) = owned else { return };
+        let Some(successor) = self.shared.members.successor() else {
+            *self.owned.borrow_mut() = Some(owned);
+            return;
+        };
+        let freeze = FreezeDispatcher { record_revision: owned.record_revision() };
+        let Ok(state) = owned.dispatcher().send(freeze).await else {
+            self.step_down(owned);
+            return;
+        };
+        owned.flush().await;
+        let message = PeerMessage::Handover(Box::new(state));
+        let answer =
+            self.shared.link.call(successor.address, message, HANDOVER_TIMEOUT).await;
+        let taken = matches!(answer, Ok(PeerMessage::Done));
+        log_event!(
+            Info,
+            "ownership-handed-over",
+            domain = self.shared.domain(),
+            epoch = owned.epoch(),
+            taken = taken,
+        );
+        // After a lost answer the successor may own the domain, so this process does not go on.
+        self.step_down(owned);
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/peer_link.rs
@@ -0,0 +1,226 @@
+//! The transport between the system's own processes.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::OnceLock;
+use std::time::Duration;
+use std::time::Instant;
+
+use geraniumwinch_wire::MAX_MESSAGE_BYTES;
+use geraniumwinch_wire::PeerEnvelope;
+use geraniumwinch_wire::PeerIdentity;
+use geraniumwinch_wire::PeerMessage;
+use nng::Protocol;
+use nng::Socket;
+use nng::options::Options;
+use nng::options::ReconnectMaxTime;
+use nng::options::ReconnectMinTime;
+use nng::options::RecvMaxSize;
+use nng::options::SendBufferSize;
+use snafu::ResultExt;
+
+use crate::NodeError;
+use crate::Result;
+use crate::event_log::log_event;
+use crate::node_error::PeerListenSnafu;
+use crate::node_metrics;
+use crate::pending_calls::PendingCalls;
+
+/// The messages that wait for a connection to a peer before further ones are dropped.
+const SEND_BUFFER: i32 = 2048;
+/// The least and the greatest time between two attempts to connect to a peer.
+const RECONNECT: (Duration, Duration) =
+    (Duration::from_millis(20), Duration::from_millis(250));
+/// The time after which the connection to a peer that nothing was sent to is closed.
+const IDLE_OUTBOX: Duration = Duration::from_secs(60);
+
+/// Takes an envelope that arrived.
+pub(crate) type EnvelopeHandler = Box<dyn Fn(PeerEnvelope) + Send + Sync>;
+
+/// The connection to a peer with the time of its last use.
+struct PeerOutbox {
+    socket: Socket,
+    used: Instant,
+}
+
+/// Sends messages to peers and receives theirs.
+///
+/// Each process listens on one socket of the Pull protocol and has one socket of the Push protocol
+/// for each peer. A message is sent at most once: neither protocol resends.
+pub(crate) struct PeerLink {
+    identity: PeerIdentity,
+    local: SocketAddr,
+    outboxes: Mutex<HashMap<SocketAddr, PeerOutbox>>,
+    calls: PendingCalls,
+    handler: OnceLock<EnvelopeHandler>,
+}
+
+impl PeerLink {
+    /// Creates a link that listens on `local`.
+    pub(crate) fn new(identity: PeerIdentity, local: SocketAddr) -> Arc<Self> {
+        Arc::new(PeerLink {
+            identity,
+            local,
+            outboxes: Mutex::new(HashMap::new()),
+            calls: PendingCalls::new(),
+            handler: OnceLock::new(),
+        })
+    }
+
+    /// Begins to receive; `handler` gets every message that is no awaited answer.
+    pub(crate) fn listen(self: &Arc<Self>, handler: EnvelopeHandler) -> Result<()> {
+        let address = self.local;
+        let context = || PeerListenSnafu { address };
+        let socket = Socket::new(Protocol::Pull0).with_context(|_| context())?;
+        socket.set_opt::<RecvMaxSize>(MAX_MESSAGE_BYTES).with_context(|_| context())?;
+        socket.listen(&format!("tcp://{address}")).with_context(|_| context())?;
+        if self.handler.set(handler).is_err() {
+            unreachable!("the link listens once");
+        }
+        let link = Arc::clone(self);
+        std::thread::spawn(move || link.receive(&socket));
+        Ok(())
+    }
+
+    /// Receives messages until the process ends.
+    fn receive(&self, socket: &Socket) {
+        loop {
+            match socket.recv() {
+                Ok(message) => self.accept(&message),
+                Err(nng::Error::Closed) => return,
+                Err(error) => log_event!(Warn, "peer-receive-failed", error = error),
+            }
+        }
+    }
+
+    /// Decodes a message and passes it on.
+    fn accept(&self, message: &[u8]) {
+        match PeerEnvelope::decode(message) {
+            Ok(envelope) => self.route(envelope),
+            Err(error) => {
+                node_metrics::count_message("refused");
+                log_event!(Warn, "peer-message-refused", error = error);
+            }
+        }
+    }
+
+    /// Passes an answer to its call and everything else to the handler.
+    fn route(&self, envelope: PeerEnvelope) {
+        let PeerEnvelope { from, correlation, answer, body } = envelope;
+        let body =
+            if answer { self.calls.deliver(correlation, body) } else { Some(body) };
+        let Some(body) = body else { return };
+        if let Some(handler) = self.handler.get() {
+            handler(PeerEnvelope { from, correlation, answer, body });
+        }
+    }
+
+    /// Returns who this process is to its peers.
+    pub(crate) fn identity(&self) -> &PeerIdentity {
+        &self.identity
+    }
+
+    /// Returns an identifier that no other call or request has.
+    pub(crate) fn next_id(&self) -> u128 {
+        self.calls.next_id()
+    }
+
+    /// Sends a message that expects no answer.
+    pub(crate) fn send(&self, to: SocketAddr, body: PeerMessage) {
+        self.post(to, 0, false, body);
+    }
+
+    /// Answers a call.
+    pub(crate) fn answer(&self, to: SocketAddr, correlation: u128, body: PeerMessage) {
+        self.post(to, correlation, true, body);
+    }
+
+    /// Calls a peer and awaits its answer.
+    pub(crate) async fn call(
+        &self,
+        to: SocketAddr,
+        body: PeerMessage,
+        timeout: Duration,
+    ) -> Result<PeerMessage> {
+        let id = self.next_id();
+        let receiver = self.calls.register(id);
+        let guard = CallGuard { link: self, id };
+        self.post(to, id, false, body);
+        let answer = tokio::time::timeout(timeout, receiver).await;
+        drop(guard);
+        match answer {
+            Ok(Ok(answer)) => Ok(answer),
+            _ => Err(NodeError::PeerSilent { address: to }),
+        }
+    }
+
+    /// Sends an envelope, or delivers it at once if it is for this process.
+    fn post(&self, to: SocketAddr, correlation: u128, answer: bool, body: PeerMessage) {
+        let envelope =
+            PeerEnvelope { from: self.identity.clone(), correlation, answer, body };
+        if to == self.identity.address {
+            self.route(envelope);
+            return;
+        }
+        let bytes = match envelope.encode() {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log_event!(Error, "peer-encode-failed", error = error);
+                return;
+            }
+        };
+        node_metrics::count_sent(bytes.len());
+        if let Err(error) = self.push(to, &bytes) {
+            node_metrics::count_message("dropped");
+            log_event!(Debug, "peer-send-failed", peer = to, error = error);
+        }
+    }
+
+    /// Hands bytes to the connection to a peer, which is opened if there is none.
+    fn push(&self, to: SocketAddr, bytes: &[u8]) -> std::result::Result<(), nng::Error> {
+        let mut outboxes =
+            self.outboxes.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let now = Instant::now();
+        let outbox = match outboxes.entry(to) {
+            std::collections::hash_map::Entry::Occupied(entry) => entry.into_mut(),
+            std::collections::hash_map::Entry::Vacant(entry) => {
+                let socket = self.connect(to)?;
+                entry.insert(PeerOutbox { socket, used: now })
+            }
+        };
+        outbox.used = now;
+        outbox.socket.try_send(bytes).map_err(|(_, error)| error)
+    }
+
+    /// Opens a connection to a peer from this process's own IP address.
+    fn connect(&self, to: SocketAddr) -> std::result::Result<Socket, nng::Error> {
+        let socket = Socket::new(Protocol::Push0)?;
+        socket.set_opt::<SendBufferSize>(SEND_BUFFER)?;
+        socket.set_opt::<ReconnectMinTime>(Some(RECONNECT.0))?;
+        socket.set_opt::<ReconnectMaxTime>(Some(RECONNECT.1))?;
+        socket.dial_async(&format!("tcp://{};{to}", self.local.ip()))?;
+        Ok(socket)
+    }
+
+    /// Closes the connections that have not been used for a while.
+    pub(crate) fn close_idle(&self, now: Instant) {
+        let mut outboxes =
+            self.outboxes.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        outboxes
+            .retain(|_, outbox| now.saturating_duration_since(outbox.used) < IDLE_OUTBOX);
+    }
+}
+
+/// Forgets a call when its caller stops waiting, even by being dropped.
+struct CallGuard<'a> {
+    link: &'a PeerLink,
+    id: u128,
+}
+
+impl Drop for CallGuard<'_> {
+    fn drop(&mut self) {
+        self.link.calls.forget(self.id);
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/peer_router.rs
@@ -0,0 +1,197 @@
+//! Routes the messages of peers to the parts that serve them.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+
+use geraniumwinch_core::ErrorKind;
+use geraniumwinch_wire::GreetReport;
+use geraniumwinch_wire::PeerEnvelope;
+use geraniumwinch_wire::PeerIdentity;
+use geraniumwinch_wire::PeerMessage;
+use geraniumwinch_wire::ProbeReport;
+use geraniumwinch_wire::ReleaseOutcome;
+use geraniumwinch_wire::SlotAnswer;
+use geraniumwinch_wire::SlotRelease;
+use geraniumwinch_wire::WelcomeReport;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+
+use crate::config_keeper::fill_freshness;
+use crate::dispatcher::PeerMail;
+use crate::dispatcher::ReportedGrants;
+use crate::node_metrics;
+use crate::node_shared::NodeShared;
+use crate::ownership::OwnershipOrder;
+
+/// Routes the messages of peers.
+pub(crate) struct PeerRouter {
+    shared: Arc<NodeShared>,
+    ownership: mpsc::UnboundedSender<OwnershipOrder>,
+    runtime: tokio::runtime::Handle,
+}
+
+impl PeerRouter {
+    /// Creates a router.
+    pub(crate) fn new(
+        shared: Arc<NodeShared>,
+        ownership: mpsc::UnboundedSender<OwnershipOrder>,
+    ) -> Self {
+        PeerRouter { shared, ownership, runtime: tokio::runtime::Handle::current() }
+    }
+
+    /// Routes one message.
+    pub(crate) fn route(&self, envelope: PeerEnvelope) {
+        let PeerEnvelope { from, correlation, answer, body } = envelope;
+        if answer {
+            self.drop_late(&from, body);
+            return;
+        }
+        match body {
+            PeerMessage::Greet(report) => self.greet(&from, correlation, report),
+            PeerMessage::Probe => {
+                let report = self.probe_report();
+                self.answer(&from, correlation, PeerMessage::ProbeAnswer(report));
+            }
+            PeerMessage::ConfigAsk { revision } => {
+                let (revision, answer) = self.shared.catalog.answer_from(revision);
+                let answer = PeerMessage::ConfigAnswer { revision, answer };
+                self.answer(&from, correlation, answer);
+            }
+            PeerMessage::MirrorAppend(batch) => {
+                let kept = self.shared.mirror.keep(batch);
+                let refused = PeerMessage::Refused(ErrorKind::RecordsFull);
+                let answer = if kept { PeerMessage::Done } else { refused };
+                self.answer(&from, correlation, answer);
+            }
+            PeerMessage::MirrorAsk => {
+                let batches = self.shared.mirror.batches();
+                self.answer(&from, correlation, PeerMessage::MirrorAnswer(batches));
+            }
+            PeerMessage::Digest(_) => self.digest(&from, correlation),
+            PeerMessage::Handover(state) => self.handover(from, correlation, state),
+            body => self.mail(PeerMail { from, correlation, body }),
+        }
+    }
+
+    /// Answers a call.
+    fn answer(&self, to: &PeerIdentity, correlation: u128, body: PeerMessage) {
+        self.shared.link.answer(to.address, correlation, body);
+    }
+
+    /// Drops an answer that nobody waits for; a slot in it is given back unused.
+    fn drop_late(&self, from: &PeerIdentity, body: PeerMessage) {
+        node_metrics::count_message("late");
+        if let PeerMessage::SlotAnswer(SlotAnswer::Granted { offer }) = body {
+            let outcome = ReleaseOutcome::NotSent;
+            let release = SlotRelease { ticket: offer.ticket, record: None, outcome };
+            self.shared.link.send(from.address, PeerMessage::SlotRelease(release));
+        }
+    }
+
+    /// Says whom this process follows.
+    fn probe_report(&self) -> ProbeReport {
+        let owner = self.shared.owner.borrow();
+        ProbeReport { owner: owner.as_ref().map(|owner| owner.view.clone()) }
+    }
+
+    /// Answers a heartbeat.
+    fn greet(&self, from: &PeerIdentity, correlation: u128, report: GreetReport) {
+        let shared = &self.shared;
+        let Some(epoch) =
+            shared.fence.epoch().filter(|_| from.domain == *shared.domain())
+        else {
+            let report = self.probe_report();
+            self.answer(from, correlation, PeerMessage::NotOwner(report));
+            return;
+        };
+        let now = shared.now();
+        let reports = report.held.is_some();
+        let want_held =
+            shared.members.heard(from, report.revision, report.stopping, reports, now);
+        if let (Some(held), Some(dispatcher)) =
+            (report.held, shared.dispatcher.load_full())
+        {
+            dispatcher.do_send(ReportedGrants { from: from.clone(), held });
+        }
+        let age = |made| now.saturating_duration_since(made).as_millis() as u64;
+        let domains = shared.domains.rows().into_iter();
+        let domains = domains.map(|row| (row.digest, age(row.made))).collect();
+        let fresh = shared.catalog.fresh_age(now);
+        let welcome = WelcomeReport {
+            epoch,
+            revision: shared.catalog.view().revision,
+            fresh_age_ms: fresh.map(|age| age.as_millis() as u64),
+            domains,
+            committed: shared.committed.load(Ordering::Relaxed),
+            want_held,
+        };
+        self.answer(from, correlation, PeerMessage::Welcome(welcome));
+    }
+
+    /// Answers another domain's digest by the own one.
+    fn digest(&self, from: &PeerIdentity, correlation: u128) {
+        let own = &self.shared.own_digest;
+        let digest =
+            own.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone();
+        let answer = match digest {
+            Some(mut digest) => {
+                fill_freshness(&self.shared, &mut digest);
+                PeerMessage::Digest(Box::new(digest))
+            }
+            None => PeerMessage::NotOwner(self.probe_report()),
+        };
+        self.answer(from, correlation, answer);
+    }
+
+    /// Passes a handover on and answers when the domain is taken.
+    fn handover(
+        &self,
+        from: PeerIdentity,
+        correlation: u128,
+        state: Box<geraniumwinch_wire::HandoverState>,
+    ) {
+        let (done, taken) = oneshot::channel();
+        let _ = self.ownership.send(OwnershipOrder::TakeHandover(state, done));
+        let shared = self.shared.clone();
+        self.runtime.spawn(async move {
+            let answer = match taken.await {
+                Ok(true) => PeerMessage::Done,
+                _ => PeerMessage::Refused(ErrorKind::DomainUnowned),
+            };
+            shared.link.answer(from.address, correlation, answer);
+        });
+    }
+
+    /// Passes a call on to the dispatcher, or refuses it if there is none.
+    fn mail(&self, mail: PeerMail) {
+        match self.shared.dispatcher.load_full() {
+            Some(dispatcher) => dispatcher.do_send(mail),
+            None => {
+                let answer = refusal_for(&mail.body, ErrorKind::DomainUnowned);
+                if let Some(answer) = answer {
+                    self.answer(&mail.from, mail.correlation, answer);
+                }
+            }
+        }
+    }
+}
+
+/// Returns the refusal that fits a call, or `None` if it expects no answer.
+pub(crate) fn refusal_for(body: &PeerMessage, kind: ErrorKind) -> Option<PeerMessage> {
+    let retry_after_ms = kind.answer().retry_after.map(|time| time.as_millis() as u64);
+    match body {
+        PeerMessage::SlotAsk(_) => {
+            Some(PeerMessage::SlotAnswer(SlotAnswer::Refused { kind, retry_after_ms }))
+        }
+        PeerMessage::JobSubmit { .. }
+        | PeerMessage::JobQuery { .. }
+        | PeerMessage::JobCancel { .. } => {
+            let detail = String::new();
+            let answer =
+                geraniumwinch_wire::JobAnswer::Refused { kind, retry_after_ms, detail };
+            Some(PeerMessage::JobAnswer(answer))
+        }
+        PeerMessage::StatusAsk => Some(PeerMessage::Refused(kind)),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-node/src/vm_list.rs
@@ -0,0 +1,115 @@
+//! The platform's list of VMs.
+
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use geraniumwinch_core::EndpointSpec;
+use geraniumwinch_core::Name;
+use geraniumwinch_core::ResourceVector;
+use geraniumwinch_core::WorkerSpec;
+use serde::Deserialize;
+
+use crate::NodeError;
+use crate::Result;
+use crate::http_client::HttpClient;
+
+/// The workers and endpoints of one failure domain.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub(crate) struct DomainVms {
+    /// The workers.
+    pub(crate) workers: Vec<WorkerSpec>,
+    /// The endpoints.
+    pub(crate) endpoints: Vec<EndpointSpec>,
+}
+
+/// The platform's list of VMs, which lags.
+pub(crate) trait VmList {
+    /// Reads the VMs of a domain.
+    fn read(&self, domain: &Name) -> LocalBoxFuture<'static, Result<DomainVms>>;
+}
+
+/// The VM list behind a URL that answers with JSON.
+pub(crate) struct HttpVmList {
+    client: HttpClient,
+    url: String,
+}
+
+/// One VM of the list.
+#[derive(Debug, Deserialize)]
+struct VmRow {
+    name: Name,
+    kind: String,
+    domain: Name,
+    address: Name,
+    #[serde(default)]
+    rack: Option<Name>,
+    #[serde(default)]
+    cpu_millis: u64,
+    #[serde(default)]
+    memory_bytes: u64,
+    #[serde(default)]
+    accelerators: u32,
+    #[serde(default)]
+    service: Option<Name>,
+    #[serde(default)]
+    slots: u32,
+    #[serde(default)]
+    leaving: bool,
+}
+
+/// The whole list.
+#[derive(Debug, Deserialize)]
+struct VmRows {
+    vms: Vec<VmRow>,
+}
+
+impl HttpVmList {
+    /// Creates an adapter for the list at a URL.
+    pub(crate) fn new(client: HttpClient, url: &str) -> Self {
+        HttpVmList { client, url: url.to_owned() }
+    }
+}
+
+impl VmList for HttpVmList {
+    fn read(&self, domain: &Name) -> LocalBoxFuture<'static, Result<DomainVms>> {
+        let client = self.client.clone();
+        let url = format!("{}?domain={domain}", self.url);
+        let domain = domain.clone();
+        async move {
+            let answer = client.get("VM list", &url).await?;
+            let rows: VmRows = serde_json::from_value(answer).map_err(|error| {
+                NodeError::Platform { service: "VM list", message: error.to_string() }
+            })?;
+            Ok(sort_rows(rows, &domain))
+        }
+        .boxed_local()
+    }
+}
+
+/// Sorts the rows of a domain by kind.
+fn sort_rows(rows: VmRows, domain: &Name) -> DomainVms {
+    let mut vms = DomainVms::default();
+    for row in rows.vms.into_iter().filter(|row| row.domain == *domain) {
+        match row.kind.as_str() {
+            "worker" => vms.workers.push(WorkerSpec {
+                name: row.name,
+                rack: row.rack.unwrap_or_else(|| "".into()),
+                address: row.address,
+                capacity: ResourceVector {
+                    cpu_millis: row.cpu_millis,
+                    memory_bytes: row.memory_bytes,
+                    accelerators: row.accelerators,
+                },
+                leaving: row.leaving,
+            }),
+            "endpoint" => vms.endpoints.push(EndpointSpec {
+                name: row.name,
+                service: row.service.unwrap_or_else(|| "".into()),
+                address: row.address,
+                slots: row.slots,
+                leaving: row.leaving,
+            }),
+            _ => {}
+        }
+    }
+    vms
+}
