--- /dev/null
+++ b/crates/geraniumwinch-node/src/worker_port.rs
@@ -0,0 +1,194 @@
+//! The interface to the workers.
+
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use geraniumwinch_core::JobSpec;
+use geraniumwinch_core::TaskId;
+use geraniumwinch_core::TaskReport;
+use geraniumwinch_core::TaskSighting;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::NodeError;
+use crate::Result;
+use crate::http_client::HttpClient;
+
+/// A heartbeat to a worker.
+#[derive(Debug, Clone)]
+pub(crate) struct WorkerHeartbeat {
+    /// The epoch of the owner.
+    pub(crate) epoch: u64,
+    /// The lease that each running task gets, or `None` to leave the leases alone.
+    pub(crate) renew: Option<Duration>,
+    /// The time after which the worker must not act on this heartbeat.
+    pub(crate) expires: SystemTime,
+    /// The version of the inventory that the owner has seen; 0 stands for none.
+    pub(crate) seen: u64,
+    /// Ended tasks that the worker may forget.
+    pub(crate) acknowledged: Vec<TaskId>,
+}
+
+/// A worker's inventory.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct WorkerInventory {
+    /// The version.
+    pub(crate) version: u64,
+    /// The tasks, or `None` if nothing has changed since the version that the owner has seen.
+    pub(crate) tasks: Option<Vec<TaskReport>>,
+}
+
+/// A command to start a task.
+#[derive(Debug, Clone)]
+pub(crate) struct TaskStart {
+    /// The attempt.
+    pub(crate) task: TaskId,
+    /// The job's description.
+    pub(crate) spec: JobSpec,
+    /// The epoch of the owner.
+    pub(crate) epoch: u64,
+    /// The task's first lease.
+    pub(crate) lease: Duration,
+    /// The time after which the worker must not start it.
+    pub(crate) expires: SystemTime,
+}
+
+/// The workers' control interface.
+///
+/// A stop is final: the worker never starts a stopped attempt again. An error leaves open whether a
+/// command has taken effect.
+pub(crate) trait WorkerPort {
+    /// Renews leases and reads the inventory.
+    fn heartbeat(
+        &self,
+        address: &str,
+        heartbeat: &WorkerHeartbeat,
+    ) -> LocalBoxFuture<'static, Result<WorkerInventory>>;
+
+    /// Starts a task and returns whether the worker took it.
+    fn start(
+        &self,
+        address: &str,
+        start: &TaskStart,
+    ) -> LocalBoxFuture<'static, Result<bool>>;
+
+    /// Stops an attempt, after a checkpoint if one is wanted.
+    fn stop(
+        &self,
+        address: &str,
+        task: &TaskId,
+        checkpoint: bool,
+        epoch: u64,
+    ) -> LocalBoxFuture<'static, Result<()>>;
+}
+
+/// The workers' interface over HTTP and JSON.
+pub(crate) struct HttpWorkerPort {
+    client: HttpClient,
+}
+
+impl HttpWorkerPort {
+    /// Creates an adapter.
+    pub(crate) fn new(client: HttpClient) -> Self {
+        HttpWorkerPort { client }
+    }
+
+    /// Posts a command to a worker.
+    fn post(
+        &self,
+        address: &str,
+        path: &str,
+        body: Value,
+    ) -> LocalBoxFuture<'static, Result<Value>> {
+        let client = self.client.clone();
+        let url = format!("http://{address}{path}");
+        async move { client.post("worker", &url, &body).await }.boxed_local()
+    }
+}
+
+impl WorkerPort for HttpWorkerPort {
+    fn heartbeat(
+        &self,
+        address: &str,
+        heartbeat: &WorkerHeartbeat,
+    ) -> LocalBoxFuture<'static, Result<WorkerInventory>> {
+        let acknowledged: Vec<String> =
+            heartbeat.acknowledged.iter().map(TaskId::to_string).collect();
+        let body = json!({
+            "epoch": heartbeat.epoch,
+            "lease_ms": heartbeat.renew.map(|lease| lease.as_millis() as u64),
+            "expires_unix_ms": unix_millis(heartbeat.expires),
+            "seen": heartbeat.seen,
+            "ack": acknowledged,
+        });
+        let call = self.post(address, "/v1/heartbeat", body);
+        async move { read_inventory(&call.await?) }.boxed_local()
+    }
+
+    fn start(
+        &self,
+        address: &str,
+        start: &TaskStart,
+    ) -> LocalBoxFuture<'static, Result<bool>> {
+        let body = json!({
+            "task": start.task.to_string(),
+            "epoch": start.epoch,
+            "lease_ms": start.lease.as_millis() as u64,
+            "expires_unix_ms": unix_millis(start.expires),
+            "cpu_millis": start.spec.size.cpu_millis,
+            "memory_bytes": start.spec.size.memory_bytes,
+            "accelerators": start.spec.size.accelerators,
+            "run_time_ms": start.spec.run_time_ms,
+            "service": start.spec.kind == geraniumwinch_core::JobKind::Service,
+        });
+        let call = self.post(address, "/v1/tasks/start", body);
+        async move { Ok(call.await?["accepted"].as_bool().unwrap_or(false)) }
+            .boxed_local()
+    }
+
+    fn stop(
+        &self,
+        address: &str,
+        task: &TaskId,
+        checkpoint: bool,
+        epoch: u64,
+    ) -> LocalBoxFuture<'static, Result<()>> {
+        let body =
+            json!({ "task": task.to_string(), "checkpoint": checkpoint, "epoch": epoch });
+        let call = self.post(address, "/v1/tasks/stop", body);
+        async move { call.await.map(|_| ()) }.boxed_local()
+    }
+}
+
+/// Reads an inventory.
+fn read_inventory(answer: &Value) -> Result<WorkerInventory> {
+    let version = answer["version"].as_u64().unwrap_or(0);
+    let Some(rows) = answer["tasks"].as_array() else {
+        return Ok(WorkerInventory { version, tasks: None });
+    };
+    let tasks: Option<Vec<TaskReport>> = rows.iter().map(read_report).collect();
+    let message = "a row of the inventory can't be read".to_owned();
+    let tasks = tasks.ok_or(NodeError::Platform { service: "worker", message })?;
+    Ok(WorkerInventory { version, tasks: Some(tasks) })
+}
+
+/// Reads a row of an inventory.
+fn read_report(row: &Value) -> Option<TaskReport> {
+    let task = row["task"].as_str()?.parse().ok()?;
+    let sighting = match row["state"].as_str()? {
+        "running" => TaskSighting::Running,
+        "succeeded" => TaskSighting::Succeeded,
+        "failed" => TaskSighting::Failed,
+        "stopped" => TaskSighting::Stopped,
+        _ => return None,
+    };
+    Some(TaskReport { task, sighting })
+}
+
+/// Returns the milliseconds since the Unix epoch.
+fn unix_millis(time: SystemTime) -> u64 {
+    time.duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
--- /dev/null
+++ b/crates/geraniumwinch-tests/src/lib.rs
@@ -0,0 +1,50 @@
+//! Cells of real processes and stand-ins for integration tests, trials and measurements.
+
+mod cell_addresses;
+mod cell_plan;
+mod cell_process;
+mod run_ledger;
+mod test_cell;
+mod test_client;
+
+pub use self::cell_addresses::CellAddresses;
+pub use self::cell_plan::CellPlan;
+pub use self::cell_plan::DomainPlan;
+pub use self::cell_plan::OPERATOR_KEY;
+pub use self::cell_plan::default_set;
+pub use self::cell_process::CellProcess;
+pub use self::run_ledger::RunLedger;
+pub use self::test_cell::TestCell;
+pub use self::test_client::TestAnswer;
+pub use self::test_client::TestClient;
+
+use std::time::Duration;
+use std::time::Instant;
+
+/// The time for which a condition is awaited; it is far above every target, so that a slow machine
+/// does not fail a test.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Runs an asynchronous test.
+pub fn run_test<T>(test: impl Future<Output = T>) -> T {
+    actix_rt::System::new().block_on(test)
+}
+
+/// Waits until a condition holds and returns how long it took.
+///
+/// # Panics
+///
+/// Panics with the description if the condition does not hold within [`PATIENCE`].
+pub async fn wait_until(
+    what: &str,
+    mut condition: impl AsyncFnMut() -> bool,
+) -> Duration {
+    let started = Instant::now();
+    while started.elapsed() < PATIENCE {
+        if condition().await {
+            return started.elapsed();
+        }
+        tokio::time::sleep(Duration::from_millis(25)).await;
+    }
+    panic!("not within {PATIENCE:?}: {what}");
+}
--- /dev/null
+++ b/crates/geraniumwinch-tests/src/test_cell.rs
@@ -0,0 +1,450 @@
+//! A cell of real processes and stand-ins.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+
+use awc::http::Method;
+use geraniumwinch_config::KeyHash;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::CellAddresses;
+use crate::CellPlan;
+use crate::CellProcess;
+use crate::OPERATOR_KEY;
+use crate::RunLedger;
+use crate::TestAnswer;
+use crate::TestClient;
+use crate::wait_until;
+
+/// The ports of the platform's services, and of the proxy in front of each.
+const STORE: u16 = 2379;
+const VM_LIST: u16 = 2380;
+const PROXY: u16 = 2381;
+/// The ports of an entry process.
+const HTTP: u16 = 8080;
+const PEER: u16 = 9080;
+/// The first ports of executors and workers.
+const EXECUTORS: u16 = 7000;
+const WORKERS: u16 = 6000;
+/// What is added to a port to get the proxy's port in front of it.
+const PROXY_OFFSET: u16 = 10_000;
+/// The memory unit of plans in bytes.
+const GIGABYTE: u64 = 1 << 30;
+
+/// A cell of real processes and stand-ins.
+#[derive(Debug)]
+pub struct TestCell {
+    /// The plan.
+    pub plan: CellPlan,
+    /// The addresses.
+    pub addresses: CellAddresses,
+    /// The entry processes by domain and index.
+    pub entries: BTreeMap<(usize, usize), CellProcess>,
+    /// The stand-ins by name.
+    pub stand_ins: BTreeMap<String, CellProcess>,
+    leaving: Vec<String>,
+    folder: PathBuf,
+}
+
+impl TestCell {
+    /// Starts a cell, publishes the plan's set and waits until every process serves.
+    pub async fn start(plan: CellPlan) -> TestCell {
+        let mut cell = TestCell::start_bare(plan).await;
+        cell.start_entries().await;
+        let answer = cell.publish(0, 0, 0, &cell.plan.set.clone()).await;
+        assert_eq!(answer.status, 200, "publication: {:?}", answer.body);
+        cell.wait_ready(1).await;
+        cell
+    }
+
+    /// Starts the stand-ins of a cell.
+    pub async fn start_bare(plan: CellPlan) -> TestCell {
+        let folder =
+            std::env::temp_dir().join(format!("geraniumwinch-{}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a folder for logs");
+        let mut cell = TestCell {
+            plan,
+            addresses: CellAddresses::of_process(),
+            entries: BTreeMap::new(),
+            stand_ins: BTreeMap::new(),
+            leaving: Vec::new(),
+            folder,
+        };
+        cell.start_stand_ins();
+        cell.await_stand_ins().await;
+        if cell.plan.proxied {
+            cell.add_routes().await;
+        }
+        cell.send_vm_list().await;
+        cell
+    }
+
+    /// Starts every stand-in.
+    fn start_stand_ins(&mut self) {
+        let platform = |port| self.addresses.platform(port).to_string();
+        let listens = [("store", platform(STORE)), ("vm-list", platform(VM_LIST))];
+        for (kind, listen) in listens {
+            self.start_stand_in(kind, kind, &["--listen".to_owned(), listen]);
+        }
+        if self.plan.proxied {
+            let listen = self.addresses.platform(PROXY).to_string();
+            self.start_stand_in("proxy", "proxy", &["--listen".to_owned(), listen]);
+        }
+        for (index, domain) in self.plan.domains.clone().into_iter().enumerate() {
+            let executors = self.addresses.executor(index, EXECUTORS).to_string();
+            let workers = self.addresses.worker(index, WORKERS).to_string();
+            let kinds = [
+                ("executor", domain.executors, executors),
+                ("worker", domain.workers, workers),
+            ];
+            for (kind, count, listen) in
+                kinds.into_iter().filter(|(_, count, _)| *count > 0)
+            {
+                let name = format!("{kind}-{}", domain.name);
+                let mut words = vec!["--listen".to_owned(), listen];
+                words.extend(["--count".to_owned(), count.to_string()]);
+                words.extend(["--name".to_owned(), name.clone()]);
+                words.extend(["--cpu".to_owned(), self.plan.worker_size.0.to_string()]);
+                words.extend([
+                    "--memory-gb".to_owned(),
+                    self.plan.worker_size.1.to_string(),
+                ]);
+                self.start_stand_in(kind, &name, &words);
+            }
+        }
+    }
+
+    /// Starts one stand-in.
+    fn start_stand_in(&mut self, kind: &str, name: &str, words: &[String]) {
+        let mut arguments = vec![kind.to_owned()];
+        arguments.extend_from_slice(words);
+        let log = self.folder.join(format!("{name}.log"));
+        let process = CellProcess::start("geraniumwinch-standins", &arguments, &log);
+        self.stand_ins.insert(name.to_owned(), process);
+    }
+
+    /// Waits until every stand-in answers.
+    async fn await_stand_ins(&self) {
+        let client = TestClient::default();
+        let mut urls = vec![self.store_url("/account"), self.vm_list_url("/account")];
+        urls.extend(self.executor_urls().into_iter().map(|url| format!("{url}/account")));
+        urls.extend(self.worker_urls().into_iter().map(|url| format!("{url}/account")));
+        for url in urls {
+            wait_until(&url, async || client.get_json(&url).await.is_object()).await;
+        }
+        if self.plan.proxied {
+            wait_until("the proxy", async || self.rules_status(&json!([])).await == 200)
+                .await;
+        }
+    }
+
+    /// Lets the proxy listen in front of every process.
+    async fn add_routes(&self) {
+        let mut routes = Vec::new();
+        let mut add = |target: std::net::SocketAddr| {
+            let listen =
+                std::net::SocketAddr::new(target.ip(), target.port() + PROXY_OFFSET);
+            routes.push(json!({ "listen": listen, "target": target }));
+        };
+        add(self.addresses.platform(STORE));
+        add(self.addresses.platform(VM_LIST));
+        for (index, domain) in self.plan.domains.iter().enumerate() {
+            for entry in 0..domain.entries {
+                add(self.addresses.entry(index, entry, PEER));
+            }
+            for executor in 0..domain.executors {
+                add(self.addresses.executor(index, EXECUTORS + executor as u16));
+            }
+            for worker in 0..domain.workers {
+                add(self.addresses.worker(index, WORKERS + worker as u16));
+            }
+        }
+        let url = format!("http://{}/routes", self.addresses.platform(PROXY));
+        TestClient::default().post_json(&url, &Value::Array(routes)).await;
+    }
+
+    /// Replaces the rules of the proxy.
+    pub async fn set_rules(&self, rules: Value) {
+        assert_eq!(self.rules_status(&rules).await, 200);
+    }
+
+    /// Replaces the rules of the proxy and returns the status.
+    async fn rules_status(&self, rules: &Value) -> u16 {
+        let url = format!("http://{}/rules", self.addresses.platform(PROXY));
+        let headers = [("Content-Type", "application/json")];
+        let client = TestClient::default();
+        client.send(Method::POST, &url, &headers, rules.to_string()).await.status
+    }
+
+    /// Returns the rules that cut a domain off from everything outside it.
+    pub fn cut_off(&self, domain: usize) -> Value {
+        let prefix = self.addresses.domain_prefix(domain);
+        let mut rules = Vec::new();
+        for other in (0..self.plan.domains.len()).filter(|other| *other != domain) {
+            let other = self.addresses.domain_prefix(other);
+            rules.push(json!({ "from": prefix, "to": other, "mode": "cut" }));
+            rules.push(json!({ "from": other, "to": prefix, "mode": "cut" }));
+        }
+        let platform = self.addresses.platform_prefix();
+        rules.push(json!({ "from": prefix, "to": platform, "mode": "cut" }));
+        Value::Array(rules)
+    }
+
+    /// Returns the port under which others reach a port of a process.
+    fn reached_port(&self, port: u16) -> u16 {
+        if self.plan.proxied { port + PROXY_OFFSET } else { port }
+    }
+
+    /// Sends the VM list.
+    async fn send_vm_list(&self) {
+        let mut vms = Vec::new();
+        let (cores, gigabytes) = self.plan.worker_size;
+        for (index, domain) in self.plan.domains.iter().enumerate() {
+            for executor in 0..domain.executors {
+                let name = format!("executor-{}-{executor}", domain.name);
+                let port = self.reached_port(EXECUTORS + executor as u16);
+                let leaving = self.leaving.contains(&name);
+                vms.push(json!({
+                    "name": name, "kind": "endpoint", "domain": domain.name,
+                    "address": self.addresses.executor(index, port).to_string(),
+                    "service": "blank-exchange", "slots": 8, "leaving": leaving,
+                }));
+            }
+            for worker in 0..domain.workers {
+                let name = format!("worker-{}-{worker}", domain.name);
+                let port = self.reached_port(WORKERS + worker as u16);
+                let leaving = self.leaving.contains(&name);
+                vms.push(json!({
+                    "name": name, "kind": "worker", "domain": domain.name,
+                    "address": self.addresses.worker(index, port).to_string(),
+                    "rack": format!("{}-rack-{}", domain.name, worker / self.plan.rack),
+                    "cpu_millis": cores * 1000, "memory_bytes": gigabytes * GIGABYTE,
+                    "leaving": leaving,
+                }));
+            }
+        }
+        let url = self.vm_list_url("/vms");
+        TestClient::default().post_json(&url, &json!({ "vms": vms })).await;
+    }
+
+    /// Marks a VM as leaving.
+    pub async fn mark_leaving(&mut self, vm: &str) {
+        self.leaving.push(vm.to_owned());
+        self.send_vm_list().await;
+    }
+
+    /// Starts every entry process.
+    pub async fn start_entries(&mut self) {
+        for domain in 0..self.plan.domains.len() {
+            for index in 0..self.plan.domains[domain].entries {
+                self.start_entry(domain, index);
+            }
+        }
+    }
+
+    /// Starts one entry process, also in place of one that has ended.
+    pub fn start_entry(&mut self, domain: usize, index: usize) {
+        let name = self.entry_name(domain, index);
+        let file = self.folder.join(format!("{name}.ini"));
+        std::fs::write(&file, self.settings(domain, index)).expect("a settings file");
+        let arguments =
+            ["entry".to_owned(), "--settings".to_owned(), file.display().to_string()];
+        let log = self.folder.join(format!("{name}.log"));
+        let process = CellProcess::start("geraniumwinch", &arguments, &log);
+        self.entries.insert((domain, index), process);
+    }
+
+    /// Returns the name of an entry process.
+    pub fn entry_name(&self, domain: usize, index: usize) -> String {
+        format!("entry-{}-{index}", self.plan.domains[domain].name)
+    }
+
+    /// Writes the settings of an entry process.
+    pub fn settings(&self, domain: usize, index: usize) -> String {
+        let peer = |domain, index, port| self.addresses.entry(domain, index, port);
+        let reached = self.reached_port(PEER);
+        let seeds = self.plan.domains.iter().enumerate().map(|(index, domain)| {
+            let seeds =
+                (0..domain.entries).map(|entry| peer(index, entry, reached).to_string());
+            (domain.name.clone(), seeds.collect::<Vec<_>>().join(", "))
+        });
+        let platform = |port| self.addresses.platform(self.reached_port(port));
+        let mut options: Vec<(&str, String, String)> = vec![
+            ("process", "name".into(), self.entry_name(domain, index)),
+            ("process", "domain".into(), self.plan.domains[domain].name.clone()),
+            ("process", "http".into(), peer(domain, index, HTTP).to_string()),
+            ("process", "peer".into(), peer(domain, index, PEER).to_string()),
+            ("process", "advertise".into(), peer(domain, index, reached).to_string()),
+            ("store", "url".into(), format!("http://{}", platform(STORE))),
+            ("vm-list", "url".into(), format!("http://{}/vms", platform(VM_LIST))),
+            ("operator", "key-sha256".into(), KeyHash::of(OPERATOR_KEY).to_hex()),
+        ];
+        options.extend(seeds.map(|(domain, seeds)| ("domains", domain, seeds)));
+        for (section, option, value) in &self.plan.settings {
+            options.push((*section, (*option).to_owned(), value.clone()));
+        }
+        let mut sections: BTreeMap<&str, String> = BTreeMap::new();
+        for (section, option, value) in options {
+            let lines = sections.entry(section).or_default();
+            lines.push_str(&format!("{option} = {value}\n"));
+        }
+        sections.into_iter().map(|(name, lines)| format!("[{name}]\n{lines}\n")).collect()
+    }
+
+    /// Returns the URL of an entry process.
+    pub fn entry_url(&self, domain: usize, index: usize) -> String {
+        format!("http://{}", self.addresses.entry(domain, index, HTTP))
+    }
+
+    /// Returns the URLs of all entry processes.
+    pub fn entry_urls(&self) -> Vec<String> {
+        self.entries
+            .keys()
+            .map(|&(domain, index)| self.entry_url(domain, index))
+            .collect()
+    }
+
+    /// Returns a URL of the store.
+    pub fn store_url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.addresses.platform(STORE))
+    }
+
+    /// Returns a URL of the VM list.
+    pub fn vm_list_url(&self, path: &str) -> String {
+        format!("http://{}{path}", self.addresses.platform(VM_LIST))
+    }
+
+    /// Returns the URLs of all executors.
+    pub fn executor_urls(&self) -> Vec<String> {
+        let domains = self.plan.domains.iter().enumerate();
+        let urls = domains.flat_map(|(index, domain)| {
+            let port = |executor| EXECUTORS + executor as u16;
+            let address = move |executor| self.addresses.executor(index, port(executor));
+            (0..domain.executors)
+                .map(move |executor| format!("http://{}", address(executor)))
+        });
+        urls.collect()
+    }
+
+    /// Returns the URLs of all workers.
+    pub fn worker_urls(&self) -> Vec<String> {
+        let domains = self.plan.domains.iter().enumerate();
+        let urls = domains.flat_map(|(index, domain)| {
+            let port = |worker| WORKERS + worker as u16;
+            let address = move |worker| self.addresses.worker(index, port(worker));
+            (0..domain.workers).map(move |worker| format!("http://{}", address(worker)))
+        });
+        urls.collect()
+    }
+
+    /// Sets the switches of the store.
+    pub async fn set_store_faults(&self, faults: Value) {
+        TestClient::default().post_json(&self.store_url("/faults"), &faults).await;
+    }
+
+    /// Publishes a set through an entry process.
+    pub async fn publish(
+        &self,
+        domain: usize,
+        index: usize,
+        base: u64,
+        set: &str,
+    ) -> TestAnswer {
+        let url = format!("{}/v1/configuration", self.entry_url(domain, index));
+        let key = format!("Bearer {OPERATOR_KEY}");
+        let base = format!("\"{base}\"");
+        let headers = [("Authorization", key.as_str()), ("If-Match", base.as_str())];
+        let client = TestClient::default();
+        wait_until(&url, async || {
+            let url = format!("{}/healthz", self.entry_url(domain, index));
+            client.send(Method::GET, &url, &[], "").await.status != 0
+        })
+        .await;
+        client.send(Method::PUT, &url, &headers, set.to_owned()).await
+    }
+
+    /// Reads the status of an entry process.
+    pub async fn status(&self, domain: usize, index: usize) -> Value {
+        let url = format!("{}/v1/status", self.entry_url(domain, index));
+        let key = format!("Bearer {OPERATOR_KEY}");
+        let headers = [("Authorization", key.as_str())];
+        TestClient::default().send(Method::GET, &url, &headers, "").await.json()
+    }
+
+    /// Waits until every process has a revision and sees every domain with its workers.
+    pub async fn wait_ready(&self, revision: u64) {
+        for &(domain, index) in self.entries.keys() {
+            let name = self.entry_name(domain, index);
+            let what = format!("{name} is ready");
+            wait_until(&what, async || {
+                let status = self.status(domain, index).await;
+                is_ready(&status, revision, &self.plan)
+            })
+            .await;
+        }
+    }
+
+    /// Returns the index of the entry process that owns a domain.
+    pub async fn owner_of(&self, domain: usize) -> Option<usize> {
+        for &(_, index) in self.entries.keys().filter(|(known, _)| *known == domain) {
+            let status = self.status(domain, index).await;
+            let owner = status["owner"]["name"].as_str().unwrap_or_default().to_owned();
+            let of_domain = 0..self.plan.domains[domain].entries;
+            let mut names =
+                of_domain.map(|index| (index, self.entry_name(domain, index)));
+            if let Some((index, _)) = names.find(|(_, name)| *name == owner) {
+                return Some(index);
+            }
+        }
+        None
+    }
+
+    /// Reads the accounts of all executors and workers.
+    pub async fn ledger(&self) -> RunLedger {
+        let client = TestClient::default();
+        let mut ledger = RunLedger::default();
+        for url in self.executor_urls() {
+            ledger.add_executor(&client.get_json(&format!("{url}/account")).await);
+        }
+        for url in self.worker_urls() {
+            ledger.add_worker(&client.get_json(&format!("{url}/account")).await);
+        }
+        ledger
+    }
+
+    /// Reads the account of the store.
+    pub async fn store_account(&self) -> Value {
+        TestClient::default().get_json(&self.store_url("/account")).await
+    }
+}
+
+/// Returns whether a status shows a revision and every domain with its workers in use.
+fn is_ready(status: &Value, revision: u64, plan: &CellPlan) -> bool {
+    if status["revision"].as_u64().unwrap_or(0) < revision
+        || status["fresh_age_ms"].is_null()
+    {
+        return false;
+    }
+    let empty = Vec::new();
+    let domains = status["domains"].as_array().unwrap_or(&empty);
+    let whole = |name: &str, workers: usize, entries: usize| {
+        domains.iter().any(|row| {
+            row["domain"] == name
+                && row["report"]["workers"].as_u64() == Some(workers as u64)
+                && row["report"]["digest"]["revision"].as_u64().unwrap_or(0) >= revision
+                && row["report"]["members"].as_array().map_or(0, Vec::len) + 1 >= entries
+        })
+    };
+    plan.domains.iter().all(|domain| whole(&domain.name, domain.workers, domain.entries))
+}
+
+impl Drop for TestCell {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            eprintln!("the logs of the cell are in {}", self.folder.display());
+        } else {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-wire/src/lib.rs
@@ -0,0 +1,34 @@
+//! Messages between the system's own processes, and their encoding.
+
+mod domain_digest;
+mod journal_entry;
+mod peer_envelope;
+mod peer_message;
+mod wire_error;
+
+pub use self::domain_digest::DomainDigest;
+pub use self::domain_digest::OwnerView;
+pub use self::domain_digest::QueueLoad;
+pub use self::domain_digest::TeamRow;
+pub use self::journal_entry::JournalEntry;
+pub use self::peer_envelope::MAX_MESSAGE_BYTES;
+pub use self::peer_envelope::PeerEnvelope;
+pub use self::peer_envelope::PeerIdentity;
+pub use self::peer_message::ConfigAnswer;
+pub use self::peer_message::GreetReport;
+pub use self::peer_message::HandoverState;
+pub use self::peer_message::HeldGrant;
+pub use self::peer_message::JobAnswer;
+pub use self::peer_message::MemberRow;
+pub use self::peer_message::MirrorBatch;
+pub use self::peer_message::PeerMessage;
+pub use self::peer_message::ProbeReport;
+pub use self::peer_message::ReleaseOutcome;
+pub use self::peer_message::SlotAnswer;
+pub use self::peer_message::SlotAsk;
+pub use self::peer_message::SlotRecord;
+pub use self::peer_message::SlotRelease;
+pub use self::peer_message::StatusReport;
+pub use self::peer_message::WelcomeReport;
+pub use self::wire_error::Result;
+pub use self::wire_error::WireError;
--- /dev/null
+++ b/crates/geraniumwinch-wire/src/peer_message.rs
@@ -0,0 +1,320 @@
+//! The messages between processes.
+
+use std::net::SocketAddr;
+
+use geraniumwinch_config::ConfigurationSet;
+use geraniumwinch_config::SetDelta;
+use geraniumwinch_core::ErrorKind;
+use geraniumwinch_core::GrantOffer;
+use geraniumwinch_core::GrantTicket;
+use geraniumwinch_core::JobId;
+use geraniumwinch_core::JobSpec;
+use geraniumwinch_core::JobView;
+use geraniumwinch_core::Name;
+use geraniumwinch_core::RecordDigest;
+use geraniumwinch_core::RecordState;
+use geraniumwinch_core::StoredAnswer;
+use geraniumwinch_core::TaskId;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::DomainDigest;
+use crate::JournalEntry;
+use crate::OwnerView;
+use crate::TeamRow;
+
+/// A slot that an entry process holds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HeldGrant {
+    /// The slot.
+    pub offer: GrantOffer,
+    /// The queue.
+    pub queue: Name,
+    /// The team, or none on an open queue.
+    pub team: Option<Name>,
+    /// The time in milliseconds until the entry closes its connection to the endpoint.
+    pub remaining_ms: u64,
+}
+
+/// A heartbeat of a process to the dispatcher of its domain.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct GreetReport {
+    /// The epoch of the owner that it knows.
+    pub epoch: u64,
+    /// The revision of the configuration in force.
+    pub revision: u64,
+    /// The slots it holds in this domain, sent only in the first heartbeat to a new owner.
+    pub held: Option<Vec<HeldGrant>>,
+    /// Whether the process is about to stop.
+    pub stopping: bool,
+}
+
+/// The answer to a heartbeat.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct WelcomeReport {
+    /// The owner's epoch.
+    pub epoch: u64,
+    /// The revision of the configuration in force at the owner.
+    pub revision: u64,
+    /// The age in milliseconds of the knowledge that this revision is the newest one.
+    pub fresh_age_ms: Option<u64>,
+    /// The last known digest of each other domain, with its age in milliseconds.
+    pub domains: Vec<(DomainDigest, u64)>,
+    /// The newest sequence number of the journal that the store has.
+    pub committed: u64,
+    /// Whether the owner wants the slots that the process holds.
+    pub want_held: bool,
+}
+
+/// What a process knows of the ownership of its domain.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ProbeReport {
+    /// The owner that it follows, itself included.
+    pub owner: Option<OwnerView>,
+}
+
+/// The idempotency record that belongs to a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SlotRecord {
+    /// The digest of the key.
+    pub digest: RecordDigest,
+    /// The digest of the request.
+    pub fingerprint: RecordDigest,
+}
+
+/// A request for a slot.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct SlotAsk {
+    /// The queue.
+    pub queue: Name,
+    /// The team, or none on an open queue.
+    pub team: Option<Name>,
+    /// The time in milliseconds for which a slot is of use.
+    pub remaining_ms: u64,
+    /// Endpoints that have already failed for this request.
+    pub excluded: Vec<Name>,
+    /// The idempotency record, if the request has a key and its home is here.
+    pub record: Option<SlotRecord>,
+    /// Whether the dispatcher may name another domain with free slots.
+    pub may_spill: bool,
+}
+
+/// The answer to a request for a slot.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum SlotAnswer {
+    /// The slot.
+    Granted {
+        /// The slot.
+        offer: GrantOffer,
+    },
+    /// Another domain has free slots.
+    Elsewhere {
+        /// The domain.
+        domain: Name,
+    },
+    /// No slot.
+    Refused {
+        /// Why.
+        kind: ErrorKind,
+        /// When to come back, in milliseconds.
+        retry_after_ms: Option<u64>,
+    },
+    /// The idempotency key is known.
+    Known {
+        /// What is known of the earlier request.
+        state: RecordState,
+    },
+}
+
+/// What became of a granted slot.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ReleaseOutcome {
+    /// Nothing was sent to the endpoint.
+    NotSent,
+    /// The endpoint has answered, and the answer is kept if it was small.
+    Answered(Option<StoredAnswer>),
+    /// The endpoint may have executed the request.
+    Unknown,
+}
+
+/// A slot that is given back.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct SlotRelease {
+    /// The slot.
+    pub ticket: GrantTicket,
+    /// The idempotency record, if there is one.
+    pub record: Option<SlotRecord>,
+    /// What became of it.
+    pub outcome: ReleaseOutcome,
+}
+
+/// The answer to a call about a job.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum JobAnswer {
+    /// The job was accepted and will not be lost.
+    Accepted(JobId),
+    /// What is known of the job.
+    View(JobView),
+    /// No.
+    Refused {
+        /// Why.
+        kind: ErrorKind,
+        /// When to come back, in milliseconds.
+        retry_after_ms: Option<u64>,
+        /// The particulars.
+        detail: String,
+    },
+}
+
+/// Journal entries that the store does not have yet.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MirrorBatch {
+    /// The owner's epoch.
+    pub epoch: u64,
+    /// The sequence number of the batch.
+    pub sequence: u64,
+    /// The entries.
+    pub entries: Vec<JournalEntry>,
+}
+
+/// The answer to a request for the configuration.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum ConfigAnswer {
+    /// The changes of each revision after the one that the asker has.
+    Deltas(Vec<SetDelta>),
+    /// The whole set.
+    Whole(ConfigurationSet),
+}
+
+/// A process of a domain as its dispatcher sees it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MemberRow {
+    /// The process's name.
+    pub name: Name,
+    /// Its peer address.
+    pub address: SocketAddr,
+    /// The revision of the configuration in force.
+    pub revision: u64,
+    /// The time since its last heartbeat in milliseconds.
+    pub silent_ms: u64,
+}
+
+/// The state of a failure domain for operators.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct StatusReport {
+    /// The digest.
+    pub digest: DomainDigest,
+    /// The teams.
+    pub teams: Vec<TeamRow>,
+    /// The processes.
+    pub members: Vec<MemberRow>,
+    /// Workers that take work.
+    pub workers: u32,
+    /// Workers that are listed but take no work.
+    pub workers_out: u32,
+    /// Names of quarantined workers.
+    pub quarantined: Vec<Name>,
+    /// Jobs that are known.
+    pub jobs: u32,
+    /// Tasks that wait.
+    pub tasks_waiting: u32,
+    /// Tasks that are placed on workers.
+    pub tasks_placed: u32,
+    /// Slots that are granted.
+    pub grants: u32,
+    /// Idempotency records.
+    pub records: u32,
+}
+
+/// What a new owner takes over from the old one in a planned handover.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HandoverState {
+    /// The domain.
+    pub domain: Name,
+    /// The epoch that ends.
+    pub epoch: u64,
+    /// The store's revision of the ownership record.
+    pub record_revision: i64,
+    /// Where each task is placed.
+    pub placements: Vec<(TaskId, Name)>,
+    /// The slots that entries hold, by the entry's name.
+    pub grants: Vec<(Name, HeldGrant)>,
+}
+
+/// A message between processes.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// A heartbeat.
+    Greet(GreetReport),
+    /// The answer to a heartbeat.
+    Welcome(WelcomeReport),
+    /// The receiver does not own the domain.
+    NotOwner(ProbeReport),
+    /// Asks who owns the receiver's domain.
+    Probe,
+    /// Answers a probe.
+    ProbeAnswer(ProbeReport),
+    /// Asks for a slot.
+    SlotAsk(SlotAsk),
+    /// Answers a request for a slot.
+    SlotAnswer(SlotAnswer),
+    /// Gives a slot back.
+    SlotRelease(SlotRelease),
+    /// Submits a job.
+    JobSubmit {
+        /// The description.
+        spec: JobSpec,
+        /// The team.
+        team: Name,
+        /// The queue.
+        queue: Name,
+        /// The digest of the idempotency key.
+        key: Option<RecordDigest>,
+    },
+    /// Asks for the state of a job.
+    JobQuery {
+        /// The identifier.
+        job: JobId,
+        /// The team that asks, or none for an operator.
+        team: Option<Name>,
+    },
+    /// Cancels a job.
+    JobCancel {
+        /// The identifier.
+        job: JobId,
+        /// The team that asks, or none for an operator.
+        team: Option<Name>,
+    },
+    /// Answers a call about a job.
+    JobAnswer(JobAnswer),
+    /// Asks for the configuration.
+    ConfigAsk {
+        /// The revision that the asker has.
+        revision: u64,
+    },
+    /// Answers a request for the configuration.
+    ConfigAnswer {
+        /// The revision that the answer leads to.
+        revision: u64,
+        /// The changes or the set.
+        answer: ConfigAnswer,
+    },
+    /// Asks another process of the domain to keep entries that the store does not have.
+    MirrorAppend(MirrorBatch),
+    /// Asks for the entries that a process keeps.
+    MirrorAsk,
+    /// Answers a request for kept entries.
+    MirrorAnswer(Vec<MirrorBatch>),
+    /// Exchanges digests between owners.
+    Digest(Box<DomainDigest>),
+    /// Asks for the state of the receiver's domain.
+    StatusAsk,
+    /// Answers a request for the state of a domain.
+    StatusAnswer(Box<StatusReport>),
+    /// Hands the ownership of the domain over.
+    Handover(Box<HandoverState>),
+    /// Confirms a call that needs no other answer.
+    Done,
+    /// Refuses a call that needs no other answer.
+    Refused(ErrorKind),
+}
--- /dev/null
+++ b/crates/geraniumwinch/src/command_table.rs
@@ -0,0 +1,113 @@
+//! The table of commands.
+
+use getopts::Matches;
+use getopts::Options;
+
+use crate::cli_error::Result;
+use crate::commands;
+
+/// A command.
+pub(crate) struct CliCommand {
+    /// The name.
+    pub(crate) name: &'static str,
+    /// The arguments behind the options.
+    pub(crate) arguments: &'static str,
+    /// What it does.
+    pub(crate) doc: &'static str,
+    /// Creates its options.
+    pub(crate) options: fn() -> Options,
+    /// Runs it.
+    pub(crate) run: fn(&Matches) -> Result<()>,
+}
+
+/// Every command.
+pub(crate) const COMMANDS: &[CliCommand] = &[
+    CliCommand {
+        name: "entry",
+        arguments: "--settings FILE",
+        doc: "Run a process of the system until it is told to stop.",
+        options: commands::entry::options,
+        run: commands::entry::run,
+    },
+    CliCommand {
+        name: "check",
+        arguments: "FILE",
+        doc: "Check settings or a configuration set, offline.",
+        options: Options::new,
+        run: commands::check::run,
+    },
+    CliCommand {
+        name: "apply",
+        arguments: "FILE",
+        doc: "Publish a configuration set and wait until it is in force.",
+        options: commands::apply::options,
+        run: commands::apply::run,
+    },
+    CliCommand {
+        name: "show",
+        arguments: "",
+        doc: "Print the configuration in force.",
+        options: commands::client_options,
+        run: commands::show::run,
+    },
+    CliCommand {
+        name: "submit",
+        arguments: "QUEUE FILE",
+        doc: "Submit a job that a JSON file describes.",
+        options: commands::client_options,
+        run: commands::jobs::submit,
+    },
+    CliCommand {
+        name: "job",
+        arguments: "JOB",
+        doc: "Print the state of a job and what it waits for.",
+        options: commands::client_options,
+        run: commands::jobs::query,
+    },
+    CliCommand {
+        name: "cancel",
+        arguments: "JOB",
+        doc: "Cancel a job.",
+        options: commands::client_options,
+        run: commands::jobs::cancel,
+    },
+    CliCommand {
+        name: "status",
+        arguments: "",
+        doc: "Print the domains, their owners, teams and processes.",
+        options: commands::status::options,
+        run: commands::status::run,
+    },
+    CliCommand {
+        name: "hash-key",
+        arguments: "",
+        doc: "Read a key from the standard input and print its SHA-256 hash.",
+        options: Options::new,
+        run: commands::hash_key::run,
+    },
+];
+
+impl CliCommand {
+    /// Returns the line that opens the command's help.
+    pub(crate) fn brief(&self) -> String {
+        let arguments = self.arguments;
+        format!(
+            "Usage: geraniumwinch {} [OPTIONS] {arguments}\n\n{}",
+            self.name, self.doc
+        )
+    }
+}
+
+/// Returns the overview of all commands.
+pub(crate) fn overview() -> String {
+    let mut text = String::from("Usage: geraniumwinch COMMAND [OPTIONS]\n\nCommands:\n");
+    for command in COMMANDS {
+        let call = format!("{} {}", command.name, command.arguments);
+        text.push_str(&format!("  {call:<24} {}\n", command.doc));
+    }
+    text.push_str(
+        "\nEach command has `--help`. Exit codes: 0 done, 1 refused or failed, ",
+    );
+    text.push_str("2 wrong usage, settings or set, 3 server not reached, 4 conflict.\n");
+    text
+}
--- /dev/null
+++ b/crates/geraniumwinch/src/commands/check.rs
@@ -0,0 +1,33 @@
+//! Checks settings or a configuration set.
+
+use geraniumwinch_config::ConfigurationSet;
+use geraniumwinch_config::NodeSettings;
+use geraniumwinch_config::SetProblem;
+use getopts::Matches;
+
+use crate::cli_error::CliError;
+use crate::cli_error::Result;
+use crate::client_call::read_file;
+use crate::commands::argument;
+
+/// Checks a file; one with a section `[process]` holds settings.
+pub(crate) fn run(matches: &Matches) -> Result<()> {
+    let file = argument(matches, 0, "FILE")?;
+    let text = read_file(file)?;
+    if text.lines().any(|line| line.trim() == "[process]") {
+        let settings =
+            NodeSettings::parse(file, &text).map_err(|problems| invalid(&problems))?;
+        println!("settings of process {} in domain {}", settings.name, settings.domain);
+    } else {
+        let set = ConfigurationSet::parse(file, &text)
+            .map_err(|problems| invalid(&problems))?;
+        println!("a configuration set of {} objects", set.len());
+    }
+    Ok(())
+}
+
+/// Creates the error that lists every problem.
+pub(crate) fn invalid(problems: &[SetProblem]) -> CliError {
+    let lines: Vec<String> = problems.iter().map(ToString::to_string).collect();
+    CliError::Invalid { count: problems.len(), lines: lines.join("\n") }
+}
--- /dev/null
+++ b/crates/geraniumwinch/src/commands/hash_key.rs
@@ -0,0 +1,24 @@
+//! Hashes a key.
+
+use std::io;
+use std::path::PathBuf;
+
+use geraniumwinch_config::KeyHash;
+use getopts::Matches;
+use snafu::ResultExt;
+
+use crate::cli_error::CliError;
+use crate::cli_error::ReadFileSnafu;
+use crate::cli_error::Result;
+
+/// Reads a key from the standard input, so that it stands in no list of processes.
+pub(crate) fn run(_: &Matches) -> Result<()> {
+    let path = PathBuf::from("the standard input");
+    let key = io::read_to_string(io::stdin()).context(ReadFileSnafu { path })?;
+    let key = key.trim();
+    if key.is_empty() {
+        return Err(CliError::Usage { message: "the key is empty".to_owned() });
+    }
+    println!("{}", KeyHash::of(key).to_hex());
+    Ok(())
+}
--- /dev/null
+++ b/crates/geraniumwinch/src/commands/status.rs
@@ -0,0 +1,94 @@
+//! Prints the state of the system.
+
+use awc::http::Method;
+use getopts::Matches;
+use getopts::Options;
+use serde_json::Value;
+
+use crate::cli_error::Result;
+use crate::client_call::ClientCall;
+use crate::commands::client_options;
+
+/// Creates the options.
+pub(crate) fn options() -> Options {
+    client_options()
+}
+
+/// Prints the state as tables, or as JSON.
+pub(crate) fn run(matches: &Matches) -> Result<()> {
+    let call = ClientCall::new(matches)?;
+    let answer = call.call(Method::GET, "/v1/status", &[], String::new())?.accepted()?;
+    if matches.opt_present("json") {
+        println!("{}", answer.body);
+        return Ok(());
+    }
+    let status: Value = serde_json::from_str(&answer.body).unwrap_or_default();
+    println!(
+        "process {} in domain {}, revision {}",
+        text(&status["process"]),
+        text(&status["domain"]),
+        status["revision"],
+    );
+    for domain in status["domains"].as_array().into_iter().flatten() {
+        print_domain(domain);
+    }
+    Ok(())
+}
+
+/// Returns the text of a value.
+fn text(value: &Value) -> &str {
+    value.as_str().unwrap_or("-")
+}
+
+/// Prints one domain.
+fn print_domain(domain: &Value) {
+    let report = &domain["report"];
+    println!("\ndomain {}", text(&domain["domain"]));
+    if report.is_null() {
+        println!("  not reached");
+        return;
+    }
+    let owner = &report["digest"]["owner"];
+    println!(
+        "  owner {} at {}, epoch {}",
+        text(&owner["name"]),
+        text(&owner["address"]),
+        owner["epoch"]
+    );
+    println!(
+        "  store {}",
+        if report["digest"]["store_down"] == true { "not reached" } else { "reached" }
+    );
+    println!(
+        "  workers {} (out {}), jobs {}, tasks waiting {} placed {}, slots granted {}",
+        report["workers"],
+        report["workers_out"],
+        report["jobs"],
+        report["tasks_waiting"],
+        report["tasks_placed"],
+        report["grants"],
+    );
+    println!(
+        "  {:<24} {:>8} {:>8} {:>9} {:>8}",
+        "team", "weight", "running", "allowance", "share"
+    );
+    for team in report["teams"].as_array().into_iter().flatten() {
+        println!(
+            "  {:<24} {:>8} {:>8} {:>9} {:>8.3}",
+            text(&team["team"]),
+            team["weight"],
+            team["running"],
+            team["allowance"],
+            team["share"].as_f64().unwrap_or(0.0),
+        );
+    }
+    println!("  {:<24} {:>8} {:>10}", "process", "revision", "silent ms");
+    for member in report["members"].as_array().into_iter().flatten() {
+        println!(
+            "  {:<24} {:>8} {:>10}",
+            text(&member["name"]),
+            member["revision"],
+            member["silent_ms"]
+        );
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch/src/main.rs
@@ -0,0 +1,58 @@
+//! The one binary of the system: its processes and the operators' commands.
+
+mod cli_error;
+mod client_call;
+mod command_table;
+mod commands;
+mod log_setup;
+
+use std::process::ExitCode;
+
+use self::cli_error::CliError;
+use self::command_table::COMMANDS;
+
+fn main() -> ExitCode {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    match run(&words) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("error: {error}");
+            ExitCode::from(error.exit_code())
+        }
+    }
+}
+
+/// Runs the command that the first word names.
+fn run(words: &[String]) -> cli_error::Result<()> {
+    let Some((first, rest)) = words.split_first() else {
+        print!("{}", command_table::overview());
+        return Err(CliError::Usage { message: "no command is given".to_owned() });
+    };
+    match first.as_str() {
+        "--help" | "-h" | "help" => {
+            print!("{}", command_table::overview());
+            return Ok(());
+        }
+        "--version" | "-V" => {
+            println!("geraniumwinch {}", env!("CARGO_PKG_VERSION"));
+            return Ok(());
+        }
+        _ => {}
+    }
+    let command = COMMANDS.iter().find(|command| command.name == first);
+    let Some(command) = command else {
+        let message =
+            format!("unknown command `{first}`; hint: see `geraniumwinch --help`");
+        return Err(CliError::Usage { message });
+    };
+    let mut options = (command.options)();
+    options.optflag("h", "help", "print this help");
+    let matches = options
+        .parse(rest)
+        .map_err(|error| CliError::Usage { message: error.to_string() })?;
+    if matches.opt_present("help") {
+        print!("{}", options.usage(&command.brief()));
+        return Ok(());
+    }
+    (command.run)(&matches)
+}
