--- a/Makefile
+++ b/Makefile
@@ -12,5 +12,13 @@
 try: build
 	cargo run --quiet --bin geraniumwinch-try
 
+bench: prepare
+	cargo run --quiet --release -p geraniumwinch-bench
+
+capacity: prepare
+	cargo build --release --workspace --bins
+	./target/release/geraniumwinch-measure path
+	./target/release/geraniumwinch-measure capacity
+
 test: build
 	cargo nextest run --workspace --no-fail-fast
