--- a/crates/geraniumwinch-tests/src/lib.rs
+++ b/crates/geraniumwinch-tests/src/lib.rs
@@ -3,6 +3,7 @@
 mod cell_addresses;
 mod cell_plan;
 mod cell_process;
+mod fault_load;
 mod process_usage;
 mod run_ledger;
 mod test_cell;
@@ -14,6 +15,10 @@
 pub use self::cell_plan::OPERATOR_KEY;
 pub use self::cell_plan::default_set;
 pub use self::cell_process::CellProcess;
+pub use self::fault_load::FaultLoad;
+pub use self::fault_load::LoadOutcome;
+pub use self::fault_load::check_outcomes;
+pub use self::fault_load::summarise;
 pub use self::process_usage::ProcessUsage;
 pub use self::run_ledger::RunLedger;
 pub use self::test_cell::TestCell;
