Set aside the slots that a lost dispatcher or another domain may hold, and prove one owner

Worse, it did not know of slots that entries of other domains held, and the end of the recovery ignored these. Now the dispatcher's own process may hold 3/8 of an endpoint's slots and other domains together 1/4; once the other processes of the domain have reported theirs, these parts stay set aside and the rest is granted at once. A former owner that ruled for less than the longest deadline leaves the whole recovery in place.

Judged by the workers' accounts: no overcommit, no task in two places, each of 40 tasks did its work.

--- a/crates/geraniumwinch-bench/src/decision_cost.rs
+++ b/crates/geraniumwinch-bench/src/decision_cost.rs
@@ -7,6 +7,7 @@
 use geraniumwinch_core::BoardCommand;
 use geraniumwinch_core::EndpointSpec;
 use geraniumwinch_core::GrantDesk;
+use geraniumwinch_core::GrantHolder;
 use geraniumwinch_core::JobId;
 use geraniumwinch_core::JobKind;
 use geraniumwinch_core::JobSpec;
@@ -207,6 +208,7 @@
             id: serial,
             queue: "queue".into(),
             team: Some(names[rng.random_range(0..names.len())]),
+            holder: GrantHolder::Member,
             deadline: now + Duration::from_secs(60),
             excluded: Vec::new(),
             context: 0,
--- a/crates/geraniumwinch-core/src/endpoint_table.rs
+++ b/crates/geraniumwinch-core/src/endpoint_table.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 use slotmap::SlotMap;
 
+use crate::GrantHolder;
 use crate::Name;
 
 slotmap::new_key_type! {
@@ -33,6 +34,8 @@
 struct EndpointState {
     spec: EndpointSpec,
     busy: u32,
+    busy_owner: u32,
+    busy_remote: u32,
     listed: bool,
 }
 
@@ -42,6 +45,7 @@
     states: SlotMap<EndpointKey, EndpointState>,
     by_name: HashMap<Name, EndpointKey>,
     by_service: HashMap<Name, Vec<EndpointKey>>,
+    set_aside: bool,
 }
 
 impl EndpointTable {
@@ -76,7 +80,13 @@
             return;
         }
         let name = spec.name.clone();
-        let key = self.states.insert(EndpointState { spec, busy: 0, listed: true });
+        let key = self.states.insert(EndpointState {
+            spec,
+            busy: 0,
+            busy_owner: 0,
+            busy_remote: 0,
+            listed: true,
+        });
         self.by_name.insert(name, key);
     }
 
@@ -90,12 +100,22 @@
         self.states.get(key).map(|state| &state.spec)
     }
 
+    /// Sets the slots aside that holders which do not report may have, or gives them free.
+    pub fn set_aside(&mut self, aside: bool) {
+        self.set_aside = aside;
+    }
+
     /// Chooses the endpoint of a service with the most free slots, outside the excluded ones.
-    pub fn choose(&self, service: &str, excluded: &[Name]) -> Option<EndpointKey> {
+    pub fn choose(
+        &self,
+        service: &str,
+        excluded: &[Name],
+        holder: GrantHolder,
+    ) -> Option<EndpointKey> {
         let keys = self.by_service.get(service)?;
         keys.iter()
             .copied()
-            .filter(|&key| self.free_slots(key) > 0)
+            .filter(|&key| self.free_slots(key) > 0 && self.states[key].may_hold(holder))
             .filter(|&key| !excluded.contains(&self.states[key].spec.name))
             .max_by_key(|&key| self.free_slots(key))
     }
@@ -106,7 +126,11 @@
         if state.spec.leaving || !state.listed {
             return 0;
         }
-        state.spec.slots.saturating_sub(state.busy)
+        let aside = match self.set_aside {
+            true => GrantHolder::set_aside(state.spec.slots),
+            false => 0,
+        };
+        state.spec.slots.saturating_sub(state.busy + aside)
     }
 
     /// Returns the free and all slots of a service on endpoints that take new work.
@@ -122,16 +146,22 @@
     }
 
     /// Marks one more slot of an endpoint as busy.
-    pub fn occupy(&mut self, key: EndpointKey) {
+    pub fn occupy(&mut self, key: EndpointKey, holder: GrantHolder) {
         if let Some(state) = self.states.get_mut(key) {
             state.busy += 1;
+            if let Some(count) = state.count_of(holder) {
+                *count += 1;
+            }
         }
     }
 
     /// Marks one slot of an endpoint as free again.
-    pub fn vacate(&mut self, key: EndpointKey) {
+    pub fn vacate(&mut self, key: EndpointKey, holder: GrantHolder) {
         if let Some(state) = self.states.get_mut(key) {
             state.busy = state.busy.saturating_sub(1);
+            if let Some(count) = state.count_of(holder) {
+                *count = count.saturating_sub(1);
+            }
         }
     }
 
@@ -140,3 +170,24 @@
         self.states.values().map(|state| (&state.spec, state.busy))
     }
 }
+
+impl EndpointState {
+    /// Returns whether holders of a kind may have one more slot.
+    fn may_hold(&self, holder: GrantHolder) -> bool {
+        let held = match holder {
+            GrantHolder::Member => 0,
+            GrantHolder::Owner => self.busy_owner,
+            GrantHolder::Remote => self.busy_remote,
+        };
+        held < holder.most_slots(self.spec.slots)
+    }
+
+    /// Returns the count of the slots of a limited kind of holder.
+    fn count_of(&mut self, holder: GrantHolder) -> Option<&mut u32> {
+        match holder {
+            GrantHolder::Member => None,
+            GrantHolder::Owner => Some(&mut self.busy_owner),
+            GrantHolder::Remote => Some(&mut self.busy_remote),
+        }
+    }
+}
--- a/crates/geraniumwinch-core/src/grant_desk.rs
+++ b/crates/geraniumwinch-core/src/grant_desk.rs
@@ -41,6 +41,7 @@
     lines: BTreeMap<Name, QueueLine<C>>,
     grants: GrantTable,
     recovering_until: Option<Instant>,
+    set_aside_until: Option<Instant>,
 }
 
 impl<C> GrantDesk<C> {
@@ -53,6 +54,7 @@
             lines: BTreeMap::new(),
             grants: GrantTable::new(epoch),
             recovering_until,
+            set_aside_until: None,
         }
     }
 
@@ -88,9 +90,20 @@
         outcomes
     }
 
-    /// Ends the recovery early, once every grant of the former owner is known.
+    /// Ends the recovery once every other process of the domain has reported its slots.
+    ///
+    /// The slots that the former owner and other domains may hold stay set aside until its end.
     pub fn end_recovery(&mut self) {
-        self.recovering_until = None;
+        self.set_aside_until = self.recovering_until.take();
+        self.endpoints.set_aside(self.set_aside_until.is_some());
+    }
+
+    /// Gives the slots free that were set aside for long enough.
+    fn end_set_aside(&mut self, now: Instant) {
+        if self.set_aside_until.is_some_and(|until| until <= now) {
+            self.set_aside_until = None;
+            self.endpoints.set_aside(false);
+        }
     }
 
     /// Returns the end of the recovery if it is still going on.
@@ -129,23 +142,28 @@
     /// Grants free slots to waiting requests and refuses those whose deadline has passed.
     pub fn pump(&mut self, ledger: &mut TeamLedger, now: Instant) -> Vec<DeskOutcome<C>> {
         let mut outcomes = Vec::new();
+        self.end_set_aside(now);
         for (queue, line) in &mut self.lines {
             line.refuse_late(now, &mut outcomes);
             if self.recovering_until.is_some_and(|until| until > now) {
                 continue;
             }
-            while let Some((team, excluded)) = line.next(ledger) {
-                let service = line.policy().service.clone();
-                let Some(key) = self.endpoints.choose(&service, &excluded) else { break };
-                let request = line.take(team).expect("the line named its next team");
+            let service = line.policy().service.clone();
+            while self.endpoints.service_slots(&service).0 > 0 {
+                let endpoints = &self.endpoints;
+                let choose = |request: &SlotRequest<C>| {
+                    endpoints.choose(&service, &request.excluded, request.holder)
+                };
+                let Some((request, key)) = line.take_next(ledger, choose) else { break };
                 let grant = SlotGrant {
                     endpoint: key,
                     team: request.team,
+                    holder: request.holder,
                     queue: queue.clone(),
                     granted: now,
                     expires: request.deadline + GRANT_GRACE,
                 };
-                self.endpoints.occupy(key);
+                self.endpoints.occupy(key, request.holder);
                 if let Some(team) = request.team {
                     ledger.book(team, &ResourceVector::default());
                 }
@@ -173,10 +191,11 @@
         if let Some(team) = grant.team {
             ledger.book(team, &ResourceVector::default());
         }
-        self.endpoints.occupy(endpoint);
+        self.endpoints.occupy(endpoint, grant.holder);
         let slot = SlotGrant {
             endpoint,
             team: grant.team,
+            holder: grant.holder,
             queue: grant.queue,
             granted: now,
             expires: grant.closes + GRANT_GRACE,
@@ -211,7 +230,7 @@
 
     /// Gives the slot and the team's room of a grant back.
     fn vacate(&mut self, grant: &SlotGrant, ledger: &mut TeamLedger) {
-        self.endpoints.vacate(grant.endpoint);
+        self.endpoints.vacate(grant.endpoint, grant.holder);
         if let Some(team) = grant.team {
             ledger.release(team, &ResourceVector::default());
         }
--- a/crates/geraniumwinch-core/src/grant_desk/grant_table.rs
+++ b/crates/geraniumwinch-core/src/grant_desk/grant_table.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use crate::EndpointKey;
+use crate::GrantHolder;
 use crate::Name;
 use crate::TeamKey;
 
@@ -17,6 +18,8 @@
     pub(super) endpoint: EndpointKey,
     /// The team, or none on an open queue.
     pub(super) team: Option<TeamKey>,
+    /// Where the process that holds it stands towards the dispatcher.
+    pub(super) holder: GrantHolder,
     /// The queue.
     pub(super) queue: Name,
     /// When it was granted.
--- a/crates/geraniumwinch-core/src/grant_desk/queue_line.rs
+++ b/crates/geraniumwinch-core/src/grant_desk/queue_line.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::EndpointKey;
 use crate::ErrorKind;
-use crate::Name;
 use crate::TeamKey;
 use crate::TeamLedger;
 
@@ -17,6 +17,9 @@
 /// The weight of the newest observation in the mean service time.
 const MEAN_GAIN: f64 = 0.1;
 
+/// The number of a team's requests that are looked at behind one that no free endpoint may serve.
+const LOOK_AHEAD: usize = 4;
+
 /// The place of a request within its team: by deadline, then by arrival.
 type LinePlace = (Instant, u64);
 
@@ -96,11 +99,34 @@
         *mean += MEAN_GAIN * (seconds - *mean);
     }
 
-    /// Returns the team that is served next and the endpoints that its first request excludes.
-    pub(super) fn next(
+    /// Removes the request that is served next, with the endpoint that `choose` finds for it.
+    ///
+    /// A request that no free endpoint may serve does not hold up those behind it.
+    pub(super) fn take_next(
+        &mut self,
+        ledger: &TeamLedger,
+        choose: impl Fn(&SlotRequest<C>) -> Option<EndpointKey>,
+    ) -> Option<(SlotRequest<C>, EndpointKey)> {
+        let mut passed: Vec<Option<TeamKey>> = Vec::new();
+        loop {
+            let team = self.next_team(ledger, &passed)?;
+            let requests = self.teams[&team].iter().take(LOOK_AHEAD);
+            let found = requests
+                .filter_map(|(&place, request)| choose(request).map(|key| (place, key)))
+                .next();
+            match found {
+                Some((place, key)) => return Some((self.remove(team, place)?, key)),
+                None => passed.push(team),
+            }
+        }
+    }
+
+    /// Returns the team with the least use for its weight that may run more and was not passed over.
+    fn next_team(
         &self,
         ledger: &TeamLedger,
-    ) -> Option<(Option<TeamKey>, Vec<Name>)> {
+        passed: &[Option<TeamKey>],
+    ) -> Option<Option<TeamKey>> {
         let rank = |team: &Option<TeamKey>| match *team {
             Some(team) => ledger.weighted_running(team),
             None => 0.0,
@@ -109,19 +135,9 @@
             Some(team) => ledger.allows(team, 1),
             None => true,
         };
-        let (team, requests) = self
-            .teams
-            .iter()
-            .filter(|(team, _)| allowed(team))
-            .min_by(|(left, _), (right, _)| rank(left).total_cmp(&rank(right)))?;
-        let (_, first) = requests.first_key_value()?;
-        Some((*team, first.excluded.clone()))
-    }
-
-    /// Removes the first request of a team.
-    pub(super) fn take(&mut self, team: Option<TeamKey>) -> Option<SlotRequest<C>> {
-        let (&place, _) = self.teams.get(&team)?.first_key_value()?;
-        self.remove(team, place)
+        let teams =
+            self.teams.keys().filter(|team| allowed(team) && !passed.contains(team));
+        teams.min_by(|left, right| rank(left).total_cmp(&rank(right))).copied()
     }
 
     /// Removes a request by its identifier and returns its context.
--- a/crates/geraniumwinch-core/src/grant_desk/slot_request.rs
+++ b/crates/geraniumwinch-core/src/grant_desk/slot_request.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::ErrorKind;
+use crate::GrantHolder;
 use crate::Name;
 use crate::TeamKey;
 
@@ -19,6 +20,8 @@
     pub queue: Name,
     /// The team whose key came with the request, or none on an open queue.
     pub team: Option<TeamKey>,
+    /// Where the process that asks stands towards the dispatcher.
+    pub holder: GrantHolder,
     /// The time after which a slot is of no use.
     pub deadline: Instant,
     /// Endpoints that have already failed for this request.
@@ -53,6 +56,8 @@
     pub queue: Name,
     /// The team, or none on an open queue.
     pub team: Option<TeamKey>,
+    /// Where the process that holds it stands towards the dispatcher.
+    pub holder: GrantHolder,
     /// When the entry closes its connection to the endpoint at the latest.
     pub closes: Instant,
 }
--- a/crates/geraniumwinch-node/src/dispatcher.rs
+++ b/crates/geraniumwinch-node/src/dispatcher.rs
@@ -17,6 +17,7 @@
 pub(crate) use self::dispatcher_mail::WorkerEvent;
 pub(crate) use self::dispatcher_restore::DispatcherStart;
 pub(crate) use self::dispatcher_restore::TakeoverKind;
+pub(crate) use self::dispatcher_restore::longest_deadline;
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -43,6 +44,7 @@
 use geraniumwinch_wire::HeldGrant;
 use geraniumwinch_wire::PeerIdentity;
 use geraniumwinch_wire::PeerMessage;
+use geraniumwinch_wire::PeerName;
 use geraniumwinch_wire::SlotRecord;
 
 use crate::journal::JournalSender;
@@ -72,7 +74,7 @@
 /// What the dispatcher knows of a grant that is out.
 #[derive(Debug, Clone)]
 struct GrantNote {
-    entry: Name,
+    entry: PeerName,
     held: HeldGrant,
     record: Option<SlotRecord>,
     closes: Instant,
--- a/crates/geraniumwinch-node/src/dispatcher/dispatch_slots.rs
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatch_slots.rs
@@ -6,6 +6,7 @@
 use geraniumwinch_core::AdoptedGrant;
 use geraniumwinch_core::DeskOutcome;
 use geraniumwinch_core::ErrorKind;
+use geraniumwinch_core::GrantHolder;
 use geraniumwinch_core::GrantOffer;
 use geraniumwinch_core::GrantTicket;
 use geraniumwinch_core::Name;
@@ -16,6 +17,7 @@
 use geraniumwinch_wire::JournalEntry;
 use geraniumwinch_wire::PeerIdentity;
 use geraniumwinch_wire::PeerMessage;
+use geraniumwinch_wire::PeerName;
 use geraniumwinch_wire::ReleaseOutcome;
 use geraniumwinch_wire::SlotAnswer;
 use geraniumwinch_wire::SlotAsk;
@@ -57,6 +59,7 @@
             return;
         }
         let deadline = now + Duration::from_millis(ask.remaining_ms);
+        let (from_name, from_domain) = (from.name.clone(), from.domain.clone());
         let context = AskContext {
             from,
             correlation,
@@ -70,10 +73,12 @@
             self.claimed.insert(record.digest);
         }
         let team = ask.team.as_ref().map(|team| self.ledger.key_of(team));
+        let holder = self.holder(&from_name, &from_domain);
         let request = SlotRequest {
             id: correlation,
             queue: ask.queue,
             team,
+            holder,
             deadline,
             excluded: ask.excluded,
             context,
@@ -83,6 +88,16 @@
         }
     }
 
+    /// Returns where a process stands towards this dispatcher.
+    fn holder(&self, name: &Name, domain: &Name) -> GrantHolder {
+        let identity = self.shared.link.identity();
+        match (*domain == identity.domain, *name == identity.name) {
+            (true, true) => GrantHolder::Owner,
+            (true, false) => GrantHolder::Member,
+            (false, _) => GrantHolder::Remote,
+        }
+    }
+
     /// Returns the answer to a request whose idempotency key is known.
     fn known_record(&self, record: &SlotRecord) -> Option<SlotAnswer> {
         let refused = |kind: ErrorKind| {
@@ -198,7 +213,7 @@
     fn hand_out(&mut self, context: AskContext, offer: GrantOffer) {
         node_metrics::count_grant();
         let note = GrantNote {
-            entry: context.from.name.clone(),
+            entry: PeerName::of(&context.from),
             held: HeldGrant {
                 offer: offer.clone(),
                 queue: context.queue.clone(),
@@ -262,12 +277,13 @@
     }
 
     /// Takes over a grant of a former owner.
-    pub(super) fn adopt_grant(&mut self, entry: Name, held: HeldGrant, now: Instant) {
+    pub(super) fn adopt_grant(&mut self, entry: PeerName, held: HeldGrant, now: Instant) {
         let closes = now + Duration::from_millis(held.remaining_ms);
         let grant = AdoptedGrant {
             offer: held.offer.clone(),
             queue: held.queue.clone(),
             team: held.team.as_ref().map(|team| self.ledger.key_of(team)),
+            holder: self.holder(&entry.name, &entry.domain),
             closes,
         };
         self.desk.adopt(grant, &mut self.ledger, now);
--- a/crates/geraniumwinch-node/src/dispatcher/dispatcher_mail.rs
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatcher_mail.rs
@@ -12,6 +12,7 @@
 use geraniumwinch_wire::HeldGrant;
 use geraniumwinch_wire::PeerIdentity;
 use geraniumwinch_wire::PeerMessage;
+use geraniumwinch_wire::PeerName;
 
 use crate::node_metrics;
 use crate::vm_list::DomainVms;
@@ -224,7 +225,7 @@
     fn handle(&mut self, report: ReportedGrants, _: &mut Context<Self>) {
         let now = self.shared.now();
         for held in report.held {
-            self.adopt_grant(report.from.name.clone(), held, now);
+            self.adopt_grant(PeerName::of(&report.from), held, now);
         }
         self.end_recovery_if_known();
         self.decide();
--- a/crates/geraniumwinch-node/src/dispatcher/dispatcher_restore.rs
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatcher_restore.rs
@@ -185,7 +185,7 @@
 }
 
 /// Returns the longest time for which a request may hold a slot.
-fn longest_deadline(shared: &NodeShared) -> Duration {
+pub(crate) fn longest_deadline(shared: &NodeShared) -> Duration {
     let view = shared.catalog.view();
     let deadlines = view.catalog.queues.values().map(|queue| queue.policy.max_deadline);
     deadlines.max().unwrap_or(Duration::ZERO) + Duration::from_secs(1)
--- a/crates/geraniumwinch-node/src/node_shared.rs
+++ b/crates/geraniumwinch-node/src/node_shared.rs
@@ -7,6 +7,8 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use actix::Addr;
 use arc_swap::ArcSwapOption;
@@ -124,3 +126,8 @@
         crate::node_metrics::count_store_call(answered);
     }
 }
+
+/// Returns the milliseconds since the Unix epoch.
+pub(crate) fn unix_millis(time: SystemTime) -> u64 {
+    time.duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
--- a/crates/geraniumwinch-node/src/ownership.rs
+++ b/crates/geraniumwinch-node/src/ownership.rs
@@ -278,6 +278,13 @@
             return;
         }
         let domain = self.shared.domain();
+        log_event!(
+            Info,
+            "owner-silent",
+            domain = domain,
+            owner = owner.name,
+            epoch = owner.epoch
+        );
         let alive = self.ports.store.get(&store_keys::owner_alive(domain)).await;
         self.shared.note_store(alive.is_ok());
         let Ok(alive) = alive else { return };
--- a/crates/geraniumwinch-node/src/ownership/owned_domain.rs
+++ b/crates/geraniumwinch-node/src/ownership/owned_domain.rs
@@ -178,7 +178,11 @@
         let domain = self.shared.domain();
         let owner = store_keys::owner(domain);
         let condition = StoreCondition::Unchanged(owner, self.record.revision);
-        let value = OwnerRecord::write(&self.record.view, self.record.change);
+        let value = OwnerRecord::write(
+            &self.record.view,
+            self.record.change,
+            self.record.since_ms,
+        );
         let key = store_keys::owner_alive(domain);
         let put = StoreWrite::Put { key, value, lease: Some(lease) };
         match self.ports.store.commit(&[condition], &[put]).await {
--- a/crates/geraniumwinch-node/src/ownership/owner_record.rs
+++ b/crates/geraniumwinch-node/src/ownership/owner_record.rs
@@ -14,6 +14,8 @@
     pub(crate) view: OwnerView,
     /// The identifier of the change that wrote the record.
     pub(crate) change: u128,
+    /// When the ownership began, in milliseconds since the Unix epoch.
+    pub(crate) since_ms: u64,
     /// The store's revision of the record.
     pub(crate) revision: i64,
 }
@@ -23,6 +25,7 @@
 struct OwnerValue {
     owner: OwnerView,
     change: String,
+    since_ms: u64,
 }
 
 /// The value of the record that lists the processes of a domain.
@@ -39,12 +42,18 @@
     pub(crate) fn read(record: &StoreRecord) -> Option<OwnerRecord> {
         let value: OwnerValue = serde_json::from_slice(&record.value).ok()?;
         let change = u128::from_str_radix(&value.change, 16).ok()?;
-        Some(OwnerRecord { view: value.owner, change, revision: record.mod_revision })
+        Some(OwnerRecord {
+            view: value.owner,
+            change,
+            since_ms: value.since_ms,
+            revision: record.mod_revision,
+        })
     }
 
     /// Writes the value of a record.
-    pub(crate) fn write(view: &OwnerView, change: u128) -> Vec<u8> {
-        let value = OwnerValue { owner: view.clone(), change: format!("{change:032x}") };
+    pub(crate) fn write(view: &OwnerView, change: u128, since_ms: u64) -> Vec<u8> {
+        let change = format!("{change:032x}");
+        let value = OwnerValue { owner: view.clone(), change, since_ms };
         serde_json::to_vec(&value).expect("a record can be written as JSON")
     }
 }
--- a/crates/geraniumwinch-node/src/ownership/take_over.rs
+++ b/crates/geraniumwinch-node/src/ownership/take_over.rs
@@ -13,9 +13,11 @@
 use crate::dispatcher::FreezeDispatcher;
 use crate::dispatcher::ReportedGrants;
 use crate::dispatcher::TakeoverKind;
+use crate::dispatcher::longest_deadline;
 use crate::event_log::log_event;
 use crate::journal::read_journal;
 use crate::node_metrics;
+use crate::node_shared::unix_millis;
 use crate::platform_store::StoreCondition;
 use crate::platform_store::StoreWrite;
 use crate::store_keys;
@@ -56,6 +58,11 @@
             None => conditions.push(StoreCondition::Absent(store_keys::owner(domain))),
         }
         members.remove(&self.shared.link.identity().name);
+        let settled = former.as_ref().is_some_and(|record| self.settled(record));
+        if settled && let Some(record) = &former {
+            // The slots of the former owner itself are set aside, so its report is not awaited.
+            members.remove(&record.view.name);
+        }
         let epoch = former.as_ref().map_or(1, |record| record.view.epoch + 1);
         let kind = match former {
             Some(_) => TakeoverKind::Lapse(members),
@@ -66,6 +73,12 @@
         }
     }
 
+    /// Returns whether a former owner had ruled for so long that all slots were granted under it.
+    fn settled(&self, former: &OwnerRecord) -> bool {
+        let ruled = unix_millis(self.shared.clock.wall()).saturating_sub(former.since_ms);
+        Duration::from_millis(ruled) > longest_deadline(&self.shared)
+    }
+
     /// Writes the ownership record and returns it with the lease if the claim took effect.
     async fn write_claim(
         &self,
@@ -79,7 +92,8 @@
         let view =
             OwnerView { name: identity.name.clone(), address: identity.address, epoch };
         let change = rand::random();
-        let value = OwnerRecord::write(&view, change);
+        let since_ms = unix_millis(self.shared.clock.wall());
+        let value = OwnerRecord::write(&view, change, since_ms);
         let owner = store_keys::owner(domain);
         let alive = store_keys::owner_alive(domain);
         let writes = [
@@ -91,7 +105,7 @@
         match commit {
             Ok(commit) if commit.succeeded => {
                 let revision = commit.revision;
-                return Some((OwnerRecord { view, change, revision }, lease));
+                return Some((OwnerRecord { view, change, since_ms, revision }, lease));
             }
             Ok(_) => {}
             Err(_) => {
@@ -110,6 +124,7 @@
                 }
             }
         }
+        log_event!(Info, "ownership-claim-failed", domain = domain, epoch = epoch);
         let _ = store.revoke_lease(lease).await;
         None
     }
--- a/crates/geraniumwinch-node/src/worker_port.rs
+++ b/crates/geraniumwinch-node/src/worker_port.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
@@ -16,6 +15,7 @@
 use crate::NodeError;
 use crate::Result;
 use crate::http_client::HttpClient;
+use crate::node_shared::unix_millis;
 
 /// A heartbeat to a worker.
 #[derive(Debug, Clone)]
@@ -187,8 +187,3 @@
     };
     Some(TaskReport { task, sighting })
 }
-
-/// Returns the milliseconds since the Unix epoch.
-fn unix_millis(time: SystemTime) -> u64 {
-    time.duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
-}
--- /dev/null
+++ b/crates/geraniumwinch-tests/tests/one_owner.rs
@@ -0,0 +1,165 @@
+//! One owner a domain, no overcommit and no task in two places, under every fault.
+
+use std::time::Duration;
+
+use awc::http::Method;
+use geraniumwinch_tests::CellPlan;
+use geraniumwinch_tests::TestCell;
+use geraniumwinch_tests::TestClient;
+use geraniumwinch_tests::run_test;
+use geraniumwinch_tests::wait_until;
+use serde_json::json;
+use test_case::test_case;
+
+/// The key of the team that jobs are submitted for.
+const KEY: (&str, &str) = ("Authorization", "Bearer key-of-yard-a");
+
+/// A fault that strikes a domain that runs tasks.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum OwnerFault {
+    Kill,
+    FreezePastLease,
+    StoreOutage,
+    StoreOutageAndFreeze,
+    LostAnswers,
+    FrozenWorkers,
+    CutWorkers,
+    LostStarts,
+}
+
+/// Submits a batch job and returns its identifier.
+async fn submit(cell: &TestCell, entry: usize, tasks: usize, run_time_ms: u64) -> String {
+    let url = format!("{}/v1/queues/exchange/jobs", cell.entry_url(0, entry));
+    let body = format!(
+        r#"{{"kind":"batch","tasks":{tasks},"cpu_millis":3000,"memory_bytes":1000000,
+            "run_time_ms":{run_time_ms}}}"#
+    );
+    let client = TestClient::default();
+    for _ in 0..40 {
+        let answer = client.send(Method::POST, &url, &[KEY], body.clone()).await;
+        if answer.status == 202 {
+            return answer.field("job");
+        }
+        tokio::time::sleep(Duration::from_millis(250)).await;
+    }
+    panic!("no job was accepted");
+}
+
+/// Strikes the first domain and mends what passes.
+async fn strike(cell: &mut TestCell, owner: usize, fault: OwnerFault) {
+    let workers = format!("{}200:", cell.addresses.domain_prefix(0));
+    match fault {
+        OwnerFault::Kill => cell.entries.get_mut(&(0, owner)).unwrap().kill(),
+        OwnerFault::FreezePastLease => {
+            cell.entries[&(0, owner)].freeze();
+            tokio::time::sleep(Duration::from_millis(7000)).await;
+            cell.entries[&(0, owner)].thaw();
+        }
+        OwnerFault::StoreOutage => {
+            cell.set_store_faults(json!({ "down": true })).await;
+            tokio::time::sleep(Duration::from_millis(7000)).await;
+            cell.set_store_faults(json!({})).await;
+        }
+        OwnerFault::StoreOutageAndFreeze => {
+            cell.set_store_faults(json!({ "down": true })).await;
+            cell.entries[&(0, owner)].freeze();
+            tokio::time::sleep(Duration::from_millis(5000)).await;
+            cell.entries[&(0, owner)].thaw();
+            tokio::time::sleep(Duration::from_millis(2000)).await;
+            cell.set_store_faults(json!({})).await;
+        }
+        OwnerFault::LostAnswers => {
+            cell.set_store_faults(json!({ "lose_answers": 20 })).await;
+            cell.entries.get_mut(&(0, owner)).unwrap().kill();
+        }
+        OwnerFault::FrozenWorkers => {
+            cell.stand_ins["worker-zone-a"].freeze();
+            tokio::time::sleep(Duration::from_millis(7000)).await;
+            cell.stand_ins["worker-zone-a"].thaw();
+        }
+        OwnerFault::CutWorkers => {
+            let port = format!("{workers}600");
+            cell.set_rules(json!([{ "to": port, "mode": "cut" }])).await;
+            tokio::time::sleep(Duration::from_millis(7000)).await;
+            cell.set_rules(json!([])).await;
+        }
+        OwnerFault::LostStarts => {
+            for url in cell.worker_urls() {
+                let faults = json!({ "lose_answers": 5 });
+                TestClient::default().post_json(&format!("{url}/faults"), &faults).await;
+            }
+        }
+    }
+}
+
+#[test_case(OwnerFault::Kill; "the owner is killed")]
+#[test_case(OwnerFault::FreezePastLease; "the owner is frozen past its lease and thawed")]
+#[test_case(OwnerFault::StoreOutage; "the store is out for longer than every lease")]
+#[test_case(OwnerFault::StoreOutageAndFreeze; "the store is out and the owner frozen at once")]
+#[test_case(OwnerFault::LostAnswers; "the owner is killed and answers of the store are lost")]
+#[test_case(OwnerFault::FrozenWorkers; "every worker is frozen past the task leases")]
+#[test_case(OwnerFault::CutWorkers; "every worker is cut off past the task leases")]
+#[test_case(OwnerFault::LostStarts; "answers to start commands are lost")]
+fn every_task_runs_in_one_place_while(fault: OwnerFault) {
+    run_test(async {
+        let plan = CellPlan::new(2, 3, 1, 4).proxied().setting(
+            "workers",
+            "task-lease-ms",
+            "3000",
+        );
+        let mut cell = TestCell::start(plan).await;
+        let owner = cell.owner_of(0).await.expect("an owner");
+        let entry = (owner + 1) % 3;
+        let mut jobs = vec![submit(&cell, entry, 30, 1500).await];
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        strike(&mut cell, owner, fault).await;
+        jobs.push(submit(&cell, entry, 10, 300).await);
+        let client = TestClient::default();
+        for job in &jobs {
+            let url = format!("{}/v1/jobs/{job}", cell.entry_url(0, entry));
+            wait_until(&format!("job {job} ends"), async || {
+                client.send(Method::GET, &url, &[KEY], "").await.field("state") == "ended"
+            })
+            .await;
+        }
+        let ledger = cell.ledger().await;
+        assert_eq!(ledger.overcommits, 0, "a worker had more than it can hold");
+        assert!(ledger.doubled_tasks().is_empty(), "{:?}", ledger.doubled_tasks());
+        assert_eq!(ledger.succeeded(), 40, "every task did its work");
+        if matches!(fault, OwnerFault::StoreOutage) {
+            assert_eq!(
+                cell.owner_of(0).await,
+                Some(owner),
+                "an outage moves no ownership"
+            );
+        }
+    });
+}
+
+#[test]
+fn running_tasks_survive_a_takeover() {
+    run_test(async {
+        let mut cell = TestCell::start(CellPlan::new(2, 2, 1, 40)).await;
+        let owner = cell.owner_of(0).await.expect("an owner");
+        let other = 1 - owner;
+        let url = format!("{}/v1/queues/exchange/jobs", cell.entry_url(0, other));
+        let body =
+            r#"{"kind":"service","tasks":600,"cpu_millis":500,"memory_bytes":1000000}"#;
+        let client = TestClient::default();
+        let answer = client.send(Method::POST, &url, &[KEY], body).await;
+        assert_eq!(answer.status, 202, "{:?}", answer.body);
+        wait_until("the tasks run", async || cell.ledger().await.tasks.len() == 500)
+            .await;
+        cell.entries.get_mut(&(0, owner)).unwrap().kill();
+        wait_until("the tasks are found again", async || {
+            let status = cell.status(0, other).await;
+            let report = &status["domains"][0]["report"];
+            report["digest"]["owner"]["epoch"] == 2 && report["tasks_placed"] == 500
+        })
+        .await;
+        let ledger = cell.ledger().await;
+        assert!(
+            ledger.tasks.values().all(|runs| runs.len() == 1 && runs[0].2 == "running")
+        );
+    });
+}
--- a/crates/geraniumwinch-wire/src/lib.rs
+++ b/crates/geraniumwinch-wire/src/lib.rs
@@ -14,6 +14,7 @@
 pub use self::peer_envelope::MAX_MESSAGE_BYTES;
 pub use self::peer_envelope::PeerEnvelope;
 pub use self::peer_envelope::PeerIdentity;
+pub use self::peer_envelope::PeerName;
 pub use self::peer_message::ConfigAnswer;
 pub use self::peer_message::GreetReport;
 pub use self::peer_message::HandoverState;
--- a/crates/geraniumwinch-wire/src/peer_envelope.rs
+++ b/crates/geraniumwinch-wire/src/peer_envelope.rs
@@ -33,6 +33,22 @@
     pub address: SocketAddr,
 }
 
+/// The name of a process and of its failure domain.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerName {
+    /// The process's name.
+    pub name: Name,
+    /// Its failure domain.
+    pub domain: Name,
+}
+
+impl PeerName {
+    /// Returns the name of a process.
+    pub fn of(identity: &PeerIdentity) -> PeerName {
+        PeerName { name: identity.name.clone(), domain: identity.domain.clone() }
+    }
+}
+
 /// A message with its sender and its correlation identifier.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct PeerEnvelope {
--- a/crates/geraniumwinch-wire/src/peer_message.rs
+++ b/crates/geraniumwinch-wire/src/peer_message.rs
@@ -21,6 +21,7 @@
 use crate::DomainDigest;
 use crate::JournalEntry;
 use crate::OwnerView;
+use crate::PeerName;
 use crate::TeamRow;
 
 /// A slot that an entry process holds.
@@ -237,8 +238,8 @@
     pub record_revision: i64,
     /// Where each task is placed.
     pub placements: Vec<(TaskId, Name)>,
-    /// The slots that entries hold, by the entry's name.
-    pub grants: Vec<(Name, HeldGrant)>,
+    /// The slots that entries hold.
+    pub grants: Vec<(PeerName, HeldGrant)>,
 }
 
 /// A message between processes.
