--- a/crates/geraniumwinch-core/src/endpoint_table.rs
+++ b/crates/geraniumwinch-core/src/endpoint_table.rs
@@ -106,6 +106,8 @@
     }
 
     /// Chooses the endpoint of a service with the most free slots, outside the excluded ones.
+    ///
+    /// If every endpoint that takes work is excluded, the exclusion is ignored.
     pub fn choose(
         &self,
         service: &str,
@@ -113,6 +115,15 @@
         holder: GrantHolder,
     ) -> Option<EndpointKey> {
         let keys = self.by_service.get(service)?;
+        let usable = |key: &&EndpointKey| {
+            let state = &self.states[**key];
+            state.listed && !state.spec.leaving
+        };
+        let all_excluded = keys
+            .iter()
+            .filter(usable)
+            .all(|&key| excluded.contains(&self.states[key].spec.name));
+        let excluded = if all_excluded { &[] } else { excluded };
         keys.iter()
             .copied()
             .filter(|&key| self.free_slots(key) > 0 && self.states[key].may_hold(holder))
--- a/crates/geraniumwinch-node/src/journal.rs
+++ b/crates/geraniumwinch-node/src/journal.rs
@@ -146,7 +146,7 @@
             let first = self.sequence + 1;
             let mut written = true;
             for chunk in order.entries.chunks(MAX_BATCH) {
-                let (chunk_fate, chunk_lost) = self.keep(chunk.to_vec(), &mut done).await;
+                let (chunk_fate, chunk_lost) = self.keep(chunk.to_vec()).await;
                 fate = chunk_fate;
                 lost |= chunk_lost;
                 written &= fate == JournalFate::Kept && !lost;
@@ -167,11 +167,7 @@
     }
 
     /// Keeps some entries in the store, or in another process while the store is out.
-    async fn keep(
-        &mut self,
-        entries: Vec<JournalEntry>,
-        _done: &mut [Box<dyn FnOnce(JournalFate) + Send>],
-    ) -> (JournalFate, bool) {
+    async fn keep(&mut self, entries: Vec<JournalEntry>) -> (JournalFate, bool) {
         self.sequence += 1;
         self.since_snapshot += 1;
         let batch = JournalBatch { sequence: self.sequence, entries };
@@ -254,7 +250,7 @@
             entries: batch.entries.clone(),
         });
         for (_, member) in self.shared.members.list() {
-            if member.stopping {
+            if member.stopping || !member.recorded {
                 continue;
             }
             let call =
--- a/crates/geraniumwinch-node/src/member_table.rs
+++ b/crates/geraniumwinch-node/src/member_table.rs
@@ -22,6 +22,8 @@
     pub(crate) heard: Instant,
     /// Whether it is about to stop.
     pub(crate) stopping: bool,
+    /// Whether the store's record of the domain names it, so that a new owner will ask it.
+    pub(crate) recorded: bool,
     /// Whether it has reported the slots that it holds to this owner.
     pub(crate) reported: bool,
 }
@@ -48,6 +50,7 @@
             revision,
             heard: now,
             stopping,
+            recorded: false,
             reported: false,
         });
         member.address = from.address;
@@ -58,6 +61,13 @@
         !member.reported
     }
 
+    /// Notes which processes the store's record of the domain names.
+    pub(crate) fn mark_recorded(&self, names: &[Name]) {
+        for (name, member) in self.lock().iter_mut() {
+            member.recorded = names.contains(name);
+        }
+    }
+
     /// Forgets every process, as when the ownership begins or ends.
     pub(crate) fn clear(&self) {
         self.lock().clear();
@@ -77,10 +87,11 @@
     }
 
     /// Returns the process that was heard last among those that stay.
-    pub(crate) fn successor(&self) -> Option<DomainMember> {
+    pub(crate) fn successor(&self) -> Option<(Name, DomainMember)> {
         let members = self.lock();
-        let staying = members.values().filter(|member| !member.stopping);
-        staying.max_by_key(|member| member.heard).cloned()
+        let staying = members.iter().filter(|(_, member)| !member.stopping);
+        let last = staying.max_by_key(|(_, member)| member.heard);
+        last.map(|(name, member)| (name.clone(), member.clone()))
     }
 
     /// Describes the processes for operators.
--- a/crates/geraniumwinch-node/src/mirror_table.rs
+++ b/crates/geraniumwinch-node/src/mirror_table.rs
@@ -27,8 +27,14 @@
         true
     }
 
-    /// Drops what the store has by now.
+    /// Drops what the store has by now: the batches up to a sequence number of an epoch.
+    ///
+    /// The first batch of an epoch holds what other processes kept of former ones, so nothing is
+    /// dropped before the store has that.
     pub(crate) fn drop_committed(&self, epoch: u64, sequence: u64) {
+        if sequence == 0 {
+            return;
+        }
         let mut batches = self.lock();
         *batches = batches.split_off(&(epoch, sequence + 1));
     }
--- a/crates/geraniumwinch-node/src/ownership.rs
+++ b/crates/geraniumwinch-node/src/ownership.rs
@@ -164,8 +164,12 @@
         match record {
             Ok(None) => self.claim(None).await,
             Ok(Some(record)) => {
-                if let Some(known) = OwnerRecord::read(&record) {
-                    self.follow(known.view);
+                let known =
+                    self.shared.owner.borrow().as_ref().map(|owner| owner.view.epoch);
+                if let Some(found) = OwnerRecord::read(&record)
+                    && known.is_none_or(|epoch| found.view.epoch > epoch)
+                {
+                    self.follow(found.view);
                 }
             }
             Err(_) => self.ask_seeds().await,
@@ -230,6 +234,10 @@
             {
                 self.follow(other);
             }
+            Ok(PeerMessage::NotOwner(_)) if owner.address != own => {
+                self.discover().await;
+                self.suspect(&owner, now).await;
+            }
             _ => self.suspect(&owner, now).await,
         }
     }
--- a/crates/geraniumwinch-node/src/ownership/owned_domain.rs
+++ b/crates/geraniumwinch-node/src/ownership/owned_domain.rs
@@ -260,11 +260,18 @@
             StoreWrite::Put { key: store_keys::members(domain), value, lease: None };
         let commit = self.ports.store.commit(&[condition], &[put]).await;
         self.shared.note_store(commit.is_ok());
-        if commit.is_ok() {
+        if commit.is_ok_and(|commit| commit.succeeded) {
+            self.shared.members.mark_recorded(&names);
             self.members = names;
         }
     }
 
+    /// Has the journal keep entries that only other processes have had so far.
+    pub(super) fn keep_mirrored(&self, entries: Vec<JournalEntry>) {
+        let order = JournalOrder { entries, snapshot: false, done: Box::new(|_| {}) };
+        let _ = self.journal.send(order);
+    }
+
     /// Waits until the journal has dealt with everything that was handed in.
     pub(super) async fn flush(&self) {
         let (sender, receiver) = oneshot::channel();
--- a/crates/geraniumwinch-node/src/ownership/take_over.rs
+++ b/crates/geraniumwinch-node/src/ownership/take_over.rs
@@ -148,7 +148,8 @@
         let started = shared.now();
         shared.members.clear();
         shared.fence.open(epoch, started);
-        let entries = self.read_entries().await;
+        let (mut entries, mirrored) = self.read_entries().await;
+        entries.extend(mirrored.iter().cloned());
         let vms = self.ports.vm_list.read(shared.domain()).await.unwrap_or_default();
         let owned = OwnedDomain::start(
             shared.clone(),
@@ -159,13 +160,17 @@
             entries,
             vms,
         );
+        if !mirrored.is_empty() {
+            owned.keep_mirrored(mirrored);
+        }
         let dispatcher = owned.dispatcher();
         let held = shared.held.of_domain(shared.domain(), shared.now());
         dispatcher.do_send(ReportedGrants { from: shared.link.identity().clone(), held });
         shared.dispatcher.store(Some(std::sync::Arc::new(dispatcher)));
-        shared.follow(record.view, shared.now());
+        shared.follow(record.view.clone(), shared.now());
         *self.owned.borrow_mut() = Some(owned);
         node_metrics::count_takeover(epoch);
+        self.announce(&record.view).await;
         log_event!(
             Info,
             "ownership-taken",
@@ -175,10 +180,17 @@
         );
     }
 
+    /// Tells the other processes of the domain whom to follow from now on.
+    async fn announce(&self, view: &OwnerView) {
+        for address in self.member_addresses().await {
+            self.shared.link.send(address, PeerMessage::Announce(view.clone()));
+        }
+    }
+
     /// Reads the journal from the store and what other processes keep of it.
-    async fn read_entries(&self) -> Vec<JournalEntry> {
+    async fn read_entries(&self) -> (Vec<JournalEntry>, Vec<JournalEntry>) {
         let store = &self.ports.store;
-        let mut entries = loop {
+        let entries = loop {
             match read_journal(store.as_ref(), self.shared.domain()).await {
                 Ok(entries) => break entries,
                 Err(error) => {
@@ -196,9 +208,15 @@
                 batches.extend(more);
             }
         }
+        log_event!(
+            Info,
+            "journal-read",
+            domain = self.shared.domain(),
+            entries = entries.len(),
+            mirrored = batches.len(),
+        );
         batches.sort_by_key(|batch| (batch.epoch, batch.sequence));
-        entries.extend(batches.into_iter().flat_map(|batch| batch.entries));
-        entries
+        (entries, batches.into_iter().flat_map(|batch| batch.entries).collect())
     }
 
     /// Returns the peer addresses of the domain's other processes.
@@ -234,7 +252,7 @@
     pub(super) async fn hand_over(&self) {
         let owned = self.owned.borrow_mut().take();
         let Some(owned) = owned else { return };
-        let Some(successor) = self.shared.members.successor() else {
+        let Some((successor_name, successor)) = self.shared.members.successor() else {
             *self.owned.borrow_mut() = Some(owned);
             return;
         };
@@ -256,6 +274,12 @@
             taken = taken,
         );
         // After a lost answer the successor may own the domain, so this process does not go on.
+        let epoch = owned.epoch() + 1;
         self.step_down(owned);
+        if taken {
+            let view =
+                OwnerView { name: successor_name, address: successor.address, epoch };
+            self.shared.follow(view, self.shared.now());
+        }
     }
 }
--- a/crates/geraniumwinch-node/src/peer_router.rs
+++ b/crates/geraniumwinch-node/src/peer_router.rs
@@ -5,6 +5,7 @@
 
 use geraniumwinch_core::ErrorKind;
 use geraniumwinch_wire::GreetReport;
+use geraniumwinch_wire::OwnerView;
 use geraniumwinch_wire::PeerEnvelope;
 use geraniumwinch_wire::PeerIdentity;
 use geraniumwinch_wire::PeerMessage;
@@ -67,6 +68,7 @@
                 let batches = self.shared.mirror.batches();
                 self.answer(&from, correlation, PeerMessage::MirrorAnswer(batches));
             }
+            PeerMessage::Announce(view) => self.take_announcement(&from, view),
             PeerMessage::Digest(_) => self.digest(&from, correlation),
             PeerMessage::Handover(state) => self.handover(from, correlation, state),
             body => self.mail(PeerMail { from, correlation, body }),
@@ -94,6 +96,15 @@
         ProbeReport { owner: owner.as_ref().map(|owner| owner.view.clone()) }
     }
 
+    /// Follows a new owner of the domain if its epoch is higher.
+    fn take_announcement(&self, from: &PeerIdentity, view: OwnerView) {
+        let shared = &self.shared;
+        let known = shared.owner.borrow().as_ref().map_or(0, |owner| owner.view.epoch);
+        if from.domain == *shared.domain() && view.epoch > known {
+            shared.follow(view, shared.now());
+        }
+    }
+
     /// Answers a heartbeat.
     fn greet(&self, from: &PeerIdentity, correlation: u128, report: GreetReport) {
         let shared = &self.shared;
--- a/crates/geraniumwinch-node/src/request_carrier.rs
+++ b/crates/geraniumwinch-node/src/request_carrier.rs
@@ -79,24 +79,32 @@
     state.budgets.earn(&budget);
     let backoff = RetryBackoff::new(BACKOFF.0, BACKOFF.1);
     let mut attempt = 0;
+    let mut maybe_ran: Option<RefusalAnswer> = None;
     loop {
         let (refusal, endpoint) = match attempt_once(state, &carried).await {
             AttemptEnd::Answer(response) => {
                 node_metrics::count_request(shared.now() - carried.arrived);
                 return response;
             }
-            AttemptEnd::Final(refusal) => return refuse(&carried, refusal),
+            // An earlier attempt may have run, which a later one that did not can't take back.
+            AttemptEnd::Final(refusal) => {
+                return refuse(&carried, maybe_ran.unwrap_or(refusal));
+            }
             AttemptEnd::Failed(refusal, endpoint) => (refusal, endpoint),
         };
         let not_run = refusal.kind.answer().run == geraniumwinch_core::RunState::NotRun;
+        if !not_run {
+            maybe_ran = Some(refusal.clone());
+        }
+        let told = maybe_ran.clone().unwrap_or_else(|| refusal.clone());
         attempt += 1;
         let repeatable = carried.idempotent || not_run;
         if !repeatable || attempt >= MAX_ATTEMPTS || !state.budgets.spend(&budget) {
-            return refuse(&carried, refusal);
+            return refuse(&carried, told);
         }
         let delay = backoff.delay(attempt, &mut rand::rng());
         if shared.now() + delay >= carried.wish.deadline {
-            return refuse(&carried, refusal);
+            return refuse(&carried, told);
         }
         node_metrics::count_retry(refusal.kind);
         tokio::time::sleep(delay).await;
--- a/crates/geraniumwinch-tests/src/bin/geraniumwinch-measure.rs
+++ b/crates/geraniumwinch-tests/src/bin/geraniumwinch-measure.rs
@@ -27,8 +27,9 @@
     match what.as_str() {
         "path" => run_test(measure_path()),
         "capacity" => run_test(measure_capacity()),
+        "takeover" => run_test(measure_tasks(40, 600)),
         _ => {
-            eprintln!("usage: geraniumwinch-measure path | capacity");
+            eprintln!("usage: geraniumwinch-measure path | capacity | takeover");
             std::process::exit(2);
         }
     }
--- a/crates/geraniumwinch-tests/src/cell_addresses.rs
+++ b/crates/geraniumwinch-tests/src/cell_addresses.rs
@@ -3,24 +3,44 @@
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
 
 /// The number of domains for which a cell has addresses.
 const MAX_DOMAINS: u32 = 8;
 
+/// The port that marks the addresses of a cell as taken.
+const RESERVATION: u16 = 2000;
+
 /// The addresses of a cell: each domain has a network of its own below 127.0.0.0/8.
-#[derive(Debug, Clone, Copy)]
+///
+/// The number of the process alone does not tell two cells apart, since numbers come round again
+/// within minutes. So a listener on a port of the cell reserves its addresses.
+#[derive(Debug, Clone)]
 pub struct CellAddresses {
     second: u8,
     third: u8,
+    _reservation: Arc<TcpListener>,
 }
 
 impl CellAddresses {
-    /// Chooses the addresses by the number of this process.
-    pub fn of_process() -> Self {
-        let pid = std::process::id();
-        let second = 1 + (pid % 250) as u8;
-        let third = ((pid / 250) % (250 / (MAX_DOMAINS + 1)) * (MAX_DOMAINS + 1)) as u8;
-        CellAddresses { second, third }
+    /// Reserves addresses that no other cell has.
+    ///
+    /// # Panics
+    ///
+    /// Panics if every address is taken.
+    pub fn reserve() -> Self {
+        let groups = 250 / (MAX_DOMAINS + 1);
+        let first = std::process::id();
+        for number in first..first + 250 * groups {
+            let second = 1 + (number % 250) as u8;
+            let third = ((number / 250) % groups * (MAX_DOMAINS + 1)) as u8;
+            let ip = IpAddr::V4(Ipv4Addr::new(127, second, third, 1));
+            if let Ok(listener) = TcpListener::bind(SocketAddr::new(ip, RESERVATION)) {
+                return CellAddresses { second, third, _reservation: Arc::new(listener) };
+            }
+        }
+        panic!("every address of a cell is taken");
     }
 
     /// Returns an address in the network of a domain; network 0 is the platform's.
--- a/crates/geraniumwinch-tests/src/test_cell.rs
+++ b/crates/geraniumwinch-tests/src/test_cell.rs
@@ -60,12 +60,14 @@
 
     /// Starts the stand-ins of a cell.
     pub async fn start_bare(plan: CellPlan) -> TestCell {
-        let folder =
-            std::env::temp_dir().join(format!("geraniumwinch-{}", std::process::id()));
+        let addresses = CellAddresses::reserve();
+        let name = format!("geraniumwinch-{}", addresses.platform_prefix());
+        let folder = std::env::temp_dir().join(name);
+        let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).expect("a folder for logs");
         let mut cell = TestCell {
             plan,
-            addresses: CellAddresses::of_process(),
+            addresses,
             entries: BTreeMap::new(),
             stand_ins: BTreeMap::new(),
             leaving: Vec::new(),
--- /dev/null
+++ b/crates/geraniumwinch-tests/tests/cut_off_domains.rs
@@ -0,0 +1,149 @@
+//! Domains that are cut off go on, limits hold across the fleet, and accepted jobs are never lost.
+
+use std::time::Duration;
+
+use awc::http::Method;
+use geraniumwinch_tests::CellPlan;
+use geraniumwinch_tests::TestCell;
+use geraniumwinch_tests::TestClient;
+use geraniumwinch_tests::default_set;
+use geraniumwinch_tests::run_test;
+use geraniumwinch_tests::wait_until;
+use serde_json::json;
+
+/// The key of the team that jobs are submitted for.
+const KEY: (&str, &str) = ("Authorization", "Bearer key-of-yard-a");
+
+/// Submits a batch job through a process and returns the answer.
+async fn submit(
+    cell: &TestCell,
+    domain: usize,
+    tasks: usize,
+    run_time_ms: u64,
+) -> geraniumwinch_tests::TestAnswer {
+    let url = format!("{}/v1/queues/exchange/jobs", cell.entry_url(domain, 0));
+    let body = format!(
+        r#"{{"kind":"batch","tasks":{tasks},"cpu_millis":500,"memory_bytes":1000000,
+            "run_time_ms":{run_time_ms}}}"#
+    );
+    TestClient::default().send(Method::POST, &url, &[KEY], body).await
+}
+
+/// Waits until some tasks have done their work.
+async fn await_succeeded(cell: &TestCell, tasks: usize) {
+    let what = format!("{tasks} tasks have done their work");
+    wait_until(&what, async || cell.ledger().await.succeeded() >= tasks).await;
+}
+
+#[test]
+fn the_limit_holds_over_the_fleet_also_while_cut() {
+    run_test(async {
+        let plan = CellPlan::new(3, 1, 1, 3).proxied().with_set(default_set(20));
+        let cell = TestCell::start(plan).await;
+        for domain in 0..3 {
+            assert_eq!(submit(&cell, domain, 20, 700).await.status, 202);
+        }
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        cell.set_rules(cell.cut_off(2)).await;
+        tokio::time::sleep(Duration::from_millis(2000)).await;
+        cell.set_rules(json!([])).await;
+        await_succeeded(&cell, 60).await;
+        let ledger = cell.ledger().await;
+        assert!(ledger.most_running() <= 20, "{} ran at once", ledger.most_running());
+        assert!(ledger.doubled_tasks().is_empty());
+    });
+}
+
+#[test]
+fn a_cut_off_domain_runs_what_it_accepted() {
+    run_test(async {
+        let plan = CellPlan::new(2, 2, 2, 2).proxied().setting(
+            "workers",
+            "task-lease-ms",
+            "2000",
+        );
+        let cell = TestCell::start(plan).await;
+        assert_eq!(submit(&cell, 1, 40, 1500).await.status, 202);
+        cell.set_rules(cell.cut_off(1)).await;
+        tokio::time::sleep(Duration::from_millis(6000)).await;
+        let client = TestClient::default();
+        let url = format!("{}/v1/queues/open/requests/price", cell.entry_url(1, 0));
+        assert_eq!(client.send(Method::GET, &url, &[], "").await.status, 200);
+        assert_eq!(
+            cell.ledger().await.succeeded(),
+            40,
+            "running and waiting tasks went on"
+        );
+        cell.set_rules(json!([])).await;
+        wait_until("keyed work goes on", async || {
+            submit(&cell, 1, 10, 100).await.status == 202
+        })
+        .await;
+        await_succeeded(&cell, 50).await;
+        let ledger = cell.ledger().await;
+        assert!(ledger.doubled_tasks().is_empty());
+        assert!(ledger.tasks.values().all(|runs| runs.len() == 1), "nothing ran again");
+    });
+}
+
+#[test]
+fn accepted_jobs_survive_the_loss_of_every_entry() {
+    run_test(async {
+        let plan = CellPlan::new(2, 2, 1, 2).setting("workers", "task-lease-ms", "2000");
+        let mut cell = TestCell::start(plan).await;
+        for domain in 0..2 {
+            assert_eq!(submit(&cell, domain, 20, 500).await.status, 202);
+        }
+        cell.entries.values_mut().for_each(|process| process.kill());
+        cell.start_entries().await;
+        await_succeeded(&cell, 40).await;
+        let ledger = cell.ledger().await;
+        assert!(ledger.doubled_tasks().is_empty());
+        assert_eq!(ledger.overcommits, 0);
+    });
+}
+
+#[test]
+fn a_job_accepted_in_an_outage_survives_its_dispatcher() {
+    run_test(async {
+        let plan = CellPlan::new(1, 3, 1, 2).setting("workers", "task-lease-ms", "2000");
+        let mut cell = TestCell::start(plan).await;
+        let owner = cell.owner_of(0).await.expect("an owner");
+        // The store's record names a process that has joined after the next heartbeat or two; before
+        // that no successor would ask it for what it keeps, and the dispatcher does not count on it.
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        cell.set_store_faults(json!({ "down": true })).await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let answer = submit(&cell, 0, 20, 400).await;
+        assert_eq!(answer.status, 202, "{:?}", answer.body);
+        cell.entries.get_mut(&(0, owner)).unwrap().kill();
+        tokio::time::sleep(Duration::from_millis(1000)).await;
+        cell.set_store_faults(json!({})).await;
+        await_succeeded(&cell, 20).await;
+        assert!(cell.ledger().await.doubled_tasks().is_empty());
+    });
+}
+
+#[test]
+fn a_lone_process_in_an_outage_refuses_jobs_truthfully() {
+    run_test(async {
+        let cell = TestCell::start(CellPlan::new(1, 1, 1, 1)).await;
+        cell.set_store_faults(json!({ "down": true })).await;
+        let first = submit(&cell, 0, 1, 100).await;
+        assert_eq!(
+            first.field("run"),
+            "unknown",
+            "the first write may have taken effect"
+        );
+        let second = submit(&cell, 0, 7, 100).await;
+        assert_eq!(second.field("error"), "store-unavailable");
+        assert!(second.not_run() && second.header("retry-after").is_some());
+        cell.set_store_faults(json!({})).await;
+        wait_until("a job is accepted", async || {
+            submit(&cell, 0, 1, 100).await.status == 202
+        })
+        .await;
+        await_succeeded(&cell, 2).await;
+        assert_eq!(cell.ledger().await.tasks.len(), 2, "the refused job has not run");
+    });
+}
--- a/crates/geraniumwinch-wire/src/peer_message.rs
+++ b/crates/geraniumwinch-wire/src/peer_message.rs
@@ -255,6 +255,8 @@
     Probe,
     /// Answers a probe.
     ProbeAnswer(ProbeReport),
+    /// Tells the processes of a domain of its new owner.
+    Announce(OwnerView),
     /// Asks for a slot.
     SlotAsk(SlotAsk),
     /// Answers a request for a slot.
