--- a/crates/geraniumwinch-config/src/node_settings.rs
+++ b/crates/geraniumwinch-config/src/node_settings.rs
@@ -62,6 +62,8 @@
     pub owner_lease: Duration,
     /// The time between two heartbeats of a process to its dispatcher.
     pub peer_heartbeat: Duration,
+    /// The time between two exchanges of digests with another domain.
+    pub digest_period: Duration,
     /// The time for which a task runs without a renewal.
     pub task_lease: Duration,
     /// The time between two heartbeats to a worker.
@@ -112,6 +114,7 @@
             domains: reader.domains(),
             owner_lease: reader.millis("ownership", "lease-ms"),
             peer_heartbeat: reader.millis("ownership", "heartbeat-ms"),
+            digest_period: reader.millis("ownership", "digest-ms"),
             task_lease: reader.millis("workers", "task-lease-ms"),
             worker_heartbeat: reader.millis("workers", "heartbeat-ms"),
             keys_fresh: reader.millis("keys", "fresh-ms"),
--- a/crates/geraniumwinch-config/src/node_settings/setting_row.rs
+++ b/crates/geraniumwinch-config/src/node_settings/setting_row.rs
@@ -86,6 +86,13 @@
         (20, 10_000),
         "The time in milliseconds between two heartbeats to the dispatcher.",
     ),
+    number(
+        "ownership",
+        "digest-ms",
+        "1000",
+        (50, 60_000),
+        "The time in milliseconds between two exchanges of digests with another domain.",
+    ),
     number(
         "workers",
         "task-lease-ms",
--- a/crates/geraniumwinch-core/src/error_kind.rs
+++ b/crates/geraniumwinch-core/src/error_kind.rs
@@ -116,6 +116,8 @@
     SetInvalid => "set-invalid", 422, NotRun, NEVER;
     /// It is not known whether the configuration was published.
     PublishUnknown => "publish-unknown", 503, Unknown, SECONDS;
+    /// The process has not learnt the configuration yet.
+    ProcessStarting => "process-starting", 503, NotRun, SECONDS;
     /// The process is stopping.
     ProcessStopping => "process-stopping", 503, NotRun, SOON;
 }
--- a/crates/geraniumwinch-core/src/placement_board/inventory.rs
+++ b/crates/geraniumwinch-core/src/placement_board/inventory.rs
@@ -32,7 +32,7 @@
     pub fn heartbeat_sent(&mut self, worker: &Name, now: Instant) {
         let Some(key) = self.workers.find(worker) else { return };
         if let Some(state) = self.workers.get_mut(key) {
-            state.renewed = Some(now);
+            state.leased = Some(now);
         }
     }
 
@@ -189,7 +189,7 @@
             TaskSighting::Failed => self.retry_failed(task, worker, place, now),
             TaskSighting::Stopped | TaskSighting::Running => self.requeue(task),
         }
-        self.start_reserved(worker);
+        self.start_reserved(worker, now);
     }
 
     /// Tries a failed task again after a backoff, unless the job has failed on several workers.
@@ -285,7 +285,7 @@
             .iter()
             .filter(|(_, state)| !state.reached && state.tasks > 0)
             .filter(|(_, state)| {
-                state.renewed.is_some_and(|renewed| renewed + patience <= now)
+                state.leased.is_some_and(|leased| leased + patience <= now)
             })
             .map(|(key, _)| key)
             .collect();
--- a/crates/geraniumwinch-core/src/placement_board/placing.rs
+++ b/crates/geraniumwinch-core/src/placement_board/placing.rs
@@ -144,7 +144,7 @@
             placed.push(task);
         }
         if placed.len() == count as usize {
-            placed.into_iter().for_each(|task| self.send_start(task));
+            placed.into_iter().for_each(|task| self.send_start(task, now));
             return true;
         }
         for task in placed.into_iter().rev() {
@@ -232,12 +232,13 @@
         self.on_worker.entry(place.worker).or_default().insert(task);
     }
 
-    /// Sends the start command of a placed task.
-    pub(super) fn send_start(&mut self, task: TaskRef) {
+    /// Sends the start command of a placed task, which gives it its first lease.
+    pub(super) fn send_start(&mut self, task: TaskRef, now: Instant) {
         let (key, index) = task;
         let job = &self.jobs[key];
         let TaskState::Placed(place) = job.tasks[index as usize] else { return };
-        let Some(worker) = self.workers.get(place.worker) else { return };
+        let Some(worker) = self.workers.get_mut(place.worker) else { return };
+        worker.leased = Some(now);
         self.commands.push(BoardCommand::Start {
             worker: worker.spec.name.clone(),
             address: worker.spec.address.clone(),
--- a/crates/geraniumwinch-core/src/placement_board/preemption.rs
+++ b/crates/geraniumwinch-core/src/placement_board/preemption.rs
@@ -91,7 +91,7 @@
     }
 
     /// Starts the reserved tasks of a worker whose room has become free.
-    pub(super) fn start_reserved(&mut self, worker: WorkerKey) {
+    pub(super) fn start_reserved(&mut self, worker: WorkerKey, now: Instant) {
         let Some(tasks) = self.on_worker.get(&worker) else { return };
         let mut held = ResourceVector::default();
         let mut reserved = Vec::new();
@@ -117,7 +117,7 @@
             if let TaskState::Placed(place) = state {
                 place.phase = TaskPhase::Starting;
             }
-            self.send_start(task);
+            self.send_start(task, now);
         }
     }
 }
--- a/crates/geraniumwinch-core/src/placement_board/recovery.rs
+++ b/crates/geraniumwinch-core/src/placement_board/recovery.rs
@@ -100,7 +100,7 @@
             let place = TaskPlace { worker, attempt: id.attempt, since: now, phase };
             self.put_as((key, id.index), place, ledger);
             if let Some(state) = self.workers.get_mut(worker) {
-                state.renewed = Some(now);
+                state.leased = Some(now);
             }
             if self.jobs[key].cancelled {
                 self.stop_task((key, id.index), false, now);
--- a/crates/geraniumwinch-core/src/worker_table.rs
+++ b/crates/geraniumwinch-core/src/worker_table.rs
@@ -39,8 +39,8 @@
     pub booked: ResourceVector,
     /// Whether its inventory is known and its last heartbeat was answered.
     pub reached: bool,
-    /// When a heartbeat that renews its task leases was last sent.
-    pub renewed: Option<Instant>,
+    /// When a command that gives or renews a task's lease was last sent.
+    pub leased: Option<Instant>,
     /// Whether the VM list names it.
     pub listed: bool,
     /// The number of tasks booked on it.
@@ -92,7 +92,7 @@
             spec,
             booked: ResourceVector::default(),
             reached: false,
-            renewed: None,
+            leased: None,
             listed: true,
             tasks: 0,
             starts: 0.0,
--- /dev/null
+++ b/crates/geraniumwinch-core/tests/grant_desk.rs
@@ -0,0 +1,220 @@
+//! The desk against a naive count of slots, teams and answers.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use geraniumwinch_core::DeskOutcome;
+use geraniumwinch_core::EndpointSpec;
+use geraniumwinch_core::ErrorKind;
+use geraniumwinch_core::GrantDesk;
+use geraniumwinch_core::GrantHolder;
+use geraniumwinch_core::GrantOffer;
+use geraniumwinch_core::Name;
+use geraniumwinch_core::QueuePolicy;
+use geraniumwinch_core::SlotRequest;
+use geraniumwinch_core::TeamLedger;
+use geraniumwinch_core::TeamPolicy;
+use proptest::collection::vec;
+use proptest::prelude::Just;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::prop_oneof;
+use proptest::proptest;
+use proptest::test_runner::RngSeed;
+
+/// The cases of the generated tests.
+const CASES: u32 = 500;
+/// The seed of the generated tests.
+const SEED: u64 = 20261203;
+
+/// The allowance of each team.
+const ALLOWANCE: u32 = 5;
+/// The slots of each endpoint.
+const SLOTS: u32 = 4;
+
+/// One step of a run.
+#[derive(Debug, Clone)]
+enum DeskStep {
+    Submit { team: usize, deadline_ms: u64, holder: GrantHolder },
+    Release(usize),
+    Wait(u64),
+    Leave(usize),
+}
+
+/// Generates a step.
+fn step() -> impl Strategy<Value = DeskStep> {
+    let holder = prop_oneof![
+        Just(GrantHolder::Member),
+        Just(GrantHolder::Owner),
+        Just(GrantHolder::Remote)
+    ];
+    prop_oneof![
+        4 => (0..3_usize, 1..500_u64, holder)
+            .prop_map(|(team, deadline_ms, holder)| DeskStep::Submit { team, deadline_ms, holder }),
+        3 => any::<usize>().prop_map(DeskStep::Release),
+        2 => (1..200_u64).prop_map(DeskStep::Wait),
+        1 => (0..3_usize).prop_map(DeskStep::Leave),
+    ]
+}
+
+/// Describes the endpoints, some of them leaving.
+fn endpoints(leaving: &[bool; 3]) -> Vec<EndpointSpec> {
+    let spec = |(index, leaving): (usize, &bool)| EndpointSpec {
+        name: format!("endpoint-{index}").into(),
+        service: "service".into(),
+        address: "127.0.0.1:1".into(),
+        slots: SLOTS,
+        leaving: *leaving,
+    };
+    leaving.iter().enumerate().map(spec).collect()
+}
+
+/// A naive account of what the desk has handed out.
+#[derive(Default)]
+struct NaiveAccount {
+    open: HashMap<u64, usize>,
+    held: Vec<(GrantOffer, usize, Instant)>,
+    answered: HashMap<u64, u32>,
+}
+
+impl NaiveAccount {
+    /// Takes in outcomes and checks each of them.
+    fn take(&mut self, outcomes: Vec<DeskOutcome<(u64, Instant)>>, leaving: &[bool; 3]) {
+        for outcome in outcomes {
+            let (number, deadline) = outcome.context;
+            let team =
+                self.open.remove(&number).expect("only open requests are answered");
+            *self.answered.entry(number).or_default() += 1;
+            if let Ok(offer) = outcome.result {
+                let index: usize = offer.endpoint[9..].parse().expect("a number");
+                assert!(!leaving[index], "a leaving endpoint got new work");
+                self.held.push((offer, team, deadline + Duration::from_millis(500)));
+            }
+        }
+        let mut busy: HashMap<Name, u32> = HashMap::new();
+        let mut teams = [0; 3];
+        for (offer, team, _) in &self.held {
+            *busy.entry(offer.endpoint.clone()).or_default() += 1;
+            teams[*team] += 1;
+        }
+        assert!(busy.values().all(|count| *count <= SLOTS), "{busy:?}");
+        assert!(teams.iter().all(|count| *count <= ALLOWANCE), "{teams:?}");
+        assert!(self.answered.values().all(|count| *count == 1));
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: CASES,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn slots_and_allowances_are_never_exceeded(steps in vec(step(), 1..120)) {
+        let start = Instant::now();
+        let mut now = start;
+        let mut ledger = TeamLedger::default();
+        let policy = TeamPolicy { weight: 1.0, allowance: ALLOWANCE };
+        let names: Vec<Name> = (0..3).map(|team| format!("team-{team}").into()).collect();
+        ledger.set_policies(&names.iter().map(|name| (name.clone(), policy)).collect());
+        let mut desk = GrantDesk::new(1, None);
+        let mut leaving = [false; 3];
+        desk.set_endpoints(&endpoints(&leaving));
+        let queue = QueuePolicy {
+            service: "service".into(),
+            max_waiting: 10,
+            default_deadline: Duration::from_secs(1),
+            max_deadline: Duration::from_secs(1),
+        };
+        desk.set_queues(&BTreeMap::from([("queue".into(), queue)]));
+        let mut account = NaiveAccount::default();
+        let mut number = 0;
+        for step in steps {
+            match step {
+                DeskStep::Submit { team, deadline_ms, holder } => {
+                    number += 1;
+                    account.open.insert(number, team);
+                    let deadline = now + Duration::from_millis(deadline_ms);
+                    let request = SlotRequest {
+                        id: u128::from(number),
+                        queue: "queue".into(),
+                        team: Some(ledger.key_of(&names[team])),
+                        holder,
+                        deadline,
+                        excluded: Vec::new(),
+                        context: (number, deadline),
+                    };
+                    let refused = desk.submit(request, &ledger, now);
+                    account.take(refused.into_iter().collect(), &leaving);
+                }
+                DeskStep::Release(index) if !account.held.is_empty() => {
+                    let index = index % account.held.len();
+                    let (offer, ..) = account.held.swap_remove(index);
+                    desk.release(offer.ticket, &mut ledger, now);
+                }
+                DeskStep::Release(_) => {}
+                DeskStep::Wait(millis) => {
+                    now += Duration::from_millis(millis);
+                    let expired = desk.expire(&mut ledger, now);
+                    for ticket in &expired {
+                        let held = account.held.iter().find(|held| held.0.ticket == *ticket);
+                        prop_assert!(held.is_some_and(|held| held.2 <= now), "expired too early");
+                    }
+                    account.held.retain(|held| !expired.contains(&held.0.ticket));
+                }
+                DeskStep::Leave(index) => {
+                    leaving[index] = !leaving[index];
+                    desk.set_endpoints(&endpoints(&leaving));
+                }
+            }
+            let outcomes = desk.pump(&mut ledger, now);
+            account.take(outcomes, &leaving);
+        }
+        now += Duration::from_secs(10);
+        let outcomes = desk.pump(&mut ledger, now);
+        account.take(outcomes, &leaving);
+        prop_assert!(account.open.is_empty(), "every request is answered in the end");
+    }
+}
+
+#[test]
+fn a_recovering_desk_refuses_and_then_sets_slots_aside() {
+    let now = Instant::now();
+    let until = now + Duration::from_secs(5);
+    let mut ledger = TeamLedger::default();
+    let mut desk = GrantDesk::new(2, Some(until));
+    let mut spec = endpoints(&[false; 3]).remove(0);
+    spec.slots = 8;
+    desk.set_endpoints(&[spec]);
+    let queue = QueuePolicy {
+        service: "service".into(),
+        max_waiting: 100,
+        default_deadline: Duration::from_secs(60),
+        max_deadline: Duration::from_secs(60),
+    };
+    desk.set_queues(&BTreeMap::from([("queue".into(), queue)]));
+    let request = |id| SlotRequest {
+        id,
+        queue: "queue".into(),
+        team: None,
+        holder: GrantHolder::Member,
+        deadline: now + Duration::from_secs(60),
+        excluded: Vec::new(),
+        context: (),
+    };
+    let refused = desk.submit(request(1), &ledger, now).expect("a refusal");
+    assert_eq!(refused.result, Err((ErrorKind::DomainRecovering, Some(until - now))));
+    desk.end_recovery();
+    for id in 2..20 {
+        assert!(desk.submit(request(id), &ledger, now).is_none());
+    }
+    let set_aside = GrantHolder::set_aside(8) as usize;
+    assert_eq!(desk.pump(&mut ledger, now).len(), 8 - set_aside);
+    assert_eq!(desk.pump(&mut ledger, until).len(), set_aside);
+}
--- /dev/null
+++ b/crates/geraniumwinch-core/tests/placement_board.rs
@@ -0,0 +1,357 @@
+//! The board against naive workers that run whatever they are told.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
+
+use geraniumwinch_core::BoardCommand;
+use geraniumwinch_core::ErrorKind;
+use geraniumwinch_core::JobId;
+use geraniumwinch_core::JobKind;
+use geraniumwinch_core::JobSpec;
+use geraniumwinch_core::Name;
+use geraniumwinch_core::PlacementBoard;
+use geraniumwinch_core::ResourceVector;
+use geraniumwinch_core::TaskId;
+use geraniumwinch_core::TaskReport;
+use geraniumwinch_core::TaskSighting;
+use geraniumwinch_core::TeamKey;
+use geraniumwinch_core::TeamLedger;
+use geraniumwinch_core::TeamPolicy;
+use geraniumwinch_core::WorkerSpec;
+use proptest::collection::vec;
+use proptest::prelude::ProptestConfig;
+use proptest::prelude::Strategy;
+use proptest::prelude::any;
+use proptest::prop_oneof;
+use proptest::proptest;
+use proptest::test_runner::RngSeed;
+
+/// The cases of the generated tests.
+const CASES: u32 = 500;
+/// The seed of the generated tests.
+const SEED: u64 = 20261203;
+
+/// The allowance of each team.
+const ALLOWANCE: u32 = 8;
+/// The processors of each worker in thousandths.
+const CPU: u64 = 4000;
+/// The time for which tasks run without a renewal.
+const LEASE: Duration = Duration::from_secs(3);
+
+/// One step of a run.
+#[derive(Debug, Clone)]
+enum BoardStep {
+    Submit { team: usize, tasks: u32, cpu: u64, urgent: bool, gang: bool },
+    Cancel(usize),
+    Heartbeat(usize),
+    Silence(usize),
+    Deliver(usize),
+    LoseAnswer(usize),
+    Finish(usize, bool),
+    Wait(u64),
+}
+
+/// Generates a step.
+fn step() -> impl Strategy<Value = BoardStep> {
+    let job = (0..2_usize, 1..5_u32, 1..5_u64, any::<bool>(), any::<bool>());
+    prop_oneof![
+        3 => job.prop_map(|(team, tasks, cpu, urgent, gang)| BoardStep::Submit {
+            team, tasks, cpu: cpu * 1000, urgent, gang,
+        }),
+        1 => any::<usize>().prop_map(BoardStep::Cancel),
+        4 => (0..3_usize).prop_map(BoardStep::Heartbeat),
+        1 => (0..3_usize).prop_map(BoardStep::Silence),
+        6 => any::<usize>().prop_map(BoardStep::Deliver),
+        1 => any::<usize>().prop_map(BoardStep::LoseAnswer),
+        4 => (any::<usize>(), any::<bool>()).prop_map(|(index, good)| BoardStep::Finish(index, good)),
+        2 => (1..3000_u64).prop_map(BoardStep::Wait),
+    ]
+}
+
+/// A worker that runs what it is told, under leases.
+#[derive(Default)]
+struct NaiveWorker {
+    running: BTreeMap<TaskId, (u64, Instant)>,
+    ended: BTreeMap<TaskId, TaskSighting>,
+    stopped: BTreeSet<TaskId>,
+}
+
+/// The board with its workers and the commands on their way.
+struct NaiveFleet {
+    board: PlacementBoard,
+    ledger: TeamLedger,
+    workers: BTreeMap<Name, NaiveWorker>,
+    silent: BTreeSet<Name>,
+    on_way: Vec<(BoardCommand, Instant)>,
+    ended: BTreeSet<(JobId, u32)>,
+    now: Instant,
+}
+
+impl NaiveFleet {
+    /// Creates a fleet of three workers that have reported.
+    fn new() -> (Self, Vec<TeamKey>) {
+        let now = Instant::now();
+        let mut ledger = TeamLedger::default();
+        let policy = TeamPolicy { weight: 1.0, allowance: ALLOWANCE };
+        let names: Vec<Name> = (0..2).map(|team| format!("team-{team}").into()).collect();
+        ledger.set_policies(&names.iter().map(|name| (name.clone(), policy)).collect());
+        let teams = names.iter().map(|name| ledger.key_of(name)).collect();
+        let mut board = PlacementBoard::new(1, LEASE);
+        let specs: Vec<WorkerSpec> = (0..3)
+            .map(|index| WorkerSpec {
+                name: format!("worker-{index}").into(),
+                rack: "rack".into(),
+                address: "127.0.0.1:1".into(),
+                capacity: size(CPU),
+                leaving: false,
+            })
+            .collect();
+        board.set_workers(&specs);
+        let workers =
+            specs.iter().map(|spec| (spec.name.clone(), NaiveWorker::default()));
+        let mut fleet = NaiveFleet {
+            board,
+            ledger,
+            workers: workers.collect(),
+            silent: BTreeSet::new(),
+            on_way: Vec::new(),
+            ended: BTreeSet::new(),
+            now,
+        };
+        for index in 0..3 {
+            fleet.heartbeat(index);
+        }
+        (fleet, teams)
+    }
+
+    /// Exchanges a heartbeat with a worker, which renews leases and tells its inventory.
+    fn heartbeat(&mut self, index: usize) {
+        let name: Name = format!("worker-{index}").into();
+        if self.silent.remove(&name) {
+            // The first heartbeat after a silence renews nothing.
+        } else {
+            self.board.heartbeat_sent(&name, self.now);
+        }
+        let worker = self.workers.get_mut(&name).expect("a worker");
+        for (_, lease) in worker.running.values_mut() {
+            *lease = self.now + LEASE;
+        }
+        let running = worker.running.keys().map(|task| (task, TaskSighting::Running));
+        let ended = worker.ended.iter().map(|(task, sighting)| (task, *sighting));
+        let reports: Vec<TaskReport> = running
+            .chain(ended)
+            .map(|(task, sighting)| TaskReport { task: task.clone(), sighting })
+            .collect();
+        self.board.inventory(&name, &reports, self.now, &mut self.ledger, self.now);
+    }
+
+    /// Lets a worker carry out a command; the answer may be lost.
+    fn deliver(&mut self, index: usize, lost: bool) {
+        if self.on_way.is_empty() {
+            return;
+        }
+        let (command, sent) = self.on_way.remove(index % self.on_way.len());
+        match command {
+            BoardCommand::Start { worker, task, spec, expires_in, .. } => {
+                let state = self.workers.get_mut(&worker).expect("a worker");
+                let taken =
+                    self.now <= sent + expires_in && !state.stopped.contains(&task);
+                if taken {
+                    state
+                        .running
+                        .insert(task.clone(), (spec.size.cpu_millis, self.now + LEASE));
+                }
+                match (lost, taken) {
+                    (true, _) => self.board.start_unknown(&task, self.now),
+                    (false, true) => self.board.start_confirmed(&task, self.now),
+                    (false, false) => {
+                        self.board.start_refused(&task, &mut self.ledger, self.now);
+                    }
+                }
+            }
+            BoardCommand::Stop { worker, task, .. } => {
+                let state = self.workers.get_mut(&worker).expect("a worker");
+                state.running.remove(&task);
+                state.ended.remove(&task);
+                state.stopped.insert(task.clone());
+                if !lost {
+                    self.board.stop_confirmed(&task, &mut self.ledger, self.now);
+                }
+            }
+            BoardCommand::RecordEnd { job, index, .. } => {
+                assert!(self.ended.insert((job, index)), "a task ended twice");
+            }
+            BoardCommand::Acknowledge { worker, task } => {
+                self.workers.get_mut(&worker).expect("a worker").ended.remove(&task);
+            }
+            BoardCommand::RecordJobEnd { .. } => {}
+        }
+    }
+
+    /// Lets time pass; leases that have run out end their tasks.
+    fn wait(&mut self, millis: u64) {
+        self.now += Duration::from_millis(millis);
+        let now = self.now;
+        for worker in self.workers.values_mut() {
+            let over: Vec<TaskId> = worker
+                .running
+                .iter()
+                .filter(|(_, (_, lease))| *lease <= now)
+                .map(|(task, _)| task.clone())
+                .collect();
+            for task in over {
+                worker.running.remove(&task);
+                worker.ended.insert(task, TaskSighting::Stopped);
+            }
+        }
+    }
+
+    /// Ends a running task.
+    fn finish(&mut self, index: usize, good: bool) {
+        let running: Vec<(Name, TaskId)> = self
+            .workers
+            .iter()
+            .flat_map(|(name, worker)| {
+                worker.running.keys().map(|task| (name.clone(), task.clone()))
+            })
+            .collect();
+        if running.is_empty() {
+            return;
+        }
+        let (name, task) = running[index % running.len()].clone();
+        let worker = self.workers.get_mut(&name).expect("a worker");
+        worker.running.remove(&task);
+        let sighting = if good { TaskSighting::Succeeded } else { TaskSighting::Failed };
+        worker.ended.insert(task, sighting);
+    }
+
+    /// Lets the board decide and checks what the workers run.
+    fn settle(&mut self) {
+        self.board.tick(&mut self.ledger, self.now);
+        self.board.place(&mut self.ledger, self.now);
+        let commands = self.board.take_commands();
+        self.on_way.extend(commands.into_iter().map(|command| (command, self.now)));
+        let mut places: BTreeMap<(JobId, u32), Vec<&Name>> = BTreeMap::new();
+        for (name, worker) in &self.workers {
+            let used: u64 = worker.running.values().map(|(cpu, _)| cpu).sum();
+            assert!(used <= CPU, "{name} runs {used}");
+            for task in worker.running.keys() {
+                places.entry((task.job.clone(), task.index)).or_default().push(name);
+            }
+        }
+        let doubled = places.iter().find(|(_, names)| names.len() > 1);
+        assert!(doubled.is_none(), "{doubled:?}");
+    }
+}
+
+/// Creates a size of some processors.
+fn size(cpu_millis: u64) -> ResourceVector {
+    ResourceVector { cpu_millis, memory_bytes: 1000, accelerators: 0 }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: CASES,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_worker_is_overcommitted_and_no_task_is_doubled(
+        steps in vec(step(), 1..200),
+    ) {
+        let (mut fleet, teams) = NaiveFleet::new();
+        let mut jobs = Vec::new();
+        for step in steps {
+            match step {
+                BoardStep::Submit { team, tasks, cpu, urgent, gang } => {
+                    let serial = jobs.len() as u64 + 1;
+                    let id = JobId { domain: "zone".into(), epoch: 1, serial };
+                    let kind = if gang { JobKind::Gang } else { JobKind::Batch };
+                    let spec = JobSpec {
+                        kind, tasks, size: size(cpu), run_time_ms: 0, urgent, checkpointable: false,
+                    };
+                    jobs.push(id.clone());
+                    fleet.board.submit(id, spec, teams[team], "queue".into(), fleet.now);
+                }
+                BoardStep::Cancel(index) if !jobs.is_empty() => {
+                    let id = &jobs[index % jobs.len()];
+                    fleet.board.cancel(id, &mut fleet.ledger, fleet.now);
+                }
+                BoardStep::Cancel(_) => {}
+                BoardStep::Heartbeat(index) => fleet.heartbeat(index),
+                BoardStep::Silence(index) => {
+                    let name: Name = format!("worker-{index}").into();
+                    fleet.board.heartbeat_failed(&name);
+                    fleet.silent.insert(name);
+                }
+                BoardStep::Deliver(index) => fleet.deliver(index, false),
+                BoardStep::LoseAnswer(index) => fleet.deliver(index, true),
+                BoardStep::Finish(index, good) => fleet.finish(index, good),
+                BoardStep::Wait(millis) => fleet.wait(millis),
+            }
+            fleet.settle();
+        }
+    }
+}
+
+#[test]
+fn a_job_that_no_worker_could_hold_is_refused() {
+    let (fleet, teams) = NaiveFleet::new();
+    let spec = JobSpec {
+        kind: JobKind::Batch,
+        tasks: 1,
+        size: size(CPU + 1),
+        run_time_ms: 0,
+        urgent: false,
+        checkpointable: false,
+    };
+    let refused = fleet.board.check(&spec, teams[0], &fleet.ledger);
+    assert_eq!(refused, Some(ErrorKind::JobNeverFits));
+}
+
+#[test]
+fn an_urgent_task_preempts_the_least_work() {
+    let (mut fleet, teams) = NaiveFleet::new();
+    let submit = |fleet: &mut NaiveFleet, serial, tasks, urgent| {
+        let id = JobId { domain: "zone".into(), epoch: 1, serial };
+        let kind = JobKind::Batch;
+        let spec = JobSpec {
+            kind,
+            tasks,
+            size: size(CPU),
+            run_time_ms: 0,
+            urgent,
+            checkpointable: false,
+        };
+        fleet.board.submit(
+            id,
+            spec,
+            teams[serial as usize % 2],
+            "queue".into(),
+            fleet.now,
+        );
+        fleet.settle();
+        while !fleet.on_way.is_empty() {
+            fleet.deliver(0, false);
+            fleet.settle();
+        }
+    };
+    submit(&mut fleet, 1, 2, false);
+    fleet.wait(1000);
+    submit(&mut fleet, 2, 1, false);
+    submit(&mut fleet, 3, 1, true);
+    let running: Vec<u64> = fleet
+        .workers
+        .values()
+        .flat_map(|worker| worker.running.keys().map(|task| task.job.serial))
+        .collect();
+    assert_eq!(running.iter().filter(|serial| **serial == 1).count(), 2, "{running:?}");
+    assert!(
+        running.contains(&3),
+        "the urgent task runs in place of the youngest: {running:?}"
+    );
+}
--- /dev/null
+++ b/crates/geraniumwinch-core/tests/tables.rs
@@ -0,0 +1,142 @@
+//! The small tables: records, error kinds, budgets, identifiers.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+use geraniumwinch_core::ErrorKind;
+use geraniumwinch_core::JobId;
+use geraniumwinch_core::Name;
+use geraniumwinch_core::RecordBegin;
+use geraniumwinch_core::RecordDigest;
+use geraniumwinch_core::RecordState;
+use geraniumwinch_core::RecordTable;
+use geraniumwinch_core::RetryBudget;
+use geraniumwinch_core::RunState;
+use geraniumwinch_core::TaskId;
+use geraniumwinch_core::home_domain;
+use proptest::collection::vec;
+use proptest::prelude::ProptestConfig;
+use proptest::prop_assert;
+use proptest::proptest;
+use proptest::test_runner::RngSeed;
+use test_case::test_case;
+
+/// The cases of the generated tests.
+const CASES: u32 = 500;
+/// The seed of the generated tests.
+const SEED: u64 = 20261203;
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: CASES,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_key_begins_once_within_its_window(keys in vec(0..20_u8, 1..200)) {
+        let now = Instant::now();
+        let mut table = RecordTable::new(100, Duration::from_secs(60));
+        let mut naive: HashMap<u8, u32> = HashMap::new();
+        for key in keys {
+            let digest = RecordDigest::of(&[&[key]]);
+            let begun = table.begin(digest, digest, now) == RecordBegin::New;
+            *naive.entry(key).or_default() += u32::from(begun);
+            table.expire(now + Duration::from_secs(59));
+        }
+        prop_assert!(naive.values().all(|count| *count == 1));
+    }
+}
+
+#[test]
+fn a_full_table_refuses_new_keys_and_keeps_known_ones() {
+    let now = Instant::now();
+    let mut table = RecordTable::new(1, Duration::from_secs(60));
+    let first = RecordDigest::of(&[b"first"]);
+    let second = RecordDigest::of(&[b"second"]);
+    assert_eq!(table.begin(first, first, now), RecordBegin::New);
+    assert_eq!(table.begin(second, second, now), RecordBegin::Full);
+    assert_eq!(table.begin(first, first, now), RecordBegin::Known(RecordState::Intent));
+    assert_eq!(table.begin(first, second, now), RecordBegin::Reused);
+}
+
+#[test]
+fn an_open_intent_outlasts_its_window() {
+    let now = Instant::now();
+    let mut table = RecordTable::new(10, Duration::from_secs(1));
+    let digest = RecordDigest::of(&[b"open"]);
+    table.begin(digest, digest, now);
+    table.expire(now + Duration::from_secs(5));
+    assert_eq!(table.len(), 1);
+    table.settle(&digest, RecordState::Unknown, now + Duration::from_secs(5));
+    table.expire(now + Duration::from_secs(7));
+    assert!(table.is_empty());
+}
+
+#[test]
+fn each_error_kind_has_a_name_of_its_own_and_a_status_of_failure() {
+    let names: BTreeSet<&str> =
+        ErrorKind::ALL.iter().map(|kind| kind.answer().name).collect();
+    assert_eq!(names.len(), ErrorKind::ALL.len());
+    for kind in ErrorKind::ALL {
+        let answer = kind.answer();
+        assert!((400..600).contains(&answer.status), "{kind}");
+        let comes_back = answer.status == 503 || answer.status == 429;
+        assert!(
+            !comes_back || answer.retry_after.is_some(),
+            "{kind} tells when to come back"
+        );
+    }
+}
+
+#[test_case(ErrorKind::EndpointConnect, RunState::NotRun; "no byte has left")]
+#[test_case(ErrorKind::EndpointFailed, RunState::Unknown; "the connection broke")]
+#[test_case(ErrorKind::AnswerLate, RunState::Unknown; "the answer is late")]
+#[test_case(ErrorKind::AlreadyRan, RunState::Ran; "an earlier request ended")]
+fn an_answer_tells_what_is_known_of_the_run(kind: ErrorKind, run: RunState) {
+    assert_eq!(kind.answer().run, run);
+}
+
+#[test]
+fn repeated_attempts_stay_below_a_fifth_of_first_ones() {
+    let mut budget = RetryBudget::new(0.1, 10.0);
+    let mut attempts = 0;
+    for _ in 0..1000 {
+        budget.earn();
+        attempts += 1;
+        while budget.spend() {
+            attempts += 1;
+        }
+    }
+    assert!(attempts < 1200, "{attempts} attempts for 1000 requests");
+}
+
+#[test]
+fn removing_a_domain_moves_only_the_keys_that_had_their_home_there() {
+    let all: Vec<Name> = ["a", "b", "c"].map(Name::from).to_vec();
+    let fewer = all[..2].to_vec();
+    for number in 0..200_u32 {
+        let digest = RecordDigest::of(&[&number.to_be_bytes()]);
+        let before = home_domain(&digest, &all).expect("a home");
+        let after = home_domain(&digest, &fewer).expect("a home");
+        assert!(before == after || &**before == "c");
+    }
+}
+
+#[test_case("zone-a.1.2/3/4294967297"; "a plain domain")]
+#[test_case("za.cape.1.7.9/0/1"; "a domain with dots")]
+fn identifiers_read_back_as_they_are_written(text: &str) {
+    let task: TaskId = text.parse().expect("a task");
+    assert_eq!(task.to_string(), text);
+}
+
+#[test_case(""; "nothing")]
+#[test_case("zone"; "no numbers")]
+#[test_case(".1.2"; "no domain")]
+#[test_case("zone.one.2"; "a word for a number")]
+fn malformed_job_identifiers_are_refused(text: &str) {
+    assert!(text.parse::<JobId>().is_err());
+}
--- a/crates/geraniumwinch-node/src/catalog_state.rs
+++ b/crates/geraniumwinch-node/src/catalog_state.rs
@@ -104,6 +104,12 @@
         *fresh = Some(fresh.map_or(at, |earlier| earlier.max(at)));
     }
 
+    /// Returns whether the process has learnt the configuration, even if there is none yet.
+    pub(crate) fn is_known(&self) -> bool {
+        let fresh = self.fresh.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        fresh.is_some() || self.view().revision > 0
+    }
+
     /// Returns the time since the revision in force was last known to be the newest one.
     pub(crate) fn fresh_age(&self, now: Instant) -> Option<Duration> {
         let fresh = self.fresh.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
--- a/crates/geraniumwinch-node/src/config_keeper.rs
+++ b/crates/geraniumwinch-node/src/config_keeper.rs
@@ -161,10 +161,16 @@
 
 /// Fetches newer revisions that a process hears of from its peers, until the process ends.
 pub(crate) async fn run_peers(shared: Arc<NodeShared>) {
+    let mut exchanged: Option<Instant> = None;
     loop {
         tokio::time::sleep(shared.settings.peer_heartbeat).await;
+        let now = shared.now();
         if shared.fence.epoch().is_some() {
-            exchange_digests(&shared).await;
+            let period = shared.settings.digest_period;
+            if exchanged.is_none_or(|at| now.saturating_duration_since(at) >= period) {
+                exchanged = Some(now);
+                exchange_digests(&shared).await;
+            }
         } else if let Some(owner) = shared.live_owner()
             && shared.heard_revision.load(Ordering::Relaxed)
                 > shared.catalog.view().revision
@@ -255,5 +261,5 @@
     {
         shared.catalog.confirm(at);
     }
-    shared.domains.update(digest, sent);
+    shared.domains.update(digest, sent, shared.now());
 }
--- a/crates/geraniumwinch-node/src/domain_map.rs
+++ b/crates/geraniumwinch-node/src/domain_map.rs
@@ -16,6 +16,8 @@
     pub(crate) digest: DomainDigest,
     /// A time at or before which the digest was made.
     pub(crate) made: Instant,
+    /// When it arrived here.
+    pub(crate) heard: Instant,
 }
 
 /// The last digests of the other failure domains.
@@ -26,14 +28,14 @@
 
 impl DomainMap {
     /// Takes in a digest that is newer than the known one.
-    pub(crate) fn update(&self, digest: DomainDigest, made: Instant) {
+    pub(crate) fn update(&self, digest: DomainDigest, made: Instant, heard: Instant) {
         let mut rows = self.lock();
         let newer = rows.get(&digest.domain).is_none_or(|row| {
             digest.owner.epoch > row.digest.owner.epoch
                 || (digest.owner.epoch == row.digest.owner.epoch && made > row.made)
         });
         if newer {
-            rows.insert(digest.domain.clone(), DomainRow { digest, made });
+            rows.insert(digest.domain.clone(), DomainRow { digest, made, heard });
         }
     }
 
--- a/crates/geraniumwinch-node/src/entry_server.rs
+++ b/crates/geraniumwinch-node/src/entry_server.rs
@@ -134,6 +134,9 @@
     if state.shared.stopping() {
         return RefusalAnswer::new(ErrorKind::ProcessStopping, "").into_response();
     }
+    if !state.shared.catalog.is_known() {
+        return RefusalAnswer::new(ErrorKind::ProcessStarting, "").into_response();
+    }
     HttpResponse::Ok().body("ok\n")
 }
 
@@ -315,6 +318,9 @@
     queue: &str,
 ) -> std::result::Result<Option<Name>, RefusalAnswer> {
     let shared = &state.shared;
+    if !shared.catalog.is_known() {
+        return Err(RefusalAnswer::new(ErrorKind::ProcessStarting, ""));
+    }
     let view = shared.catalog.view();
     let policy = view.catalog.queues.get(queue);
     if policy.is_none() && !queue.is_empty() {
--- a/crates/geraniumwinch-node/src/http_client.rs
+++ b/crates/geraniumwinch-node/src/http_client.rs
@@ -5,6 +5,8 @@
 
 use awc::Client;
 use awc::Connector;
+use awc::http::StatusCode;
+use awc::http::header;
 use serde_json::Value;
 
 use crate::NodeError;
@@ -44,10 +46,38 @@
         self.finish(service, request).await
     }
 
-    /// Gets a JSON answer.
-    pub(crate) async fn get(&self, service: &'static str, url: &str) -> Result<Value> {
-        let request = self.client.get(url).send();
-        self.finish(service, request).await
+    /// Gets a JSON answer with its tag, or nothing if it still has the tag that is known.
+    pub(crate) async fn get_changed(
+        &self,
+        service: &'static str,
+        url: &str,
+        known: Option<String>,
+    ) -> Result<Option<(Value, Option<String>)>> {
+        let failed = |message: String| NodeError::Platform { service, message };
+        let mut request = self.client.get(url);
+        if let Some(tag) = known {
+            request = request.insert_header((header::IF_NONE_MATCH, tag));
+        }
+        let answer = async {
+            let mut answer =
+                request.send().await.map_err(|error| failed(error.to_string()))?;
+            if answer.status() == StatusCode::NOT_MODIFIED {
+                return Ok(None);
+            }
+            let tag = answer.headers().get(header::ETAG);
+            let tag = tag.and_then(|tag| tag.to_str().ok()).map(str::to_owned);
+            let body = answer.body().limit(MAX_ANSWER).await;
+            let body = body.map_err(|error| failed(error.to_string()))?;
+            if !answer.status().is_success() {
+                return Err(failed(format!("status {}", answer.status())));
+            }
+            let value = serde_json::from_slice(&body);
+            Ok(Some((value.map_err(|error| failed(error.to_string()))?, tag)))
+        };
+        match tokio::time::timeout(self.timeout, answer).await {
+            Ok(answer) => answer,
+            Err(_) => Err(failed("no answer in time".to_owned())),
+        }
     }
 
     /// Awaits a JSON answer for at most the client's timeout.
--- a/crates/geraniumwinch-node/src/journal.rs
+++ b/crates/geraniumwinch-node/src/journal.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use geraniumwinch_core::Name;
 use geraniumwinch_wire::JournalEntry;
@@ -29,6 +30,8 @@
 const COMPACT_AFTER: u64 = 300;
 /// The number of batches that are read at a time.
 const PAGE: usize = 100;
+/// The least time between the beginnings of two writes, which bounds the calls on the store.
+const WRITE_PERIOD: Duration = Duration::from_millis(50);
 /// The time that another process has to confirm a batch.
 const MIRROR_TIMEOUT: Duration = Duration::from_millis(500);
 /// The time between two attempts to reach the store during an outage.
@@ -75,6 +78,7 @@
     since_snapshot: u64,
     snapshot_wanted: bool,
     backlog: VecDeque<JournalBatch>,
+    next_write: Option<Instant>,
 }
 
 /// How a write to the store ended.
@@ -101,6 +105,7 @@
             since_snapshot: 0,
             snapshot_wanted: false,
             backlog: VecDeque::new(),
+            next_write: None,
         }
     }
 
@@ -124,6 +129,7 @@
                 }
             };
             let Some(first) = order else { return false };
+            self.await_turn().await;
             let mut batch = vec![first];
             let mut size = batch[0].entries.len();
             while size < MAX_BATCH && !batch[0].snapshot {
@@ -137,6 +143,17 @@
         }
     }
 
+    /// Waits until the next write may begin; what is handed in meanwhile goes with it.
+    async fn await_turn(&mut self) {
+        let now = self.shared.now();
+        if let Some(next) = self.next_write
+            && next > now
+        {
+            tokio::time::sleep(next - now).await;
+        }
+        self.next_write = Some(self.shared.now() + WRITE_PERIOD);
+    }
+
     /// Keeps the entries of some orders; returns whether the ownership is lost.
     async fn write_orders(&mut self, orders: Vec<JournalOrder>) -> bool {
         let mut lost = false;
--- a/crates/geraniumwinch-node/src/member_table.rs
+++ b/crates/geraniumwinch-node/src/member_table.rs
@@ -22,6 +22,8 @@
     pub(crate) heard: Instant,
     /// Whether it is about to stop.
     pub(crate) stopping: bool,
+    /// When it was last told of the other domains.
+    pub(crate) told: Option<Instant>,
     /// Whether the store's record of the domain names it, so that a new owner will ask it.
     pub(crate) recorded: bool,
     /// Whether it has reported the slots that it holds to this owner.
@@ -50,6 +52,7 @@
             revision,
             heard: now,
             stopping,
+            told: None,
             recorded: false,
             reported: false,
         });
@@ -61,6 +64,11 @@
         !member.reported
     }
 
+    /// Notes that a process is told of the other domains now; returns when it was told last.
+    pub(crate) fn tell(&self, name: &Name, now: Instant) -> Option<Instant> {
+        self.lock().get_mut(name).and_then(|member| member.told.replace(now))
+    }
+
     /// Notes which processes the store's record of the domain names.
     pub(crate) fn mark_recorded(&self, names: &[Name]) {
         for (name, member) in self.lock().iter_mut() {
--- a/crates/geraniumwinch-node/src/ownership.rs
+++ b/crates/geraniumwinch-node/src/ownership.rs
@@ -252,7 +252,7 @@
         for (digest, age_ms) in welcome.domains {
             let age = Duration::from_millis(age_ms);
             if let Some(made) = sent.checked_sub(age) {
-                shared.domains.update(digest, made);
+                shared.domains.update(digest, made, shared.now());
             }
         }
         shared.mirror.drop_committed(welcome.epoch, welcome.committed);
--- a/crates/geraniumwinch-node/src/peer_router.rs
+++ b/crates/geraniumwinch-node/src/peer_router.rs
@@ -125,8 +125,12 @@
             dispatcher.do_send(ReportedGrants { from: from.clone(), held });
         }
         let age = |made| now.saturating_duration_since(made).as_millis() as u64;
+        let told = shared.members.tell(&from.name, now);
         let domains = shared.domains.rows().into_iter();
-        let domains = domains.map(|row| (row.digest, age(row.made))).collect();
+        let domains = domains
+            .filter(|row| told.is_none_or(|told| row.heard > told))
+            .map(|row| (row.digest, age(row.made)))
+            .collect();
         let fresh = shared.catalog.fresh_age(now);
         let welcome = WelcomeReport {
             epoch,
--- a/crates/geraniumwinch-node/src/slot_client.rs
+++ b/crates/geraniumwinch-node/src/slot_client.rs
@@ -25,6 +25,8 @@
 const MAX_DOMAINS: usize = 3;
 /// The time for which a request waits for an owner of a domain that has none.
 const OWNER_PATIENCE: Duration = Duration::from_millis(500);
+/// The time between two looks for an owner.
+const OWNER_RETRY: Duration = Duration::from_millis(20);
 /// The time between two attempts to give a slot with a record back.
 const RELEASE_RETRY: Duration = Duration::from_millis(300);
 /// The time for which giving such a slot back is tried.
@@ -78,7 +80,7 @@
     let home = wish.record.as_ref().map(|(_, home)| home.clone());
     let mut domain = home.clone().unwrap_or_else(|| shared.domain().clone());
     let mut asked: Vec<Name> = Vec::new();
-    let mut waited = false;
+    let patience = shared.now() + OWNER_PATIENCE;
     loop {
         asked.push(domain.clone());
         let may_spill = home.is_none() && asked.len() == 1;
@@ -90,17 +92,20 @@
             }
             DomainAnswer::Refused(refusal) => refusal,
         };
-        let unowned =
-            matches!(refusal.kind, ErrorKind::DomainUnowned | ErrorKind::HomeUnreachable);
-        if unowned && !waited && domain == *shared.domain() {
+        let unowned = match refusal.kind {
+            ErrorKind::DomainUnowned => true,
+            // A home in another domain that can't be reached may be cut off for long.
+            ErrorKind::HomeUnreachable => home.as_ref() == Some(shared.domain()),
+            _ => false,
+        };
+        let in_time = shared.now() < patience && shared.now() < wish.deadline;
+        let alone = home.is_some() || next_domain(shared, wish, &asked).is_none();
+        if unowned && in_time && alone {
             // A handover is over within a moment, and then the domain has an owner again.
-            waited = true;
-            if next_domain(shared, wish, &asked).is_none()
-                && await_owner(shared, wish).await
-            {
-                asked.pop();
-                continue;
-            }
+            tokio::time::sleep(OWNER_RETRY).await;
+            asked.clear();
+            domain = home.clone().unwrap_or_else(|| shared.domain().clone());
+            continue;
         }
         if home.is_some() || asked.len() >= MAX_DOMAINS || !is_local(refusal.kind) {
             return SlotEnd::Refused(refusal);
@@ -115,21 +120,6 @@
     }
 }
 
-/// Waits a moment for an owner of the process's domain and returns whether there is one.
-async fn await_owner(shared: &NodeShared, wish: &SlotWish) -> bool {
-    let mut changes = shared.owner.subscribe();
-    let patience =
-        OWNER_PATIENCE.min(wish.deadline.saturating_duration_since(shared.now()));
-    let found = async {
-        while shared.live_owner().is_none() {
-            if changes.changed().await.is_err() {
-                return;
-            }
-        }
-    };
-    tokio::time::timeout(patience, found).await.is_ok()
-}
-
 /// What a domain answered.
 enum DomainAnswer {
     Slot(Box<SlotEnd>),
--- a/crates/geraniumwinch-node/src/vm_list.rs
+++ b/crates/geraniumwinch-node/src/vm_list.rs
@@ -1,5 +1,8 @@
 //! The platform's list of VMs.
 
+use std::cell::RefCell;
+use std::rc::Rc;
+
 use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use geraniumwinch_core::EndpointSpec;
@@ -31,6 +34,7 @@
 pub(crate) struct HttpVmList {
     client: HttpClient,
     url: String,
+    last: Rc<RefCell<Option<(String, DomainVms)>>>,
 }
 
 /// One VM of the list.
@@ -65,7 +69,7 @@
 impl HttpVmList {
     /// Creates an adapter for the list at a URL.
     pub(crate) fn new(client: HttpClient, url: &str) -> Self {
-        HttpVmList { client, url: url.to_owned() }
+        HttpVmList { client, url: url.to_owned(), last: Rc::default() }
     }
 }
 
@@ -74,12 +78,20 @@
         let client = self.client.clone();
         let url = format!("{}?domain={domain}", self.url);
         let domain = domain.clone();
+        let last = self.last.clone();
         async move {
-            let answer = client.get("VM list", &url).await?;
+            let known = last.borrow().as_ref().map(|(tag, _)| tag.clone());
+            let answer = client.get_changed("VM list", &url, known).await?;
+            let Some((answer, tag)) = answer else {
+                let vms = last.borrow().as_ref().map(|(_, vms)| vms.clone());
+                return Ok(vms.unwrap_or_default());
+            };
             let rows: VmRows = serde_json::from_value(answer).map_err(|error| {
                 NodeError::Platform { service: "VM list", message: error.to_string() }
             })?;
-            Ok(sort_rows(rows, &domain))
+            let vms = sort_rows(rows, &domain);
+            *last.borrow_mut() = tag.map(|tag| (tag, vms.clone()));
+            Ok(vms)
         }
         .boxed_local()
     }
--- a/crates/geraniumwinch-standins/src/vm_list.rs
+++ b/crates/geraniumwinch-standins/src/vm_list.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use actix_web::App;
+use actix_web::HttpRequest;
 use actix_web::HttpResponse;
 use actix_web::HttpServer;
 use actix_web::web;
@@ -20,6 +21,7 @@
 #[derive(Debug, Default)]
 struct ListState {
     versions: VecDeque<(Instant, Value)>,
+    passed: u64,
     lag: Duration,
     calls: u64,
 }
@@ -59,18 +61,38 @@
     HttpResponse::Ok().json(json!({}))
 }
 
-/// Shows the list as it was some time ago.
-async fn show_list(list: web::Data<Mutex<ListState>>) -> HttpResponse {
+/// Which part of the list is wanted.
+#[derive(Debug, Deserialize)]
+struct ListQuery {
+    domain: Option<String>,
+}
+
+/// Shows the list as it was some time ago, unless the caller has it.
+async fn show_list(
+    list: web::Data<Mutex<ListState>>,
+    query: web::Query<ListQuery>,
+    request: HttpRequest,
+) -> HttpResponse {
     let mut list = lock(&list);
     list.calls += 1;
     let lag = list.lag;
     while list.versions.get(1).is_some_and(|(since, _)| since.elapsed() >= lag) {
         list.versions.pop_front();
+        list.passed += 1;
     }
-    match list.versions.front() {
-        Some((_, vms)) => HttpResponse::Ok().json(vms),
-        None => HttpResponse::Ok().json(json!({ "vms": [] })),
+    let tag = format!("\"{}\"", list.passed);
+    let known = request.headers().get("If-None-Match");
+    let Some((_, vms)) = list.versions.front() else {
+        return HttpResponse::Ok().json(json!({ "vms": [] }));
+    };
+    if known.is_some_and(|known| known.as_bytes() == tag.as_bytes()) {
+        return HttpResponse::NotModified().finish();
     }
+    let wanted =
+        |vm: &&Value| query.domain.as_deref().is_none_or(|domain| vm["domain"] == domain);
+    let vms: Vec<&Value> =
+        vms["vms"].as_array().into_iter().flatten().filter(wanted).collect();
+    HttpResponse::Ok().insert_header(("ETag", tag)).json(json!({ "vms": vms }))
 }
 
 /// Sets the switches of faults.
--- a/crates/geraniumwinch-tests/src/bin/geraniumwinch-measure.rs
+++ b/crates/geraniumwinch-tests/src/bin/geraniumwinch-measure.rs
@@ -28,8 +28,9 @@
         "path" => run_test(measure_path()),
         "capacity" => run_test(measure_capacity()),
         "takeover" => run_test(measure_tasks(40, 600)),
+        "urgent" => run_test(measure_urgent(40)),
         _ => {
-            eprintln!("usage: geraniumwinch-measure path | capacity | takeover");
+            eprintln!("usage: geraniumwinch-measure path | capacity | takeover | urgent");
             std::process::exit(2);
         }
     }
@@ -133,6 +134,9 @@
     for rate in [10, 40] {
         measure_starts(rate).await;
     }
+    for workers in [4, 40] {
+        measure_urgent(workers).await;
+    }
     for teams in [10, 270] {
         measure_configuration(teams).await;
     }
@@ -283,6 +287,43 @@
     print_row(&format!("starts-{rate}/s"), &cell, 0, &usage);
 }
 
+/// Measures how long urgent tasks take to start on a domain that is full of batch tasks.
+async fn measure_urgent(workers: usize) {
+    let plan = CellPlan::new(2, 2, 1, workers).with_set(default_set(100_000));
+    let cell = TestCell::start(plan).await;
+    submit(&cell, workers * 32, 600_000, "batch").await;
+    wait_until("the domain is full", async || running_tasks(&cell).await == workers * 32)
+        .await;
+    let url = format!("{}/v1/queues/exchange/jobs", cell.entry_url(0, 0));
+    let body = r#"{"kind":"batch","tasks":1,"cpu_millis":4000,"memory_bytes":1000000,
+        "run_time_ms":600000,"urgent":true}"#;
+    let client = TestClient::default();
+    let mut times = Vec::new();
+    for _ in 0..20 {
+        let began = Instant::now();
+        let answer = client.send(Method::POST, &url, &[KEY], body).await;
+        assert_eq!(answer.status, 202, "{:?}", answer.body);
+        let job = answer.field("job");
+        wait_until("the urgent task runs", async || {
+            cell.ledger()
+                .await
+                .tasks
+                .keys()
+                .any(|task| task.starts_with(&format!("{job}/")))
+        })
+        .await;
+        times.push(began.elapsed());
+    }
+    times.sort_unstable();
+    println!(
+        "urgent,2,2,{workers},{},start p50 ms {},max ms {}",
+        workers * 32,
+        times[times.len() / 2].as_millis(),
+        times[times.len() - 1].as_millis()
+    );
+    assert_eq!(cell.ledger().await.overcommits, 0);
+}
+
 /// Measures how long a change takes to be in force everywhere, with a set of some teams.
 async fn measure_configuration(teams: usize) {
     let mut set = default_set(1000);
--- a/crates/geraniumwinch-tests/tests/one_owner.rs
+++ b/crates/geraniumwinch-tests/tests/one_owner.rs
@@ -3,6 +3,9 @@
 use std::time::Duration;
 
 use awc::http::Method;
+use geraniumwinch_core::Name;
+use geraniumwinch_core::RecordDigest;
+use geraniumwinch_core::home_domain;
 use geraniumwinch_tests::CellPlan;
 use geraniumwinch_tests::TestCell;
 use geraniumwinch_tests::TestClient;
@@ -27,8 +30,22 @@
     LostStarts,
 }
 
-/// Submits a batch job and returns its identifier.
+/// Returns an idempotency key whose home is the first domain.
+fn local_key(cell: &TestCell, name: &str) -> String {
+    let domains: Vec<Name> =
+        cell.plan.domains.iter().map(|domain| domain.name.as_str().into()).collect();
+    let local = |key: &String| {
+        let parts: [&[u8]; 4] = [b"job", b"yard-a", b"exchange", key.as_bytes()];
+        home_domain(&RecordDigest::of(&parts), &domains) == Some(&domains[0])
+    };
+    let mut keys = (0..100).map(|number| format!("{name}-{number}"));
+    keys.find(local).expect("some key has its home in the first domain")
+}
+
+/// Submits a batch job, repeatedly with the same key, and returns its identifier.
 async fn submit(cell: &TestCell, entry: usize, tasks: usize, run_time_ms: u64) -> String {
+    let key = local_key(cell, &format!("job-of-{tasks}"));
+    let headers = [KEY, ("Idempotency-Key", key.as_str())];
     let url = format!("{}/v1/queues/exchange/jobs", cell.entry_url(0, entry));
     let body = format!(
         r#"{{"kind":"batch","tasks":{tasks},"cpu_millis":3000,"memory_bytes":1000000,
@@ -36,7 +53,7 @@
     );
     let client = TestClient::default();
     for _ in 0..40 {
-        let answer = client.send(Method::POST, &url, &[KEY], body.clone()).await;
+        let answer = client.send(Method::POST, &url, &headers, body.clone()).await;
         if answer.status == 202 {
             return answer.field("job");
         }
--- a/crates/geraniumwinch-wire/src/peer_message.rs
+++ b/crates/geraniumwinch-wire/src/peer_message.rs
@@ -59,7 +59,8 @@
     pub revision: u64,
     /// The age in milliseconds of the knowledge that this revision is the newest one.
     pub fresh_age_ms: Option<u64>,
-    /// The last known digest of each other domain, with its age in milliseconds.
+    /// The digests of other domains that are new since the last answer, with their ages in
+    /// milliseconds.
     pub domains: Vec<(DomainDigest, u64)>,
     /// The newest sequence number of the journal that the store has.
     pub committed: u64,
