--- a/Makefile
+++ b/Makefile
@@ -20,5 +20,11 @@
 	./target/release/geraniumwinch-measure path
 	./target/release/geraniumwinch-measure capacity
 
+# Runs random faults from 20 seeds that CI does not run, one after the other.
+soak: build
+	for seed in $$(seq 100 119); do \
+		SOAK_SEED=$$seed cargo nextest run -p geraniumwinch-tests --run-ignored only soak || exit 1; \
+	done
+
 test: build
 	cargo nextest run --workspace --no-fail-fast
