Move allowances to the domain that has the work

Cause: each domain had a fixed part of a team's limit, so a team whose work came to one of three domains could run a third of its limit, and a gang larger than that part was refused.

The division of all limits is one record in the store. A dispatcher that denies a team something tells it in its digest; one that has unused allowance lowers its own use, then writes the move by compare-and-swap, and the receiver raises its use after it has read it. A write without an answer is made again at the same revision until it is known.

--- /dev/null
+++ b/crates/geraniumwinch-core/src/allowance_table.rs
@@ -0,0 +1,83 @@
+//! The parts of the teams' upper limits that each failure domain may use.
+
+use std::collections::BTreeMap;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::Name;
+
+/// How the limit of a team is divided.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+struct AllowanceRow {
+    limit: u32,
+    parts: BTreeMap<Name, u32>,
+}
+
+/// The division of the teams' limits; a team without a row has equal parts.
+///
+/// The parts of a team never add up to more than its limit, also after the limit has changed: a lower
+/// limit scales every part down, and what a higher limit adds is divided equally.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AllowanceTable {
+    teams: BTreeMap<Name, AllowanceRow>,
+}
+
+impl AllowanceTable {
+    /// Returns the part of a team's limit that a domain may use.
+    pub fn part(&self, team: &Name, limit: u32, domains: &[Name], domain: &Name) -> u32 {
+        let Some(row) = self.teams.get(team) else {
+            return equal_part(limit, domains, domain);
+        };
+        let same_domains = row.parts.len() == domains.len()
+            && domains.iter().all(|domain| row.parts.contains_key(domain));
+        if !same_domains {
+            return equal_part(limit, domains, domain);
+        }
+        let part = row.parts.get(domain).copied().unwrap_or(0);
+        if limit < row.limit {
+            let scaled = u64::from(part) * u64::from(limit) / u64::from(row.limit);
+            return scaled as u32;
+        }
+        part + equal_part(limit - row.limit, domains, domain)
+    }
+
+    /// Moves some of a team's limit from one domain to another, at most what the giver has.
+    pub fn shift(
+        &mut self,
+        team: &Name,
+        limit: u32,
+        domains: &[Name],
+        shift: &AllowanceShift,
+    ) {
+        let part =
+            |domain: &Name| (domain.clone(), self.part(team, limit, domains, domain));
+        let mut parts: BTreeMap<Name, u32> = domains.iter().map(part).collect();
+        let held = parts.get(&shift.from).copied().unwrap_or(0);
+        let count = shift.count.min(held);
+        if !parts.contains_key(&shift.to) {
+            return;
+        }
+        parts.entry(shift.from.clone()).and_modify(|part| *part -= count);
+        parts.entry(shift.to.clone()).and_modify(|part| *part += count);
+        self.teams.insert(team.clone(), AllowanceRow { limit, parts });
+    }
+}
+
+/// A move of allowance between domains.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AllowanceShift {
+    /// The domain that gives.
+    pub from: Name,
+    /// The domain that receives.
+    pub to: Name,
+    /// How much.
+    pub count: u32,
+}
+
+/// Returns an equal part of a limit; the parts of all domains add up to it.
+fn equal_part(limit: u32, domains: &[Name], domain: &Name) -> u32 {
+    let count = domains.len().max(1) as u32;
+    let position = domains.iter().position(|name| name == domain).unwrap_or(0) as u32;
+    limit / count + u32::from(position < limit % count)
+}
--- a/crates/geraniumwinch-core/src/lib.rs
+++ b/crates/geraniumwinch-core/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing in this crate does I/O or reads a clock; every call is given the current time.
 
+mod allowance_table;
 mod backoff;
 mod endpoint_table;
 mod error_answer;
@@ -21,6 +22,8 @@
 mod team_ledger;
 mod worker_table;
 
+pub use self::allowance_table::AllowanceShift;
+pub use self::allowance_table::AllowanceTable;
 pub use self::backoff::RetryBackoff;
 pub use self::endpoint_table::EndpointKey;
 pub use self::endpoint_table::EndpointSpec;
--- a/crates/geraniumwinch-core/src/team_ledger.rs
+++ b/crates/geraniumwinch-core/src/team_ledger.rs
@@ -1,5 +1,6 @@
 //! What each team runs in a failure domain, its share and its allowance.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 
@@ -37,6 +38,7 @@
     name: Name,
     policy: TeamPolicy,
     usage: TeamUse,
+    denied: Cell<bool>,
 }
 
 /// The teams of a failure domain.
@@ -74,6 +76,7 @@
             name: name.clone(),
             policy: Self::NO_POLICY,
             usage,
+            denied: Cell::new(false),
         });
         self.by_name.insert(name.clone(), key);
         key
@@ -87,12 +90,29 @@
     /// Returns whether a team may run `count` more tasks or requests.
     pub fn allows(&self, key: TeamKey, count: u32) -> bool {
         let entry = &self.teams[key];
-        entry.usage.running.saturating_add(count) <= entry.policy.allowance
+        let allowed = entry.usage.running.saturating_add(count) <= entry.policy.allowance;
+        entry.denied.set(entry.denied.get() | !allowed);
+        allowed
     }
 
     /// Returns whether a team's allowance could ever cover `count` tasks at once.
     pub fn ever_allows(&self, key: TeamKey, count: u32) -> bool {
-        count <= self.teams[key].policy.allowance
+        let entry = &self.teams[key];
+        let allowed = count <= entry.policy.allowance;
+        entry.denied.set(entry.denied.get() | !allowed);
+        allowed
+    }
+
+    /// Returns the teams that were denied something since the last call.
+    pub fn take_denied(&self) -> Vec<Name> {
+        let denied = self.teams.values().filter(|entry| entry.denied.take());
+        denied.map(|entry| entry.name.clone()).collect()
+    }
+
+    /// Returns how much of its allowance a team does not use.
+    pub fn spare(&self, key: TeamKey) -> u32 {
+        let entry = &self.teams[key];
+        entry.policy.allowance.saturating_sub(entry.usage.running)
     }
 
     /// Books one task or request of a team; a request books no resources.
--- a/crates/geraniumwinch-core/tests/tables.rs
+++ b/crates/geraniumwinch-core/tests/tables.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use geraniumwinch_core::AllowanceShift;
+use geraniumwinch_core::AllowanceTable;
 use geraniumwinch_core::ErrorKind;
 use geraniumwinch_core::JobId;
 use geraniumwinch_core::Name;
@@ -19,6 +21,7 @@
 use proptest::collection::vec;
 use proptest::prelude::ProptestConfig;
 use proptest::prop_assert;
+use proptest::prop_assert_eq;
 use proptest::proptest;
 use proptest::test_runner::RngSeed;
 use test_case::test_case;
@@ -51,6 +54,39 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: CASES,
+        rng_seed: RngSeed::Fixed(SEED),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn the_parts_of_a_limit_never_exceed_it(
+        steps in vec((0..4_usize, 0..4_usize, 0..40_u32, 0..60_u32), 1..40),
+    ) {
+        let domains: Vec<Name> = ["a", "b", "c", "d"].map(Name::from).to_vec();
+        let team: Name = "team".into();
+        let mut table = AllowanceTable::default();
+        for (from, to, count, limit) in steps {
+            let parts = |table: &AllowanceTable| -> Vec<u32> {
+                domains.iter().map(|name| table.part(&team, limit, &domains, name)).collect()
+            };
+            prop_assert!(parts(&table).iter().sum::<u32>() <= limit, "{:?}", parts(&table));
+            let before = parts(&table);
+            let shift = AllowanceShift {
+                from: domains[from].clone(),
+                to: domains[to].clone(),
+                count,
+            };
+            table.shift(&team, limit, &domains, &shift);
+            let after = parts(&table);
+            prop_assert_eq!(before.iter().sum::<u32>(), after.iter().sum::<u32>());
+        }
+    }
+}
+
 #[test]
 fn a_full_table_refuses_new_keys_and_keeps_known_ones() {
     let now = Instant::now();
--- /dev/null
+++ b/crates/geraniumwinch-node/src/allowance_keeper.rs
@@ -0,0 +1,161 @@
+//! Moves the allowances of teams between failure domains.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use actix::Addr;
+use geraniumwinch_core::AllowanceShift;
+use geraniumwinch_core::AllowanceTable;
+use geraniumwinch_core::Name;
+
+use crate::NodeError;
+use crate::Result;
+use crate::dispatcher::AllowancesRead;
+use crate::dispatcher::Dispatcher;
+use crate::dispatcher::OfferAllowance;
+use crate::event_log::log_event;
+use crate::node_shared::NodeShared;
+use crate::platform_store::PlatformStore;
+use crate::platform_store::StoreCondition;
+use crate::platform_store::StoreWrite;
+use crate::store_keys;
+
+/// The time between two reads of the allowances.
+const PERIOD: Duration = Duration::from_millis(1000);
+/// The age up to which another domain's wish is heeded.
+const WISH_AGE: Duration = Duration::from_millis(3000);
+
+/// A write whose outcome is not known yet.
+#[derive(Debug, Clone)]
+struct OpenWrite {
+    condition: StoreCondition,
+    value: Vec<u8>,
+    revision: i64,
+}
+
+/// Reads the allowances and gives spare ones to domains that wish for them.
+///
+/// The giver lowers its own use before it writes, and the receiver raises its use after it has read,
+/// so that the parts in use never add up to more than the limit.
+pub(crate) struct AllowanceKeeper {
+    shared: Arc<NodeShared>,
+    store: Rc<dyn PlatformStore>,
+    dispatcher: Addr<Dispatcher>,
+    owner_revision: i64,
+    open: Option<OpenWrite>,
+}
+
+impl AllowanceKeeper {
+    /// Creates a keeper for an ownership, whose record has a revision in the store.
+    pub(crate) fn new(
+        shared: Arc<NodeShared>,
+        store: Rc<dyn PlatformStore>,
+        dispatcher: Addr<Dispatcher>,
+        owner_revision: i64,
+    ) -> Self {
+        AllowanceKeeper { shared, store, dispatcher, owner_revision, open: None }
+    }
+
+    /// Reads and gives until the ownership ends.
+    pub(crate) async fn run(mut self) {
+        loop {
+            if let Err(error) = self.step().await {
+                log_event!(Debug, "allowances-unread", error = error);
+            }
+            tokio::time::sleep(PERIOD).await;
+        }
+    }
+
+    /// Reads the allowances once, and gives what is wished for.
+    async fn step(&mut self) -> Result<()> {
+        let (table, revision) = read_allowances(self.store.as_ref()).await?;
+        if let Some(open) = self.open.clone() {
+            if open.revision == revision {
+                // The write has not taken effect and still might, so it is made again.
+                return self.write(open).await;
+            }
+            self.open = None;
+        }
+        // With no write open, the record tells all that was given.
+        self.dispatcher.do_send(AllowancesRead(table.clone()));
+        self.give(table, revision).await
+    }
+
+    /// Gives spare allowances to domains that wish for them, in one write.
+    async fn give(&mut self, mut table: AllowanceTable, revision: i64) -> Result<()> {
+        let domains = self.shared.settings.domain_names();
+        let view = self.shared.catalog.view();
+        let mut given = 0;
+        for (team, to) in self.wishes() {
+            let Some(limit) = view.catalog.teams.get(&team).map(|team| team.limit) else {
+                continue;
+            };
+            let offer = OfferAllowance { team: team.clone() };
+            let count = self.dispatcher.send(offer).await.unwrap_or(0);
+            if count > 0 {
+                let from = self.shared.domain().clone();
+                table.shift(&team, limit, &domains, &AllowanceShift { from, to, count });
+                given += count;
+            }
+        }
+        if given == 0 {
+            return Ok(());
+        }
+        let key = store_keys::ALLOWANCES.to_owned();
+        let condition = match revision {
+            0 => StoreCondition::Absent(key),
+            revision => StoreCondition::Unchanged(key, revision),
+        };
+        let value = serde_json::to_vec(&table).expect("a table can be written as JSON");
+        self.write(OpenWrite { condition, value, revision }).await
+    }
+
+    /// Writes the allowances; a write without an answer stays open.
+    async fn write(&mut self, write: OpenWrite) -> Result<()> {
+        let owner = store_keys::owner(self.shared.domain());
+        let owned = StoreCondition::Unchanged(owner, self.owner_revision);
+        let key = store_keys::ALLOWANCES.to_owned();
+        let put = StoreWrite::Put { key, value: write.value.clone(), lease: None };
+        let conditions = [write.condition.clone(), owned];
+        self.open = Some(write);
+        let commit = self.store.commit(&conditions, &[put]).await;
+        self.shared.note_store(commit.is_ok());
+        let commit = commit?;
+        self.open = None;
+        log_event!(
+            Info,
+            "allowances-given",
+            domain = self.shared.domain(),
+            written = commit.succeeded,
+        );
+        Ok(())
+    }
+
+    /// Returns the teams that other domains wish allowances for.
+    fn wishes(&self) -> Vec<(Name, Name)> {
+        let now = self.shared.now();
+        let rows = self.shared.domains.rows();
+        let recent = rows
+            .into_iter()
+            .filter(|row| now.saturating_duration_since(row.made) <= WISH_AGE);
+        let wishes = recent.flat_map(|row| {
+            let domain = row.digest.domain.clone();
+            row.digest.wishes.into_iter().map(move |team| (team, domain.clone()))
+        });
+        wishes.collect()
+    }
+}
+
+/// Reads the allowances with the store's revision of their record; 0 stands for no record.
+pub(crate) async fn read_allowances(
+    store: &dyn PlatformStore,
+) -> Result<(AllowanceTable, i64)> {
+    let Some(record) = store.get(store_keys::ALLOWANCES).await? else {
+        return Ok((AllowanceTable::default(), 0));
+    };
+    let table = serde_json::from_slice(&record.value).map_err(|error| {
+        NodeError::StoredValue { key: record.key.clone(), message: error.to_string() }
+    })?;
+    Ok((table, record.mod_revision))
+}
--- a/crates/geraniumwinch-node/src/dispatcher.rs
+++ b/crates/geraniumwinch-node/src/dispatcher.rs
@@ -1,5 +1,6 @@
 //! The dispatcher: every decision of one failure domain.
 
+mod dispatch_allowances;
 mod dispatch_digest;
 mod dispatch_jobs;
 mod dispatch_slots;
@@ -8,8 +9,10 @@
 mod dispatcher_restore;
 mod journal_orders;
 
+pub(crate) use self::dispatcher_mail::AllowancesRead;
 pub(crate) use self::dispatcher_mail::CatalogChanged;
 pub(crate) use self::dispatcher_mail::FreezeDispatcher;
+pub(crate) use self::dispatcher_mail::OfferAllowance;
 pub(crate) use self::dispatcher_mail::PeerMail;
 pub(crate) use self::dispatcher_mail::ReportedGrants;
 pub(crate) use self::dispatcher_mail::SnapshotWanted;
@@ -31,6 +34,7 @@
 use actix::Actor;
 use actix::AsyncContext;
 use actix::Context;
+use geraniumwinch_core::AllowanceTable;
 use geraniumwinch_core::ErrorKind;
 use geraniumwinch_core::GrantDesk;
 use geraniumwinch_core::GrantTicket;
@@ -100,6 +104,9 @@
     frozen: bool,
     digest_made: Option<Instant>,
     awaited: BTreeSet<Name>,
+    allowances: AllowanceTable,
+    offered: BTreeMap<Name, u32>,
+    wishes: BTreeMap<Name, Instant>,
 }
 
 impl Actor for Dispatcher {
@@ -132,6 +139,7 @@
         self.board.tick(&mut self.ledger, now);
         self.forget_ended_jobs(now);
         self.decide();
+        self.note_wishes(now);
         self.make_digest(now);
         node_metrics::record_decision(self.shared.now() - started);
     }
@@ -154,7 +162,10 @@
         let domains = self.shared.settings.domain_names();
         let mut policies = BTreeMap::new();
         for (name, team) in &view.catalog.teams {
-            let allowance = domain_part(team.limit, &domains, self.shared.domain());
+            let own = self.shared.domain();
+            let part = self.allowances.part(name, team.limit, &domains, own);
+            let allowance =
+                part.saturating_sub(self.offered.get(name).copied().unwrap_or(0));
             policies.insert(name.clone(), TeamPolicy { weight: team.weight, allowance });
         }
         self.ledger.set_policies(&policies);
@@ -179,10 +190,3 @@
         }
     }
 }
-
-/// Returns the part of a fleet-wide limit that a domain may use; the parts add up to the limit.
-fn domain_part(limit: u32, domains: &[Name], domain: &Name) -> u32 {
-    let count = domains.len().max(1) as u32;
-    let position = domains.iter().position(|name| name == domain).unwrap_or(0) as u32;
-    limit / count + u32::from(position < limit % count)
-}
--- a/crates/geraniumwinch-node/src/dispatcher/dispatcher_mail.rs
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatcher_mail.rs
@@ -5,6 +5,7 @@
 use actix::Context;
 use actix::Handler;
 use actix::Message;
+use geraniumwinch_core::AllowanceTable;
 use geraniumwinch_core::Name;
 use geraniumwinch_core::TaskId;
 use geraniumwinch_core::TaskReport;
@@ -100,6 +101,19 @@
 #[rtype(result = "()")]
 pub(crate) struct CatalogChanged;
 
+/// The allowances in the store, read while no write of them was open.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub(crate) struct AllowancesRead(pub(crate) AllowanceTable);
+
+/// Another domain wishes for some of a team's allowance; the answer is how much was set free.
+#[derive(Debug, Message)]
+#[rtype(result = "u32")]
+pub(crate) struct OfferAllowance {
+    /// The team.
+    pub(crate) team: Name,
+}
+
 /// The journal has grown and needs a snapshot.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
@@ -211,6 +225,23 @@
     }
 }
 
+impl Handler<AllowancesRead> for Dispatcher {
+    type Result = ();
+
+    fn handle(&mut self, AllowancesRead(table): AllowancesRead, _: &mut Context<Self>) {
+        self.take_allowances(table);
+        self.decide();
+    }
+}
+
+impl Handler<OfferAllowance> for Dispatcher {
+    type Result = u32;
+
+    fn handle(&mut self, offer: OfferAllowance, _: &mut Context<Self>) -> u32 {
+        if self.may_decide() { self.offer_allowance(&offer.team) } else { 0 }
+    }
+}
+
 impl Handler<SnapshotWanted> for Dispatcher {
     type Result = ();
 
--- a/crates/geraniumwinch-node/src/dispatcher/dispatcher_restore.rs
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatcher_restore.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use geraniumwinch_core::AllowanceTable;
 use geraniumwinch_core::GrantDesk;
 use geraniumwinch_core::Name;
 use geraniumwinch_core::PlacementBoard;
@@ -45,6 +46,8 @@
     pub(crate) kind: TakeoverKind,
     /// The journal of former epochs.
     pub(crate) entries: Vec<JournalEntry>,
+    /// The division of the teams' limits.
+    pub(crate) allowances: AllowanceTable,
     /// The VM list.
     pub(crate) vms: DomainVms,
     /// The way to the journal.
@@ -83,6 +86,9 @@
             frozen: false,
             digest_made: None,
             awaited,
+            allowances: start.allowances,
+            offered: std::collections::BTreeMap::new(),
+            wishes: std::collections::BTreeMap::new(),
             shared,
         };
         dispatcher.desk.set_endpoints(&start.vms.endpoints);
--- a/crates/geraniumwinch-node/src/lib.rs
+++ b/crates/geraniumwinch-node/src/lib.rs
@@ -1,5 +1,6 @@
 //! The processes of the system: entry, dispatcher and publisher, and what connects them.
 
+mod allowance_keeper;
 mod catalog_state;
 mod config_keeper;
 mod dispatcher;
--- a/crates/geraniumwinch-node/src/ownership.rs
+++ b/crates/geraniumwinch-node/src/ownership.rs
@@ -4,6 +4,7 @@
 mod owner_record;
 mod take_over;
 
+use self::owned_domain::DomainInheritance;
 pub(crate) use self::owned_domain::OwnedDomain;
 pub(crate) use self::owner_record::OwnerRecord;
 
--- a/crates/geraniumwinch-node/src/ownership/owned_domain.rs
+++ b/crates/geraniumwinch-node/src/ownership/owned_domain.rs
@@ -8,6 +8,7 @@
 use actix::Actor;
 use actix::Addr;
 use actix_rt::Arbiter;
+use geraniumwinch_core::AllowanceTable;
 use geraniumwinch_core::Name;
 use geraniumwinch_wire::JournalEntry;
 use geraniumwinch_wire::PeerMessage;
@@ -16,6 +17,7 @@
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
+use crate::allowance_keeper::AllowanceKeeper;
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::DispatcherStart;
 use crate::dispatcher::TakeoverKind;
@@ -39,6 +41,16 @@
 /// How many leases a silent process stays a member.
 const MEMBER_PATIENCE: u32 = 3;
 
+/// What a new owner has read of its domain.
+pub(super) struct DomainInheritance {
+    /// The journal.
+    pub(super) entries: Vec<JournalEntry>,
+    /// The division of the teams' limits.
+    pub(super) allowances: AllowanceTable,
+    /// The VM list.
+    pub(super) vms: DomainVms,
+}
+
 /// A failure domain that this process owns, with the parts that serve it.
 pub(crate) struct OwnedDomain {
     shared: Arc<NodeShared>,
@@ -62,9 +74,9 @@
         record: OwnerRecord,
         lease: i64,
         kind: TakeoverKind,
-        entries: Vec<JournalEntry>,
-        vms: DomainVms,
+        inheritance: DomainInheritance,
     ) -> OwnedDomain {
+        let DomainInheritance { entries, allowances, vms } = inheritance;
         let epoch = record.view.epoch;
         let (journal, journal_orders) = mpsc::unbounded_channel();
         let (caller, caller_orders) = mpsc::unbounded_channel();
@@ -74,6 +86,7 @@
             epoch,
             kind,
             entries,
+            allowances,
             vms: vms.clone(),
             journal: journal.clone(),
             caller,
@@ -101,6 +114,13 @@
             epoch,
             caller_orders,
         ));
+        let keeper = AllowanceKeeper::new(
+            shared.clone(),
+            ports.store.clone(),
+            dispatcher.clone(),
+            record.revision,
+        );
+        let allowance_loop = actix_rt::spawn(keeper.run());
         let vm_loop = actix_rt::spawn(read_vms(
             shared.clone(),
             ports.clone(),
@@ -117,7 +137,7 @@
             arbiter,
             journal,
             lost,
-            loops: vec![journal_loop, caller_loop, vm_loop],
+            loops: vec![journal_loop, caller_loop, allowance_loop, vm_loop],
             members: Vec::new(),
         }
     }
--- a/crates/geraniumwinch-node/src/ownership/take_over.rs
+++ b/crates/geraniumwinch-node/src/ownership/take_over.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use geraniumwinch_core::AllowanceTable;
 use geraniumwinch_core::Name;
 use geraniumwinch_wire::HandoverState;
 use geraniumwinch_wire::JournalEntry;
@@ -10,6 +11,7 @@
 use geraniumwinch_wire::PeerMessage;
 use rand::Rng;
 
+use crate::allowance_keeper::read_allowances;
 use crate::dispatcher::FreezeDispatcher;
 use crate::dispatcher::ReportedGrants;
 use crate::dispatcher::TakeoverKind;
@@ -22,6 +24,7 @@
 use crate::platform_store::StoreWrite;
 use crate::store_keys;
 
+use super::DomainInheritance;
 use super::OwnedDomain;
 use super::OwnerRecord;
 use super::OwnershipKeeper;
@@ -150,15 +153,16 @@
         shared.fence.open(epoch, started);
         let (mut entries, mirrored) = self.read_entries().await;
         entries.extend(mirrored.iter().cloned());
+        let allowances = self.read_allowances().await;
         let vms = self.ports.vm_list.read(shared.domain()).await.unwrap_or_default();
+        let inheritance = DomainInheritance { entries, allowances, vms };
         let owned = OwnedDomain::start(
             shared.clone(),
             self.ports.clone(),
             record.clone(),
             lease,
             kind,
-            entries,
-            vms,
+            inheritance,
         );
         if !mirrored.is_empty() {
             owned.keep_mirrored(mirrored);
@@ -180,6 +184,19 @@
         );
     }
 
+    /// Reads the division of the teams' limits.
+    async fn read_allowances(&self) -> AllowanceTable {
+        loop {
+            match read_allowances(self.ports.store.as_ref()).await {
+                Ok((table, _)) => return table,
+                Err(error) => {
+                    log_event!(Warn, "allowances-unread", error = error);
+                    tokio::time::sleep(READ_RETRY).await;
+                }
+            }
+        }
+    }
+
     /// Tells the other processes of the domain whom to follow from now on.
     async fn announce(&self, view: &OwnerView) {
         for address in self.member_addresses().await {
--- a/crates/geraniumwinch-node/src/store_keys.rs
+++ b/crates/geraniumwinch-node/src/store_keys.rs
@@ -7,6 +7,9 @@
 /// The whole configuration set at the head's revision.
 pub(crate) const CONFIG_CURRENT: &str = "geraniumwinch/config/current";
 
+/// The division of the teams' limits among the failure domains.
+pub(crate) const ALLOWANCES: &str = "geraniumwinch/allowances";
+
 /// Returns the key of the change that leads to a revision.
 pub(crate) fn config_delta(revision: u64) -> String {
     format!("geraniumwinch/config/delta/{revision:016x}")
--- a/crates/geraniumwinch-tests/tests/cut_off_domains.rs
+++ b/crates/geraniumwinch-tests/tests/cut_off_domains.rs
@@ -10,6 +10,7 @@
 use geraniumwinch_tests::run_test;
 use geraniumwinch_tests::wait_until;
 use serde_json::json;
+use test_case::test_case;
 
 /// The key of the team that jobs are submitted for.
 const KEY: (&str, &str) = ("Authorization", "Bearer key-of-yard-a");
@@ -54,6 +55,54 @@
     });
 }
 
+#[test_case(false; "in peace")]
+#[test_case(true; "while a giver dies and answers are lost")]
+fn allowances_move_to_the_domain_that_has_the_work(faults: bool) {
+    run_test(async {
+        let plan = CellPlan::new(3, 2, 1, 3).with_set(default_set(21));
+        let mut cell = TestCell::start(plan).await;
+        assert_eq!(submit(&cell, 0, 60, 1500).await.status, 202);
+        if faults {
+            for round in 0..3 {
+                cell.set_store_faults(json!({ "lose_answers": 3 })).await;
+                tokio::time::sleep(Duration::from_millis(700)).await;
+                let owner = cell.owner_of(1).await.unwrap_or(round % 2);
+                cell.entries.get_mut(&(1, owner)).unwrap().kill();
+                cell.start_entry(1, owner);
+            }
+            cell.set_store_faults(json!({})).await;
+        }
+        await_succeeded(&cell, 60).await;
+        let most = cell.ledger().await.most_running();
+        assert!(most <= 21, "{most} ran at once");
+        assert!(most > 7, "only the equal part of {most} was used");
+    });
+}
+
+#[test]
+fn a_lowered_limit_holds_once_it_is_in_force() {
+    run_test(async {
+        let cell =
+            TestCell::start(CellPlan::new(3, 1, 1, 3).with_set(default_set(30))).await;
+        assert_eq!(submit(&cell, 0, 60, 1000).await.status, 202);
+        tokio::time::sleep(Duration::from_millis(4000)).await;
+        assert_eq!(cell.publish(1, 0, 1, &default_set(9)).await.status, 200);
+        // In force within 4 s, and what ran before has ended a second later.
+        tokio::time::sleep(Duration::from_millis(5500)).await;
+        let client = TestClient::default();
+        for _ in 0..20 {
+            let mut running = 0;
+            for url in cell.worker_urls() {
+                let account = client.get_json(&format!("{url}/account")).await;
+                running += account["running"].as_u64().unwrap_or(0);
+            }
+            assert!(running <= 9, "{running} run");
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+        await_succeeded(&cell, 60).await;
+    });
+}
+
 #[test]
 fn a_cut_off_domain_runs_what_it_accepted() {
     run_test(async {
