Hold room for teams that are behind, and compare placement with a baseline

Now the room of the worker nearest to holding the next task of a team that is behind is kept for it, at most one in 25 workers.

--- a/crates/geraniumwinch-bench/src/main.rs
+++ b/crates/geraniumwinch-bench/src/main.rs
@@ -3,8 +3,11 @@
 //! Each row goes to the standard output as CSV, so that runs can be compared.
 
 mod decision_cost;
+mod placement_policy;
+mod policy_run;
 mod sample_set;
 
 fn main() {
     decision_cost::run();
+    policy_run::run();
 }
--- /dev/null
+++ b/crates/geraniumwinch-bench/src/placement_policy.rs
@@ -0,0 +1,186 @@
+//! The placement policies that are compared.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+use std::time::Instant;
+
+use geraniumwinch_core::BoardCommand;
+use geraniumwinch_core::JobId;
+use geraniumwinch_core::JobSpec;
+use geraniumwinch_core::Name;
+use geraniumwinch_core::PlacementBoard;
+use geraniumwinch_core::ResourceVector;
+use geraniumwinch_core::TaskId;
+use geraniumwinch_core::TaskReport;
+use geraniumwinch_core::TaskSighting;
+use geraniumwinch_core::TeamKey;
+use geraniumwinch_core::TeamLedger;
+use geraniumwinch_core::TeamPolicy;
+use geraniumwinch_core::WorkerSpec;
+
+/// A gigabyte in bytes.
+const GIGABYTE: u64 = 1 << 30;
+
+/// A task that a policy has started, by its index in the workload.
+#[derive(Debug, Clone, Copy)]
+pub struct StartedTask {
+    /// The index of the task.
+    pub index: usize,
+    /// The number of the attempt.
+    pub attempt: u64,
+}
+
+/// A policy that decides which task starts where.
+pub trait PlacementPolicy {
+    /// Takes a task in.
+    fn submit(&mut self, index: usize, team: usize, spec: &JobSpec, now: Instant);
+
+    /// Takes the end of a task in.
+    fn finish(&mut self, index: usize, now: Instant);
+
+    /// Returns the tasks that start now, and those that are stopped for others.
+    fn decide(&mut self, now: Instant) -> (Vec<StartedTask>, Vec<usize>);
+}
+
+/// Returns the size of one worker.
+fn worker_size() -> ResourceVector {
+    ResourceVector { cpu_millis: 16_000, memory_bytes: 64 * GIGABYTE, accelerators: 0 }
+}
+
+/// Returns the size of all workers together.
+pub fn fleet_size(workers: usize) -> ResourceVector {
+    let one = worker_size();
+    let count = workers as u64;
+    ResourceVector {
+        cpu_millis: one.cpu_millis * count,
+        memory_bytes: one.memory_bytes * count,
+        accelerators: 0,
+    }
+}
+
+/// The board of the product.
+pub struct BoardPolicy {
+    board: PlacementBoard,
+    ledger: TeamLedger,
+    teams: Vec<TeamKey>,
+    places: HashMap<usize, (Name, TaskId)>,
+    start: Instant,
+}
+
+impl BoardPolicy {
+    /// Creates a board of some workers and teams of the same weight.
+    pub fn new(workers: usize, teams: usize) -> Self {
+        let start = Instant::now();
+        let names: Vec<Name> =
+            (0..teams).map(|team| format!("team-{team}").into()).collect();
+        let policy = TeamPolicy { weight: 1.0, allowance: 1_000_000 };
+        let policies: BTreeMap<Name, TeamPolicy> =
+            names.iter().map(|name| (name.clone(), policy)).collect();
+        let mut ledger = TeamLedger::default();
+        ledger.set_policies(&policies);
+        let teams = names.iter().map(|name| ledger.key_of(name)).collect();
+        let mut board = PlacementBoard::new(1, Duration::from_secs(3600));
+        let worker = |index: usize| WorkerSpec {
+            name: format!("worker-{index}").into(),
+            rack: format!("rack-{}", index / 8).into(),
+            address: "127.0.0.1:1".into(),
+            capacity: worker_size(),
+            leaving: false,
+        };
+        let specs: Vec<WorkerSpec> = (0..workers).map(worker).collect();
+        board.set_workers(&specs);
+        for spec in &specs {
+            board.inventory(&spec.name, &[], start, &mut ledger, start);
+        }
+        BoardPolicy { board, ledger, teams, places: HashMap::new(), start }
+    }
+}
+
+impl PlacementPolicy for BoardPolicy {
+    fn submit(&mut self, index: usize, team: usize, spec: &JobSpec, now: Instant) {
+        let job = JobId { domain: "zone".into(), epoch: 1, serial: index as u64 };
+        self.board.submit(job, spec.clone(), self.teams[team], "queue".into(), now);
+    }
+
+    fn finish(&mut self, index: usize, now: Instant) {
+        let Some((worker, task)) = self.places.remove(&index) else { return };
+        let report = TaskReport { task, sighting: TaskSighting::Succeeded };
+        self.board.inventory(&worker, &[report], self.start, &mut self.ledger, now);
+    }
+
+    fn decide(&mut self, now: Instant) -> (Vec<StartedTask>, Vec<usize>) {
+        let (mut started, mut stopped) = (Vec::new(), Vec::new());
+        self.board.place(&mut self.ledger, now);
+        loop {
+            let commands = self.board.take_commands();
+            if commands.is_empty() {
+                return (started, stopped);
+            }
+            for command in commands {
+                match command {
+                    BoardCommand::Start { worker, task, .. } => {
+                        self.board.start_confirmed(&task, now);
+                        let index = task.job.serial as usize;
+                        started.push(StartedTask { index, attempt: task.attempt });
+                        self.places.insert(index, (worker, task));
+                    }
+                    BoardCommand::Stop { task, .. } => {
+                        let index = task.job.serial as usize;
+                        self.places.remove(&index);
+                        stopped.push(index);
+                        self.board.stop_confirmed(&task, &mut self.ledger, now);
+                    }
+                    BoardCommand::RecordJobEnd { job } => self.board.forget(&job),
+                    BoardCommand::RecordEnd { .. } | BoardCommand::Acknowledge { .. } => {
+                    }
+                }
+            }
+        }
+    }
+}
+
+/// First come, first served, on the first worker that has room.
+pub struct FirstFitPolicy {
+    free: Vec<ResourceVector>,
+    waiting: VecDeque<(usize, ResourceVector)>,
+    places: HashMap<usize, (usize, ResourceVector)>,
+}
+
+impl FirstFitPolicy {
+    /// Creates the policy for some workers.
+    pub fn new(workers: usize) -> Self {
+        FirstFitPolicy {
+            free: vec![worker_size(); workers],
+            waiting: VecDeque::new(),
+            places: HashMap::new(),
+        }
+    }
+}
+
+impl PlacementPolicy for FirstFitPolicy {
+    fn submit(&mut self, index: usize, _: usize, spec: &JobSpec, _: Instant) {
+        self.waiting.push_back((index, spec.size));
+    }
+
+    fn finish(&mut self, index: usize, _: Instant) {
+        if let Some((worker, size)) = self.places.remove(&index) {
+            self.free[worker].add(&size);
+        }
+    }
+
+    fn decide(&mut self, _: Instant) -> (Vec<StartedTask>, Vec<usize>) {
+        let mut started = Vec::new();
+        while let Some(&(index, size)) = self.waiting.front() {
+            let Some(worker) = self.free.iter().position(|free| size.fits(free)) else {
+                break;
+            };
+            self.free[worker].subtract(&size);
+            self.places.insert(index, (worker, size));
+            self.waiting.pop_front();
+            started.push(StartedTask { index, attempt: 0 });
+        }
+        (started, Vec::new())
+    }
+}
--- a/crates/geraniumwinch-bench/src/sample_set.rs
+++ b/crates/geraniumwinch-bench/src/sample_set.rs
@@ -22,6 +22,11 @@
         self.samples.get(index).copied().unwrap_or_default()
     }
 
+    /// Returns the number of samples.
+    pub fn len(&self) -> usize {
+        self.samples.len()
+    }
+
     /// Returns the mean.
     pub fn mean(&self) -> Duration {
         let total: Duration = self.samples.iter().sum();
--- a/crates/geraniumwinch-core/src/placement_board/job_view.rs
+++ b/crates/geraniumwinch-core/src/placement_board/job_view.rs
@@ -105,7 +105,7 @@
             let team = ledger.name(job.team);
             return Some(format!("the upper limit of team {team}"));
         }
-        if self.workers.best_fit(&job.spec.size, now).is_none() {
+        if self.workers.best_fit(&job.spec.size, &[], now).is_none() {
             return Some("a worker with enough free room".to_owned());
         }
         Some("its turn".to_owned())
--- a/crates/geraniumwinch-core/src/placement_board/placing.rs
+++ b/crates/geraniumwinch-core/src/placement_board/placing.rs
@@ -29,10 +29,15 @@
 /// quarantines may have.
 const LOOK_PERIOD: Duration = Duration::from_millis(100);
 
+/// The number of workers for each one whose free room may be held for a team that is behind.
+const WORKERS_PER_HOLD: usize = 25;
+
 /// What a pass has learnt about the room that is left.
 #[derive(Debug, Default)]
 struct PlacingPass {
     too_large: Vec<ResourceVector>,
+    /// Workers whose free room is kept for teams that are behind and whose next task fits nowhere.
+    held: Vec<WorkerKey>,
 }
 
 impl PlacingPass {
@@ -78,13 +83,38 @@
                 ranks.push(Reverse((rank(ledger, team, &total), team)));
             }
         }
+        let most_held = self.workers.iter().count() / WORKERS_PER_HOLD;
         while let Some(Reverse((_, team))) = ranks.pop() {
             if self.place_next_of(team, urgent, pass, ledger, now) {
                 ranks.push(Reverse((rank(ledger, team, &total), team)));
+            } else if !urgent && pass.held.len() < most_held {
+                self.hold_for(team, pass, ledger, now);
             }
         }
     }
 
+    /// Keeps the free room of a worker for the next task of a team.
+    ///
+    /// Without this, small tasks of other teams would take every gap before one is wide enough.
+    fn hold_for(
+        &self,
+        team: TeamKey,
+        pass: &mut PlacingPass,
+        ledger: &TeamLedger,
+        now: Instant,
+    ) {
+        let line = self.lines.get(team);
+        let Some(&key) = line.and_then(|line| line.normal.front()) else { return };
+        let Some(job) = self.jobs.get(key).filter(|job| !job.pending.is_empty()) else {
+            return;
+        };
+        if job.spec.kind == JobKind::Gang || !ledger.allows(team, 1) {
+            return;
+        }
+        let nearest = self.workers.nearest_fit(&job.spec.size, &pass.held, now);
+        pass.held.extend(nearest);
+    }
+
     /// Starts one task or gang of a team and returns whether anything started.
     fn place_next_of(
         &mut self,
@@ -136,7 +166,7 @@
         }
         let mut placed = Vec::new();
         for _ in 0..count {
-            let Some(worker) = self.choose_worker(key, now) else { break };
+            let Some(worker) = self.choose_worker(key, &pass.held, now) else { break };
             let index =
                 self.jobs[key].pending.pop_front().expect("the job has waiting tasks");
             let task = (key, index);
@@ -159,12 +189,17 @@
     }
 
     /// Chooses a worker for a job's next task; a service avoids the racks of its other tasks.
-    fn choose_worker(&self, key: JobKey, now: Instant) -> Option<WorkerKey> {
+    fn choose_worker(
+        &self,
+        key: JobKey,
+        held: &[WorkerKey],
+        now: Instant,
+    ) -> Option<WorkerKey> {
         let job = &self.jobs[key];
         if job.spec.kind == JobKind::Service {
-            return self.spread_fit(key, now);
+            return self.spread_fit(key, held, now);
         }
-        let best = self.workers.best_fit(&job.spec.size, now)?;
+        let best = self.workers.best_fit(&job.spec.size, held, now)?;
         if !job.failed_on.contains(&best) {
             return Some(best);
         }
@@ -173,13 +208,19 @@
             let free = state.spec.capacity.minus(&state.booked);
             (state.takes_work(now) && job.spec.size.fits(&free)).then_some(worker)
         };
-        let mut others =
-            self.workers.iter().filter(|(other, _)| !job.failed_on.contains(other));
+        let usable =
+            |other: &WorkerKey| !job.failed_on.contains(other) && !held.contains(other);
+        let mut others = self.workers.iter().filter(|(other, _)| usable(other));
         others.find_map(|(other, _)| room(other)).or(Some(best))
     }
 
     /// Chooses the worker whose rack, and then itself, holds the fewest tasks of the service.
-    fn spread_fit(&self, key: JobKey, now: Instant) -> Option<WorkerKey> {
+    fn spread_fit(
+        &self,
+        key: JobKey,
+        held: &[WorkerKey],
+        now: Instant,
+    ) -> Option<WorkerKey> {
         let job = &self.jobs[key];
         let mut racks: BTreeMap<&Name, u32> = BTreeMap::new();
         let mut hosts: BTreeMap<WorkerKey, u32> = BTreeMap::new();
@@ -191,7 +232,7 @@
         }
         self.workers
             .iter()
-            .filter(|(_, state)| state.takes_work(now))
+            .filter(|(worker, state)| state.takes_work(now) && !held.contains(worker))
             .filter(|(_, state)| {
                 job.spec.size.fits(&state.spec.capacity.minus(&state.booked))
             })
--- a/crates/geraniumwinch-core/src/worker_table.rs
+++ b/crates/geraniumwinch-core/src/worker_table.rs
@@ -152,14 +152,38 @@
         self.states.values().any(|state| state.listed && size.fits(&state.spec.capacity))
     }
 
+    /// Chooses the worker on which the least has to end before a task of this size fits.
+    pub fn nearest_fit(
+        &self,
+        size: &ResourceVector,
+        held: &[WorkerKey],
+        now: Instant,
+    ) -> Option<WorkerKey> {
+        let missing = |state: &WorkerState| {
+            let room = state.spec.capacity.minus(&state.booked);
+            size.minus(&room).dominant_share(&state.spec.capacity)
+        };
+        self.states
+            .iter()
+            .filter(|(key, state)| state.takes_work(now) && !held.contains(key))
+            .filter(|(_, state)| size.fits(&state.spec.capacity))
+            .min_by(|(_, left), (_, right)| missing(left).total_cmp(&missing(right)))
+            .map(|(key, _)| key)
+    }
+
     /// Chooses the worker that a task of this size fills best.
     ///
     /// The tightest fit by the larger of the processor and memory room that stays free keeps large
     /// gaps whole for large tasks.
-    pub fn best_fit(&self, size: &ResourceVector, now: Instant) -> Option<WorkerKey> {
+    pub fn best_fit(
+        &self,
+        size: &ResourceVector,
+        held: &[WorkerKey],
+        now: Instant,
+    ) -> Option<WorkerKey> {
         self.states
             .iter()
-            .filter(|(_, state)| state.takes_work(now))
+            .filter(|(key, state)| state.takes_work(now) && !held.contains(key))
             .filter_map(|(key, state)| state.room_left(size).map(|left| (key, left)))
             .min_by(|(_, left), (_, right)| left.total_cmp(right))
             .map(|(key, _)| key)
--- a/crates/geraniumwinch-tests/src/cell_process.rs
+++ b/crates/geraniumwinch-tests/src/cell_process.rs
@@ -85,7 +85,11 @@
 }
 
 /// Finds a program of the workspace beside the running one.
-fn program_path(program: &str) -> PathBuf {
+///
+/// # Panics
+///
+/// Panics if the program is not built.
+pub fn program_path(program: &str) -> PathBuf {
     let own = std::env::current_exe().expect("the path of the running program");
     let folders = own.ancestors().skip(1).take(3);
     let mut paths = folders.map(|folder| folder.join(program));
--- a/crates/geraniumwinch-tests/src/lib.rs
+++ b/crates/geraniumwinch-tests/src/lib.rs
@@ -15,6 +15,7 @@
 pub use self::cell_plan::OPERATOR_KEY;
 pub use self::cell_plan::default_set;
 pub use self::cell_process::CellProcess;
+pub use self::cell_process::program_path;
 pub use self::fault_load::FaultLoad;
 pub use self::fault_load::LoadOutcome;
 pub use self::fault_load::check_outcomes;
--- a/crates/geraniumwinch-tests/tests/at_most_once.rs
+++ b/crates/geraniumwinch-tests/tests/at_most_once.rs
@@ -142,6 +142,41 @@
     });
 }
 
+/// Sends a request to executors until one answers, as a carrier would that repeats whatever fails.
+async fn carry_naively(executors: &[String], unique: &str) -> bool {
+    let client = TestClient::default();
+    for executor in executors {
+        let url = format!("{executor}/order?ms=5");
+        let answer =
+            client.send(Method::POST, &url, &[("Unique", unique)], "one crate").await;
+        if answer.status == 200 && !answer.body.is_empty() {
+            return true;
+        }
+    }
+    false
+}
+
+#[test]
+fn a_naive_carrier_fails_the_same_checks() {
+    run_test(async {
+        let cell = TestCell::start(CellPlan::new(2, 1, 3, 1)).await;
+        break_endpoints(&cell, true).await;
+        let executors = cell.executor_urls();
+        let mut answered = 0;
+        for number in 0..20 {
+            let unique = format!("naive-{number}");
+            answered += usize::from(carry_naively(&executors, &unique).await);
+        }
+        let ledger = cell.ledger().await;
+        let doubled = ledger.requests.values().filter(|runs| **runs > 1).count();
+        assert_eq!(
+            (answered, doubled),
+            (20, 20),
+            "each request ran on every broken executor too"
+        );
+    });
+}
+
 #[test]
 fn a_key_that_is_reused_for_another_request_is_refused() {
     run_test(async {
