--- a/crates/geraniumwinch-node/src/catalog_state.rs
+++ b/crates/geraniumwinch-node/src/catalog_state.rs
@@ -13,6 +13,7 @@
 use geraniumwinch_wire::ConfigAnswer;
 
 use crate::node_metrics;
+use crate::shared_lock::lock;
 
 /// The number of changes that are kept for processes that lag.
 const HISTORY: usize = 256;
@@ -44,8 +45,7 @@
 
     /// Puts a higher revision in force; a lower or equal one changes nothing.
     pub(crate) fn apply(&self, revision: u64, set: ConfigurationSet) -> bool {
-        let mut history =
-            self.history.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut history = lock(&self.history);
         let current = self.view();
         if revision <= current.revision {
             return false;
@@ -85,8 +85,7 @@
 
     /// Returns what leads a process from a revision to the one in force.
     pub(crate) fn answer_from(&self, revision: u64) -> (u64, ConfigAnswer) {
-        let history =
-            self.history.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let history = lock(&self.history);
         let current = self.view();
         let missing = history.iter().filter(|(next, _)| *next > revision);
         let deltas: Vec<SetDelta> = missing.map(|(_, delta)| delta.clone()).collect();
@@ -99,20 +98,19 @@
 
     /// Notes that the revision in force was the newest one at a time.
     pub(crate) fn confirm(&self, at: Instant) {
-        let mut fresh =
-            self.fresh.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut fresh = lock(&self.fresh);
         *fresh = Some(fresh.map_or(at, |earlier| earlier.max(at)));
     }
 
     /// Returns whether the process has learnt the configuration, even if there is none yet.
     pub(crate) fn is_known(&self) -> bool {
-        let fresh = self.fresh.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let fresh = lock(&self.fresh);
         fresh.is_some() || self.view().revision > 0
     }
 
     /// Returns the time since the revision in force was last known to be the newest one.
     pub(crate) fn fresh_age(&self, now: Instant) -> Option<Duration> {
-        let fresh = self.fresh.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let fresh = lock(&self.fresh);
         fresh.map(|at| now.saturating_duration_since(at))
     }
 }
--- a/crates/geraniumwinch-node/src/config_keeper.rs
+++ b/crates/geraniumwinch-node/src/config_keeper.rs
@@ -21,6 +21,7 @@
 use crate::node_shared::NodeShared;
 use crate::platform_store::PlatformStore;
 use crate::publisher::ConfigHead;
+use crate::shared_lock::lock;
 use crate::store_keys;
 
 /// The greatest number of changes that are read one by one.
@@ -197,7 +198,7 @@
 /// Exchanges digests with the owners of the other domains.
 async fn exchange_digests(shared: &Arc<NodeShared>) {
     let own = &shared.own_digest;
-    let digest = own.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone();
+    let digest = lock(own).clone();
     let Some(mut digest) = digest else { return };
     fill_freshness(shared, &mut digest);
     let others = shared.settings.domain_names();
--- a/crates/geraniumwinch-node/src/dispatcher/dispatch_digest.rs
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatch_digest.rs
@@ -11,6 +11,7 @@
 use geraniumwinch_wire::TeamRow;
 
 use crate::node_metrics;
+use crate::shared_lock::lock;
 
 use super::Dispatcher;
 
@@ -30,7 +31,7 @@
             node_metrics::show_team(team, usage.running, policy.allowance);
         }
         let own = &self.shared.own_digest;
-        *own.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = Some(digest);
+        *lock(own) = Some(digest);
     }
 
     /// Describes the domain to other domains.
--- a/crates/geraniumwinch-node/src/dispatcher/dispatch_slots.rs
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatch_slots.rs
@@ -13,6 +13,7 @@
 use geraniumwinch_core::RecordBegin;
 use geraniumwinch_core::RecordState;
 use geraniumwinch_core::SlotRequest;
+use geraniumwinch_wire::HandedGrant;
 use geraniumwinch_wire::HeldGrant;
 use geraniumwinch_wire::JournalEntry;
 use geraniumwinch_wire::PeerIdentity;
@@ -277,7 +278,8 @@
     }
 
     /// Takes over a grant of a former owner.
-    pub(super) fn adopt_grant(&mut self, entry: PeerName, held: HeldGrant, now: Instant) {
+    pub(super) fn adopt_grant(&mut self, grant: HandedGrant, now: Instant) {
+        let HandedGrant { entry, held, record } = grant;
         let closes = now + Duration::from_millis(held.remaining_ms);
         let grant = AdoptedGrant {
             offer: held.offer.clone(),
@@ -287,7 +289,7 @@
             closes,
         };
         self.desk.adopt(grant, &mut self.ledger, now);
-        let note = GrantNote { entry, record: None, closes, held };
+        let note = GrantNote { entry, record, closes, held };
         self.grant_notes.entry(note.held.offer.ticket).or_insert(note);
     }
 
--- a/crates/geraniumwinch-node/src/dispatcher/dispatcher_mail.rs
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatcher_mail.rs
@@ -9,6 +9,7 @@
 use geraniumwinch_core::Name;
 use geraniumwinch_core::TaskId;
 use geraniumwinch_core::TaskReport;
+use geraniumwinch_wire::HandedGrant;
 use geraniumwinch_wire::HandoverState;
 use geraniumwinch_wire::HeldGrant;
 use geraniumwinch_wire::PeerIdentity;
@@ -256,7 +257,8 @@
     fn handle(&mut self, report: ReportedGrants, _: &mut Context<Self>) {
         let now = self.shared.now();
         for held in report.held {
-            self.adopt_grant(PeerName::of(&report.from), held, now);
+            let entry = PeerName::of(&report.from);
+            self.adopt_grant(HandedGrant { entry, held, record: None }, now);
         }
         self.end_recovery_if_known();
         self.decide();
--- a/crates/geraniumwinch-node/src/dispatcher/dispatcher_restore.rs
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatcher_restore.rs
@@ -1,5 +1,6 @@
 //! The state that a dispatcher begins and ends with.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -14,6 +15,7 @@
 use geraniumwinch_core::PlacementBoard;
 use geraniumwinch_core::RecordTable;
 use geraniumwinch_core::TeamLedger;
+use geraniumwinch_wire::HandedGrant;
 use geraniumwinch_wire::HandoverState;
 use geraniumwinch_wire::HeldGrant;
 use geraniumwinch_wire::JournalEntry;
@@ -80,15 +82,15 @@
             ended_jobs: VecDeque::new(),
             job_serial: 0,
             journal: start.journal,
-            orders: std::collections::BTreeMap::new(),
+            orders: BTreeMap::new(),
             order_serial: 0,
             caller: start.caller,
             frozen: false,
             digest_made: None,
             awaited,
             allowances: start.allowances,
-            offered: std::collections::BTreeMap::new(),
-            wishes: std::collections::BTreeMap::new(),
+            offered: BTreeMap::new(),
+            wishes: BTreeMap::new(),
             shared,
         };
         dispatcher.desk.set_endpoints(&start.vms.endpoints);
@@ -130,8 +132,8 @@
     /// Takes over the decisions of a planned handover.
     fn take_handover(&mut self, state: HandoverState, now: Instant) {
         self.board.restore_placements(&state.placements, &mut self.ledger, now);
-        for (entry, held) in state.grants {
-            self.adopt_grant(entry, held, now);
+        for grant in state.grants {
+            self.adopt_grant(grant, now);
         }
     }
 
@@ -143,7 +145,8 @@
             |closes: Instant| closes.saturating_duration_since(now).as_millis();
         let grants = self.grant_notes.values().map(|note| {
             let remaining_ms = remaining(note.closes) as u64;
-            (note.entry.clone(), HeldGrant { remaining_ms, ..note.held.clone() })
+            let held = HeldGrant { remaining_ms, ..note.held.clone() };
+            HandedGrant { entry: note.entry.clone(), held, record: note.record }
         });
         HandoverState {
             domain: self.shared.domain().clone(),
--- a/crates/geraniumwinch-node/src/domain_map.rs
+++ b/crates/geraniumwinch-node/src/domain_map.rs
@@ -9,6 +9,8 @@
 use geraniumwinch_core::Name;
 use geraniumwinch_wire::DomainDigest;
 
+use crate::shared_lock::lock;
+
 /// The last digest of a domain and the time at which it was true.
 #[derive(Debug, Clone)]
 pub(crate) struct DomainRow {
@@ -73,6 +75,6 @@
 
     /// Locks the map.
     fn lock(&self) -> MutexGuard<'_, BTreeMap<Name, DomainRow>> {
-        self.rows.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+        lock(&self.rows)
     }
 }
--- a/crates/geraniumwinch-node/src/entry_server.rs
+++ b/crates/geraniumwinch-node/src/entry_server.rs
@@ -33,10 +33,10 @@
 use crate::node_shared::NodeShared;
 use crate::operator_calls;
 use crate::publisher::PublishEnd;
+use crate::ready_answer::is_hop_header;
 use crate::refusal_answer::RefusalAnswer;
 use crate::request_carrier::CarriedRequest;
 use crate::request_carrier::carry;
-use crate::request_carrier::is_hop_header;
 use crate::slot_client::SlotWish;
 
 use self::budget_table::BudgetTable;
--- a/crates/geraniumwinch-node/src/entry_server/budget_table.rs
+++ b/crates/geraniumwinch-node/src/entry_server/budget_table.rs
@@ -6,6 +6,8 @@
 use geraniumwinch_core::Name;
 use geraniumwinch_core::RetryBudget;
 
+use crate::shared_lock::lock;
+
 /// The repeated attempts that a request earns.
 const RATIO: f64 = 0.1;
 /// The greatest number of repeated attempts that are saved up.
@@ -20,8 +22,7 @@
 impl BudgetTable {
     /// Records a first attempt.
     pub(crate) fn earn(&self, key: &(Name, Name)) {
-        let mut budgets =
-            self.budgets.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut budgets = lock(&self.budgets);
         let budget =
             budgets.entry(key.clone()).or_insert_with(|| RetryBudget::new(RATIO, BURST));
         budget.earn();
@@ -29,8 +30,7 @@
 
     /// Takes one repeated attempt out of a budget and returns whether it was granted.
     pub(crate) fn spend(&self, key: &(Name, Name)) -> bool {
-        let mut budgets =
-            self.budgets.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut budgets = lock(&self.budgets);
         budgets.get_mut(key).is_some_and(RetryBudget::spend)
     }
 }
--- a/crates/geraniumwinch-node/src/held_table.rs
+++ b/crates/geraniumwinch-node/src/held_table.rs
@@ -10,6 +10,8 @@
 use geraniumwinch_core::Name;
 use geraniumwinch_wire::HeldGrant;
 
+use crate::shared_lock::lock;
+
 /// A slot that this process holds.
 #[derive(Debug, Clone)]
 pub(crate) struct HeldSlot {
@@ -62,6 +64,6 @@
 
     /// Locks the table.
     fn lock(&self) -> MutexGuard<'_, HashMap<(Name, GrantTicket), HeldSlot>> {
-        self.slots.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+        lock(&self.slots)
     }
 }
--- a/crates/geraniumwinch-node/src/member_table.rs
+++ b/crates/geraniumwinch-node/src/member_table.rs
@@ -11,6 +11,8 @@
 use geraniumwinch_wire::MemberRow;
 use geraniumwinch_wire::PeerIdentity;
 
+use crate::shared_lock::lock;
+
 /// A process of the domain.
 #[derive(Debug, Clone)]
 pub(crate) struct DomainMember {
@@ -115,6 +117,6 @@
 
     /// Locks the table.
     fn lock(&self) -> MutexGuard<'_, BTreeMap<Name, DomainMember>> {
-        self.members.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+        lock(&self.members)
     }
 }
--- a/crates/geraniumwinch-node/src/mirror_table.rs
+++ b/crates/geraniumwinch-node/src/mirror_table.rs
@@ -7,6 +7,8 @@
 use geraniumwinch_wire::JournalEntry;
 use geraniumwinch_wire::MirrorBatch;
 
+use crate::shared_lock::lock;
+
 /// The greatest number of batches that are kept.
 const CAPACITY: usize = 10_000;
 
@@ -51,6 +53,6 @@
 
     /// Locks the table.
     fn lock(&self) -> MutexGuard<'_, BTreeMap<(u64, u64), Vec<JournalEntry>>> {
-        self.batches.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+        lock(&self.batches)
     }
 }
--- a/crates/geraniumwinch-node/src/node_shared.rs
+++ b/crates/geraniumwinch-node/src/node_shared.rs
@@ -127,6 +127,12 @@
     }
 }
 
+impl std::fmt::Debug for NodeShared {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "NodeShared({})", self.settings.name)
+    }
+}
+
 /// Returns the milliseconds since the Unix epoch.
 pub(crate) fn unix_millis(time: SystemTime) -> u64 {
     time.duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64
--- a/crates/geraniumwinch-node/src/node_supervisor.rs
+++ b/crates/geraniumwinch-node/src/node_supervisor.rs
@@ -29,7 +29,6 @@
 use crate::entry_server::PublishOrder;
 use crate::etcd_store::EtcdStore;
 use crate::event_log::log_event;
-use crate::fallible_loop::supervise;
 use crate::held_table::HeldTable;
 use crate::http_client::HttpClient;
 use crate::member_table::MemberTable;
@@ -43,6 +42,7 @@
 use crate::peer_link::PeerLink;
 use crate::peer_router::PeerRouter;
 use crate::publisher::ConfigPublisher;
+use crate::supervised_loop::supervise;
 use crate::vm_list::HttpVmList;
 use crate::worker_port::HttpWorkerPort;
 
--- a/crates/geraniumwinch-node/src/owner_fence.rs
+++ b/crates/geraniumwinch-node/src/owner_fence.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::shared_lock::lock;
+
 /// The state of the guard.
 #[derive(Debug, Clone, Copy)]
 struct FenceState {
@@ -81,6 +83,6 @@
 
     /// Locks the state.
     fn lock(&self) -> MutexGuard<'_, Option<FenceState>> {
-        self.state.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+        lock(&self.state)
     }
 }
--- a/crates/geraniumwinch-node/src/ownership/owned_domain.rs
+++ b/crates/geraniumwinch-node/src/ownership/owned_domain.rs
@@ -30,6 +30,7 @@
 use crate::node_shared::NodeShared;
 use crate::platform_store::StoreCondition;
 use crate::platform_store::StoreWrite;
+use crate::shared_lock::lock;
 use crate::store_keys;
 use crate::vm_list::DomainVms;
 use crate::worker_caller::WorkerCaller;
@@ -309,7 +310,7 @@
         self.shared.fence.close();
         self.shared.dispatcher.store(None);
         let own = &self.shared.own_digest;
-        *own.lock().unwrap_or_else(std::sync::PoisonError::into_inner) = None;
+        *lock(own) = None;
         self.shared.members.clear();
         self.loops.iter().for_each(JoinHandle::abort);
         self.arbiter.stop();
--- a/crates/geraniumwinch-node/src/peer_link.rs
+++ b/crates/geraniumwinch-node/src/peer_link.rs
@@ -27,6 +27,7 @@
 use crate::node_error::PeerListenSnafu;
 use crate::node_metrics;
 use crate::pending_calls::PendingCalls;
+use crate::shared_lock::lock;
 
 /// The messages that wait for a connection to a peer before further ones are dropped.
 const SEND_BUFFER: i32 = 2048;
@@ -180,8 +181,7 @@
 
     /// Hands bytes to the connection to a peer, which is opened if there is none.
     fn push(&self, to: SocketAddr, bytes: &[u8]) -> std::result::Result<(), nng::Error> {
-        let mut outboxes =
-            self.outboxes.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut outboxes = lock(&self.outboxes);
         let now = Instant::now();
         let outbox = match outboxes.entry(to) {
             std::collections::hash_map::Entry::Occupied(entry) => entry.into_mut(),
@@ -206,8 +206,7 @@
 
     /// Closes the connections that have not been used for a while.
     pub(crate) fn close_idle(&self, now: Instant) {
-        let mut outboxes =
-            self.outboxes.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut outboxes = lock(&self.outboxes);
         outboxes
             .retain(|_, outbox| now.saturating_duration_since(outbox.used) < IDLE_OUTBOX);
     }
--- a/crates/geraniumwinch-node/src/peer_router.rs
+++ b/crates/geraniumwinch-node/src/peer_router.rs
@@ -23,6 +23,7 @@
 use crate::node_metrics;
 use crate::node_shared::NodeShared;
 use crate::ownership::OwnershipOrder;
+use crate::shared_lock::lock;
 
 /// Routes the messages of peers.
 pub(crate) struct PeerRouter {
@@ -146,8 +147,7 @@
     /// Answers another domain's digest by the own one.
     fn digest(&self, from: &PeerIdentity, correlation: u128) {
         let own = &self.shared.own_digest;
-        let digest =
-            own.lock().unwrap_or_else(std::sync::PoisonError::into_inner).clone();
+        let digest = lock(own).clone();
         let answer = match digest {
             Some(mut digest) => {
                 fill_freshness(&self.shared, &mut digest);
--- a/crates/geraniumwinch-node/src/pending_calls.rs
+++ b/crates/geraniumwinch-node/src/pending_calls.rs
@@ -8,6 +8,8 @@
 use geraniumwinch_wire::PeerMessage;
 use tokio::sync::oneshot;
 
+use crate::shared_lock::lock;
+
 /// Calls that wait for their answers, by a correlation identifier that is never reused.
 #[derive(Debug)]
 pub(crate) struct PendingCalls {
@@ -54,6 +56,6 @@
     fn lock(
         &self,
     ) -> std::sync::MutexGuard<'_, HashMap<u128, oneshot::Sender<PeerMessage>>> {
-        self.waiting.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
+        lock(&self.waiting)
     }
 }
--- a/crates/geraniumwinch-node/src/request_carrier.rs
+++ b/crates/geraniumwinch-node/src/request_carrier.rs
@@ -4,12 +4,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use actix_http::header::HeaderMap;
 use actix_web::HttpResponse;
-use actix_web::body::SizedStream;
 use actix_web::http::StatusCode;
 use actix_web::http::header;
-use actix_web::http::header::HeaderName;
 use bytes::Bytes;
 use bytes::BytesMut;
 use geraniumwinch_core::ErrorKind;
@@ -30,6 +27,9 @@
 use crate::event_log::log_event;
 use crate::node_metrics;
 use crate::node_shared::NodeShared;
+use crate::ready_answer::AnswerParts;
+use crate::ready_answer::ReadyAnswer;
+use crate::ready_answer::TruncatedAnswer;
 use crate::refusal_answer::RefusalAnswer;
 use crate::slot_client::SlotEnd;
 use crate::slot_client::SlotLease;
@@ -167,85 +167,6 @@
     response.body(answer.body)
 }
 
-/// An answer that is ready for the caller.
-enum ReadyAnswer {
-    Whole(AnswerParts, Bytes),
-    Streamed(
-        AnswerParts,
-        Option<u64>,
-        mpsc::Receiver<std::result::Result<Bytes, Truncated>>,
-    ),
-}
-
-/// The head of an answer.
-struct AnswerParts {
-    status: u16,
-    headers: HeaderMap,
-}
-
-/// Breaks the caller's connection, so that a truncated answer can't be taken for a whole one.
-#[derive(Debug)]
-struct Truncated;
-
-impl std::fmt::Display for Truncated {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("the endpoint's answer ended before it was whole")
-    }
-}
-
-impl std::error::Error for Truncated {}
-
-impl ReadyAnswer {
-    /// Turns the answer into a response.
-    fn into_response(self) -> HttpResponse {
-        match self {
-            ReadyAnswer::Whole(parts, body) => parts.build().body(body),
-            ReadyAnswer::Streamed(parts, length, receiver) => {
-                let stream =
-                    futures_util::stream::unfold(receiver, |mut receiver| async {
-                        receiver.recv().await.map(|part| (part, receiver))
-                    });
-                let mut response = parts.build();
-                match length {
-                    Some(length) => {
-                        response.body(SizedStream::new(length, Box::pin(stream)))
-                    }
-                    None => response.streaming(stream),
-                }
-            }
-        }
-    }
-}
-
-impl AnswerParts {
-    /// Begins a response with the endpoint's status and headers.
-    fn build(&self) -> actix_web::HttpResponseBuilder {
-        let status = StatusCode::from_u16(self.status).unwrap_or(StatusCode::BAD_GATEWAY);
-        let mut response = HttpResponse::build(status);
-        for (name, value) in &self.headers {
-            if !is_hop_header(name) {
-                response.append_header((name.clone(), value.clone()));
-            }
-        }
-        response
-    }
-}
-
-/// Returns whether a header belongs to one connection only.
-pub(crate) fn is_hop_header(name: &HeaderName) -> bool {
-    const HOP: [HeaderName; 8] = [
-        header::CONNECTION,
-        header::CONTENT_LENGTH,
-        header::TRANSFER_ENCODING,
-        header::UPGRADE,
-        header::TE,
-        header::TRAILER,
-        header::PROXY_AUTHENTICATE,
-        header::PROXY_AUTHORIZATION,
-    ];
-    HOP.contains(name) || name.as_str() == "keep-alive"
-}
-
 /// Exchanges a request over a slot, passes the answer on and gives the slot back.
 async fn run_exchange(
     shared: Arc<NodeShared>,
@@ -293,7 +214,8 @@
     let parts = AnswerParts { status, headers };
     let mut buffer = BytesMut::new();
     let mut sender = Some(sender);
-    let mut stream: Option<mpsc::Sender<std::result::Result<Bytes, Truncated>>> = None;
+    let mut stream: Option<mpsc::Sender<std::result::Result<Bytes, TruncatedAnswer>>> =
+        None;
     let mut parts = Some(parts);
     loop {
         let remaining = deadline.saturating_duration_since(shared.now());
@@ -332,7 +254,7 @@
                 }
                 if let Some(stream) = stream {
                     node_metrics::count_refusal(kind);
-                    let _ = stream.send(Err(Truncated)).await;
+                    let _ = stream.send(Err(TruncatedAnswer)).await;
                 }
                 return ReleaseOutcome::Unknown;
             }
@@ -345,7 +267,7 @@
     parts: AnswerParts,
     first: Bytes,
     sender: oneshot::Sender<std::result::Result<ReadyAnswer, ErrorKind>>,
-) -> mpsc::Sender<std::result::Result<Bytes, Truncated>> {
+) -> mpsc::Sender<std::result::Result<Bytes, TruncatedAnswer>> {
     let (stream, receiver) = mpsc::channel(STREAM_BUFFER);
     let _ = stream.try_send(Ok(first));
     let length = parts.headers.get(header::CONTENT_LENGTH);
--- a/crates/geraniumwinch-node/src/slot_client.rs
+++ b/crates/geraniumwinch-node/src/slot_client.rs
@@ -69,12 +69,6 @@
     released: bool,
 }
 
-impl std::fmt::Debug for NodeShared {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        write!(f, "NodeShared({})", self.settings.name)
-    }
-}
-
 /// Obtains a slot from the request's home, its own domain, or another one with free slots.
 pub(crate) async fn obtain_slot(shared: &Arc<NodeShared>, wish: &SlotWish) -> SlotEnd {
     let home = wish.record.as_ref().map(|(_, home)| home.clone());
--- a/crates/geraniumwinch-wire/src/lib.rs
+++ b/crates/geraniumwinch-wire/src/lib.rs
@@ -17,6 +17,7 @@
 pub use self::peer_envelope::PeerName;
 pub use self::peer_message::ConfigAnswer;
 pub use self::peer_message::GreetReport;
+pub use self::peer_message::HandedGrant;
 pub use self::peer_message::HandoverState;
 pub use self::peer_message::HeldGrant;
 pub use self::peer_message::JobAnswer;
--- a/crates/geraniumwinch-wire/src/peer_message.rs
+++ b/crates/geraniumwinch-wire/src/peer_message.rs
@@ -228,6 +228,17 @@
     pub records: u32,
 }
 
+/// A slot whose grant passes from one dispatcher to the next.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HandedGrant {
+    /// The process that holds it.
+    pub entry: PeerName,
+    /// The slot.
+    pub held: HeldGrant,
+    /// The idempotency record of the request, if it has one.
+    pub record: Option<SlotRecord>,
+}
+
 /// What a new owner takes over from the old one in a planned handover.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct HandoverState {
@@ -240,7 +251,7 @@
     /// Where each task is placed.
     pub placements: Vec<(TaskId, Name)>,
     /// The slots that entries hold.
-    pub grants: Vec<(PeerName, HeldGrant)>,
+    pub grants: Vec<HandedGrant>,
 }
 
 /// A message between processes.
