--- a/crates/geraniumwinch-node/src/catalog_state.rs
+++ b/crates/geraniumwinch-node/src/catalog_state.rs
@@ -25,6 +25,8 @@
     pub(crate) revision: u64,
     /// The set.
     pub(crate) set: ConfigurationSet,
+    /// The digest of the set.
+    pub(crate) digest: String,
     /// The set in the form in which it is used.
     pub(crate) catalog: TeamCatalog,
 }
@@ -59,41 +61,49 @@
             history.clear();
         }
         let catalog = TeamCatalog::of(&set);
-        self.current.store(Arc::new(CatalogView { revision, set, catalog }));
+        let digest = set.digest();
+        self.current.store(Arc::new(CatalogView { revision, set, digest, catalog }));
         node_metrics::show_revision(revision);
         true
     }
 
-    /// Applies an answer of a peer or of the store.
-    pub(crate) fn apply_answer(&self, revision: u64, answer: ConfigAnswer) -> bool {
-        match answer {
-            ConfigAnswer::Whole(set) => self.apply(revision, set),
-            ConfigAnswer::Deltas(deltas) => {
+    /// Applies an answer of a peer, if it leads to the set with the digest.
+    ///
+    /// Changes that belong to another base are left alone, since the configuration may have moved on
+    /// while the answer was on its way.
+    pub(crate) fn apply_answer(
+        &self,
+        revision: u64,
+        digest: &str,
+        answer: ConfigAnswer,
+    ) -> bool {
+        let set = match answer {
+            ConfigAnswer::Whole(set) => set,
+            ConfigAnswer::Deltas { base, deltas } => {
                 let current = self.view();
-                let mut next = current.revision;
-                let mut set = current.set.clone();
-                let mut applied = false;
-                for delta in deltas {
-                    next += 1;
-                    delta.apply(&mut set);
-                    applied |= self.apply(next, set.clone());
+                if current.revision != base || base + deltas.len() as u64 != revision {
+                    return false;
                 }
-                applied && next == revision
+                let mut set = current.set.clone();
+                deltas.iter().for_each(|delta| delta.apply(&mut set));
+                set
             }
-        }
+        };
+        set.digest() == digest && self.apply(revision, set)
     }
 
-    /// Returns what leads a process from a revision to the one in force.
-    pub(crate) fn answer_from(&self, revision: u64) -> (u64, ConfigAnswer) {
+    /// Returns what leads a process from a revision to the one in force, with its digest.
+    pub(crate) fn answer_from(&self, base: u64) -> (u64, String, ConfigAnswer) {
         let history = lock(&self.history);
         let current = self.view();
-        let missing = history.iter().filter(|(next, _)| *next > revision);
+        let missing = history.iter().filter(|(next, _)| *next > base);
         let deltas: Vec<SetDelta> = missing.map(|(_, delta)| delta.clone()).collect();
-        if deltas.len() as u64 == current.revision.saturating_sub(revision) {
-            (current.revision, ConfigAnswer::Deltas(deltas))
+        let answer = if base + deltas.len() as u64 == current.revision {
+            ConfigAnswer::Deltas { base, deltas }
         } else {
-            (current.revision, ConfigAnswer::Whole(current.set.clone()))
-        }
+            ConfigAnswer::Whole(current.set.clone())
+        };
+        (current.revision, current.digest.clone(), answer)
     }
 
     /// Notes that the revision in force was the newest one at a time.
--- a/crates/geraniumwinch-node/src/config_keeper.rs
+++ b/crates/geraniumwinch-node/src/config_keeper.rs
@@ -9,7 +9,6 @@
 use geraniumwinch_config::ConfigurationSet;
 use geraniumwinch_config::SetDelta;
 use geraniumwinch_core::Name;
-use geraniumwinch_wire::ConfigAnswer;
 use geraniumwinch_wire::DomainDigest;
 use geraniumwinch_wire::PeerMessage;
 use geraniumwinch_wire::ProbeReport;
@@ -188,9 +187,10 @@
     let message = PeerMessage::ConfigAsk { revision };
     let timeout = shared.settings.peer_heartbeat * 2;
     let answer = shared.link.call(peer, message, timeout).await;
-    let Ok(PeerMessage::ConfigAnswer { revision, answer }) = answer else { return };
-    let nothing = matches!(&answer, ConfigAnswer::Deltas(deltas) if deltas.is_empty());
-    if !nothing && shared.catalog.apply_answer(revision, answer) {
+    let Ok(PeerMessage::ConfigAnswer { revision, digest, answer }) = answer else {
+        return;
+    };
+    if shared.catalog.apply_answer(revision, &digest, answer) {
         announce(shared);
     }
 }
--- a/crates/geraniumwinch-node/src/journal.rs
+++ b/crates/geraniumwinch-node/src/journal.rs
@@ -48,6 +48,13 @@
     Refused,
 }
 
+impl JournalFate {
+    /// Returns what became of two sets of entries together.
+    fn and(self, other: JournalFate) -> JournalFate {
+        if self == other { self } else { JournalFate::Unknown }
+    }
+}
+
 /// Entries that are to be kept, and whom to tell.
 pub(crate) struct JournalOrder {
     /// The entries.
@@ -132,7 +139,7 @@
             self.await_turn().await;
             let mut batch = vec![first];
             let mut size = batch[0].entries.len();
-            while size < MAX_BATCH && !batch[0].snapshot {
+            while size < MAX_BATCH && !batch.iter().any(|order| order.snapshot) {
                 let Ok(next) = orders.try_recv() else { break };
                 size += next.entries.len();
                 batch.push(next);
@@ -154,25 +161,26 @@
         self.next_write = Some(self.shared.now() + WRITE_PERIOD);
     }
 
-    /// Keeps the entries of some orders; returns whether the ownership is lost.
+    /// Keeps the entries of some orders together; returns whether the ownership is lost.
     async fn write_orders(&mut self, orders: Vec<JournalOrder>) -> bool {
-        let mut lost = false;
-        let mut fate = JournalFate::Kept;
+        let first = self.sequence + 1;
+        let snapshot = orders.iter().any(|order| order.snapshot);
+        let mut entries = Vec::new();
         let mut done = Vec::new();
         for order in orders {
-            let first = self.sequence + 1;
-            let mut written = true;
-            for chunk in order.entries.chunks(MAX_BATCH) {
-                let (chunk_fate, chunk_lost) = self.keep(chunk.to_vec()).await;
-                fate = chunk_fate;
-                lost |= chunk_lost;
-                written &= fate == JournalFate::Kept && !lost;
-            }
-            if order.snapshot && written && self.backlog.is_empty() {
-                self.drop_before(first).await;
-            }
+            entries.extend(order.entries);
             done.push(order.done);
         }
+        let mut fate = JournalFate::Kept;
+        let mut lost = false;
+        for chunk in entries.chunks(MAX_BATCH) {
+            let (chunk_fate, chunk_lost) = self.keep(chunk.to_vec()).await;
+            fate = fate.and(chunk_fate);
+            lost |= chunk_lost;
+        }
+        if snapshot && fate == JournalFate::Kept && !lost && self.backlog.is_empty() {
+            self.drop_before(first).await;
+        }
         done.into_iter().for_each(|done| done(fate));
         if !lost && self.since_snapshot >= COMPACT_AFTER && !self.snapshot_wanted {
             self.snapshot_wanted = true;
--- a/crates/geraniumwinch-node/src/peer_router.rs
+++ b/crates/geraniumwinch-node/src/peer_router.rs
@@ -55,8 +55,9 @@
                 self.answer(&from, correlation, PeerMessage::ProbeAnswer(report));
             }
             PeerMessage::ConfigAsk { revision } => {
-                let (revision, answer) = self.shared.catalog.answer_from(revision);
-                let answer = PeerMessage::ConfigAnswer { revision, answer };
+                let (revision, digest, answer) =
+                    self.shared.catalog.answer_from(revision);
+                let answer = PeerMessage::ConfigAnswer { revision, digest, answer };
                 self.answer(&from, correlation, answer);
             }
             PeerMessage::MirrorAppend(batch) => {
--- a/crates/geraniumwinch-tests/tests/configuration_in_force.rs
+++ b/crates/geraniumwinch-tests/tests/configuration_in_force.rs
@@ -129,6 +129,35 @@
     });
 }
 
+#[test]
+fn each_revision_has_the_content_that_was_published() {
+    run_test(async {
+        let cell = TestCell::start(CellPlan::new(3, 3, 1, 1)).await;
+        let key = format!("Bearer {OPERATOR_KEY}");
+        let headers = [("Authorization", key.as_str())];
+        let client = TestClient::default();
+        for round in 0..60 {
+            let answer = cell.publish(0, 0, round + 1, &set_of("only", round)).await;
+            assert_eq!(answer.status, 200, "round {round}: {:?}", answer.body);
+            for url in cell.entry_urls() {
+                let url = format!("{url}/v1/configuration");
+                let answer = client.send(Method::GET, &url, &headers, "").await;
+                let tag = answer
+                    .header("etag")
+                    .unwrap_or_default()
+                    .trim_matches('"')
+                    .to_owned();
+                let revision: u64 = tag.parse().expect("a revision");
+                assert!(revision <= round + 2, "revision {revision} was never published");
+                let text = String::from_utf8_lossy(&answer.body).into_owned();
+                let weight =
+                    format!("[share only]\nweight = {}\n", revision.saturating_sub(1));
+                assert!(revision < 2 || text.contains(&weight), "{revision}: {text}");
+            }
+        }
+    });
+}
+
 #[test]
 fn a_change_is_in_force_everywhere_within_four_seconds() {
     run_test(async {
--- a/crates/geraniumwinch-wire/src/peer_message.rs
+++ b/crates/geraniumwinch-wire/src/peer_message.rs
@@ -182,8 +182,13 @@
 /// The answer to a request for the configuration.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ConfigAnswer {
-    /// The changes of each revision after the one that the asker has.
-    Deltas(Vec<SetDelta>),
+    /// The changes of each revision after a base.
+    Deltas {
+        /// The revision that the first change applies to.
+        base: u64,
+        /// The changes, one for each revision.
+        deltas: Vec<SetDelta>,
+    },
     /// The whole set.
     Whole(ConfigurationSet),
 }
@@ -311,6 +316,8 @@
     ConfigAnswer {
         /// The revision that the answer leads to.
         revision: u64,
+        /// The digest of the set at that revision.
+        digest: String,
         /// The changes or the set.
         answer: ConfigAnswer,
     },
