--- a/crates/geraniumwinch-node/src/journal.rs
+++ b/crates/geraniumwinch-node/src/journal.rs
@@ -171,13 +171,15 @@
             entries.extend(order.entries);
             done.push(order.done);
         }
-        let mut fate = JournalFate::Kept;
+        let mut fates: Option<JournalFate> = None;
         let mut lost = false;
         for chunk in entries.chunks(MAX_BATCH) {
-            let (chunk_fate, chunk_lost) = self.keep(chunk.to_vec()).await;
-            fate = fate.and(chunk_fate);
+            let (fate, chunk_lost) = self.keep(chunk.to_vec()).await;
+            fates = Some(fates.map_or(fate, |others| others.and(fate)));
             lost |= chunk_lost;
         }
+        // Orders without entries wait for those before them, which have been dealt with.
+        let fate = fates.unwrap_or(JournalFate::Kept);
         if snapshot && fate == JournalFate::Kept && !lost && self.backlog.is_empty() {
             self.drop_before(first).await;
         }
