--- a/crates/geraniumwinch/src/commands/status.rs
+++ b/crates/geraniumwinch/src/commands/status.rs
@@ -82,6 +82,11 @@
             team["share"].as_f64().unwrap_or(0.0),
         );
     }
+    let quarantined = report["quarantined"].as_array().into_iter().flatten();
+    let quarantined: Vec<&str> = quarantined.map(text).collect();
+    if !quarantined.is_empty() {
+        println!("  quarantined workers: {}", quarantined.join(", "));
+    }
     println!("  {:<24} {:>8} {:>10}", "process", "revision", "silent ms");
     for member in report["members"].as_array().into_iter().flatten() {
         println!(
