Look seeds of a failure domain up in one place

The ownership and the exchange of digests each searched the settings for them; both call NodeSettings::seeds_of now.

--- a/crates/geraniumwinch-config/src/node_settings.rs
+++ b/crates/geraniumwinch-config/src/node_settings.rs
@@ -140,6 +140,12 @@
         reader.finish(settings)
     }
 
+    /// Returns the seeds of a failure domain; one that is not listed has none.
+    pub fn seeds_of(&self, domain: &Name) -> &[SocketAddr] {
+        let found = self.domains.iter().find(|seeds| seeds.domain == *domain);
+        found.map(|seeds| seeds.seeds.as_slice()).unwrap_or_default()
+    }
+
     /// Returns the names of the failure domains.
     pub fn domain_names(&self) -> Vec<Name> {
         self.domains.iter().map(|seeds| seeds.domain.clone()).collect()
--- a/crates/geraniumwinch-node/src/config_keeper.rs
+++ b/crates/geraniumwinch-node/src/config_keeper.rs
@@ -221,8 +221,7 @@
 async fn exchange_with(shared: &Arc<NodeShared>, domain: Name, digest: DomainDigest) {
     let timeout = shared.settings.peer_heartbeat * 2;
     let known = shared.domains.get(&domain).map(|row| row.digest.owner.address);
-    let seeds = shared.settings.domains.iter().find(|seeds| seeds.domain == domain);
-    let seeds = seeds.map(|seeds| seeds.seeds.clone()).unwrap_or_default();
+    let seeds = shared.settings.seeds_of(&domain).to_vec();
     for address in known.into_iter().chain(seeds) {
         let sent = shared.now();
         let message = PeerMessage::Digest(Box::new(digest.clone()));
--- a/crates/geraniumwinch-node/src/ownership.rs
+++ b/crates/geraniumwinch-node/src/ownership.rs
@@ -181,9 +181,7 @@
     async fn ask_seeds(&self) {
         let own = self.shared.link.identity().address;
         let domain = self.shared.domain();
-        let seeds =
-            self.shared.settings.domains.iter().find(|seeds| seeds.domain == *domain);
-        let seeds = seeds.map(|seeds| seeds.seeds.clone()).unwrap_or_default();
+        let seeds = self.shared.settings.seeds_of(domain).to_vec();
         for seed in seeds.into_iter().filter(|seed| *seed != own) {
             let timeout = self.shared.settings.peer_heartbeat;
             let answer = self.shared.link.call(seed, PeerMessage::Probe, timeout).await;
