--- /dev/null
+++ b/crates/geraniumwinch-cell/src/authority.rs
@@ -0,0 +1,56 @@
+//! The right to give orders.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use geraniumwinch_fleet::BootTime;
+
+/// How much sooner the right ends here than at the store.
+const MARGIN: Duration = Duration::from_millis(300);
+/// How much longer than the right to start tasks the right to extend workers' leases lasts.
+pub(crate) const EXTENSION_GRACE: Duration = Duration::from_secs(4);
+
+/// The right of one epoch's owner to give orders, which ends unless it is renewed.
+#[derive(Debug)]
+pub(crate) struct OwnerAuthority {
+    /// The epoch: the fencing token of all orders.
+    pub(crate) epoch: u64,
+    /// The store's lease that the ownership ends with.
+    pub(crate) lease: u64,
+    ttl: Duration,
+    renewed: Cell<BootTime>,
+    lost: Cell<bool>,
+}
+
+impl OwnerAuthority {
+    /// Creates the right of an owner whose lease was granted by a call sent at `renewed`.
+    pub(crate) fn new(epoch: u64, lease: u64, ttl: Duration, renewed: BootTime) -> Self {
+        let renewed = Cell::new(renewed);
+        OwnerAuthority { epoch, lease, ttl, renewed, lost: Cell::new(false) }
+    }
+
+    /// Notes that the lease was renewed by a call sent at `sent`.
+    pub(crate) fn renew(&self, sent: BootTime) {
+        self.renewed.set(self.renewed.get().max(sent));
+    }
+
+    /// Notes that another process may own the cell.
+    pub(crate) fn lose(&self) {
+        self.lost.set(true);
+    }
+
+    /// Returns whether the ownership is known to have ended.
+    pub(crate) fn is_lost(&self) -> bool {
+        self.lost.get()
+    }
+
+    /// Returns whether tasks may be started.
+    pub(crate) fn may_start(&self, now: BootTime) -> bool {
+        !self.lost.get() && now + MARGIN < self.renewed.get() + self.ttl
+    }
+
+    /// Returns whether the leases of workers may be extended.
+    pub(crate) fn may_extend(&self, now: BootTime) -> bool {
+        !self.lost.get() && now < self.renewed.get() + self.ttl + EXTENSION_GRACE
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-cell/src/boot_clock.rs
@@ -0,0 +1,35 @@
+//! The clock of a cell's processes.
+
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use geraniumwinch_fleet::BootTime;
+use nix::time::ClockId;
+use nix::time::clock_gettime;
+
+/// A source of the time since boot and of the calendar time.
+pub trait CellClock {
+    /// Returns the time since boot, which goes on while the VM is suspended.
+    fn now(&self) -> BootTime;
+
+    /// Returns the calendar time since 1970.
+    fn wall(&self) -> Duration;
+}
+
+/// The clocks of the operating system.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct BootClock;
+
+impl CellClock for BootClock {
+    fn now(&self) -> BootTime {
+        let time = clock_gettime(ClockId::CLOCK_BOOTTIME)
+            .or_else(|_| clock_gettime(ClockId::CLOCK_MONOTONIC))
+            .expect("the system has a monotonic clock");
+        Duration::from(time)
+    }
+
+    fn wall(&self) -> Duration {
+        SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -0,0 +1,503 @@
+//! The decisions of the process that owns the cell.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use geraniumwinch_core::ErrorKind;
+use geraniumwinch_core::Name;
+use geraniumwinch_core::log_event;
+use geraniumwinch_fleet::BoardEvent;
+use geraniumwinch_fleet::BootTime;
+use geraniumwinch_fleet::FleetBoard;
+use geraniumwinch_fleet::JobPhase;
+use geraniumwinch_fleet::JobRecord;
+use geraniumwinch_fleet::PermissionAsk;
+use geraniumwinch_fleet::PermissionGrant;
+use geraniumwinch_fleet::WorkerKey;
+use tokio::sync::Notify;
+
+use crate::CellPorts;
+use crate::CellSettings;
+use crate::authority::EXTENSION_GRACE;
+use crate::authority::OwnerAuthority;
+use crate::catalog_watch::CatalogWatch;
+use crate::cell_metrics;
+use crate::cell_owner::OWNER_TTL;
+use crate::member_table::MemberTable;
+use crate::order_sender::OrderSender;
+use crate::owner_record::JOB_PREFIX;
+use crate::owner_record::SEAL_KEY;
+use crate::peer_message::AskOrder;
+use crate::peer_message::JobOrder;
+use crate::peer_message::MemberNote;
+use crate::peer_message::PeerReply;
+use crate::peer_message::PeerRequest;
+use crate::peer_service::PeerClient;
+use crate::permission_desk::PermissionDesk;
+use crate::record_journal::RecordJournal;
+use crate::worker_loop::WorkerLoop;
+
+/// The longest time between two passes over the board.
+const PASS_INTERVAL: Duration = Duration::from_millis(100);
+/// The least time between two passes.
+const PASS_GAP: Duration = Duration::from_millis(4);
+/// The time between two reads of the list of workers.
+const LIST_INTERVAL: Duration = Duration::from_millis(700);
+/// The wait before a read of the store is repeated during a takeover.
+const LOAD_RETRY: Duration = Duration::from_millis(100);
+/// The time between two searches for records that nobody can ask for any longer.
+const EXPIRE_INTERVAL: Duration = Duration::from_secs(10);
+/// The most records that are removed at a time.
+const EXPIRE_MOST: usize = 200;
+/// How much more than its nominal time a worker's lease may last: a slow clock and delays.
+const LEASE_SLACK: f64 = 0.025;
+/// The time that a call through a peer may take beyond that of the permission service.
+const ASK_SLACK: Duration = Duration::from_millis(500);
+/// How much sooner a permission is taken to end here than at the worker.
+const PERMISSION_MARGIN: Duration = Duration::from_millis(80);
+/// The time after which a silent process is no longer told to others.
+const MEMBER_MEMORY: Duration = Duration::from_secs(15);
+
+/// The owner of the cell at work.
+pub(crate) struct CellDispatcher {
+    ports: CellPorts,
+    settings: Rc<CellSettings>,
+    catalog: Rc<CatalogWatch>,
+    peers: PeerClient,
+    pub(crate) authority: Rc<OwnerAuthority>,
+    board: Rc<RefCell<FleetBoard>>,
+    journal: Rc<RecordJournal>,
+    sender: Rc<OrderSender>,
+    desk: PermissionDesk,
+    pub(crate) members: RefCell<MemberTable>,
+    pump: Rc<Notify>,
+    stored: Rc<Notify>,
+    limits_version: Cell<u64>,
+    resigned: Cell<bool>,
+}
+
+impl CellDispatcher {
+    /// Reads what the store holds and creates the dispatcher of an epoch.
+    ///
+    /// Returns nothing if the ownership ends meanwhile.
+    pub(crate) async fn take_over(
+        ports: CellPorts,
+        settings: Rc<CellSettings>,
+        catalog: Rc<CatalogWatch>,
+        peers: PeerClient,
+        authority: Rc<OwnerAuthority>,
+        owner_revision: u64,
+    ) -> Option<Rc<Self>> {
+        let began = ports.clock.now();
+        let lease =
+            settings.worker_lease.mul_f64(1.0 + LEASE_SLACK) + Duration::from_millis(200);
+        let uncertain_until = began + OWNER_TTL + EXTENSION_GRACE + lease;
+        let board = Rc::new(RefCell::new(FleetBoard::new(authority.epoch, lease)));
+        let jobs = load_jobs(&ports, &authority, &board, uncertain_until).await?;
+        let seal = load_seal(&ports, &authority).await?;
+        let pump = Rc::new(Notify::new());
+        let stored = Rc::new(Notify::new());
+        let journal = Rc::new(RecordJournal::new(
+            ports.clone(),
+            Rc::clone(&authority),
+            Rc::clone(&board),
+            owner_revision,
+            seal,
+            Rc::clone(&stored),
+        ));
+        let sender = Rc::new(OrderSender::new(
+            ports.clone(),
+            Rc::clone(&authority),
+            Rc::clone(&board),
+            settings.worker_lease,
+            Rc::clone(&pump),
+        ));
+        let took = ports.clock.now().saturating_sub(began);
+        cell_metrics::record_takeover(took);
+        log_event!(
+            Info,
+            "takeover",
+            epoch = authority.epoch,
+            jobs = jobs,
+            ms = took.as_millis()
+        );
+        Some(Rc::new(CellDispatcher {
+            ports,
+            settings,
+            catalog,
+            peers,
+            authority,
+            board,
+            journal,
+            sender,
+            desk: PermissionDesk::default(),
+            members: RefCell::default(),
+            pump,
+            stored,
+            limits_version: Cell::new(0),
+            resigned: Cell::new(false),
+        }))
+    }
+
+    /// Dispatches until the ownership ends.
+    pub(crate) async fn run(self: Rc<Self>) {
+        let journal = actix_rt::spawn(Rc::clone(&self.journal).run());
+        let listing = actix_rt::spawn(Rc::clone(&self).list_workers());
+        let mut expired = self.ports.clock.now();
+        while !self.authority.is_lost() {
+            self.pass();
+            // An elapsed wait needs no handling: a pass is due either way.
+            let _ = tokio::time::timeout(PASS_INTERVAL, self.pump.notified()).await;
+            tokio::time::sleep(PASS_GAP).await;
+            let now = self.ports.clock.now();
+            if now >= expired + EXPIRE_INTERVAL {
+                expired = now;
+                self.expire_records();
+            }
+        }
+        listing.abort();
+        self.journal.wake();
+        if journal.await.is_err() {
+            log_event!(Error, "child-failed", child = "journal");
+        }
+        self.stored.notify_waiters();
+    }
+
+    /// Removes records that nobody can ask for any longer.
+    fn expire_records(&self) {
+        let wall = self.ports.clock.wall();
+        let retention = self.settings.job_retention * 2;
+        let expired = self.board.borrow_mut().expire(wall, retention, EXPIRE_MOST);
+        if !expired.is_empty() {
+            self.journal.remove(expired);
+        }
+    }
+
+    /// Keeps the list of workers and runs a loop for each.
+    async fn list_workers(self: Rc<Self>) {
+        let mut lost = false;
+        while !self.authority.is_lost() {
+            match self.ports.directory.list().await {
+                Ok(cards) => {
+                    if std::mem::take(&mut lost) {
+                        log_event!(Info, "store-regained", part = "workers");
+                    }
+                    let now = self.ports.clock.now();
+                    let fresh = self.board.borrow_mut().set_workers(cards, now);
+                    for worker in fresh {
+                        self.run_worker(worker);
+                    }
+                }
+                Err(error) => {
+                    if !lost {
+                        log_event!(Warn, "store-lost", part = "workers", error = error);
+                    }
+                    lost = true;
+                }
+            }
+            tokio::time::sleep(LIST_INTERVAL).await;
+        }
+    }
+
+    /// Runs the loop of a worker.
+    fn run_worker(&self, worker: WorkerKey) {
+        let worker_loop = WorkerLoop {
+            ports: self.ports.clone(),
+            authority: Rc::clone(&self.authority),
+            board: Rc::clone(&self.board),
+            sender: Rc::clone(&self.sender),
+            pump: Rc::clone(&self.pump),
+            worker,
+        };
+        actix_rt::spawn(worker_loop.run());
+    }
+
+    /// Does what is due: places tasks, sends orders, asks for permissions and writes changes.
+    fn pass(self: &Rc<Self>) {
+        let now = self.ports.clock.now();
+        self.update_limits();
+        let mut board = self.board.borrow_mut();
+        board.sweep(now);
+        let mut asks = Vec::new();
+        let mut starts = Vec::new();
+        if self.authority.may_start(now) {
+            let round = board.place(self.ports.clock.wall(), now);
+            starts = round.starts;
+            asks = round.asks;
+        }
+        let stops = board.take_stops();
+        let events = board.take_events();
+        let due = board.has_due_writes(now);
+        let counts = board.counts(now);
+        drop(board);
+        cell_metrics::set_counts(counts);
+        for start in starts {
+            self.sender.start(start);
+        }
+        for stop in stops {
+            self.sender.stop(stop);
+        }
+        events.iter().for_each(log_board_event);
+        self.desk.push(asks);
+        self.assign_asks(now);
+        if due {
+            self.journal.wake();
+        }
+    }
+
+    /// Puts the limits of a new configuration in force.
+    fn update_limits(&self) {
+        let Some(current) = self.catalog.current() else { return };
+        let version = current.catalog.version;
+        if version != self.limits_version.replace(version) {
+            self.board.borrow_mut().set_limits(current.catalog.account_limits());
+        }
+    }
+
+    /// Has waiting questions asked by VMs that are free to.
+    fn assign_asks(self: &Rc<Self>, now: BootTime) {
+        if self.desk.waiting() == 0 {
+            return;
+        }
+        let mut members = vec![self.settings.peers];
+        let live = self.members.borrow().live(now);
+        members.extend(live.iter().map(|note| note.address));
+        for (member, ask) in self.desk.assign(&members, now) {
+            actix_rt::spawn(Rc::clone(self).ask(member, ask));
+        }
+    }
+
+    /// Has a question asked by a VM and takes the answer in.
+    async fn ask(self: Rc<Self>, member: SocketAddr, ask: PermissionAsk) {
+        let began = self.ports.clock.now();
+        let step = ask.step.clone();
+        let asked = ask.workers.clone();
+        let allowed = self.ask_through(member, ask).await;
+        let now = self.ports.clock.now();
+        cell_metrics::record_ask(now.saturating_sub(began));
+        self.desk.end(member, allowed.is_some(), now);
+        log_event!(
+            Info,
+            "permission",
+            step = step,
+            asked = asked.len(),
+            allowed = allowed.as_ref().map_or(-1, |allowed| allowed.len() as i64),
+            ms = now.saturating_sub(began).as_millis()
+        );
+        let mut board = self.board.borrow_mut();
+        match allowed {
+            Some(allowed) => {
+                let validity = board.permission_validity(&step).unwrap_or_default();
+                let until = now + validity.saturating_sub(PERMISSION_MARGIN);
+                let grants = allowed
+                    .into_iter()
+                    .map(|(worker, ticket)| PermissionGrant { worker, ticket, until })
+                    .collect();
+                board.permitted(&step, &asked, grants);
+            }
+            None => {
+                cell_metrics::count_retry("permission");
+                board.permission_failed(&step, now);
+            }
+        }
+        drop(board);
+        self.pump.notify_one();
+    }
+
+    /// Asks the permission service from this VM or another.
+    async fn ask_through(
+        &self,
+        member: SocketAddr,
+        ask: PermissionAsk,
+    ) -> Option<Vec<(Name, Name)>> {
+        if member == self.settings.peers {
+            return self.ports.permissions.ask(ask).await.ok();
+        }
+        let order = AskOrder {
+            job: ask.step.job,
+            occurrence: ask.step.occurrence,
+            step: ask.step.step,
+            workers: ask.workers,
+            call_time: ask.call_time,
+        };
+        let timeout = ask.call_time + ASK_SLACK;
+        match self.peers.call(member, &PeerRequest::Ask(order), timeout).await {
+            Ok(PeerReply::Allowed(allowed)) => allowed,
+            _ => None,
+        }
+    }
+
+    /// Answers a request that only the owner answers.
+    pub(crate) async fn handle(&self, request: PeerRequest) -> PeerReply {
+        let now = self.ports.clock.now();
+        if !self.authority.may_extend(now) || self.resigned.get() {
+            return PeerReply::NotOwner;
+        }
+        match request {
+            PeerRequest::Hello(note) => self.greet(note, now),
+            PeerRequest::Submit(order) => self.submit(order).await,
+            PeerRequest::Query(job) => {
+                let state = self.board.borrow().state(&job);
+                PeerReply::State(state)
+            }
+            PeerRequest::Cancel(job) => self.cancel(&job, now).await,
+            PeerRequest::Waiting(queue) => {
+                PeerReply::Waiting(self.board.borrow().waiting(&queue) as u64)
+            }
+            PeerRequest::OwnerSeen(_) | PeerRequest::Catalog | PeerRequest::Ask(_) => {
+                PeerReply::NotOwner
+            }
+        }
+    }
+
+    /// Notes that a process is alive and tells it about the others.
+    fn greet(&self, note: MemberNote, now: BootTime) -> PeerReply {
+        let mut members = self.members.borrow_mut();
+        members.heard(note, now);
+        members.forget(now, MEMBER_MEMORY);
+        PeerReply::Hello(self.authority.epoch, self.catalog.version(), members.all())
+    }
+
+    /// Stores a job, once however often it comes.
+    async fn submit(&self, order: JobOrder) -> PeerReply {
+        if self.board.borrow().state(&order.id).is_some() {
+            return PeerReply::Accepted;
+        }
+        let JobOrder { id, rules, account, request } = order;
+        let wall = self.ports.clock.wall();
+        let record = JobRecord::new(rules, account, wall, request);
+        match self.journal.create(id, record).await {
+            Ok(()) => {
+                self.pump.notify_one();
+                PeerReply::Accepted
+            }
+            Err(kind) => PeerReply::Refused(kind),
+        }
+    }
+
+    /// Cancels a job and answers once the store holds it.
+    async fn cancel(&self, job: &Name, now: BootTime) -> PeerReply {
+        if !self.board.borrow_mut().cancel(job, now) {
+            return PeerReply::State(None);
+        }
+        self.pump.notify_one();
+        self.journal.wake();
+        loop {
+            let changed = self.stored.notified();
+            let state = self.board.borrow().state(job);
+            match state {
+                Some((JobPhase::Live, _)) => {}
+                state => return PeerReply::State(state),
+            }
+            if self.authority.is_lost() {
+                return PeerReply::Refused(ErrorKind::StoreUnknown);
+            }
+            changed.await;
+        }
+    }
+
+    /// Ends the ownership so that another process can take over at once.
+    pub(crate) async fn resign(&self) {
+        self.resigned.set(true);
+        log_event!(Info, "ownership-resigned", epoch = self.authority.epoch);
+        cell_metrics::count_ownership("resigned", 0);
+        self.authority.lose();
+        if let Err(error) = self.ports.store.end_lease(self.authority.lease).await {
+            log_event!(Warn, "lease-end-failed", error = error);
+        }
+    }
+}
+
+/// Reads the store until it answers or the ownership ends.
+macro_rules! read_until_lost {
+    ($ports:expr, $authority:expr, $call:expr) => {
+        loop {
+            if !$authority.may_start($ports.clock.now()) {
+                return None;
+            }
+            match $call.await {
+                Ok(answer) => break answer,
+                Err(error) => {
+                    log_event!(Warn, "takeover-read-failed", error = error);
+                    tokio::time::sleep(LOAD_RETRY).await;
+                }
+            }
+        }
+    };
+}
+
+/// Reads all jobs onto the board and returns their number.
+async fn load_jobs(
+    ports: &CellPorts,
+    authority: &OwnerAuthority,
+    board: &RefCell<FleetBoard>,
+    uncertain_until: BootTime,
+) -> Option<usize> {
+    let mut after = String::new();
+    let mut records = Vec::new();
+    loop {
+        let page =
+            read_until_lost!(ports, authority, ports.store.list(JOB_PREFIX, &after));
+        for item in &page.items {
+            match JobRecord::decode(&item.value) {
+                Ok(record) => {
+                    let id: Name = item.key[JOB_PREFIX.len()..].into();
+                    records.push((id, record));
+                }
+                Err(error) => {
+                    log_event!(Error, "record-unreadable", key = item.key, error = error);
+                }
+            }
+        }
+        match page.items.last() {
+            Some(last) if page.more => after = last.key.clone(),
+            _ => break,
+        }
+    }
+    records.sort_by_key(|(_, record)| record.accepted);
+    let count = records.len();
+    let mut board = board.borrow_mut();
+    for (id, record) in records {
+        board.load(id, record, uncertain_until);
+    }
+    Some(count)
+}
+
+/// Reads the revision of the seal.
+async fn load_seal(ports: &CellPorts, authority: &OwnerAuthority) -> Option<u64> {
+    let item = read_until_lost!(ports, authority, ports.store.get(SEAL_KEY));
+    Some(item.map_or(0, |item| item.revision))
+}
+
+/// Logs a decision of the board.
+fn log_board_event(event: &BoardEvent) {
+    match event {
+        BoardEvent::Ended { task, run, worker, end } => {
+            cell_metrics::count_end(end.as_str());
+            let end = end.as_str();
+            log_event!(Info, "ended", task = task, run = run, worker = worker, end = end);
+        }
+        BoardEvent::Expired { task, run, worker } => {
+            log_event!(Warn, "run-expired", task = task, run = run, worker = worker);
+        }
+        BoardEvent::Missing { task, run, worker } => {
+            log_event!(Warn, "run-missing", task = task, run = run, worker = worker);
+        }
+        BoardEvent::Stalled { task, run, worker } => {
+            log_event!(Warn, "run-stalled", task = task, run = run, worker = worker);
+        }
+        BoardEvent::Preempted { task, run, worker } => {
+            log_event!(Info, "preempted", task = task, run = run, worker = worker);
+        }
+        BoardEvent::JobEnded { job, phase } => {
+            cell_metrics::count_job_end(phase);
+            log_event!(Info, "job-ended", job = job, phase = phase);
+        }
+        BoardEvent::Quarantined { worker } => {
+            log_event!(Warn, "worker-quarantined", worker = worker);
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-cell/src/cell_metrics.rs
@@ -0,0 +1,104 @@
+//! The counters, gauges and histograms of a cell's process.
+
+use std::time::Duration;
+
+use geraniumwinch_core::ErrorKind;
+use geraniumwinch_core::metric_rows;
+use geraniumwinch_fleet::FleetCounts;
+use metrics::counter;
+use metrics::gauge;
+use metrics::histogram;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+metric_rows! {
+    REFUSALS = "geraniumwinch_cell_refusals_total", "counter", "reason", "Callers' requests refused, by error kind.";
+    RETRIES = "geraniumwinch_cell_retries_total", "counter", "reason", "Repeated attempts, by what is repeated and why.";
+    STARTS = "geraniumwinch_cell_starts_total", "counter", "outcome", "Orders to start a task, by outcome.";
+    ENDS = "geraniumwinch_cell_ends_total", "counter", "end", "Runs that ended, by how.";
+    JOB_ENDS = "geraniumwinch_cell_job_ends_total", "counter", "phase", "Jobs that ended, by how.";
+    OWNERSHIPS = "geraniumwinch_cell_ownerships_total", "counter", "change", "Ownerships of the cell that this process took, resigned or lost.";
+    EPOCH = "geraniumwinch_cell_epoch", "gauge", "", "Epoch of the ownership that this process holds, or 0.";
+    CATALOG = "geraniumwinch_cell_catalog_version", "gauge", "", "Number of the configuration in force.";
+    LIVE_JOBS = "geraniumwinch_cell_live_jobs", "gauge", "", "Jobs that are not ended, at the owner.";
+    PLACED = "geraniumwinch_cell_placed_tasks", "gauge", "", "Tasks that may run, at the owner.";
+    USABLE = "geraniumwinch_cell_usable_workers", "gauge", "", "Workers that take tasks, at the owner.";
+    STORE_TIME = "geraniumwinch_cell_commit_seconds", "histogram", "", "Time that a transaction of the journal takes in seconds.";
+    ACCEPT_TIME = "geraniumwinch_cell_accept_seconds", "histogram", "", "Time from a job's arrival to its answer in seconds.";
+    ASK_TIME = "geraniumwinch_cell_permission_seconds", "histogram", "", "Time that a question to the permission service takes in seconds.";
+    TAKEOVER_TIME = "geraniumwinch_cell_takeover_seconds", "histogram", "", "Time from a won ownership until the new owner decides in seconds.";
+}
+
+/// The bounds of the histograms' buckets in seconds.
+const BUCKETS: &[f64] =
+    &[0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0];
+
+/// Installs the recorder and returns the handle that renders the metrics as text.
+pub(crate) fn install() -> PrometheusHandle {
+    let builder = PrometheusBuilder::new();
+    let builder = builder.set_buckets(BUCKETS).expect("the list of buckets is not empty");
+    builder.install_recorder().expect("the recorder is installed once")
+}
+
+/// Counts a refusal.
+pub(crate) fn count_refusal(kind: ErrorKind) {
+    counter!(REFUSALS, "reason" => kind.answer().name).increment(1);
+}
+
+/// Counts a repeated attempt.
+pub(crate) fn count_retry(reason: &'static str) {
+    counter!(RETRIES, "reason" => reason).increment(1);
+}
+
+/// Counts an order to start a task.
+pub(crate) fn count_start(outcome: &'static str) {
+    counter!(STARTS, "outcome" => outcome).increment(1);
+}
+
+/// Counts the end of a run.
+pub(crate) fn count_end(end: &'static str) {
+    counter!(ENDS, "end" => end).increment(1);
+}
+
+/// Counts the end of a job.
+pub(crate) fn count_job_end(phase: &'static str) {
+    counter!(JOB_ENDS, "phase" => phase).increment(1);
+}
+
+/// Counts a change of the ownership and shows the epoch, which is 0 without one.
+pub(crate) fn count_ownership(change: &'static str, epoch: u64) {
+    counter!(OWNERSHIPS, "change" => change).increment(1);
+    gauge!(EPOCH).set(epoch as f64);
+}
+
+/// Shows the number of the configuration in force.
+pub(crate) fn set_catalog_version(version: u64) {
+    gauge!(CATALOG).set(version as f64);
+}
+
+/// Shows the owner's numbers.
+pub(crate) fn set_counts(counts: FleetCounts) {
+    gauge!(LIVE_JOBS).set(counts.live_jobs as f64);
+    gauge!(PLACED).set(counts.placed as f64);
+    gauge!(USABLE).set(counts.usable_workers as f64);
+}
+
+/// Records the time of a transaction.
+pub(crate) fn record_commit(time: Duration) {
+    histogram!(STORE_TIME).record(time.as_secs_f64());
+}
+
+/// Records the time until a job was answered.
+pub(crate) fn record_accept(time: Duration) {
+    histogram!(ACCEPT_TIME).record(time.as_secs_f64());
+}
+
+/// Records the time of a question to the permission service.
+pub(crate) fn record_ask(time: Duration) {
+    histogram!(ASK_TIME).record(time.as_secs_f64());
+}
+
+/// Records the time of a takeover.
+pub(crate) fn record_takeover(time: Duration) {
+    histogram!(TAKEOVER_TIME).record(time.as_secs_f64());
+}
--- /dev/null
+++ b/crates/geraniumwinch-cell/src/cell_node.rs
@@ -0,0 +1,276 @@
+//! A process of the cell: its parts, its addresses and its end.
+
+use std::cell::Cell;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::LocalBoxFuture;
+use geraniumwinch_core::log_event;
+use metrics_exporter_prometheus::PrometheusHandle;
+use snafu::ResultExt;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+use crate::CallClient;
+use crate::CellError;
+use crate::CellPorts;
+use crate::CellSettings;
+use crate::FetchedCatalog;
+use crate::HttpAnswer;
+use crate::HttpListener;
+use crate::HttpRequest;
+use crate::SubmitDesk;
+use crate::catalog_watch::CatalogWatch;
+use crate::cell_error::SignalsSnafu;
+use crate::cell_metrics;
+use crate::cell_owner::CellOwner;
+use crate::http_listener::HttpHandler;
+use crate::owner_watch::OwnerWatch;
+use crate::peer_message::AskOrder;
+use crate::peer_message::PeerReply;
+use crate::peer_message::PeerRequest;
+use crate::peer_service;
+use crate::peer_service::PeerClient;
+
+/// How old the owner's last answer may be while this process takes callers.
+const READY_AGE: Duration = Duration::from_millis(2500);
+/// How much sooner than it would be killed a process ends.
+const STOP_MARGIN: Duration = Duration::from_millis(1300);
+/// The greatest body of a peer's call in bytes.
+const PEER_BODY: usize = 4 * 1024 * 1024;
+/// The time between two renderings of the metrics that keep their memory bounded.
+const METRICS_UPKEEP: Duration = Duration::from_secs(10);
+
+/// A process of the cell.
+pub struct CellNode {
+    settings: Rc<CellSettings>,
+    ports: CellPorts,
+    catalog: Rc<CatalogWatch>,
+    owner: Rc<CellOwner>,
+    desk: SubmitDesk,
+    metrics: PrometheusHandle,
+    max_body: Rc<Cell<usize>>,
+    stopping: Cell<bool>,
+}
+
+impl CellNode {
+    /// Creates the process; `client` is the one HTTP client.
+    pub fn new(settings: CellSettings, ports: CellPorts, client: CallClient) -> Rc<Self> {
+        let settings = Rc::new(settings);
+        let catalog = CatalogWatch::new(ports.clone());
+        let watch = OwnerWatch::new(ports.clone());
+        let peers = PeerClient::new(client);
+        let owner = CellOwner::new(
+            ports.clone(),
+            Rc::clone(&settings),
+            Rc::clone(&catalog),
+            watch,
+            peers.clone(),
+        );
+        let desk = SubmitDesk::new(
+            ports.clone(),
+            Rc::clone(&settings),
+            Rc::clone(&owner),
+            peers,
+        );
+        Rc::new(CellNode {
+            settings,
+            ports,
+            catalog,
+            owner,
+            desk,
+            metrics: cell_metrics::install(),
+            max_body: Rc::new(Cell::new(256 * 1024)),
+            stopping: Cell::new(false),
+        })
+    }
+
+    /// Returns the configuration in force.
+    pub fn catalog(&self) -> Option<Rc<FetchedCatalog>> {
+        self.catalog.current()
+    }
+
+    /// Returns what carries callers' requests to the owner.
+    pub fn desk(&self) -> &SubmitDesk {
+        &self.desk
+    }
+
+    /// Returns whether the process is stopping.
+    pub fn stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Returns whether the process takes new callers.
+    fn ready(&self) -> bool {
+        let configured = self.catalog.current().is_some();
+        configured && !self.stopping.get() && self.owner.in_touch(READY_AGE)
+    }
+
+    /// Runs the process until it is told to stop; `callers` answers callers' requests.
+    ///
+    /// # Errors
+    ///
+    /// Fails if an address can't be listened on or signals can't be received.
+    pub async fn run(
+        self: Rc<Self>,
+        callers: HttpHandler,
+        settings_file: PathBuf,
+    ) -> Result<(), CellError> {
+        let settings = &self.settings;
+        log_event!(
+            Info,
+            "start",
+            name = settings.name,
+            domain = settings.domain,
+            process = self.owner.process
+        );
+        let peers = self.handler(Self::answer_peer);
+        let readiness = self.handler(Self::answer_readiness);
+        let metrics = self.handler(Self::answer_metrics);
+        let peer_body = Rc::new(Cell::new(PEER_BODY));
+        let body = || Rc::clone(&self.max_body);
+        HttpListener::new(settings.peers, peer_body, peers).start().await?;
+        HttpListener::new(settings.callers, body(), callers).start().await?;
+        HttpListener::new(settings.readiness, body(), readiness).start().await?;
+        HttpListener::new(settings.metrics, body(), metrics).start().await?;
+        actix_rt::spawn(Rc::clone(&self.catalog).run());
+        actix_rt::spawn(Rc::clone(&self.owner.watch).run());
+        actix_rt::spawn(Rc::clone(&self.owner).run());
+        actix_rt::spawn(Rc::clone(&self).keep_limits());
+        self.await_stop(&settings_file).await?;
+        self.stop().await;
+        Ok(())
+    }
+
+    /// Creates a handler that answers with this process.
+    fn handler<F>(self: &Rc<Self>, answer: fn(Rc<Self>, HttpRequest) -> F) -> HttpHandler
+    where
+        F: Future<Output = HttpAnswer> + 'static,
+    {
+        let node = Rc::clone(self);
+        Rc::new(move |request| -> LocalBoxFuture<'static, HttpAnswer> {
+            Box::pin(answer(Rc::clone(&node), request))
+        })
+    }
+
+    /// Answers whether the process takes new callers.
+    async fn answer_readiness(self: Rc<Self>, _: HttpRequest) -> HttpAnswer {
+        HttpAnswer::empty(if self.ready() { 200 } else { 503 })
+    }
+
+    /// Answers with the metrics.
+    async fn answer_metrics(self: Rc<Self>, _: HttpRequest) -> HttpAnswer {
+        HttpAnswer::new(200, "text/plain; version=0.0.4", self.metrics.render().into())
+    }
+
+    /// Answers a peer.
+    async fn answer_peer(self: Rc<Self>, request: HttpRequest) -> HttpAnswer {
+        let request = request.body.as_ref().and_then(peer_service::decode_request);
+        let Some(request) = request else { return HttpAnswer::empty(400) };
+        let reply = match request {
+            PeerRequest::OwnerSeen(epoch) => {
+                PeerReply::OwnerSeen(self.owner.owner_seen(epoch))
+            }
+            PeerRequest::Catalog => {
+                let current = self.catalog.current();
+                PeerReply::Catalog(current.map(|current| current.bytes.clone()))
+            }
+            PeerRequest::Ask(order) => self.ask(order).await,
+            request => match self.owner.active() {
+                Some(active) => active.handle(request).await,
+                None => PeerReply::NotOwner,
+            },
+        };
+        peer_service::encode_reply(&reply)
+    }
+
+    /// Asks the permission service for the owner.
+    async fn ask(&self, order: AskOrder) -> PeerReply {
+        let AskOrder { job, occurrence, step, workers, call_time } = order;
+        let step = geraniumwinch_fleet::StepName { job, occurrence, step };
+        let ask =
+            geraniumwinch_fleet::PermissionAsk { step, priority: 0, call_time, workers };
+        match self.ports.permissions.ask(ask).await {
+            Ok(allowed) => PeerReply::Allowed(Some(allowed)),
+            Err(error) => {
+                log_event!(Warn, "permission-failed", error = error);
+                PeerReply::Allowed(None)
+            }
+        }
+    }
+
+    /// Keeps the limit of bodies at that of the configuration, and the metrics bounded.
+    async fn keep_limits(self: Rc<Self>) {
+        loop {
+            if let Some(current) = self.catalog.current() {
+                self.max_body.set(current.catalog.limits.max_body);
+            }
+            self.metrics.run_upkeep();
+            tokio::time::sleep(METRICS_UPKEEP).await;
+        }
+    }
+
+    /// Awaits the signal to stop; the signal to reload reads the settings again.
+    async fn await_stop(&self, settings_file: &PathBuf) -> Result<(), CellError> {
+        let listen =
+            |kind| -> Result<Signal, CellError> { signal(kind).context(SignalsSnafu) };
+        let mut terminate = listen(SignalKind::terminate())?;
+        let mut interrupt = listen(SignalKind::interrupt())?;
+        let mut reload = listen(SignalKind::hangup())?;
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => return Ok(()),
+                _ = interrupt.recv() => return Ok(()),
+                _ = reload.recv() => self.reload(settings_file),
+            }
+        }
+    }
+
+    /// Reads the settings again; only the level of the log can change while the process runs.
+    fn reload(&self, settings_file: &PathBuf) {
+        let text = match std::fs::read_to_string(settings_file) {
+            Ok(text) => text,
+            Err(error) => {
+                log_event!(Error, "reload-failed", error = error);
+                return;
+            }
+        };
+        match CellSettings::parse(&settings_file.display().to_string(), &text) {
+            Ok(settings) => {
+                if let Ok(level) = settings.log_level.parse() {
+                    geraniumwinch_core::log::set_max_level(level);
+                }
+                let restart = settings != *self.settings;
+                log_event!(
+                    Info,
+                    "reload",
+                    level = settings.log_level,
+                    restart_needed = restart
+                );
+            }
+            Err(problems) => {
+                for problem in problems {
+                    log_event!(
+                        Error,
+                        "reload-refused",
+                        line = problem.line,
+                        message = problem.message
+                    );
+                }
+            }
+        }
+    }
+
+    /// Stops gracefully: hands the ownership over and answers callers until new ones go elsewhere.
+    async fn stop(&self) {
+        let grace = self.settings.stop_grace.saturating_sub(STOP_MARGIN);
+        log_event!(Info, "stop", grace_ms = grace.as_millis());
+        let deadline = tokio::time::Instant::now() + grace;
+        self.stopping.set(true);
+        self.owner.stop().await;
+        tokio::time::sleep_until(deadline).await;
+        log_event!(Info, "stopped", name = self.settings.name);
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-cell/src/cell_owner.rs
@@ -0,0 +1,425 @@
+//! Takes the ownership of the cell when it is free, and keeps in touch with the owner otherwise.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use geraniumwinch_core::log_event;
+use geraniumwinch_fleet::BootTime;
+use rand::Rng;
+use rand::seq::IndexedRandom;
+
+use crate::CallError;
+use crate::CellPorts;
+use crate::CellSettings;
+use crate::CommitOutcome;
+use crate::StoreBatch;
+use crate::StoreWrite;
+use crate::authority::OwnerAuthority;
+use crate::catalog_watch::CatalogWatch;
+use crate::cell_dispatcher::CellDispatcher;
+use crate::cell_metrics;
+use crate::member_table::MemberTable;
+use crate::owner_record::EPOCH_KEY;
+use crate::owner_record::OWNER_KEY;
+use crate::owner_record::OwnerRecord;
+use crate::owner_watch::OwnerWatch;
+use crate::peer_message::MemberNote;
+use crate::peer_message::PeerReply;
+use crate::peer_message::PeerRequest;
+use crate::peer_service::PeerClient;
+
+/// The time after which an ownership that is not renewed ends.
+pub(crate) const OWNER_TTL: Duration = Duration::from_millis(3000);
+/// The time between two renewals.
+const RENEWAL: Duration = Duration::from_millis(700);
+/// The wait before a failed renewal is repeated.
+const RENEWAL_RETRY: Duration = Duration::from_millis(120);
+/// The time between two words to the owner.
+const HELLO: Duration = Duration::from_millis(400);
+/// The time in which the owner has to answer.
+const HELLO_TIMEOUT: Duration = Duration::from_millis(500);
+/// The wait after the owner was not reached.
+const HELLO_RETRY: Duration = Duration::from_millis(80);
+/// How old the owner's last answer may be for it to count as seen.
+const SEEN_AGE: Duration = Duration::from_millis(1000);
+/// How old the store's word that nobody owns the cell may be.
+const VACANCY_AGE: Duration = Duration::from_millis(3500);
+/// The longest random wait before a claim.
+const CLAIM_JITTER: Duration = Duration::from_millis(40);
+/// The wait of a process that reaches few others, so that a better placed one claims first.
+const CUT_OFF_WAIT: Duration = Duration::from_millis(900);
+/// The time in which peers have to answer a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
+/// The most peers that are probed.
+const PROBE_MOST: usize = 8;
+/// The time at the begin of an ownership in which silent processes are not held against it.
+const SETTLING: Duration = Duration::from_millis(3000);
+/// The fewest known processes among which a majority means anything.
+const QUORUM_MIN: usize = 3;
+/// The time after a resignation in which a process does not claim.
+const RESIGNED_WAIT: Duration = Duration::from_millis(3000);
+
+/// Owns the cell or follows the owner.
+pub(crate) struct CellOwner {
+    ports: CellPorts,
+    settings: Rc<CellSettings>,
+    catalog: Rc<CatalogWatch>,
+    pub(crate) watch: Rc<OwnerWatch>,
+    peers: PeerClient,
+    /// The number that tells this process from a former one of the same name.
+    pub(crate) process: u64,
+    active: RefCell<Option<Rc<CellDispatcher>>>,
+    members: RefCell<MemberTable>,
+    /// The epoch of the owner that answered last, and when.
+    seen: Cell<(u64, BootTime)>,
+    no_claim_before: Cell<BootTime>,
+    stopping: Cell<bool>,
+}
+
+impl CellOwner {
+    /// Creates the part that owns the cell or follows the owner.
+    pub(crate) fn new(
+        ports: CellPorts,
+        settings: Rc<CellSettings>,
+        catalog: Rc<CatalogWatch>,
+        watch: Rc<OwnerWatch>,
+        peers: PeerClient,
+    ) -> Rc<Self> {
+        Rc::new(CellOwner {
+            ports,
+            settings,
+            catalog,
+            watch,
+            peers,
+            process: rand::rng().random(),
+            active: RefCell::new(None),
+            members: RefCell::default(),
+            seen: Cell::new((0, BootTime::ZERO)),
+            no_claim_before: Cell::new(BootTime::ZERO),
+            stopping: Cell::new(false),
+        })
+    }
+
+    /// Returns the dispatcher if this process owns the cell.
+    pub(crate) fn active(&self) -> Option<Rc<CellDispatcher>> {
+        self.active.borrow().clone()
+    }
+
+    /// Returns whether the owner has answered within a time, or is this process.
+    pub(crate) fn in_touch(&self, age: Duration) -> bool {
+        let now = self.ports.clock.now();
+        self.active.borrow().is_some() || now < self.seen.get().1 + age
+    }
+
+    /// Returns whether the owner of an epoch has answered lately.
+    pub(crate) fn owner_seen(&self, epoch: u64) -> bool {
+        let (seen_epoch, at) = self.seen.get();
+        seen_epoch >= epoch && self.ports.clock.now() < at + SEEN_AGE
+    }
+
+    /// Hands the ownership over and claims no other.
+    pub(crate) async fn stop(&self) {
+        self.stopping.set(true);
+        if let Some(active) = self.active() {
+            active.resign().await;
+        } else if let Some(owner) = self.watch.current() {
+            let hello = PeerRequest::Hello(self.note());
+            // The owner forgets a silent process anyway.
+            let _ = self.peers.call(owner.address, &hello, HELLO_TIMEOUT).await;
+        }
+    }
+
+    /// Runs until the process ends.
+    pub(crate) async fn run(self: Rc<Self>) {
+        loop {
+            match self.watch.current() {
+                Some(owner) if owner.process == self.process => {
+                    self.watch.await_change(HELLO).await;
+                }
+                Some(owner) => self.follow(&owner).await,
+                None if self.may_claim() => self.claim().await,
+                None => self.watch.await_change(HELLO_RETRY).await,
+            }
+        }
+    }
+
+    /// Returns whether this process may claim the ownership now.
+    fn may_claim(&self) -> bool {
+        let now = self.ports.clock.now();
+        !self.stopping.get()
+            && now >= self.no_claim_before.get()
+            && self.watch.vacant(VACANCY_AGE)
+    }
+
+    /// Returns what this process says of itself.
+    fn note(&self) -> MemberNote {
+        MemberNote {
+            name: self.settings.name.clone(),
+            address: self.settings.peers,
+            domain: self.settings.domain.clone(),
+            version: self.catalog.version(),
+            stopping: self.stopping.get(),
+        }
+    }
+
+    /// Tells the owner that this process is alive and draws conclusions from the answer.
+    async fn follow(&self, owner: &OwnerRecord) {
+        if owner.name == self.settings.name && !self.stopping.get() {
+            // The record is of a former process at this place, which is gone.
+            self.depose(owner, "restart").await;
+            return;
+        }
+        let hello = PeerRequest::Hello(self.note());
+        let sent = self.ports.clock.now();
+        match self.peers.call(owner.address, &hello, HELLO_TIMEOUT).await {
+            Ok(PeerReply::Hello(epoch, version, members)) => {
+                self.seen.set((epoch, sent));
+                self.members.borrow_mut().replace(members, sent);
+                if version > self.catalog.version() {
+                    self.fetch_catalog(owner.address).await;
+                }
+                self.watch.await_change(HELLO).await;
+            }
+            Err(CallError::NotSent { .. }) => {
+                if !self.stopping.get() && self.confirm_gone(owner).await {
+                    self.depose(owner, "refused").await;
+                } else {
+                    self.watch.await_change(HELLO_RETRY).await;
+                }
+            }
+            _ => self.watch.await_change(HELLO_RETRY).await,
+        }
+    }
+
+    /// Takes a newer configuration over from a peer.
+    async fn fetch_catalog(&self, from: SocketAddr) {
+        let call = self.peers.call(from, &PeerRequest::Catalog, HELLO_TIMEOUT);
+        if let Ok(PeerReply::Catalog(Some(bytes))) = call.await {
+            self.catalog.offer(&bytes, "peer");
+        }
+    }
+
+    /// Returns whether the other processes have not heard from the owner either.
+    async fn confirm_gone(&self, owner: &OwnerRecord) -> bool {
+        let others = self.others();
+        let known = others.len();
+        let answers = self.probe(others, owner.epoch).await;
+        answers.iter().all(|&seen| !seen) && answers.len() * 2 >= known
+    }
+
+    /// Returns the addresses of up to [`PROBE_MOST`] other processes.
+    fn others(&self) -> Vec<SocketAddr> {
+        let owner = self.watch.current().map(|owner| owner.address);
+        let members = self.members.borrow().all();
+        let mut others: Vec<SocketAddr> =
+            members.into_iter().map(|note| note.address).collect();
+        others.retain(|&other| other != self.settings.peers && Some(other) != owner);
+        let few = others.choose_multiple(&mut rand::rng(), PROBE_MOST);
+        few.copied().collect()
+    }
+
+    /// Asks processes whether they have heard from the owner; the answers are those that came.
+    async fn probe(&self, others: Vec<SocketAddr>, epoch: u64) -> Vec<bool> {
+        let request = PeerRequest::OwnerSeen(epoch);
+        let calls = others.into_iter().map(|other| {
+            let (peers, request) = (&self.peers, &request);
+            async move {
+                match peers.call(other, request, PROBE_TIMEOUT).await {
+                    Ok(PeerReply::OwnerSeen(seen)) => Some(seen),
+                    _ => None,
+                }
+            }
+        });
+        join_all(calls).await.into_iter().flatten().collect()
+    }
+
+    /// Ends the lease of an owner whose process is gone.
+    async fn depose(&self, owner: &OwnerRecord, reason: &str) {
+        log_event!(
+            Warn,
+            "owner-deposed",
+            epoch = owner.epoch,
+            name = owner.name,
+            reason = reason
+        );
+        if let Err(error) = self.ports.store.end_lease(owner.lease).await {
+            log_event!(Warn, "lease-end-failed", error = error);
+        }
+        self.watch.await_change(HELLO_RETRY).await;
+    }
+
+    /// Claims the ownership and, if it is won, dispatches until it ends.
+    async fn claim(self: &Rc<Self>) {
+        let jitter = CLAIM_JITTER.mul_f64(rand::rng().random());
+        self.watch.await_change(jitter).await;
+        let others = self.others();
+        let known = others.len();
+        if known >= QUORUM_MIN && self.probe(others, 0).await.len() * 2 < known {
+            self.watch.await_change(CUT_OFF_WAIT).await;
+        }
+        if !self.may_claim() {
+            return;
+        }
+        match self.try_claim().await {
+            Ok(Some((authority, revision))) => self.dispatch(authority, revision).await,
+            Ok(None) => self.watch.await_change(HELLO).await,
+            Err(error) => {
+                log_event!(Warn, "claim-failed", error = error);
+                self.watch.await_change(HELLO_RETRY).await;
+            }
+        }
+    }
+
+    /// Writes the record of a new ownership; nothing if another process was faster.
+    async fn try_claim(&self) -> crate::Result<Option<(OwnerAuthority, u64)>> {
+        let store = &self.ports.store;
+        let sent = self.ports.clock.now();
+        let lease = store.grant_lease(OWNER_TTL).await?;
+        let last = store.get(EPOCH_KEY).await?;
+        let (last_epoch, epoch_revision) = match &last {
+            Some(item) => (decode_epoch(&item.value), item.revision),
+            None => (0, 0),
+        };
+        let record = OwnerRecord {
+            epoch: last_epoch + 1,
+            name: self.settings.name.clone(),
+            process: self.process,
+            address: self.settings.peers,
+            lease,
+        };
+        let outcome = store.commit(&claim_batch(&record, epoch_revision)).await;
+        let revision = match outcome {
+            Ok(CommitOutcome::Committed(revision)) => Some(revision),
+            Ok(_) => None,
+            Err(error) if error.without_effect() => return Err(error),
+            Err(_) => self.find_claim(&record).await?,
+        };
+        if revision.is_none() {
+            // Without a record the lease only takes room until it ends by itself.
+            let _ = store.end_lease(lease).await;
+        }
+        let authority = || OwnerAuthority::new(record.epoch, lease, OWNER_TTL, sent);
+        Ok(revision.map(|revision| (authority(), revision)))
+    }
+
+    /// Finds out whether a claim without an answer was carried out.
+    async fn find_claim(&self, record: &OwnerRecord) -> crate::Result<Option<u64>> {
+        let item = self.ports.store.get(OWNER_KEY).await?;
+        let ours = |item: &crate::StoreItem| {
+            OwnerRecord::decode(&item.value).as_ref() == Some(record)
+        };
+        Ok(item.filter(ours).map(|item| item.revision))
+    }
+
+    /// Dispatches until the ownership ends.
+    async fn dispatch(self: &Rc<Self>, authority: OwnerAuthority, revision: u64) {
+        let authority = Rc::new(authority);
+        cell_metrics::count_ownership("taken", authority.epoch);
+        log_event!(Info, "ownership-taken", epoch = authority.epoch, revision = revision);
+        let keeping = actix_rt::spawn(Rc::clone(self).keep(Rc::clone(&authority)));
+        let dispatcher = CellDispatcher::take_over(
+            self.ports.clone(),
+            Rc::clone(&self.settings),
+            Rc::clone(&self.catalog),
+            self.peers.clone(),
+            Rc::clone(&authority),
+            revision,
+        )
+        .await;
+        if let Some(dispatcher) = dispatcher {
+            *self.active.borrow_mut() = Some(Rc::clone(&dispatcher));
+            dispatcher.run().await;
+            *self.active.borrow_mut() = None;
+        }
+        authority.lose();
+        keeping.abort();
+        cell_metrics::count_ownership("ended", 0);
+        log_event!(Info, "ownership-ended", epoch = authority.epoch);
+        // A record that is left ends with its lease.
+        let _ = self.ports.store.end_lease(authority.lease).await;
+        let now = self.ports.clock.now();
+        self.no_claim_before.set(self.no_claim_before.get().max(now + HELLO_RETRY));
+    }
+
+    /// Renews the ownership until it ends.
+    async fn keep(self: Rc<Self>, authority: Rc<OwnerAuthority>) {
+        let began = self.ports.clock.now();
+        while !authority.is_lost() {
+            let sent = self.ports.clock.now();
+            let pause = match self.ports.store.renew_lease(authority.lease).await {
+                Ok(true) => {
+                    authority.renew(sent);
+                    RENEWAL
+                }
+                Ok(false) => {
+                    log_event!(
+                        Warn,
+                        "ownership-lost",
+                        epoch = authority.epoch,
+                        by = "lease"
+                    );
+                    authority.lose();
+                    return;
+                }
+                Err(error) => {
+                    log_event!(
+                        Warn,
+                        "renewal-failed",
+                        epoch = authority.epoch,
+                        error = error
+                    );
+                    RENEWAL_RETRY
+                }
+            };
+            if sent > began + SETTLING && self.is_cut_off(sent) {
+                log_event!(Warn, "owner-cut-off", epoch = authority.epoch);
+                self.no_claim_before.set(sent + RESIGNED_WAIT);
+                if let Some(active) = self.active() {
+                    active.resign().await;
+                }
+                return;
+            }
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// Returns whether the owner hears from fewer than half of the processes that it knows.
+    fn is_cut_off(&self, now: BootTime) -> bool {
+        let Some(active) = self.active() else { return false };
+        let members = active.members.borrow();
+        let known = members.all().len();
+        known >= QUORUM_MIN && (members.live(now).len() + 1) * 2 < known + 1
+    }
+}
+
+/// Creates the transaction that takes the ownership.
+fn claim_batch(record: &OwnerRecord, epoch_revision: u64) -> StoreBatch {
+    let write = |key: &str, value: Vec<u8>, lease: Option<u64>| StoreWrite {
+        key: key.to_owned(),
+        value,
+        lease,
+    };
+    StoreBatch {
+        expected: vec![(OWNER_KEY.to_owned(), 0), (EPOCH_KEY.to_owned(), epoch_revision)],
+        writes: vec![
+            write(OWNER_KEY, record.encode(), Some(record.lease)),
+            write(EPOCH_KEY, record.epoch.to_be_bytes().to_vec(), None),
+        ],
+        removals: Vec::new(),
+    }
+}
+
+/// Decodes the number of the last epoch.
+fn decode_epoch(bytes: &[u8]) -> u64 {
+    match <[u8; 8]>::try_from(bytes) {
+        Ok(bytes) => u64::from_be_bytes(bytes),
+        Err(_) => {
+            log_event!(Error, "epoch-unreadable", bytes = bytes.len());
+            0
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-cell/src/cell_settings.rs
@@ -0,0 +1,158 @@
+//! The settings of a cell's process.
+
+use std::net::SocketAddr;
+use std::str::FromStr;
+use std::time::Duration;
+
+use geraniumwinch_config::IniText;
+use geraniumwinch_config::SetProblem;
+use geraniumwinch_core::Name;
+
+/// The settings of a cell's process.
+#[derive(Debug, Clone, PartialEq)]
+pub struct CellSettings {
+    /// The name of the process.
+    pub name: Name,
+    /// Its failure domain.
+    pub domain: Name,
+    /// The lowest level of log lines.
+    pub log_level: String,
+    /// The address for callers.
+    pub callers: SocketAddr,
+    /// The address that tells whether the process takes callers.
+    pub readiness: SocketAddr,
+    /// The address for peers.
+    pub peers: SocketAddr,
+    /// The address for metrics.
+    pub metrics: SocketAddr,
+    /// The address of the platform's store.
+    pub store: SocketAddr,
+    /// The address of the permission service, where there is one.
+    pub permissions: Option<SocketAddr>,
+    /// The processor's share of a core.
+    pub cpu_share: f64,
+    /// The longest lease of a worker.
+    pub worker_lease: Duration,
+    /// The time between two entries of a worker in the list.
+    pub worker_heartbeat: Duration,
+    /// The time from the signal to stop until the process is killed.
+    pub stop_grace: Duration,
+    /// How long the end of a job can be read.
+    pub job_retention: Duration,
+}
+
+/// Reads typed settings and collects the problems.
+struct SettingReader<'a> {
+    ini: &'a IniText,
+    problems: Vec<SetProblem>,
+}
+
+impl SettingReader<'_> {
+    /// Returns an option, or reports that it is missing.
+    fn text(&mut self, section: &str, option: &str) -> String {
+        match self.optional(section, option) {
+            Some(text) => text,
+            None => {
+                self.report(section, format!("option `{option}` is missing"));
+                String::new()
+            }
+        }
+    }
+
+    /// Returns an option if it is there and not empty.
+    fn optional(&self, section: &str, option: &str) -> Option<String> {
+        let found = self.ini.sections.iter().find(|found| found.name == section)?;
+        let found = found.options.iter().find(|found| found.name == option)?;
+        (!found.value.is_empty()).then(|| found.value.clone())
+    }
+
+    /// Returns a parsed option, or reports why it can't be read.
+    fn parsed<T: FromStr>(
+        &mut self,
+        section: &str,
+        option: &str,
+        form: &str,
+    ) -> Option<T> {
+        let text = self.text(section, option);
+        if text.is_empty() {
+            return None;
+        }
+        let parsed = text.parse().ok();
+        if parsed.is_none() {
+            self.report(section, format!("option `{option}` is no {form}: `{text}`"));
+        }
+        parsed
+    }
+
+    /// Returns an address.
+    fn address(&mut self, section: &str, option: &str) -> SocketAddr {
+        let unspecified = SocketAddr::from(([0, 0, 0, 0], 0));
+        self.parsed(section, option, "address `IP:PORT`").unwrap_or(unspecified)
+    }
+
+    /// Returns a time that is given in milliseconds.
+    fn millis(&mut self, section: &str, option: &str) -> Duration {
+        let millis = self.parsed(section, option, "number of milliseconds");
+        Duration::from_millis(millis.unwrap_or(0))
+    }
+
+    /// Returns a time that is given in seconds.
+    fn seconds(&mut self, section: &str, option: &str) -> Duration {
+        let seconds: f64 =
+            self.parsed(section, option, "number of seconds").unwrap_or(0.0);
+        Duration::try_from_secs_f64(seconds).unwrap_or_default()
+    }
+
+    /// Adds a problem of a section.
+    fn report(&mut self, section: &str, message: String) {
+        let line = self
+            .ini
+            .sections
+            .iter()
+            .find(|found| found.name == section)
+            .map_or(1, |found| found.line);
+        self.problems.push(SetProblem {
+            file: self.ini.file.clone(),
+            line,
+            section: section.to_owned(),
+            message,
+            hint: "docs/settings.md lists the sections and options".to_owned(),
+        });
+    }
+}
+
+impl CellSettings {
+    /// Parses settings; `file` names them in problems.
+    ///
+    /// # Errors
+    ///
+    /// Returns all problems at once.
+    pub fn parse(file: &str, text: &str) -> Result<CellSettings, Vec<SetProblem>> {
+        let ini = IniText::parse(file, text)?;
+        let mut reader = SettingReader { ini: &ini, problems: Vec::new() };
+        let settings = read(&mut reader);
+        if reader.problems.is_empty() { Ok(settings) } else { Err(reader.problems) }
+    }
+}
+
+/// Reads all settings.
+fn read(reader: &mut SettingReader<'_>) -> CellSettings {
+    let level = reader.optional("process", "log-level");
+    let permissions = reader.optional("platform", "permissions");
+    CellSettings {
+        name: reader.text("process", "name").into(),
+        domain: reader.text("process", "failure-domain").into(),
+        log_level: level.unwrap_or_else(|| "info".to_owned()),
+        callers: reader.address("listen", "callers"),
+        readiness: reader.address("listen", "readiness"),
+        peers: reader.address("listen", "peers"),
+        metrics: reader.address("listen", "metrics"),
+        store: reader.address("platform", "store"),
+        permissions: permissions.map(|_| reader.address("platform", "permissions")),
+        cpu_share: reader.parsed("vm", "cpu-share", "number").unwrap_or(1.0),
+        worker_lease: reader.millis("workers", "lease-ms"),
+        worker_heartbeat: reader.millis("workers", "heartbeat-ms"),
+        stop_grace: reader.seconds("process", "stop-grace-s"),
+        job_retention: reader.seconds("jobs", "retention-s"),
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-cell/src/http_listener.rs
@@ -0,0 +1,211 @@
+//! The HTTP server of a cell's processes.
+//!
+//! It uses the HTTP/1 service on which `actix-web` stands and runs on the process's one thread, so
+//! that a request costs no hand-over between threads.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::HttpService;
+use actix_http::KeepAlive;
+use actix_http::Request;
+use actix_http::Response;
+use actix_http::StatusCode;
+use actix_http::body::BoxBody;
+use actix_http::header;
+use actix_http::header::HeaderMap;
+use actix_service::IntoServiceFactory;
+use actix_service::Service;
+use actix_service::ServiceFactory;
+use actix_service::fn_service;
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures_util::StreamExt;
+use futures_util::future::LocalBoxFuture;
+use geraniumwinch_core::log_event;
+use snafu::ResultExt;
+use tokio::net::TcpListener;
+
+use crate::CellError;
+use crate::cell_error::ListenSnafu;
+
+/// The time for which an idle connection is kept.
+const KEEP_ALIVE: Duration = Duration::from_secs(15);
+/// The longest time in which a request's header arrives.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(3);
+/// The wait after a connection could not be accepted.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// A request that has arrived in full.
+#[derive(Debug)]
+pub struct HttpRequest {
+    /// The method.
+    pub method: String,
+    /// The path without the query.
+    pub path: String,
+    /// The headers.
+    pub headers: HeaderMap,
+    /// The body; none if it was larger than the limit.
+    pub body: Option<Bytes>,
+}
+
+impl HttpRequest {
+    /// Returns a header if it is there and readable.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+}
+
+/// An answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HttpAnswer {
+    /// The status.
+    pub status: u16,
+    /// The type of the body.
+    pub content_type: &'static str,
+    /// The body.
+    pub body: Bytes,
+    /// When the caller should come back.
+    pub retry_after: Option<Duration>,
+    /// Whether the connection is closed after the answer.
+    pub close: bool,
+}
+
+impl HttpAnswer {
+    /// Creates an answer without a body.
+    pub fn empty(status: u16) -> Self {
+        HttpAnswer::new(status, "", Bytes::new())
+    }
+
+    /// Creates an answer with a body.
+    pub fn new(status: u16, content_type: &'static str, body: Bytes) -> Self {
+        HttpAnswer { status, content_type, body, retry_after: None, close: false }
+    }
+}
+
+/// Answers requests.
+pub type HttpHandler = Rc<dyn Fn(HttpRequest) -> LocalBoxFuture<'static, HttpAnswer>>;
+
+/// A listening address with what answers its requests.
+pub struct HttpListener {
+    address: SocketAddr,
+    handler: HttpHandler,
+    max_body: Rc<Cell<usize>>,
+}
+
+impl HttpListener {
+    /// Creates a listener; bodies over `max_body` bytes reach the handler as none.
+    pub fn new(
+        address: SocketAddr,
+        max_body: Rc<Cell<usize>>,
+        handler: HttpHandler,
+    ) -> Self {
+        HttpListener { address, handler, max_body }
+    }
+
+    /// Opens the address and serves it until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the address can't be listened on.
+    pub async fn start(self) -> Result<(), CellError> {
+        let address = self.address;
+        let listener =
+            TcpListener::bind(address).await.context(ListenSnafu { address })?;
+        actix_rt::spawn(self.serve(listener));
+        Ok(())
+    }
+
+    /// Serves connections.
+    async fn serve(self, listener: TcpListener) {
+        let handler = self.handler;
+        let max_body = self.max_body;
+        let answer = move |request: Request| {
+            exchange(request, Rc::clone(&handler), max_body.get())
+        };
+        let service = HttpService::build()
+            .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
+            .client_request_timeout(HEADER_TIMEOUT)
+            .h1(fn_service(answer).into_factory())
+            .tcp()
+            .new_service(())
+            .await;
+        let Ok(service) = service else {
+            log_event!(Error, "listener-failed", address = self.address);
+            return;
+        };
+        let service = Rc::new(service);
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    // A connection that can't be set up for low delay still works.
+                    let _ = stream.set_nodelay(true);
+                    let service = Rc::clone(&service);
+                    actix_rt::spawn(async move { service.call(stream).await });
+                }
+                Err(error) => {
+                    log_event!(Warn, "accept-failed", error = error);
+                    tokio::time::sleep(ACCEPT_RETRY).await;
+                }
+            }
+        }
+    }
+}
+
+/// Reads a request to its end and answers it.
+async fn exchange(
+    mut request: Request,
+    handler: HttpHandler,
+    max_body: usize,
+) -> Result<Response<BoxBody>, Infallible> {
+    let Some(body) = read_body(&mut request, max_body).await else {
+        return Ok(Response::build(StatusCode::BAD_REQUEST)
+            .force_close()
+            .finish()
+            .map_into_boxed_body());
+    };
+    let head = request.head();
+    let request = HttpRequest {
+        method: head.method.as_str().to_owned(),
+        path: head.uri.path().to_owned(),
+        headers: head.headers().clone(),
+        body,
+    };
+    Ok(render(handler(request).await))
+}
+
+/// Reads a body; nothing if it is broken off, and no bytes if it is too large.
+async fn read_body(request: &mut Request, max_body: usize) -> Option<Option<Bytes>> {
+    let mut payload = request.take_payload();
+    let mut body = BytesMut::new();
+    let mut fits = true;
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk.ok()?;
+        fits = fits && body.len() + chunk.len() <= max_body;
+        if fits {
+            body.extend_from_slice(&chunk);
+        }
+    }
+    Some(fits.then(|| body.freeze()))
+}
+
+/// Turns an answer into the library's form.
+fn render(answer: HttpAnswer) -> Response<BoxBody> {
+    let status =
+        StatusCode::from_u16(answer.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut builder = Response::build(status);
+    if !answer.content_type.is_empty() {
+        builder.insert_header((header::CONTENT_TYPE, answer.content_type));
+    }
+    if let Some(time) = answer.retry_after {
+        let seconds = time.as_millis().div_ceil(1000).max(1);
+        builder.insert_header((header::RETRY_AFTER, seconds.to_string()));
+    }
+    if answer.close {
+        builder.force_close();
+    }
+    builder.body(answer.body).map_into_boxed_body()
+}
--- /dev/null
+++ b/crates/geraniumwinch-cell/src/lib.rs
@@ -0,0 +1,72 @@
+//! Processes that own a cell of workers in turn: ownership, journal, orders and callers' requests.
+//!
+//! One process at a time owns the cell and decides; every process takes callers' requests and
+//! carries them to the owner. What must last is in the platform's store.
+
+mod authority;
+mod boot_clock;
+mod call_client;
+mod catalog;
+mod catalog_watch;
+mod cell_dispatcher;
+mod cell_error;
+mod cell_metrics;
+mod cell_node;
+mod cell_owner;
+mod cell_ports;
+mod cell_settings;
+mod http_listener;
+mod member_table;
+mod order_sender;
+mod owner_record;
+mod owner_watch;
+mod peer_message;
+mod peer_service;
+mod permission_desk;
+mod record_journal;
+mod record_store;
+mod submit_desk;
+mod worker_gateway;
+mod worker_loop;
+
+pub use self::boot_clock::BootClock;
+pub use self::boot_clock::CellClock;
+pub use self::call_client::CallAnswer;
+pub use self::call_client::CallClient;
+pub use self::call_client::CallRequest;
+pub use self::catalog::CatalogAccount;
+pub use self::catalog::CatalogQueue;
+pub use self::catalog::CatalogReader;
+pub use self::catalog::FetchedCatalog;
+pub use self::catalog::JobCatalog;
+pub use self::catalog::RequestLimits;
+pub use self::cell_error::CallError;
+pub use self::cell_error::CellError;
+pub use self::cell_error::Result;
+pub use self::cell_metrics::METRIC_ROWS;
+pub use self::cell_node::CellNode;
+pub use self::cell_ports::CellPorts;
+pub use self::cell_settings::CellSettings;
+pub use self::http_listener::HttpAnswer;
+pub use self::http_listener::HttpHandler;
+pub use self::http_listener::HttpListener;
+pub use self::http_listener::HttpRequest;
+pub use self::record_store::CommitOutcome;
+pub use self::record_store::RecordStore;
+pub use self::record_store::StoreBatch;
+pub use self::record_store::StoreChange;
+pub use self::record_store::StoreItem;
+pub use self::record_store::StorePage;
+pub use self::record_store::StoreWrite;
+pub use self::record_store::WatchOutcome;
+pub use self::submit_desk::CallerRequest;
+pub use self::submit_desk::JobView;
+pub use self::submit_desk::SubmitDesk;
+pub use self::worker_gateway::HoldOrder;
+pub use self::worker_gateway::OrderError;
+pub use self::worker_gateway::OrderResult;
+pub use self::worker_gateway::PermissionService;
+pub use self::worker_gateway::StartOrder;
+pub use self::worker_gateway::WorkerDirectory;
+pub use self::worker_gateway::WorkerGateway;
+pub use self::worker_gateway::WorkerTarget;
--- /dev/null
+++ b/crates/geraniumwinch-cell/src/order_sender.rs
@@ -0,0 +1,195 @@
+//! Sends orders to workers.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use geraniumwinch_core::log_event;
+use geraniumwinch_fleet::BootTime;
+use geraniumwinch_fleet::FleetBoard;
+use geraniumwinch_fleet::RunStart;
+use geraniumwinch_fleet::RunStop;
+use geraniumwinch_fleet::StartOutcome;
+use geraniumwinch_fleet::WorkerKey;
+use tokio::sync::Notify;
+
+use crate::CallError;
+use crate::CellPorts;
+use crate::OrderError;
+use crate::StartOrder;
+use crate::WorkerTarget;
+use crate::authority::OwnerAuthority;
+use crate::cell_metrics;
+use crate::worker_gateway::OrderResult;
+
+/// A worker's own clock at a moment of this VM's.
+#[derive(Debug, Clone, Copy)]
+struct ClockReading {
+    clock_ms: u64,
+    at: BootTime,
+}
+
+/// Sends orders to workers and tells the board what became of them.
+pub(crate) struct OrderSender {
+    ports: CellPorts,
+    authority: Rc<OwnerAuthority>,
+    board: Rc<RefCell<FleetBoard>>,
+    clocks: RefCell<HashMap<WorkerKey, ClockReading>>,
+    lease: Duration,
+    pump: Rc<Notify>,
+}
+
+impl OrderSender {
+    /// Creates a sender; `lease` is the longest lease of a worker.
+    pub(crate) fn new(
+        ports: CellPorts,
+        authority: Rc<OwnerAuthority>,
+        board: Rc<RefCell<FleetBoard>>,
+        lease: Duration,
+        pump: Rc<Notify>,
+    ) -> Self {
+        let clocks = RefCell::default();
+        OrderSender { ports, authority, board, clocks, lease, pump }
+    }
+
+    /// Returns whom orders for a worker are for.
+    pub(crate) fn target(&self, worker: WorkerKey) -> Option<WorkerTarget> {
+        let board = self.board.borrow();
+        let card = board.card(worker)?;
+        let (id, address) = (card.id.clone(), card.address.clone());
+        Some(WorkerTarget { id, address, epoch: self.authority.epoch })
+    }
+
+    /// Notes what a worker's clock said in an answer.
+    pub(crate) fn read_clock(&self, worker: WorkerKey, clock_ms: u64) {
+        let at = self.ports.clock.now();
+        self.clocks.borrow_mut().insert(worker, ClockReading { clock_ms, at });
+    }
+
+    /// Returns the end of a lease that begins now, on the worker's clock.
+    pub(crate) fn lease_end(&self, worker: WorkerKey, now: BootTime) -> Option<u64> {
+        let clocks = self.clocks.borrow();
+        let reading = clocks.get(&worker)?;
+        let end = now.saturating_sub(reading.at) + self.lease;
+        Some(reading.clock_ms + end.as_millis() as u64)
+    }
+
+    /// Sends an order to start a task.
+    pub(crate) fn start(self: &Rc<Self>, start: RunStart) {
+        let sender = Rc::clone(self);
+        actix_rt::spawn(async move {
+            let (worker, task, run) = (start.worker, start.task.clone(), start.run);
+            let outcome = sender.try_start(start).await;
+            let now = sender.ports.clock.now();
+            sender.board.borrow_mut().start_outcome(worker, &task, run, outcome, now);
+            if outcome != StartOutcome::Started {
+                sender.pump.notify_one();
+            }
+        });
+    }
+
+    /// Starts a task; an order without an answer is repeated once.
+    async fn try_start(&self, start: RunStart) -> StartOutcome {
+        let worker = start.worker;
+        let mut repeated = false;
+        loop {
+            let result = self.send_start(start.clone()).await;
+            let word = result.as_ref().map_or_else(OrderError::as_str, |()| "started");
+            cell_metrics::count_start(word);
+            log_event!(
+                Info,
+                "start",
+                task = start.task,
+                run = start.run,
+                worker =
+                    self.target(worker).map_or_else(String::new, |t| t.id.to_string()),
+                resumed = start.checkpoint.is_some(),
+                outcome = word
+            );
+            match result {
+                Ok(()) => return StartOutcome::Started,
+                Err(OrderError::Call(error)) if !error.without_effect() => {
+                    if repeated {
+                        return StartOutcome::Unknown;
+                    }
+                    repeated = true;
+                    cell_metrics::count_retry("start");
+                }
+                Err(OrderError::Call(_)) if repeated => return StartOutcome::Unknown,
+                Err(error) => return self.refused(worker, &error, repeated),
+            }
+        }
+    }
+
+    /// Sends an order to start a task once.
+    async fn send_start(&self, start: RunStart) -> OrderResult<()> {
+        let now = self.ports.clock.now();
+        let worker = start.worker;
+        let target = self.target(worker).filter(|_| self.authority.may_start(now));
+        let lease_end_ms = self.lease_end(worker, now);
+        let (Some(target), Some(lease_end_ms)) = (target, lease_end_ms) else {
+            let message = "no right to give orders".to_owned();
+            return Err(OrderError::Call(CallError::NotSent { message }));
+        };
+        self.board.borrow_mut().extend_lease(worker, now);
+        self.ports.workers.start(target, StartOrder { start, lease_end_ms }).await
+    }
+
+    /// Draws the conclusions from an order that a worker has refused.
+    fn refused(
+        &self,
+        worker: WorkerKey,
+        error: &OrderError,
+        repeated: bool,
+    ) -> StartOutcome {
+        match error {
+            OrderError::Fenced => {
+                self.lose_ownership();
+                StartOutcome::Unknown
+            }
+            OrderError::Outnumbered if repeated => StartOutcome::Unknown,
+            OrderError::Outnumbered => StartOutcome::Outnumbered,
+            OrderError::NotPermitted => StartOutcome::NotPermitted,
+            OrderError::Unhealthy => StartOutcome::Unhealthy,
+            OrderError::Call(_) => {
+                self.board.borrow_mut().mark_silent(worker);
+                StartOutcome::Refused
+            }
+            _ => StartOutcome::Refused,
+        }
+    }
+
+    /// Notes that a worker obeys a later owner.
+    pub(crate) fn lose_ownership(&self) {
+        if !self.authority.is_lost() {
+            log_event!(
+                Warn,
+                "ownership-lost",
+                epoch = self.authority.epoch,
+                by = "worker"
+            );
+        }
+        self.authority.lose();
+    }
+
+    /// Sends an order to stop a run.
+    pub(crate) fn stop(self: &Rc<Self>, stop: RunStop) {
+        let sender = Rc::clone(self);
+        actix_rt::spawn(async move {
+            let Some(target) = sender.target(stop.worker) else { return };
+            let result = sender.ports.workers.stop(target, stop.clone()).await;
+            let word = result.as_ref().map_or_else(OrderError::as_str, |()| "stopped");
+            log_event!(Info, "stop", task = stop.task, run = stop.run, outcome = word);
+            match result {
+                Ok(()) => {
+                    let now = sender.ports.clock.now();
+                    let mut board = sender.board.borrow_mut();
+                    board.stop_answered(stop.worker, &stop.task, stop.run, now);
+                }
+                Err(OrderError::Fenced) => sender.lose_ownership(),
+                Err(_) => cell_metrics::count_retry("stop"),
+            }
+        });
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-cell/src/owner_record.rs
@@ -0,0 +1,64 @@
+//! The store's record of who owns the cell.
+
+use std::net::SocketAddr;
+
+use geraniumwinch_core::Name;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// The key of the record; it ends with the owner's lease.
+pub(crate) const OWNER_KEY: &str = "cell/owner";
+/// The key of the number of the last epoch.
+pub(crate) const EPOCH_KEY: &str = "cell/epoch";
+/// The key that each transaction of the owner rewrites, so that no late one is carried out.
+pub(crate) const SEAL_KEY: &str = "cell/seal";
+/// The prefix of the jobs' keys.
+pub(crate) const JOB_PREFIX: &str = "job/";
+
+/// Who owns the cell.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct OwnerRecord {
+    /// The epoch.
+    pub(crate) epoch: u64,
+    /// The owner's name.
+    pub(crate) name: Name,
+    /// The number that the owner's process drew when it started.
+    pub(crate) process: u64,
+    /// The owner's address for peers.
+    pub(crate) address: SocketAddr,
+    /// The store's lease of the record.
+    pub(crate) lease: u64,
+}
+
+impl OwnerRecord {
+    /// Encodes the record.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("the record has a fixed form")
+    }
+
+    /// Decodes a record.
+    pub(crate) fn decode(bytes: &[u8]) -> Option<OwnerRecord> {
+        postcard::from_bytes(bytes).ok()
+    }
+}
+
+/// The value of the key that each transaction rewrites.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct SealRecord {
+    /// The owner's epoch.
+    pub(crate) epoch: u64,
+    /// The number of the transaction within the epoch.
+    pub(crate) batch: u64,
+}
+
+impl SealRecord {
+    /// Encodes the record.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).expect("the record has a fixed form")
+    }
+
+    /// Decodes a record.
+    pub(crate) fn decode(bytes: &[u8]) -> Option<SealRecord> {
+        postcard::from_bytes(bytes).ok()
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-cell/src/peer_service.rs
@@ -0,0 +1,73 @@
+//! Calls between the processes of a cell.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use awc::http::Method;
+use bytes::Bytes;
+
+use crate::CallClient;
+use crate::CallError;
+use crate::CallRequest;
+use crate::HttpAnswer;
+use crate::Result;
+use crate::peer_message::PeerReply;
+use crate::peer_message::PeerRequest;
+
+/// The path of calls between processes.
+const PEER_PATH: &str = "/peer";
+/// The type of their bodies.
+const CONTENT_TYPE: &str = "application/octet-stream";
+
+/// Calls peers.
+#[derive(Clone)]
+pub(crate) struct PeerClient {
+    client: CallClient,
+}
+
+impl PeerClient {
+    /// Creates a client.
+    pub(crate) fn new(client: CallClient) -> Self {
+        PeerClient { client }
+    }
+
+    /// Calls a peer and awaits its answer.
+    pub(crate) async fn call(
+        &self,
+        to: SocketAddr,
+        request: &PeerRequest,
+        timeout: Duration,
+    ) -> Result<PeerReply> {
+        let body = postcard::to_stdvec(request)
+            .map_err(|error| CallError::NotSent { message: error.to_string() })?;
+        let answer = self
+            .client
+            .call(CallRequest {
+                method: Method::POST,
+                url: format!("http://{to}{PEER_PATH}"),
+                headers: Vec::new(),
+                content_type: CONTENT_TYPE,
+                body: body.into(),
+                timeout,
+            })
+            .await?;
+        if answer.status != 200 {
+            return Err(CallError::Refused { status: answer.status });
+        }
+        postcard::from_bytes(&answer.body)
+            .map_err(|error| CallError::Unreadable { message: error.to_string() })
+    }
+}
+
+/// Decodes the request of a peer.
+pub(crate) fn decode_request(body: &Bytes) -> Option<PeerRequest> {
+    postcard::from_bytes(body).ok()
+}
+
+/// Encodes the answer to a peer.
+pub(crate) fn encode_reply(reply: &PeerReply) -> HttpAnswer {
+    match postcard::to_stdvec(reply) {
+        Ok(body) => HttpAnswer::new(200, CONTENT_TYPE, body.into()),
+        Err(_) => HttpAnswer::empty(500),
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-cell/src/permission_desk.rs
@@ -0,0 +1,125 @@
+//! Spreads questions to the permission service over the processes of the cell.
+//!
+//! The service serves one call of each VM at a time, so a short call that stands behind a long one
+//! is late. Long calls therefore never take the last VMs.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use geraniumwinch_fleet::BootTime;
+use geraniumwinch_fleet::PermissionAsk;
+
+/// The calls that take longer than this are long ones.
+const LONG_CALL: Duration = Duration::from_millis(150);
+/// The share of VMs that long calls leave to short ones.
+const SHORT_SHARE: f64 = 0.34;
+/// How far ahead calls are queued at a VM whose present call is short.
+const QUEUE_AHEAD: Duration = Duration::from_millis(40);
+/// The time for which a VM that gave no answer gets no calls.
+const REST: Duration = Duration::from_millis(1200);
+
+/// A VM's open calls.
+#[derive(Debug, Clone, Copy, Default)]
+struct CallerLoad {
+    /// When its open calls are expected to have ended.
+    busy_until: BootTime,
+    /// Whether a long call is open.
+    long: bool,
+    /// The number of open calls.
+    open: u32,
+    /// Until when it gets no calls.
+    resting_until: BootTime,
+}
+
+/// The questions that wait and the VMs that can ask them.
+#[derive(Debug, Default)]
+pub(crate) struct PermissionDesk {
+    waiting: RefCell<Vec<PermissionAsk>>,
+    loads: RefCell<HashMap<SocketAddr, CallerLoad>>,
+}
+
+impl PermissionDesk {
+    /// Adds questions.
+    pub(crate) fn push(&self, asks: Vec<PermissionAsk>) {
+        self.waiting.borrow_mut().extend(asks);
+    }
+
+    /// Assigns the most urgent questions to VMs that can ask them now.
+    pub(crate) fn assign(
+        &self,
+        members: &[SocketAddr],
+        now: BootTime,
+    ) -> Vec<(SocketAddr, PermissionAsk)> {
+        let mut waiting = self.waiting.borrow_mut();
+        waiting.sort_by_key(|ask| ask.priority);
+        let mut assigned = Vec::new();
+        let mut left = Vec::new();
+        for ask in waiting.drain(..) {
+            match self.choose(members, ask.call_time, now) {
+                Some(member) => {
+                    self.begin(member, ask.call_time, now);
+                    assigned.push((member, ask));
+                }
+                None => left.push(ask),
+            }
+        }
+        *waiting = left;
+        assigned
+    }
+
+    /// Chooses a VM for a call.
+    fn choose(
+        &self,
+        members: &[SocketAddr],
+        call_time: Duration,
+        now: BootTime,
+    ) -> Option<SocketAddr> {
+        let loads = self.loads.borrow();
+        let load = |member: &SocketAddr| loads.get(member).copied().unwrap_or_default();
+        let rested = || members.iter().filter(|member| load(member).resting_until <= now);
+        let idle = rested().find(|member| load(member).open == 0).copied();
+        if call_time > LONG_CALL {
+            let long = members.iter().filter(|member| load(member).long).count();
+            let spared = (members.len() as f64 * SHORT_SHARE).ceil() as usize;
+            let most = members.len().saturating_sub(spared).max(1);
+            return idle.filter(|_| long < most);
+        }
+        idle.or_else(|| {
+            rested()
+                .filter(|member| !load(member).long)
+                .filter(|member| load(member).busy_until < now + QUEUE_AHEAD)
+                .min_by_key(|member| load(member).busy_until)
+                .copied()
+        })
+    }
+
+    /// Notes that a VM makes a call.
+    fn begin(&self, member: SocketAddr, call_time: Duration, now: BootTime) {
+        let mut loads = self.loads.borrow_mut();
+        let load = loads.entry(member).or_default();
+        load.open += 1;
+        load.long |= call_time > LONG_CALL;
+        load.busy_until = load.busy_until.max(now) + call_time;
+    }
+
+    /// Notes that a call of a VM has ended, with an answer or without.
+    pub(crate) fn end(&self, member: SocketAddr, answered: bool, now: BootTime) {
+        let mut loads = self.loads.borrow_mut();
+        let load = loads.entry(member).or_default();
+        load.open = load.open.saturating_sub(1);
+        if load.open == 0 {
+            load.long = false;
+            load.busy_until = now;
+        }
+        if !answered {
+            load.resting_until = now + REST;
+        }
+    }
+
+    /// Returns the number of questions that wait.
+    pub(crate) fn waiting(&self) -> usize {
+        self.waiting.borrow().len()
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-cell/src/worker_loop.rs
@@ -0,0 +1,107 @@
+//! Keeps the lease of a worker and reads what runs there.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use geraniumwinch_core::log_event;
+use geraniumwinch_fleet::FleetBoard;
+use geraniumwinch_fleet::WorkerKey;
+use geraniumwinch_fleet::WorkerReport;
+use tokio::sync::Notify;
+
+use crate::CellPorts;
+use crate::HoldOrder;
+use crate::OrderError;
+use crate::authority::OwnerAuthority;
+use crate::order_sender::OrderSender;
+use crate::worker_gateway::OrderResult;
+
+/// How long a worker may wait for an end before it answers.
+const HOLD_WAIT: Duration = Duration::from_millis(1000);
+/// The pause between an answer and the next call.
+const HOLD_GAP: Duration = Duration::from_millis(15);
+/// The pause after a call that brought no report.
+const RETRY: Duration = Duration::from_millis(250);
+
+/// The loop that keeps one worker's lease.
+pub(crate) struct WorkerLoop {
+    pub(crate) ports: CellPorts,
+    pub(crate) authority: Rc<OwnerAuthority>,
+    pub(crate) board: Rc<RefCell<FleetBoard>>,
+    pub(crate) sender: Rc<OrderSender>,
+    pub(crate) pump: Rc<Notify>,
+    pub(crate) worker: WorkerKey,
+}
+
+impl WorkerLoop {
+    /// Runs until the ownership ends or the worker is gone.
+    pub(crate) async fn run(self) {
+        let mut silent = true;
+        while !self.authority.is_lost() {
+            let pause = match self.hold(silent).await {
+                Ok(()) => {
+                    if silent {
+                        self.log_contact(true, "answered");
+                    }
+                    silent = false;
+                    HOLD_GAP
+                }
+                Err(OrderError::Fenced) => {
+                    self.sender.lose_ownership();
+                    return;
+                }
+                Err(error) => {
+                    if !silent {
+                        self.log_contact(false, error.as_str());
+                    }
+                    silent = true;
+                    self.board.borrow_mut().mark_silent(self.worker);
+                    RETRY
+                }
+            };
+            let now = self.ports.clock.now();
+            if self.board.borrow_mut().forget_if_gone(self.worker, now) {
+                return;
+            }
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    /// Calls the worker once; a silent worker's lease is left as it is, so that its end is known.
+    async fn hold(&self, silent: bool) -> OrderResult<()> {
+        let now = self.ports.clock.now();
+        let Some(target) = self.sender.target(self.worker) else { return Ok(()) };
+        let extend = !silent && self.authority.may_extend(now);
+        let lease_end_ms =
+            if extend { self.sender.lease_end(self.worker, now) } else { None };
+        if lease_end_ms.is_some() {
+            self.board.borrow_mut().extend_lease(self.worker, now);
+        }
+        let acknowledged = self.board.borrow().stored_ends(self.worker);
+        let wait = if silent { Duration::ZERO } else { HOLD_WAIT };
+        let order = HoldOrder { lease_end_ms, acknowledged, wait };
+        let report = self.ports.workers.hold(target, order).await?;
+        self.take(&report, now);
+        Ok(())
+    }
+
+    /// Takes in a report.
+    fn take(&self, report: &WorkerReport, sent: Duration) {
+        self.sender.read_clock(self.worker, report.clock_ms);
+        let now = self.ports.clock.now();
+        self.board.borrow_mut().report(self.worker, report, sent, now);
+        self.pump.notify_one();
+    }
+
+    /// Logs that a worker answers again or does no longer.
+    fn log_contact(&self, found: bool, reason: &str) {
+        let worker = self.sender.target(self.worker).map(|target| target.id);
+        let worker = worker.as_deref().unwrap_or_default();
+        if found {
+            log_event!(Info, "worker-regained", worker = worker, reason = reason);
+        } else {
+            log_event!(Warn, "worker-lost", worker = worker, reason = reason);
+        }
+    }
+}
--- a/crates/geraniumwinch-core/src/lib.rs
+++ b/crates/geraniumwinch-core/src/lib.rs
@@ -7,11 +7,13 @@
 mod endpoint_table;
 mod error_answer;
 mod error_kind;
+mod event_log;
 mod grant_desk;
 mod grant_holder;
 mod home_map;
 mod job_id;
 mod job_spec;
+mod metric_row;
 mod placement_board;
 mod record_table;
 mod resource_vector;
@@ -30,6 +32,7 @@
 pub use self::endpoint_table::EndpointTable;
 pub use self::error_answer::ErrorAnswer;
 pub use self::error_kind::ErrorKind;
+pub use self::event_log::quote_value;
 pub use self::grant_desk::AdoptedGrant;
 pub use self::grant_desk::DeskOutcome;
 pub use self::grant_desk::GrantDesk;
@@ -42,6 +45,7 @@
 pub use self::job_id::JobId;
 pub use self::job_spec::JobKind;
 pub use self::job_spec::JobSpec;
+pub use self::metric_row::MetricRow;
 pub use self::placement_board::BoardCommand;
 pub use self::placement_board::JobView;
 pub use self::placement_board::PlacementBoard;
@@ -67,6 +71,8 @@
 pub use self::worker_table::WorkerSpec;
 pub use self::worker_table::WorkerTable;
 
+pub use log;
+
 use std::sync::Arc;
 
 /// A shared immutable name of a team, queue, domain, VM or endpoint.
--- /dev/null
+++ b/crates/geraniumwinch-fleet/src/fleet_board.rs
@@ -0,0 +1,335 @@
+//! The jobs and workers of a cell.
+
+mod account_ledger;
+mod asking;
+mod ending;
+mod job_slot;
+mod placing;
+mod preempting;
+mod recording;
+mod reporting;
+mod sweeping;
+mod worker_slot;
+
+pub use self::placing::PlacementRound;
+pub use self::recording::RecordWrite;
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use geraniumwinch_core::Name;
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use crate::AccountLimit;
+use crate::BoardEvent;
+use crate::BootTime;
+use crate::JobPhase;
+use crate::JobRecord;
+use crate::RunStop;
+use crate::TaskName;
+use crate::WorkerCard;
+
+use self::account_ledger::AccountLedger;
+use self::job_slot::JobKey;
+use self::job_slot::JobSlot;
+use self::job_slot::PlacePhase;
+use self::job_slot::TaskPlace;
+use self::job_slot::TaskRef;
+use self::worker_slot::WorkerSlot;
+
+new_key_type! {
+    /// Names a worker of the board.
+    pub struct WorkerKey;
+}
+
+/// The distance between the first run numbers of two epochs.
+const RUNS_PER_EPOCH: u64 = 1 << 16;
+
+/// Numbers that describe the board.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct FleetCounts {
+    /// The jobs that are not ended.
+    pub live_jobs: usize,
+    /// The tasks that may run.
+    pub placed: usize,
+    /// The workers that have reported in this epoch and answer.
+    pub usable_workers: usize,
+    /// All workers.
+    pub workers: usize,
+}
+
+/// The jobs and workers of a cell and what runs where.
+///
+/// The owner of the cell feeds it with reports and outcomes and sends the orders that it gives.
+#[derive(Debug)]
+pub struct FleetBoard {
+    /// The first run number of this epoch.
+    first_run: u64,
+    /// How long a worker's lease lasts after the last order that extends it.
+    lease: Duration,
+    workers: SlotMap<WorkerKey, WorkerSlot>,
+    worker_ids: HashMap<Name, WorkerKey>,
+    jobs: SlotMap<JobKey, JobSlot>,
+    job_ids: HashMap<Name, JobKey>,
+    /// The jobs with tasks that wait, by urgency and order of acceptance.
+    open: BTreeSet<(u32, u64, JobKey)>,
+    /// The jobs with changes that were not handed to the store, with the time of the first one.
+    dirty: HashMap<JobKey, BootTime>,
+    accounts: AccountLedger,
+    /// The share of workers that each queue's permissions allow, as learnt so far.
+    allowed_share: HashMap<Name, f64>,
+    stops: Vec<RunStop>,
+    events: Vec<BoardEvent>,
+    next_serial: u64,
+}
+
+impl FleetBoard {
+    /// Creates the board of an epoch, counted from 1; `lease` is the longest lease of a worker
+    /// with what its clock may be slow.
+    pub fn new(epoch: u64, lease: Duration) -> Self {
+        FleetBoard {
+            first_run: epoch.saturating_sub(1) * RUNS_PER_EPOCH,
+            lease,
+            workers: SlotMap::with_key(),
+            worker_ids: HashMap::new(),
+            jobs: SlotMap::with_key(),
+            job_ids: HashMap::new(),
+            open: BTreeSet::new(),
+            dirty: HashMap::new(),
+            accounts: AccountLedger::default(),
+            allowed_share: HashMap::new(),
+            stops: Vec::new(),
+            events: Vec::new(),
+            next_serial: 0,
+        }
+    }
+
+    /// Takes over the limits of client accounts.
+    pub fn set_limits(&mut self, limits: Vec<AccountLimit>) {
+        self.accounts.set_limits(limits);
+    }
+
+    /// Takes over the platform's list of workers and returns those that are new.
+    pub fn set_workers(
+        &mut self,
+        cards: Vec<WorkerCard>,
+        now: BootTime,
+    ) -> Vec<WorkerKey> {
+        for slot in self.workers.values_mut() {
+            slot.listed = false;
+        }
+        let mut fresh = Vec::new();
+        for card in cards {
+            match self.worker_ids.get(&card.id) {
+                Some(&key) => {
+                    let slot = &mut self.workers[key];
+                    slot.card = card;
+                    slot.listed = true;
+                }
+                None => {
+                    let id = card.id.clone();
+                    let key =
+                        self.workers.insert(WorkerSlot::new(card, now + self.lease));
+                    self.worker_ids.insert(id, key);
+                    fresh.push(key);
+                }
+            }
+        }
+        fresh
+    }
+
+    /// Returns what a worker says of itself.
+    pub fn card(&self, worker: WorkerKey) -> Option<&WorkerCard> {
+        self.workers.get(worker).map(|slot| &slot.card)
+    }
+
+    /// Returns the number up to which the ends of a worker are stored.
+    pub fn stored_ends(&self, worker: WorkerKey) -> u64 {
+        self.workers.get(worker).map_or(0, |slot| slot.stored)
+    }
+
+    /// Returns whether a worker is gone: it is not listed and nothing may run there.
+    pub fn forget_if_gone(&mut self, worker: WorkerKey, now: BootTime) -> bool {
+        let Some(slot) = self.workers.get(worker) else { return true };
+        let idle = slot.places.is_empty() && slot.silent && slot.expiry <= now;
+        if slot.listed || !idle {
+            return false;
+        }
+        if let Some(slot) = self.workers.remove(worker) {
+            self.worker_ids.remove(&slot.card.id);
+        }
+        true
+    }
+
+    /// Puts a job of the store on the board of a new owner.
+    ///
+    /// Its tasks that no worker reports may still run on workers that have not reported until
+    /// `uncertain_until`.
+    pub fn load(&mut self, id: Name, record: JobRecord, uncertain_until: BootTime) {
+        let key = self.insert(id, record);
+        self.jobs[key].uncertain_until = uncertain_until;
+    }
+
+    /// Puts a job on the board that the store has just taken.
+    pub fn accept(&mut self, id: Name, record: JobRecord) {
+        if !self.job_ids.contains_key(&id) {
+            self.insert(id, record);
+        }
+    }
+
+    /// Inserts a job.
+    fn insert(&mut self, id: Name, record: JobRecord) -> JobKey {
+        let serial = self.next_serial;
+        self.next_serial += 1;
+        let priority = record.rules.priority;
+        let live = record.phase == JobPhase::Live;
+        let key = self.jobs.insert(JobSlot::new(id.clone(), record, serial));
+        self.job_ids.insert(id, key);
+        if live {
+            self.open.insert((priority, serial, key));
+        }
+        key
+    }
+
+    /// Returns the state of a job as the store holds it, and whether a task was started.
+    pub fn state(&self, id: &str) -> Option<(JobPhase, bool)> {
+        let &key = self.job_ids.get(id)?;
+        let job = &self.jobs[key];
+        Some((job.shown, job.started))
+    }
+
+    /// Returns the number of a queue's jobs of which no task was started.
+    pub fn waiting(&self, queue: &str) -> usize {
+        let waits = |job: &JobSlot| {
+            !job.started && job.live() && &*job.record.rules.queue == queue
+        };
+        self.open.iter().filter(|(_, _, key)| waits(&self.jobs[*key])).count()
+    }
+
+    /// Cancels a job and returns whether it is known; its tasks are stopped at once.
+    pub fn cancel(&mut self, id: &str, now: BootTime) -> bool {
+        let Some(&key) = self.job_ids.get(id) else { return false };
+        if self.jobs[key].live() {
+            self.end_job(key, JobPhase::Cancelled, now);
+        }
+        true
+    }
+
+    /// Takes the orders to stop runs.
+    pub fn take_stops(&mut self) -> Vec<RunStop> {
+        std::mem::take(&mut self.stops)
+    }
+
+    /// Takes the events for the log.
+    pub fn take_events(&mut self) -> Vec<BoardEvent> {
+        std::mem::take(&mut self.events)
+    }
+
+    /// Returns numbers that describe the board.
+    pub fn counts(&self, now: BootTime) -> FleetCounts {
+        FleetCounts {
+            live_jobs: self.open.len(),
+            placed: self.workers.values().map(|slot| slot.places.len()).sum(),
+            usable_workers: self.workers.values().filter(|slot| slot.usable(now)).count(),
+            workers: self.workers.len(),
+        }
+    }
+
+    /// Finds the task that a name means.
+    fn find(&self, name: &TaskName) -> Option<TaskRef> {
+        let &job = self.job_ids.get(&name.step.job)?;
+        let slot = &self.jobs[job];
+        let steps = slot.record.request.steps.len() as u32;
+        if name.step.step >= steps {
+            return None;
+        }
+        let unit = name.step.occurrence.checked_mul(steps)? + name.step.step;
+        let tasks = &slot.units.get(unit as usize)?.tasks;
+        let task = TaskRef { job, unit, index: name.index };
+        ((name.index as usize) < tasks.len()).then_some(task)
+    }
+
+    /// Returns where a task may run.
+    fn place_of(&self, task: TaskRef) -> Option<&TaskPlace> {
+        self.jobs[task.job].units[task.unit as usize].tasks[task.index as usize]
+            .place
+            .as_ref()
+    }
+
+    /// Returns where a task may run, to change it.
+    fn place_of_mut(&mut self, task: TaskRef) -> Option<&mut TaskPlace> {
+        self.jobs[task.job].units[task.unit as usize].tasks[task.index as usize]
+            .place
+            .as_mut()
+    }
+
+    /// Puts a task on a worker.
+    fn occupy(&mut self, task: TaskRef, place: TaskPlace) {
+        let job = &mut self.jobs[task.job];
+        let size = job.plan(task.unit).reserved();
+        let unit = &mut job.units[task.unit as usize];
+        let slot = &mut unit.tasks[task.index as usize];
+        if slot.waits() {
+            unit.waiting -= 1;
+        }
+        slot.last_run = slot.last_run.max(place.run);
+        slot.place = Some(place);
+        job.started = true;
+        let worker = &mut self.workers[place.worker];
+        worker.used.add(&size);
+        worker.places.insert(task);
+        self.accounts.take(&job.record.account, &size);
+    }
+
+    /// Takes a task off its worker.
+    fn vacate(&mut self, task: TaskRef) -> Option<TaskPlace> {
+        let job = &mut self.jobs[task.job];
+        let size = job.plan(task.unit).reserved();
+        let unit = &mut job.units[task.unit as usize];
+        let slot = &mut unit.tasks[task.index as usize];
+        let place = slot.place.take()?;
+        if slot.waits() {
+            unit.waiting += 1;
+        }
+        if let Some(worker) = self.workers.get_mut(place.worker) {
+            worker.used.subtract(&size);
+            worker.places.remove(&task);
+        }
+        self.accounts.release(&job.record.account, &size);
+        Some(place)
+    }
+
+    /// Tells the worker of a task to stop it.
+    fn stop(&mut self, task: TaskRef, now: BootTime) {
+        let Some(place) = self.place_of_mut(task) else { return };
+        if matches!(place.phase, PlacePhase::Stopping(_)) {
+            return;
+        }
+        place.phase = PlacePhase::Stopping(None);
+        place.since = now;
+        self.send_stop(task);
+    }
+
+    /// Gives the order to stop a placed task.
+    fn send_stop(&mut self, task: TaskRef) {
+        let Some(&place) = self.place_of(task) else { return };
+        let name = self.jobs[task.job].task_name(task);
+        self.stops.push(RunStop { worker: place.worker, task: name, run: place.run });
+    }
+
+    /// Returns the placed tasks of a job.
+    fn placed_tasks(&self, key: JobKey) -> Vec<TaskRef> {
+        let mut placed = Vec::new();
+        for (number, unit) in self.jobs[key].units.iter().enumerate() {
+            for (index, task) in unit.tasks.iter().enumerate() {
+                if task.place.is_some() {
+                    let unit = number as u32;
+                    placed.push(TaskRef { job: key, unit, index: index as u32 });
+                }
+            }
+        }
+        placed
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-fleet/src/fleet_board/asking.rs
@@ -0,0 +1,179 @@
+//! Permissions to place steps on workers.
+
+use std::time::Duration;
+
+use geraniumwinch_core::Name;
+
+use crate::BootTime;
+use crate::PermissionAsk;
+use crate::PermissionGrant;
+use crate::StepName;
+use crate::WorkerKey;
+
+use super::FleetBoard;
+use super::job_slot::JobKey;
+
+/// The share of workers that a queue's permissions are taken to allow before any answer.
+const FIRST_SHARE: f64 = 0.4;
+/// The weight of a new answer in the learnt share.
+const SHARE_GAIN: f64 = 0.2;
+/// How much more room a question covers than the step needs.
+const ASK_SURPLUS: f64 = 2.5;
+/// The fewest workers of a first question.
+const ASK_MIN: usize = 8;
+/// The most workers that one question may name.
+const ASK_MAX: usize = 100;
+/// The time before a question that failed is asked again.
+const ASK_RETRY: Duration = Duration::from_millis(60);
+
+/// What is known of the permission to place a step on a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) enum Permit {
+    /// It may be placed; the proof goes with the start, where the queue needs one.
+    Valid(Option<Name>),
+    /// It was allowed, but the proof has expired.
+    Expired,
+    /// Nobody has asked.
+    Unasked,
+    /// It may not be placed there.
+    Denied,
+}
+
+impl FleetBoard {
+    /// Returns what is known of the permission to place a unit on a worker.
+    pub(super) fn permit(
+        &self,
+        key: JobKey,
+        unit: u32,
+        worker: &Name,
+        now: BootTime,
+    ) -> Permit {
+        let job = &self.jobs[key];
+        if job.record.rules.permission.is_none() {
+            return Permit::Valid(None);
+        }
+        match job.units[unit as usize].permissions.get(worker) {
+            None => Permit::Unasked,
+            Some(None) => Permit::Denied,
+            Some(Some(grant)) if grant.until > now => {
+                Permit::Valid(Some(grant.ticket.clone()))
+            }
+            Some(Some(_)) => Permit::Expired,
+        }
+    }
+
+    /// Chooses the workers of a first question from those with room, most room first.
+    ///
+    /// `rooms` holds workers with the number of the step's tasks that fit there.
+    pub(super) fn choose_asked(
+        &self,
+        key: JobKey,
+        needed: usize,
+        mut rooms: Vec<(WorkerKey, f64)>,
+    ) -> Vec<Name> {
+        rooms.sort_by(|a, b| b.1.total_cmp(&a.1));
+        let queue = &self.jobs[key].record.rules.queue;
+        let share = self.allowed_share.get(queue).copied().unwrap_or(FIRST_SHARE);
+        let wanted = needed as f64 * ASK_SURPLUS / share.max(0.05);
+        let mut covered = 0.0;
+        let mut names = Vec::new();
+        for (worker, fits) in rooms {
+            let enough = covered >= wanted && names.len() >= ASK_MIN;
+            if enough || names.len() == ASK_MAX {
+                break;
+            }
+            covered += fits;
+            names.push(self.workers[worker].card.id.clone());
+        }
+        names
+    }
+
+    /// Creates a question about a unit, unless one is open or a failed one is too recent.
+    pub(super) fn ask(
+        &mut self,
+        key: JobKey,
+        unit: u32,
+        workers: Vec<Name>,
+        now: BootTime,
+    ) -> Option<PermissionAsk> {
+        let job = &mut self.jobs[key];
+        let cost = job.record.rules.permission?;
+        let slot = &mut job.units[unit as usize];
+        if workers.is_empty() || slot.asking || now < slot.ask_after {
+            return None;
+        }
+        slot.asking = true;
+        let priority = job.record.rules.priority;
+        let call_time = cost.call_time(workers.len());
+        Some(PermissionAsk { step: job.step_name(unit), priority, call_time, workers })
+    }
+
+    /// Finds the unit that a step's name means.
+    fn find_unit(&self, step: &StepName) -> Option<(JobKey, u32)> {
+        let &key = self.job_ids.get(&step.job)?;
+        let steps = self.jobs[key].record.request.steps.len() as u32;
+        let unit = step.occurrence.checked_mul(steps)? + step.step;
+        ((unit as usize) < self.jobs[key].units.len()).then_some((key, unit))
+    }
+
+    /// Returns how long a permission for a step holds.
+    pub fn permission_validity(&self, step: &StepName) -> Option<Duration> {
+        let (key, _) = self.find_unit(step)?;
+        self.jobs[key].record.rules.permission.map(|cost| cost.validity)
+    }
+
+    /// Takes in the answer to a question: the workers that were asked about and the grants.
+    pub fn permitted(
+        &mut self,
+        step: &StepName,
+        asked: &[Name],
+        grants: Vec<PermissionGrant>,
+    ) {
+        let Some((key, unit)) = self.find_unit(step) else { return };
+        self.release_reserved(key, unit);
+        let job = &mut self.jobs[key];
+        let slot = &mut job.units[unit as usize];
+        slot.asking = false;
+        let fresh = asked.iter().filter(|id| !slot.permissions.contains_key(*id)).count();
+        for id in asked {
+            slot.permissions.entry(id.clone()).or_insert(None);
+        }
+        let granted = grants.len();
+        for grant in grants {
+            slot.permissions.insert(grant.worker.clone(), Some(grant));
+        }
+        if fresh == asked.len() && fresh > 0 {
+            let queue = job.record.rules.queue.clone();
+            let share = self.allowed_share.entry(queue).or_insert(FIRST_SHARE);
+            *share += (granted as f64 / fresh as f64 - *share) * SHARE_GAIN;
+        }
+    }
+
+    /// Notes that a question was not answered.
+    pub fn permission_failed(&mut self, step: &StepName, now: BootTime) {
+        let Some((key, unit)) = self.find_unit(step) else { return };
+        self.release_reserved(key, unit);
+        let slot = &mut self.jobs[key].units[unit as usize];
+        slot.asking = false;
+        slot.ask_after = now + ASK_RETRY;
+    }
+
+    /// Gives the room back that was kept while permissions were renewed.
+    pub(super) fn release_reserved(&mut self, key: JobKey, unit: u32) {
+        let slot = &mut self.jobs[key].units[unit as usize];
+        for (worker, size) in std::mem::take(&mut slot.reserved) {
+            if let Some(worker) = self.workers.get_mut(worker) {
+                worker.used.subtract(&size);
+            }
+        }
+    }
+
+    /// Keeps room for tasks while their permissions are renewed.
+    pub(super) fn reserve(&mut self, key: JobKey, unit: u32, workers: &[WorkerKey]) {
+        let size = self.jobs[key].plan(unit).reserved();
+        for &worker in workers {
+            self.workers[worker].used.add(&size);
+            self.jobs[key].units[unit as usize].reserved.push((worker, size));
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-fleet/src/fleet_board/placing.rs
@@ -0,0 +1,321 @@
+//! The choice of workers for tasks that wait.
+
+use std::time::Duration;
+
+use geraniumwinch_core::Name;
+use geraniumwinch_core::ResourceVector;
+
+use crate::BootTime;
+use crate::PermissionAsk;
+use crate::RunStart;
+use crate::StepPlan;
+use crate::WorkerKey;
+
+use super::FleetBoard;
+use super::asking::Permit;
+use super::job_slot::JobKey;
+use super::job_slot::PlacePhase;
+use super::job_slot::TaskPlace;
+use super::job_slot::TaskRef;
+use super::worker_slot::WorkerSlot;
+
+/// The weight of room that is taken at the moment when workers are chosen for a question.
+const TAKEN_ROOM_WEIGHT: f64 = 0.2;
+
+/// The orders and questions of one pass.
+#[derive(Debug, Default)]
+pub struct PlacementRound {
+    /// The tasks to start.
+    pub starts: Vec<RunStart>,
+    /// The questions to the permission service.
+    pub asks: Vec<PermissionAsk>,
+}
+
+/// A worker that could take tasks of a step.
+#[derive(Debug, Clone)]
+pub(super) struct RoomOffer {
+    /// The worker.
+    pub(super) worker: WorkerKey,
+    /// The number of the step's tasks that fit now.
+    pub(super) fits: u32,
+    /// What is known of the permission.
+    pub(super) permit: Permit,
+    /// The order of preference; the least goes first.
+    rank: (bool, bool, u64),
+}
+
+impl FleetBoard {
+    /// Places the tasks that wait; `wall` is the time since 1970.
+    pub fn place(&mut self, wall: Duration, now: BootTime) -> PlacementRound {
+        let mut round = PlacementRound::default();
+        let uncertain = self.workers.values().any(|slot| slot.incarnation.is_none());
+        let open: Vec<JobKey> = self.open.iter().map(|&(_, _, key)| key).collect();
+        for key in open {
+            let job = &self.jobs[key];
+            if uncertain && job.uncertain_until > now {
+                continue;
+            }
+            for unit in 0..job.units.len() as u32 {
+                if self.due(key, unit, wall) {
+                    self.place_unit(key, unit, now, &mut round);
+                }
+            }
+        }
+        round
+    }
+
+    /// Returns whether a unit has tasks that wait and whose turn has come.
+    fn due(&self, key: JobKey, unit: u32, wall: Duration) -> bool {
+        let job = &self.jobs[key];
+        let slot = &job.units[unit as usize];
+        let schedule = job.record.request.schedule;
+        slot.waiting > 0
+            && !slot.asking
+            && schedule.is_none_or(|schedule| schedule.due(slot.occurrence) <= wall)
+            && job.ready(unit)
+    }
+
+    /// Places as many tasks of a unit as possible, or asks for the permission to.
+    fn place_unit(
+        &mut self,
+        key: JobKey,
+        unit: u32,
+        now: BootTime,
+        round: &mut PlacementRound,
+    ) {
+        let job = &self.jobs[key];
+        let plan = job.plan(unit).clone();
+        let waiting = job.units[unit as usize].waiting as usize;
+        let quota = self.accounts.allows(&job.record.account, &plan.reserved());
+        let needed = waiting.min(usize::try_from(quota).unwrap_or(usize::MAX));
+        let partial = plan.gang && (waiting < plan.tasks as usize || needed < waiting);
+        if needed == 0 || partial {
+            return;
+        }
+        let offers = self.offers(key, unit, &plan, now);
+        let valid = |offer: &RoomOffer| matches!(offer.permit, Permit::Valid(_));
+        let chosen = choose(&offers, needed, valid);
+        if chosen.len() == needed {
+            self.start(key, unit, &chosen, now, round);
+            return;
+        }
+        let known = |offer: &RoomOffer| valid(offer) || offer.permit == Permit::Expired;
+        let renewable = choose(&offers, needed, known);
+        if plan.gang {
+            if renewable.len() == needed {
+                self.renew(key, unit, &renewable, true, now, round);
+            } else {
+                self.ask_more(key, unit, &plan, needed, now, round);
+                self.preempt(key, unit, needed - renewable.len(), now);
+            }
+            return;
+        }
+        self.start(key, unit, &chosen, now, round);
+        let left = needed - chosen.len();
+        if renewable.len() > chosen.len() {
+            self.renew(key, unit, &renewable, false, now, round);
+        } else {
+            self.ask_more(key, unit, &plan, left, now, round);
+        }
+        self.preempt(key, unit, left, now);
+    }
+
+    /// Returns the workers that have room for a unit's tasks, the preferred ones first.
+    pub(super) fn offers(
+        &self,
+        key: JobKey,
+        unit: u32,
+        plan: &StepPlan,
+        now: BootTime,
+    ) -> Vec<RoomOffer> {
+        let mut offers = Vec::new();
+        for (worker, slot) in &self.workers {
+            if !slot.usable(now) || !self.suits(key, plan, slot) {
+                continue;
+            }
+            let fits = self.fits(key, unit, plan, worker, &slot.free());
+            if fits == 0 {
+                continue;
+            }
+            let permit = self.permit(key, unit, &slot.card.id, now);
+            if permit == Permit::Denied {
+                continue;
+            }
+            let far =
+                plan.affinity.as_ref().is_some_and(|r| !slot.card.labels.contains(r));
+            let rank = (slot.failures > 0, far, slot.free().cpu_millis);
+            offers.push(RoomOffer { worker, fits, permit, rank });
+        }
+        offers.sort_by_key(|offer| offer.rank);
+        offers
+    }
+
+    /// Returns whether a worker may run tasks of a step at all.
+    pub(super) fn suits(&self, key: JobKey, plan: &StepPlan, slot: &WorkerSlot) -> bool {
+        let labelled = plan
+            .requirement
+            .as_ref()
+            .is_none_or(|label| slot.card.labels.contains(label));
+        labelled && slot.card.service == self.jobs[key].record.rules.service
+    }
+
+    /// Returns how many tasks of a unit fit into room on a worker.
+    fn fits(
+        &self,
+        key: JobKey,
+        unit: u32,
+        plan: &StepPlan,
+        worker: WorkerKey,
+        room: &ResourceVector,
+    ) -> u32 {
+        let fits = times(&plan.reserved(), room);
+        if plan.per_worker == 0 {
+            return fits;
+        }
+        let here = self.workers[worker].places.iter();
+        let taken = here.filter(|task| task.job == key && task.unit == unit).count();
+        fits.min(plan.per_worker.saturating_sub(taken as u32))
+    }
+
+    /// Starts tasks of a unit on the chosen workers.
+    fn start(
+        &mut self,
+        key: JobKey,
+        unit: u32,
+        chosen: &[WorkerKey],
+        now: BootTime,
+        round: &mut PlacementRound,
+    ) {
+        let slot = &self.jobs[key].units[unit as usize];
+        let indices: Vec<u32> = slot
+            .tasks
+            .iter()
+            .enumerate()
+            .filter(|(_, task)| task.waits())
+            .map(|(index, _)| index as u32)
+            .collect();
+        let gang = self.jobs[key].plan(unit).gang;
+        let highest = slot.tasks.iter().map(|task| task.last_run).max().unwrap_or(0);
+        let shared = slot.tasks.iter().find_map(|task| task.checkpoint.clone());
+        for (&worker, index) in chosen.iter().zip(indices) {
+            let slot = &self.jobs[key].units[unit as usize].tasks[index as usize];
+            let last = if gang { highest } else { slot.last_run };
+            let checkpoint = if gang { shared.clone() } else { slot.checkpoint.clone() };
+            let run = last.max(self.first_run) + 1;
+            let task = TaskRef { job: key, unit, index };
+            self.start_task(task, worker, run, checkpoint, now, round);
+        }
+    }
+
+    /// Starts a task on a worker.
+    fn start_task(
+        &mut self,
+        task: TaskRef,
+        worker: WorkerKey,
+        run: u64,
+        checkpoint: Option<Name>,
+        now: BootTime,
+        round: &mut PlacementRound,
+    ) {
+        let id = &self.workers[worker].card.id;
+        let ticket = match self.permit(task.job, task.unit, id, now) {
+            Permit::Valid(ticket) => ticket,
+            _ => None,
+        };
+        let phase = PlacePhase::Starting;
+        let place =
+            TaskPlace { worker, run, phase, since: now, percent: 0, progressed: now };
+        self.occupy(task, place);
+        let job = &self.jobs[task.job];
+        round.starts.push(RunStart {
+            worker,
+            task: job.task_name(task),
+            run,
+            spec: job.record.request.spec.clone(),
+            checkpoint,
+            ticket,
+        });
+    }
+
+    /// Asks again about workers whose permissions have expired, and keeps a gang's room.
+    fn renew(
+        &mut self,
+        key: JobKey,
+        unit: u32,
+        chosen: &[WorkerKey],
+        keep_room: bool,
+        now: BootTime,
+        round: &mut PlacementRound,
+    ) {
+        let mut names: Vec<Name> = Vec::new();
+        for &worker in chosen {
+            let id = &self.workers[worker].card.id;
+            if !names.contains(id) {
+                names.push(id.clone());
+            }
+        }
+        if let Some(ask) = self.ask(key, unit, names, now) {
+            round.asks.push(ask);
+            if keep_room {
+                self.reserve(key, unit, chosen);
+            }
+        }
+    }
+
+    /// Asks about workers that nobody has asked about yet.
+    fn ask_more(
+        &mut self,
+        key: JobKey,
+        unit: u32,
+        plan: &StepPlan,
+        needed: usize,
+        now: BootTime,
+        round: &mut PlacementRound,
+    ) {
+        if self.jobs[key].record.rules.permission.is_none() {
+            return;
+        }
+        let mut rooms = Vec::new();
+        for (worker, slot) in &self.workers {
+            let usable = slot.usable(now) && self.suits(key, plan, slot);
+            if !usable || self.permit(key, unit, &slot.card.id, now) != Permit::Unasked {
+                continue;
+            }
+            let now_fits = self.fits(key, unit, plan, worker, &slot.free());
+            let ever_fits = self.fits(key, unit, plan, worker, &slot.card.capacity);
+            let weight = f64::from(now_fits) + f64::from(ever_fits) * TAKEN_ROOM_WEIGHT;
+            if weight > 0.0 {
+                rooms.push((worker, weight));
+            }
+        }
+        let names = self.choose_asked(key, needed, rooms);
+        round.asks.extend(self.ask(key, unit, names, now));
+    }
+}
+
+/// Returns how many times a size goes into room.
+pub(super) fn times(size: &ResourceVector, room: &ResourceVector) -> u32 {
+    let cpu = room.cpu_millis.checked_div(size.cpu_millis);
+    let memory = room.memory_bytes.checked_div(size.memory_bytes);
+    let accelerators = room.accelerators.checked_div(size.accelerators).map(u64::from);
+    let least = [cpu, memory, accelerators].into_iter().flatten().min();
+    least.map_or(u32::MAX, |least| u32::try_from(least).unwrap_or(u32::MAX))
+}
+
+/// Chooses up to `needed` places among the offers that are admitted, the preferred ones first.
+fn choose(
+    offers: &[RoomOffer],
+    needed: usize,
+    admit: impl Fn(&RoomOffer) -> bool,
+) -> Vec<WorkerKey> {
+    let mut chosen = Vec::with_capacity(needed.min(64));
+    for offer in offers.iter().filter(|offer| admit(offer)) {
+        for _ in 0..offer.fits {
+            if chosen.len() == needed {
+                return chosen;
+            }
+            chosen.push(offer.worker);
+        }
+    }
+    chosen
+}
--- /dev/null
+++ b/crates/geraniumwinch-fleet/src/fleet_board/worker_slot.rs
@@ -0,0 +1,112 @@
+//! What the board knows of a worker.
+
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+
+use geraniumwinch_core::ResourceVector;
+
+use crate::BootTime;
+use crate::WorkerCard;
+
+use super::job_slot::JobKey;
+use super::job_slot::TaskRef;
+
+/// An end that was processed and that the store may not hold yet.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct UnstoredEnd {
+    /// The worker's number of the end.
+    pub(super) number: u64,
+    /// The job whose record holds the end, with the version that does.
+    pub(super) job: Option<(JobKey, u64)>,
+}
+
+/// A worker with what runs there.
+#[derive(Debug)]
+pub(super) struct WorkerSlot {
+    /// What it says of itself.
+    pub(super) card: WorkerCard,
+    /// Whether the platform's list still has it.
+    pub(super) listed: bool,
+    /// The lifetime of the last report; none before the first one of this epoch.
+    pub(super) incarnation: Option<u64>,
+    /// Whether the last calls were left without an answer.
+    pub(super) silent: bool,
+    /// When everything that was started there has ended, if it stays silent.
+    pub(super) expiry: BootTime,
+    /// What its tasks reserve.
+    pub(super) used: ResourceVector,
+    /// The tasks that may run there.
+    pub(super) places: BTreeSet<TaskRef>,
+    /// The room that runs of unknown or ended jobs take.
+    pub(super) stray_room: ResourceVector,
+    /// Whether a run of unknown size is there.
+    pub(super) stray_unknown: bool,
+    /// The runs that ended in failure since the last one that was done.
+    pub(super) failures: u32,
+    /// Until when it takes no tasks because runs failed there.
+    pub(super) quarantine: BootTime,
+    /// The number of the last end that was processed.
+    pub(super) processed: u64,
+    /// The number up to which the store holds all ends.
+    pub(super) stored: u64,
+    /// The ends between the two.
+    pub(super) unstored: VecDeque<UnstoredEnd>,
+}
+
+impl WorkerSlot {
+    /// Creates the state of a worker that has not reported yet.
+    pub(super) fn new(card: WorkerCard, expiry: BootTime) -> Self {
+        WorkerSlot {
+            card,
+            listed: true,
+            incarnation: None,
+            silent: false,
+            expiry,
+            used: ResourceVector::default(),
+            places: BTreeSet::new(),
+            stray_room: ResourceVector::default(),
+            stray_unknown: false,
+            failures: 0,
+            quarantine: BootTime::ZERO,
+            processed: 0,
+            stored: 0,
+            unstored: VecDeque::new(),
+        }
+    }
+
+    /// Returns whether tasks may be placed there.
+    pub(super) fn usable(&self, now: BootTime) -> bool {
+        self.listed
+            && self.card.accepting
+            && !self.silent
+            && self.incarnation.is_some()
+            && !self.stray_unknown
+            && self.quarantine <= now
+    }
+
+    /// Returns the room that is left.
+    pub(super) fn free(&self) -> ResourceVector {
+        self.card.capacity.minus(&self.used).minus(&self.stray_room)
+    }
+
+    /// Forgets what a former lifetime said.
+    pub(super) fn begin_lifetime(&mut self, incarnation: u64) {
+        self.incarnation = Some(incarnation);
+        self.processed = 0;
+        self.stored = 0;
+        self.unstored.clear();
+        self.stray_room = ResourceVector::default();
+        self.stray_unknown = false;
+    }
+
+    /// Moves the acknowledged number over the ends that `is_stored` says the store holds.
+    pub(super) fn advance_stored(&mut self, is_stored: impl Fn(&UnstoredEnd) -> bool) {
+        while let Some(end) = self.unstored.front() {
+            if !is_stored(end) {
+                return;
+            }
+            self.stored = end.number;
+            self.unstored.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-fleet/src/lib.rs
@@ -0,0 +1,51 @@
+//! Decisions of a dispatcher that owns a cell of workers: jobs, steps, gangs, permissions and room.
+//!
+//! Nothing in this crate does I/O or reads a clock; every call is given the current time.
+
+mod board_event;
+mod fleet_board;
+mod fleet_error;
+mod job_record;
+mod job_request;
+mod queue_rules;
+mod run_end;
+mod run_order;
+mod step_plan;
+mod task_name;
+mod worker_card;
+mod worker_report;
+
+pub use self::board_event::BoardEvent;
+pub use self::fleet_board::FleetBoard;
+pub use self::fleet_board::FleetCounts;
+pub use self::fleet_board::PlacementRound;
+pub use self::fleet_board::RecordWrite;
+pub use self::fleet_board::WorkerKey;
+pub use self::fleet_error::FleetError;
+pub use self::fleet_error::Result;
+pub use self::job_record::JobPhase;
+pub use self::job_record::JobRecord;
+pub use self::job_record::UnitProgress;
+pub use self::job_request::JobRequest;
+pub use self::job_request::JobSchedule;
+pub use self::queue_rules::PermissionCost;
+pub use self::queue_rules::QueueRules;
+pub use self::run_end::RunEnd;
+pub use self::run_order::PermissionAsk;
+pub use self::run_order::PermissionGrant;
+pub use self::run_order::RunStart;
+pub use self::run_order::RunStop;
+pub use self::run_order::StartOutcome;
+pub use self::step_plan::StepPlan;
+pub use self::task_name::StepName;
+pub use self::task_name::TaskName;
+pub use self::worker_card::AccountLimit;
+pub use self::worker_card::WorkerCard;
+pub use self::worker_report::EndedRun;
+pub use self::worker_report::RunningRun;
+pub use self::worker_report::WorkerReport;
+
+use std::time::Duration;
+
+/// Time since boot; unlike the monotonic clock it goes on while the VM is suspended.
+pub type BootTime = Duration;
--- /dev/null
+++ b/crates/geraniumwinch-fleet/src/task_name.rs
@@ -0,0 +1,37 @@
+//! Names of steps and tasks.
+
+use std::fmt;
+
+use geraniumwinch_core::Name;
+
+/// A step of one occurrence of a job.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct StepName {
+    /// The job's identifier, chosen by the caller.
+    pub job: Name,
+    /// The occurrence of a scheduled job, counted from 0.
+    pub occurrence: u32,
+    /// The position of the step in the job, counted from 0.
+    pub step: u32,
+}
+
+impl fmt::Display for StepName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}.{}", self.job, self.occurrence, self.step)
+    }
+}
+
+/// A task of a step.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TaskName {
+    /// The step.
+    pub step: StepName,
+    /// The position of the task in the step, counted from 0.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.step, self.index)
+    }
+}
--- a/crates/geraniumwinch-node/src/allowance_keeper.rs
+++ b/crates/geraniumwinch-node/src/allowance_keeper.rs
@@ -8,13 +8,13 @@
 use geraniumwinch_core::AllowanceShift;
 use geraniumwinch_core::AllowanceTable;
 use geraniumwinch_core::Name;
+use geraniumwinch_core::log_event;
 
 use crate::NodeError;
 use crate::Result;
 use crate::dispatcher::AllowancesRead;
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::OfferAllowance;
-use crate::event_log::log_event;
 use crate::node_shared::NodeShared;
 use crate::platform_store::PlatformStore;
 use crate::platform_store::StoreCondition;
--- a/crates/geraniumwinch-node/src/journal.rs
+++ b/crates/geraniumwinch-node/src/journal.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use geraniumwinch_core::Name;
+use geraniumwinch_core::log_event;
 use geraniumwinch_wire::JournalEntry;
 use geraniumwinch_wire::MirrorBatch;
 use geraniumwinch_wire::PeerMessage;
@@ -16,7 +17,6 @@
 use crate::NodeError;
 use crate::Result;
 use crate::dispatcher::SnapshotWanted;
-use crate::event_log::log_event;
 use crate::node_metrics;
 use crate::node_shared::NodeShared;
 use crate::platform_store::PlatformStore;
--- a/crates/geraniumwinch-node/src/lib.rs
+++ b/crates/geraniumwinch-node/src/lib.rs
@@ -8,7 +8,6 @@
 mod endpoint_exchange;
 mod entry_server;
 mod etcd_store;
-mod event_log;
 mod held_table;
 mod http_client;
 mod job_calls;
@@ -41,7 +40,6 @@
 pub use self::node_error::NodeError;
 pub use self::node_error::Result;
 pub use self::node_metrics::METRIC_ROWS;
-pub use self::node_metrics::MetricRow;
 pub use self::node_supervisor::run_node;
 
 pub use geraniumwinch_core::SystemClock;
--- a/crates/geraniumwinch-node/src/node_metrics.rs
+++ b/crates/geraniumwinch-node/src/node_metrics.rs
@@ -3,37 +3,13 @@
 use std::time::Duration;
 
 use geraniumwinch_core::ErrorKind;
+use geraniumwinch_core::metric_rows;
 use metrics::counter;
 use metrics::gauge;
 use metrics::histogram;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 
-/// A metric with its meaning.
-#[derive(Debug, Clone, Copy)]
-pub struct MetricRow {
-    /// The name.
-    pub name: &'static str,
-    /// `counter`, `gauge` or `histogram`.
-    pub kind: &'static str,
-    /// The labels, separated by commas.
-    pub labels: &'static str,
-    /// What it counts or measures, with its unit.
-    pub doc: &'static str,
-}
-
-/// Declares the names of the metrics and their table.
-macro_rules! metric_rows {
-    ($($constant:ident = $name:literal, $kind:literal, $labels:literal, $doc:literal;)*) => {
-        $(const $constant: &str = $name;)*
-
-        /// Every metric.
-        pub const METRIC_ROWS: &[MetricRow] = &[
-            $(MetricRow { name: $name, kind: $kind, labels: $labels, doc: $doc },)*
-        ];
-    };
-}
-
 metric_rows! {
     REFUSALS = "geraniumwinch_refusals_total", "counter", "reason", "Calls refused, by error kind.";
     RETRIES = "geraniumwinch_retries_total", "counter", "reason", "Repeated attempts, by the error kind that caused them.";
--- a/crates/geraniumwinch-node/src/ownership.rs
+++ b/crates/geraniumwinch-node/src/ownership.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use geraniumwinch_core::log_event;
 use geraniumwinch_wire::GreetReport;
 use geraniumwinch_wire::HandoverState;
 use geraniumwinch_wire::OwnerView;
@@ -25,7 +26,6 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
-use crate::event_log::log_event;
 use crate::node_shared::NodeShared;
 use crate::platform_store::PlatformStore;
 use crate::store_keys;
--- a/crates/geraniumwinch-node/src/ownership/take_over.rs
+++ b/crates/geraniumwinch-node/src/ownership/take_over.rs
@@ -5,6 +5,7 @@
 
 use geraniumwinch_core::AllowanceTable;
 use geraniumwinch_core::Name;
+use geraniumwinch_core::log_event;
 use geraniumwinch_wire::HandoverState;
 use geraniumwinch_wire::JournalEntry;
 use geraniumwinch_wire::OwnerView;
@@ -16,7 +17,6 @@
 use crate::dispatcher::ReportedGrants;
 use crate::dispatcher::TakeoverKind;
 use crate::dispatcher::longest_deadline;
-use crate::event_log::log_event;
 use crate::journal::read_journal;
 use crate::node_metrics;
 use crate::node_shared::unix_millis;
--- a/crates/geraniumwinch-node/src/peer_link.rs
+++ b/crates/geraniumwinch-node/src/peer_link.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use geraniumwinch_core::log_event;
 use geraniumwinch_wire::MAX_MESSAGE_BYTES;
 use geraniumwinch_wire::PeerEnvelope;
 use geraniumwinch_wire::PeerIdentity;
@@ -23,7 +24,6 @@
 
 use crate::NodeError;
 use crate::Result;
-use crate::event_log::log_event;
 use crate::node_error::PeerListenSnafu;
 use crate::node_metrics;
 use crate::pending_calls::PendingCalls;
--- a/crates/geraniumwinch-node/src/publisher.rs
+++ b/crates/geraniumwinch-node/src/publisher.rs
@@ -6,12 +6,12 @@
 
 use geraniumwinch_config::ConfigurationSet;
 use geraniumwinch_config::SetDelta;
+use geraniumwinch_core::log_event;
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::NodeError;
 use crate::Result;
-use crate::event_log::log_event;
 use crate::node_shared::NodeShared;
 use crate::platform_store::PlatformStore;
 use crate::platform_store::StoreCondition;
--- a/crates/geraniumwinch-node/src/slot_client.rs
+++ b/crates/geraniumwinch-node/src/slot_client.rs
@@ -8,6 +8,7 @@
 use geraniumwinch_core::GrantOffer;
 use geraniumwinch_core::Name;
 use geraniumwinch_core::RecordState;
+use geraniumwinch_core::log_event;
 use geraniumwinch_wire::PeerMessage;
 use geraniumwinch_wire::ReleaseOutcome;
 use geraniumwinch_wire::SlotAnswer;
@@ -15,7 +16,6 @@
 use geraniumwinch_wire::SlotRecord;
 use geraniumwinch_wire::SlotRelease;
 
-use crate::event_log::log_event;
 use crate::held_table::HeldSlot;
 use crate::node_metrics;
 use crate::node_shared::NodeShared;
--- a/crates/geraniumwinch-node/src/supervised_loop.rs
+++ b/crates/geraniumwinch-node/src/supervised_loop.rs
@@ -3,8 +3,7 @@
 use std::time::Duration;
 
 use futures_util::future::LocalBoxFuture;
-
-use crate::event_log::log_event;
+use geraniumwinch_core::log_event;
 
 /// The wait before a loop that ended is started again.
 const RESTART_DELAY: Duration = Duration::from_millis(200);
--- a/crates/geraniumwinch/src/cli_error.rs
+++ b/crates/geraniumwinch/src/cli_error.rs
@@ -36,6 +36,12 @@
         /// The process's error.
         source: geraniumwinch_node::NodeError,
     },
+    /// The process of a cell can't go on.
+    #[snafu(display("{source}"), context(false))]
+    Cell {
+        /// The process's error.
+        source: geraniumwinch_cell::CellError,
+    },
     /// The server can't be reached.
     #[snafu(display(
         "can't reach {server}: {message}; hint: name an entry process by `--server`"
@@ -66,7 +72,7 @@
     /// Returns the exit code.
     pub(crate) fn exit_code(&self) -> u8 {
         match self {
-            CliError::Node { .. } | CliError::Refused { .. } => 1,
+            CliError::Node { .. } | CliError::Cell { .. } | CliError::Refused { .. } => 1,
             CliError::Usage { .. }
             | CliError::ReadFile { .. }
             | CliError::Invalid { .. } => 2,
--- a/crates/geraniumwinch/src/command_table.rs
+++ b/crates/geraniumwinch/src/command_table.rs
@@ -29,6 +29,13 @@
         options: commands::entry::options,
         run: commands::entry::run,
     },
+    CliCommand {
+        name: "cell",
+        arguments: "--settings FILE",
+        doc: "Run a process of a cell on the users' platform until it is told to stop.",
+        options: commands::entry::options,
+        run: commands::cell::run,
+    },
     CliCommand {
         name: "check",
         arguments: "FILE",
--- a/crates/geraniumwinch/src/commands.rs
+++ b/crates/geraniumwinch/src/commands.rs
@@ -1,6 +1,7 @@
 //! The commands.
 
 pub(crate) mod apply;
+pub(crate) mod cell;
 pub(crate) mod check;
 pub(crate) mod entry;
 pub(crate) mod hash_key;
--- a/crates/geraniumwinch/src/commands/check.rs
+++ b/crates/geraniumwinch/src/commands/check.rs
@@ -1,5 +1,6 @@
 //! Checks settings or a configuration set.
 
+use geraniumwinch_cell::CellSettings;
 use geraniumwinch_config::ConfigurationSet;
 use geraniumwinch_config::NodeSettings;
 use geraniumwinch_config::SetProblem;
@@ -14,7 +15,15 @@
 pub(crate) fn run(matches: &Matches) -> Result<()> {
     let file = argument(matches, 0, "FILE")?;
     let text = read_file(file)?;
-    if text.lines().any(|line| line.trim() == "[process]") {
+    let has_section = |name: &str| text.lines().any(|line| line.trim() == name);
+    if has_section("[workers]") {
+        let settings =
+            CellSettings::parse(file, &text).map_err(|problems| invalid(&problems))?;
+        println!(
+            "settings of cell process {} in domain {}",
+            settings.name, settings.domain
+        );
+    } else if has_section("[process]") {
         let settings =
             NodeSettings::parse(file, &text).map_err(|problems| invalid(&problems))?;
         println!("settings of process {} in domain {}", settings.name, settings.domain);
