Wait for the store before a worker's next report

Cause: a worker answers at once while it has ends that were not acknowledged, so the loop asked about 900 times a second. Progress now goes to the store within 50 ms, and a worker's loop waits for it.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -210,6 +210,7 @@
             board: Rc::clone(&self.board),
             sender: Rc::clone(&self.sender),
             pump: Rc::clone(&self.pump),
+            stored: Rc::clone(&self.stored),
             worker,
         };
         actix_rt::spawn(worker_loop.run());
--- a/crates/geraniumwinch-cell/src/record_journal.rs
+++ b/crates/geraniumwinch-cell/src/record_journal.rs
@@ -36,7 +36,7 @@
 /// The entries that each transaction spends on its conditions and on the seal.
 const FIXED_ENTRIES: usize = 3;
 /// The least time between the begins of two transactions.
-const BATCH_GAP: Duration = Duration::from_millis(20);
+const BATCH_GAP: Duration = Duration::from_millis(28);
 /// The wait before a transaction that failed is tried again.
 const RETRY: Duration = Duration::from_millis(60);
 /// The time without success after which new jobs are refused.
@@ -357,7 +357,6 @@
             self.removals.borrow_mut().extend(batch.removals);
         }
         self.stored.notify_waiters();
-        self.stored.notify_one();
     }
 
     /// Answers those who await a job.
--- a/crates/geraniumwinch-cell/src/worker_loop.rs
+++ b/crates/geraniumwinch-cell/src/worker_loop.rs
@@ -21,6 +21,9 @@
 const HOLD_WAIT: Duration = Duration::from_millis(1000);
 /// The pause between an answer and the next call.
 const HOLD_GAP: Duration = Duration::from_millis(15);
+/// The longest wait until the ends of a report are stored. A worker answers at once while it has
+/// ends that were not acknowledged, so that a call before then brings nothing new.
+const STORE_WAIT: Duration = Duration::from_millis(120);
 /// The pause after a call that brought no report.
 const RETRY: Duration = Duration::from_millis(250);
 
@@ -31,6 +34,7 @@
     pub(crate) board: Rc<RefCell<FleetBoard>>,
     pub(crate) sender: Rc<OrderSender>,
     pub(crate) pump: Rc<Notify>,
+    pub(crate) stored: Rc<Notify>,
     pub(crate) worker: WorkerKey,
 }
 
@@ -45,6 +49,7 @@
                         self.log_contact(true, "answered");
                     }
                     silent = false;
+                    self.await_stored().await;
                     HOLD_GAP
                 }
                 Err(OrderError::Fenced) => {
@@ -86,6 +91,21 @@
         Ok(())
     }
 
+    /// Waits until the store holds all ends that were reported, but not for long.
+    async fn await_stored(&self) {
+        let until = self.ports.clock.now() + STORE_WAIT;
+        loop {
+            let stored = self.stored.notified();
+            let left = until.saturating_sub(self.ports.clock.now());
+            let unstored = self.board.borrow().has_unstored_ends(self.worker);
+            if !unstored || left.is_zero() {
+                return;
+            }
+            // An elapsed wait needs no handling: the next round looks at the time.
+            let _ = tokio::time::timeout(left, stored).await;
+        }
+    }
+
     /// Takes in a report.
     fn take(&self, report: &WorkerReport, sent: Duration) {
         self.sender.read_clock(self.worker, report.clock_ms);
--- a/crates/geraniumwinch-fleet/src/fleet_board.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board.rs
@@ -150,6 +150,11 @@
         self.workers.get(worker).map_or(0, |slot| slot.stored)
     }
 
+    /// Returns whether a worker has ends that were processed and that the store doesn't hold yet.
+    pub fn has_unstored_ends(&self, worker: WorkerKey) -> bool {
+        self.workers.get(worker).is_some_and(|slot| !slot.unstored.is_empty())
+    }
+
     /// Returns whether a worker is gone: it is not listed and nothing may run there.
     pub fn forget_if_gone(&mut self, worker: WorkerKey, now: BootTime) -> bool {
         let Some(slot) = self.workers.get(worker) else { return true };
--- a/crates/geraniumwinch-fleet/src/fleet_board/recording.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/recording.rs
@@ -15,7 +15,7 @@
 use super::job_slot::JobKey;
 
 /// The longest time for which progress that ends no job waits for the store.
-const PROGRESS_DELAY: Duration = Duration::from_millis(900);
+const PROGRESS_DELAY: Duration = Duration::from_millis(50);
 
 /// A record that is to be written.
 #[derive(Debug, Clone, PartialEq, Eq)]
