Ask the workers of former owners before their tasks are placed anew

The workers where tasks may run now stand in the store before the first start there. Leases are no longer extended beyond the ownership's time.

--- a/crates/geraniumwinch-cell/src/authority.rs
+++ b/crates/geraniumwinch-cell/src/authority.rs
@@ -7,8 +7,6 @@
 
 /// How much sooner the right ends here than at the store.
 const MARGIN: Duration = Duration::from_millis(300);
-/// How much longer than the right to start tasks the right to extend workers' leases lasts.
-pub(crate) const EXTENSION_GRACE: Duration = Duration::from_secs(4);
 
 /// The right of one epoch's owner to give orders, which ends unless it is renewed.
 #[derive(Debug)]
@@ -51,6 +49,6 @@
 
     /// Returns whether the leases of workers may be extended.
     pub(crate) fn may_extend(&self, now: BootTime) -> bool {
-        !self.lost.get() && now < self.renewed.get() + self.ttl + EXTENSION_GRACE
+        !self.lost.get() && now < self.renewed.get() + self.ttl
     }
 }
--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -21,15 +21,15 @@
 
 use crate::CellPorts;
 use crate::CellSettings;
-use crate::authority::EXTENSION_GRACE;
 use crate::authority::OwnerAuthority;
 use crate::catalog_watch::CatalogWatch;
 use crate::cell_metrics;
-use crate::cell_owner::OWNER_TTL;
 use crate::member_table::MemberTable;
 use crate::order_sender::OrderSender;
 use crate::owner_record::JOB_PREFIX;
 use crate::owner_record::SEAL_KEY;
+use crate::owner_record::WORKERS_KEY;
+use crate::owner_record::decode_workers;
 use crate::peer_message::AskOrder;
 use crate::peer_message::JobOrder;
 use crate::peer_message::MemberNote;
@@ -94,10 +94,11 @@
         let began = ports.clock.now();
         let lease =
             settings.worker_lease.mul_f64(1.0 + LEASE_SLACK) + Duration::from_millis(200);
-        let uncertain_until = began + OWNER_TTL + EXTENSION_GRACE + lease;
+        let uncertain_until = began + lease;
         let board = Rc::new(RefCell::new(FleetBoard::new(authority.epoch, lease)));
         let jobs = load_jobs(&ports, &authority, &board, uncertain_until).await?;
         let seal = load_seal(&ports, &authority).await?;
+        let workers = load_workers(&ports, &authority, &board).await?;
         let pump = Rc::new(Notify::new());
         let stored = Rc::new(Notify::new());
         let journal = Rc::new(RecordJournal::new(
@@ -124,7 +125,7 @@
             jobs = jobs,
             ms = took.as_millis()
         );
-        Some(Rc::new(CellDispatcher {
+        let dispatcher = Rc::new(CellDispatcher {
             ports,
             settings,
             catalog,
@@ -139,7 +140,9 @@
             stored,
             limits_version: Cell::new(0),
             resigned: Cell::new(false),
-        }))
+        });
+        workers.into_iter().for_each(|worker| dispatcher.run_worker(worker));
+        Some(dispatcher)
     }
 
     /// Dispatches until the ownership ends.
@@ -190,6 +193,7 @@
                     for worker in fresh {
                         self.run_worker(worker);
                     }
+                    self.journal.wake();
                 }
                 Err(error) => {
                     if !lost {
@@ -334,7 +338,7 @@
     /// Answers a request that only the owner answers.
     pub(crate) async fn handle(&self, request: PeerRequest) -> PeerReply {
         let now = self.ports.clock.now();
-        if !self.authority.may_extend(now) || self.resigned.get() {
+        if self.authority.is_lost() || self.resigned.get() {
             return PeerReply::NotOwner;
         }
         match request {
@@ -473,6 +477,21 @@
     Some(item.map_or(0, |item| item.revision))
 }
 
+/// Puts the workers on the board where tasks of former owners may run.
+async fn load_workers(
+    ports: &CellPorts,
+    authority: &OwnerAuthority,
+    board: &RefCell<FleetBoard>,
+) -> Option<Vec<WorkerKey>> {
+    let item = read_until_lost!(ports, authority, ports.store.get(WORKERS_KEY));
+    let Some(item) = item else { return Some(Vec::new()) };
+    let Some(cards) = decode_workers(&item.value) else {
+        log_event!(Error, "workers-unreadable", bytes = item.value.len());
+        return Some(Vec::new());
+    };
+    Some(board.borrow_mut().load_workers(cards, ports.clock.now()))
+}
+
 /// Logs a decision of the board.
 fn log_board_event(event: &BoardEvent) {
     match event {
--- a/crates/geraniumwinch-cell/src/owner_record.rs
+++ b/crates/geraniumwinch-cell/src/owner_record.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use geraniumwinch_core::Name;
+use geraniumwinch_fleet::WorkerCard;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -12,6 +13,8 @@
 pub(crate) const EPOCH_KEY: &str = "cell/epoch";
 /// The key that each transaction of the owner rewrites, so that no late one is carried out.
 pub(crate) const SEAL_KEY: &str = "cell/seal";
+/// The key of the workers where tasks may run.
+pub(crate) const WORKERS_KEY: &str = "cell/workers";
 /// The prefix of the jobs' keys.
 pub(crate) const JOB_PREFIX: &str = "job/";
 
@@ -62,3 +65,13 @@
         postcard::from_bytes(bytes).ok()
     }
 }
+
+/// Encodes the workers where tasks may run.
+pub(crate) fn encode_workers(workers: &[WorkerCard]) -> Vec<u8> {
+    postcard::to_stdvec(workers).expect("cards have a fixed form")
+}
+
+/// Decodes the workers where tasks may run.
+pub(crate) fn decode_workers(bytes: &[u8]) -> Option<Vec<WorkerCard>> {
+    postcard::from_bytes(bytes).ok()
+}
--- a/crates/geraniumwinch-cell/src/record_journal.rs
+++ b/crates/geraniumwinch-cell/src/record_journal.rs
@@ -15,6 +15,7 @@
 use geraniumwinch_fleet::JobPhase;
 use geraniumwinch_fleet::JobRecord;
 use geraniumwinch_fleet::RecordWrite;
+use geraniumwinch_fleet::WorkerCard;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
@@ -30,11 +31,13 @@
 use crate::owner_record::OWNER_KEY;
 use crate::owner_record::SEAL_KEY;
 use crate::owner_record::SealRecord;
+use crate::owner_record::WORKERS_KEY;
+use crate::owner_record::encode_workers;
 
 /// The most entries of the store's transactions.
 const MAX_ENTRIES: usize = 32;
-/// The entries that each transaction spends on its conditions and on the seal.
-const FIXED_ENTRIES: usize = 3;
+/// The entries that a transaction spends on its conditions, the seal and the workers.
+const FIXED_ENTRIES: usize = 4;
 /// The least time between the begins of two transactions.
 const BATCH_GAP: Duration = Duration::from_millis(28);
 /// The wait before a transaction that failed is tried again.
@@ -60,6 +63,18 @@
     jobs: Vec<NewJob>,
     records: Vec<(RecordWrite, JobPhase)>,
     removals: Vec<Name>,
+    /// The workers where tasks may run, if the store doesn't know some.
+    workers: Option<Vec<WorkerCard>>,
+}
+
+impl OpenBatch {
+    /// Returns whether there is nothing to write.
+    fn is_empty(&self) -> bool {
+        self.jobs.is_empty()
+            && self.records.is_empty()
+            && self.removals.is_empty()
+            && self.workers.is_none()
+    }
 }
 
 /// How a transaction ended.
@@ -172,10 +187,7 @@
             loop {
                 let began = self.ports.clock.now();
                 let batch = self.open_batch(began);
-                if batch.jobs.is_empty()
-                    && batch.records.is_empty()
-                    && batch.removals.is_empty()
-                {
+                if batch.is_empty() {
                     break;
                 }
                 let end = self.write(&batch).await;
@@ -203,6 +215,7 @@
             batch.jobs.push(job);
         }
         let mut board = self.board.borrow_mut();
+        batch.workers = board.unrecorded_workers();
         match board.take_writes(entries, now) {
             Ok(writes) => {
                 for write in writes {
@@ -237,6 +250,10 @@
             let key = format!("{JOB_PREFIX}{job}");
             writes.push(StoreWrite { key, value: bytes.clone(), lease: None });
         }
+        if let Some(workers) = &batch.workers {
+            let value = encode_workers(workers);
+            writes.push(StoreWrite { key: WORKERS_KEY.to_owned(), value, lease: None });
+        }
         let removals =
             batch.removals.iter().map(|job| format!("{JOB_PREFIX}{job}")).collect();
         StoreBatch { expected, writes, removals }
@@ -352,6 +369,9 @@
                 board.rewrite(&write.job, self.ports.clock.now());
             }
         }
+        if let Some(workers) = batch.workers.filter(|_| end == BatchEnd::Written) {
+            board.workers_recorded(&workers);
+        }
         drop(board);
         if end != BatchEnd::Written {
             self.removals.borrow_mut().extend(batch.removals);
--- a/crates/geraniumwinch-fleet/src/fleet_board.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board.rs
@@ -140,6 +140,34 @@
         fresh
     }
 
+    /// Puts the workers on the board where tasks of a former owner may run.
+    ///
+    /// They take no tasks before the platform's list has them.
+    pub fn load_workers(&mut self, cards: Vec<WorkerCard>, now: BootTime) -> Vec<WorkerKey> {
+        let fresh = self.set_workers(cards, now);
+        for &key in &fresh {
+            let slot = &mut self.workers[key];
+            slot.listed = false;
+            slot.recorded = true;
+        }
+        fresh
+    }
+
+    /// Returns the cards of all workers if the store doesn't know some of them.
+    pub fn unrecorded_workers(&self) -> Option<Vec<WorkerCard>> {
+        let unrecorded = self.workers.values().any(|slot| !slot.recorded);
+        unrecorded.then(|| self.workers.values().map(|slot| slot.card.clone()).collect())
+    }
+
+    /// Notes that the store knows workers.
+    pub fn workers_recorded(&mut self, cards: &[WorkerCard]) {
+        for card in cards {
+            if let Some(&key) = self.worker_ids.get(&card.id) {
+                self.workers[key].recorded = true;
+            }
+        }
+    }
+
     /// Returns what a worker says of itself.
     pub fn card(&self, worker: WorkerKey) -> Option<&WorkerCard> {
         self.workers.get(worker).map(|slot| &slot.card)
--- a/crates/geraniumwinch-fleet/src/fleet_board/ending.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/ending.rs
@@ -23,7 +23,7 @@
         match end {
             RunEnd::Done if gang => self.finish_gang(task, now),
             RunEnd::Done => self.finish_task(task, now),
-            RunEnd::Failed => self.count_failure(task, run, gang, now),
+            RunEnd::Failed => self.count_failure(task, run, now),
             _ => {}
         }
         if gang && end != RunEnd::Done {
@@ -56,15 +56,15 @@
     }
 
     /// Counts a failed run and ends the job when there were too many.
-    fn count_failure(&mut self, task: TaskRef, run: u64, gang: bool, now: BootTime) {
+    pub(super) fn count_failure(&mut self, task: TaskRef, run: u64, now: BootTime) {
         let job = &mut self.jobs[task.job];
         let plan = &job.record.request.steps[job.units[task.unit as usize].step as usize];
-        let endless = plan.long_running;
+        let (endless, gang) = (plan.long_running, plan.gang);
         let unit = &mut job.units[task.unit as usize];
-        if gang && unit.failed_run == run {
+        if gang && unit.failed_runs.contains(&run) {
             return;
         }
-        unit.failed_run = run;
+        unit.failed_runs.push(run);
         let index = if gang { 0 } else { task.index as usize };
         let slot = &mut unit.tasks[index];
         slot.failures += 1;
--- a/crates/geraniumwinch-fleet/src/fleet_board/job_slot.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/job_slot.rs
@@ -105,8 +105,8 @@
     pub(super) ask_after: BootTime,
     /// The room that is kept while permissions are renewed.
     pub(super) reserved: Vec<(WorkerKey, ResourceVector)>,
-    /// The run of a gang whose failure was counted last.
-    pub(super) failed_run: u64,
+    /// The runs whose failures were counted.
+    pub(super) failed_runs: Vec<u64>,
 }
 
 /// A job.
@@ -255,6 +255,6 @@
         asking: false,
         ask_after: BootTime::ZERO,
         reserved: Vec::new(),
-        failed_run: 0,
+        failed_runs: Vec::new(),
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_board/reporting.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/reporting.rs
@@ -139,6 +139,11 @@
                 self.log_end(worker, ended);
                 self.apply_end(task, ended.run, ended.end, now);
             }
+            // A former owner had no time to count the failure of a run before the present one.
+            Some(_) if live && ended.end == RunEnd::Failed => {
+                self.log_end(worker, ended);
+                self.count_failure(task, ended.run, now);
+            }
             _ => {}
         }
     }
--- a/crates/geraniumwinch-fleet/src/fleet_board/worker_slot.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/worker_slot.rs
@@ -27,6 +27,8 @@
     pub(super) card: WorkerCard,
     /// Whether the platform's list still has it.
     pub(super) listed: bool,
+    /// Whether the store knows that tasks may run there, so that the next owner asks it.
+    pub(super) recorded: bool,
     /// The lifetime of the last report; none before the first one of this epoch.
     pub(super) incarnation: Option<u64>,
     /// Whether the last calls were left without an answer.
@@ -59,6 +61,7 @@
         WorkerSlot {
             card,
             listed: true,
+            recorded: false,
             incarnation: None,
             silent: false,
             expiry,
@@ -77,6 +80,7 @@
     /// Returns whether tasks may be placed there.
     pub(super) fn usable(&self, now: BootTime) -> bool {
         self.listed
+            && self.recorded
             && self.card.accepting
             && !self.silent
             && self.incarnation.is_some()
--- a/crates/geraniumwinch-fleet/src/worker_card.rs
+++ b/crates/geraniumwinch-fleet/src/worker_card.rs
@@ -2,9 +2,11 @@
 
 use geraniumwinch_core::Name;
 use geraniumwinch_core::ResourceVector;
+use serde::Deserialize;
+use serde::Serialize;
 
 /// What a worker says of itself in the platform's list.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerCard {
     /// The identifier; it stays with the worker over restarts.
     pub id: Name,
