Preempt only for the most urgent jobs in time, and ask a full cell as a whole

A task is now preempted once, only for priority 0 in time, for a gang only if all of it fits. Long questions were split in small ones although their base time dominates; a full cell is asked about at once, and VMs are kept free of long calls only while there are short ones. Late jobs go behind those of their urgency in time.

--- a/crates/geraniumwinch-cell/src/permission_desk.rs
+++ b/crates/geraniumwinch-cell/src/permission_desk.rs
@@ -3,6 +3,7 @@
 //! The service serves one call of each VM at a time, so a short call that stands behind a long one
 //! is late. Long calls therefore never take the last VMs.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -15,6 +16,8 @@
 const LONG_CALL: Duration = Duration::from_millis(150);
 /// The share of VMs that long calls leave to short ones.
 const SHORT_SHARE: f64 = 0.34;
+/// How long after a short call some VMs are kept free of long ones.
+const SHORT_MEMORY: Duration = Duration::from_secs(2);
 /// How far ahead calls are queued at a VM whose present call is short.
 const QUEUE_AHEAD: Duration = Duration::from_millis(40);
 /// The time for which a VM that gave no answer gets no calls.
@@ -38,6 +41,8 @@
 pub(crate) struct PermissionDesk {
     waiting: RefCell<Vec<PermissionAsk>>,
     loads: RefCell<HashMap<SocketAddr, CallerLoad>>,
+    /// When a short call was assigned last.
+    last_short: Cell<BootTime>,
 }
 
 impl PermissionDesk {
@@ -82,7 +87,9 @@
         let idle = rested().find(|member| load(member).open == 0).copied();
         if call_time > LONG_CALL {
             let long = members.iter().filter(|member| load(member).long).count();
-            let spared = (members.len() as f64 * SHORT_SHARE).ceil() as usize;
+            let short_calls = now < self.last_short.get() + SHORT_MEMORY;
+            let share = if short_calls { SHORT_SHARE } else { 0.0 };
+            let spared = (members.len() as f64 * share).ceil() as usize;
             let most = members.len().saturating_sub(spared).max(1);
             return idle.filter(|_| long < most);
         }
@@ -97,6 +104,9 @@
 
     /// Notes that a VM makes a call.
     fn begin(&self, member: SocketAddr, call_time: Duration, now: BootTime) {
+        if call_time <= LONG_CALL {
+            self.last_short.set(now);
+        }
         let mut loads = self.loads.borrow_mut();
         let load = loads.entry(member).or_default();
         load.open += 1;
--- a/crates/geraniumwinch-fleet/src/fleet_board/asking.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/asking.rs
@@ -64,25 +64,27 @@
 
     /// Chooses the workers of a first question from those with room, most room first.
     ///
-    /// `rooms` holds workers with the number of the step's tasks that fit there.
+    /// `rooms` holds workers with the number of the step's tasks that fit there now and, as a
+    /// second order, in an empty worker. A full cell is asked about as a whole, as one call that
+    /// names more workers is shorter than two calls.
     pub(super) fn choose_asked(
         &self,
         key: JobKey,
         needed: usize,
-        mut rooms: Vec<(WorkerKey, f64)>,
+        mut rooms: Vec<(WorkerKey, u32, u32)>,
     ) -> Vec<Name> {
-        rooms.sort_by(|a, b| b.1.total_cmp(&a.1));
+        rooms.sort_by_key(|&(_, now, ever)| std::cmp::Reverse((now, ever)));
         let queue = &self.jobs[key].record.rules.queue;
         let share = self.allowed_share.get(queue).copied().unwrap_or(FIRST_SHARE);
         let wanted = needed as f64 * ASK_SURPLUS / share.max(0.05);
         let mut covered = 0.0;
         let mut names = Vec::new();
-        for (worker, fits) in rooms {
+        for (worker, fits, _) in rooms {
             let enough = covered >= wanted && names.len() >= ASK_MIN;
             if enough || names.len() == ASK_MAX {
                 break;
             }
-            covered += fits;
+            covered += f64::from(fits);
             names.push(self.workers[worker].card.id.clone());
         }
         names
--- a/crates/geraniumwinch-fleet/src/fleet_board/job_slot.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/job_slot.rs
@@ -1,6 +1,7 @@
 //! Jobs on the board.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use geraniumwinch_core::Name;
 use geraniumwinch_core::ResourceVector;
@@ -16,6 +17,9 @@
 
 use super::WorkerKey;
 
+/// The workers that a question for permission names in the longest chain of work.
+const CHAIN_WORKERS: usize = 30;
+
 new_key_type! {
     /// Names a job of the board.
     pub(super) struct JobKey;
@@ -75,6 +79,8 @@
     pub(super) last_run: u64,
     /// The newest checkpoint.
     pub(super) checkpoint: Option<Name>,
+    /// Whether it was stopped for a more urgent job.
+    pub(super) preempted: bool,
 }
 
 impl TaskSlot {
@@ -130,6 +136,10 @@
     pub(super) started: bool,
     /// Until when tasks without a place may still run on a worker that has not reported.
     pub(super) uncertain_until: BootTime,
+    /// Until when it should be done, since 1970.
+    pub(super) objective: Duration,
+    /// The longest chain of estimated work.
+    pub(super) chain: Duration,
     /// The steps of all occurrences.
     pub(super) units: Vec<UnitSlot>,
 }
@@ -140,6 +150,9 @@
         let units = create_units(&record);
         let started = !record.progress.is_empty();
         let shown = record.phase;
+        let chain = longest_chain(&record);
+        let allowed = chain.mul_f64(record.rules.stretch.max(0.0));
+        let objective = record.accepted + allowed + record.rules.objective;
         JobSlot {
             id,
             record,
@@ -150,6 +163,8 @@
             serial,
             started,
             uncertain_until: BootTime::ZERO,
+            objective,
+            chain,
             units,
         }
     }
@@ -175,6 +190,13 @@
         self.record.phase == JobPhase::Live
     }
 
+    /// Returns whether the job can no longer be done in time if none of its tasks was started.
+    pub(super) fn is_late(&self, wall: Duration) -> bool {
+        let scheduled = self.record.request.schedule.is_some();
+        let needed = if self.started { Duration::ZERO } else { self.chain };
+        !scheduled && wall + needed > self.objective
+    }
+
     /// Returns whether the steps before a unit are done.
     pub(super) fn ready(&self, unit: u32) -> bool {
         let slot = &self.units[unit as usize];
@@ -203,6 +225,18 @@
     }
 }
 
+/// Returns the longest chain of a job's estimated work, with one question for permission a step.
+fn longest_chain(record: &JobRecord) -> Duration {
+    let ask = record.rules.permission.map_or(Duration::ZERO, |cost| cost.call_time(CHAIN_WORKERS));
+    let mut ends: Vec<Duration> = Vec::with_capacity(record.request.steps.len());
+    for step in &record.request.steps {
+        let before = step.after.iter().filter_map(|&before| ends.get(before as usize));
+        let begin = before.max().copied().unwrap_or_default();
+        ends.push(begin + ask + step.estimate);
+    }
+    ends.into_iter().max().unwrap_or_default()
+}
+
 /// Creates the units of a job from its record; an ended job has none.
 fn create_units(record: &JobRecord) -> Vec<UnitSlot> {
     if record.phase != JobPhase::Live {
--- a/crates/geraniumwinch-fleet/src/fleet_board/placing.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/placing.rs
@@ -19,9 +19,6 @@
 use super::job_slot::TaskRef;
 use super::worker_slot::WorkerSlot;
 
-/// The weight of room that is taken at the moment when workers are chosen for a question.
-const TAKEN_ROOM_WEIGHT: f64 = 0.2;
-
 /// The orders and questions of one pass.
 #[derive(Debug, Default)]
 pub struct PlacementRound {
@@ -49,21 +46,33 @@
     pub fn place(&mut self, wall: Duration, now: BootTime) -> PlacementRound {
         let mut round = PlacementRound::default();
         let uncertain = self.workers.values().any(|slot| slot.incarnation.is_none());
-        let open: Vec<JobKey> = self.open.iter().map(|&(_, _, key)| key).collect();
-        for key in open {
+        for key in self.by_urgency(wall) {
             let job = &self.jobs[key];
             if uncertain && job.uncertain_until > now {
                 continue;
             }
             for unit in 0..job.units.len() as u32 {
                 if self.due(key, unit, wall) {
-                    self.place_unit(key, unit, now, &mut round);
+                    self.place_unit(key, unit, wall, now, &mut round);
                 }
             }
         }
         round
     }
 
+    /// Returns the open jobs by urgency; of one urgency, those go first that can still be in time.
+    fn by_urgency(&self, wall: Duration) -> Vec<JobKey> {
+        let mut open: Vec<(u32, bool, u64, JobKey)> = self
+            .open
+            .iter()
+            .map(|&(priority, serial, key)| {
+                (priority, self.jobs[key].is_late(wall), serial, key)
+            })
+            .collect();
+        open.sort_unstable();
+        open.into_iter().map(|(_, _, _, key)| key).collect()
+    }
+
     /// Returns whether a unit has tasks that wait and whose turn has come.
     fn due(&self, key: JobKey, unit: u32, wall: Duration) -> bool {
         let job = &self.jobs[key];
@@ -80,6 +89,7 @@
         &mut self,
         key: JobKey,
         unit: u32,
+        wall: Duration,
         now: BootTime,
         round: &mut PlacementRound,
     ) {
@@ -106,7 +116,7 @@
                 self.renew(key, unit, &renewable, true, now, round);
             } else {
                 self.ask_more(key, unit, &plan, needed, now, round);
-                self.preempt(key, unit, needed - renewable.len(), now);
+                self.preempt(key, unit, needed, wall, now);
             }
             return;
         }
@@ -117,7 +127,7 @@
         } else {
             self.ask_more(key, unit, &plan, left, now, round);
         }
-        self.preempt(key, unit, left, now);
+        self.preempt(key, unit, left, wall, now);
     }
 
     /// Returns the workers that have room for a unit's tasks, the preferred ones first.
@@ -283,9 +293,8 @@
             }
             let now_fits = self.fits(key, unit, plan, worker, &slot.free());
             let ever_fits = self.fits(key, unit, plan, worker, &slot.card.capacity);
-            let weight = f64::from(now_fits) + f64::from(ever_fits) * TAKEN_ROOM_WEIGHT;
-            if weight > 0.0 {
-                rooms.push((worker, weight));
+            if ever_fits > 0 {
+                rooms.push((worker, now_fits, ever_fits));
             }
         }
         let names = self.choose_asked(key, needed, rooms);
--- a/crates/geraniumwinch-fleet/src/fleet_board/preempting.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/preempting.rs
@@ -1,5 +1,7 @@
 //! Room for urgent tasks at the cost of less urgent ones.
 
+use std::time::Duration;
+
 use geraniumwinch_core::ResourceVector;
 
 use crate::BoardEvent;
@@ -18,38 +20,45 @@
 
 impl FleetBoard {
     /// Stops less urgent tasks on permitted workers so that `needed` tasks of a unit fit.
+    ///
+    /// Only the most urgent jobs that can still be in time do this, and a gang only if all its
+    /// tasks fit then: work that is stopped for nothing is lost.
     pub(super) fn preempt(
         &mut self,
         key: JobKey,
         unit: u32,
         needed: usize,
+        wall: Duration,
         now: BootTime,
     ) {
-        let size = self.jobs[key].plan(unit).reserved();
-        let plan = self.jobs[key].plan(unit).clone();
-        let mut left = needed;
-        let workers: Vec<WorkerKey> = self.workers.keys().collect();
-        for worker in workers {
-            if left == 0 {
-                return;
+        let job = &self.jobs[key];
+        if job.record.rules.priority != 0 || job.is_late(wall) {
+            return;
+        }
+        let plan = job.plan(unit).clone();
+        let size = plan.reserved();
+        let mut fitting = 0;
+        let mut chosen = Vec::new();
+        for (worker, slot) in &self.workers {
+            if fitting >= needed {
+                break;
             }
-            let slot = &self.workers[worker];
             let permit = self.permit(key, unit, &slot.card.id, now);
             let permitted = matches!(permit, Permit::Valid(_) | Permit::Expired);
             if !permitted || !slot.usable(now) || !self.suits(key, &plan, slot) {
                 continue;
             }
             let mut room = self.room_after_stops(worker);
-            if times(&size, &room) > 0 {
-                left -= 1;
-                continue;
-            }
             let victims = self.victims(worker, key, &size, &mut room);
-            if times(&size, &room) > 0 {
-                left -= 1;
-                self.stop_victims(&victims, now);
+            let fits = times(&size, &room) as usize;
+            fitting += fits;
+            if fits > 0 {
+                chosen.extend(victims);
             }
         }
+        if fitting >= needed || !plan.gang {
+            self.stop_victims(&chosen, now);
+        }
     }
 
     /// Returns the room of a worker once the runs that are being stopped have ended.
@@ -102,10 +111,12 @@
         let job = &self.jobs[task.job];
         let plan = job.plan(task.unit);
         let Some(place) = self.place_of(task) else { return false };
+        let slot = &job.units[task.unit as usize].tasks[task.index as usize];
         let cheap = plan.saves_progress || place.percent <= EXPENDABLE_PERCENT;
         job.record.rules.priority > priority
             && place.phase == PlacePhase::Running
             && !plan.gang
+            && !slot.preempted
             && cheap
     }
 
@@ -113,6 +124,8 @@
     fn stop_victims(&mut self, victims: &[TaskRef], now: BootTime) {
         for &task in victims {
             let Some(&place) = self.place_of(task) else { continue };
+            self.jobs[task.job].units[task.unit as usize].tasks[task.index as usize]
+                .preempted = true;
             self.events.push(BoardEvent::Preempted {
                 task: self.jobs[task.job].task_name(task),
                 run: place.run,
