--- a/crates/geraniumwinch-fleet/src/fleet_board/account_ledger.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/account_ledger.rs
@@ -12,6 +12,8 @@
 pub(super) struct AccountLedger {
     limits: HashMap<Name, AccountLimit>,
     used: HashMap<Name, ResourceVector>,
+    /// What may run besides on workers that have not reported to a new owner.
+    unseen: HashMap<Name, ResourceVector>,
 }
 
 impl AccountLedger {
@@ -21,11 +23,17 @@
             limits.into_iter().map(|limit| (limit.account.clone(), limit)).collect();
     }
 
+    /// Takes over what may run besides on workers that have not reported.
+    pub(super) fn set_unseen(&mut self, unseen: HashMap<Name, ResourceVector>) {
+        self.unseen = unseen;
+    }
+
     /// Returns how many tasks of a size an account may start now.
     pub(super) fn allows(&self, account: &Name, size: &ResourceVector) -> u64 {
         let Some(limit) = self.limits.get(account) else { return u64::MAX };
         let used = self.used.get(account).copied().unwrap_or_default();
-        let room = limit.limit.minus(&used);
+        let unseen = self.unseen.get(account).copied().unwrap_or_default();
+        let room = limit.limit.minus(&used).minus(&unseen);
         let cpu = share(limit.limit.cpu_millis, room.cpu_millis, size.cpu_millis);
         let memory =
             share(limit.limit.memory_bytes, room.memory_bytes, size.memory_bytes);
--- a/crates/geraniumwinch-fleet/src/fleet_board/placing.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/placing.rs
@@ -1,5 +1,6 @@
 //! The choice of workers for tasks that wait.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use geraniumwinch_core::Name;
@@ -46,6 +47,8 @@
     pub fn place(&mut self, wall: Duration, now: BootTime) -> PlacementRound {
         let mut round = PlacementRound::default();
         let uncertain = self.workers.values().any(|slot| slot.incarnation.is_none());
+        let unseen = if uncertain { self.unseen_use(now) } else { HashMap::new() };
+        self.accounts.set_unseen(unseen);
         for key in self.by_urgency(wall) {
             let job = &self.jobs[key];
             if uncertain && job.uncertain_until > now {
@@ -60,6 +63,29 @@
         round
     }
 
+    /// Returns what accounts may have running on workers that have not reported: at most the tasks
+    /// of former owners' jobs that no worker has reported.
+    fn unseen_use(&self, now: BootTime) -> HashMap<Name, ResourceVector> {
+        let mut unseen: HashMap<Name, ResourceVector> = HashMap::new();
+        for &(_, _, key) in &self.open {
+            let job = &self.jobs[key];
+            if job.uncertain_until <= now {
+                continue;
+            }
+            for unit in 0..job.units.len() as u32 {
+                if !job.ready(unit) {
+                    continue;
+                }
+                let size = job.plan(unit).reserved();
+                let used = unseen.entry(job.record.account.clone()).or_default();
+                for _ in 0..job.units[unit as usize].waiting {
+                    used.add(&size);
+                }
+            }
+        }
+        unseen
+    }
+
     /// Returns the open jobs by urgency; of one urgency, those go first that can still be in time.
     fn by_urgency(&self, wall: Duration) -> Vec<JobKey> {
         let mut open: Vec<(u32, bool, u64, JobKey)> = self
