--- a/crates/geraniumwinch-fleet/src/fleet_board/ending.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/ending.rs
@@ -59,16 +59,19 @@
     pub(super) fn count_failure(&mut self, task: TaskRef, run: u64, now: BootTime) {
         let job = &mut self.jobs[task.job];
         let plan = &job.record.request.steps[job.units[task.unit as usize].step as usize];
-        let (endless, gang) = (plan.long_running, plan.gang);
-        let unit = &mut job.units[task.unit as usize];
-        if gang && unit.failed_runs.contains(&run) {
+        let gang = plan.gang;
+        if plan.long_running {
             return;
         }
-        unit.failed_runs.push(run);
+        let unit = &mut job.units[task.unit as usize];
         let index = if gang { 0 } else { task.index as usize };
         let slot = &mut unit.tasks[index];
-        slot.failures += 1;
-        let exhausted = !endless && slot.failures >= job.record.rules.attempts.max(1);
+        if slot.failed_runs.contains(&run) {
+            return;
+        }
+        slot.failed_runs.push(run);
+        let failures = slot.failed_runs.len();
+        let exhausted = failures >= job.record.rules.attempts.max(1) as usize;
         let live = job.live();
         self.touch(task.job, now);
         if exhausted && live {
--- a/crates/geraniumwinch-fleet/src/fleet_board/job_slot.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/job_slot.rs
@@ -73,8 +73,8 @@
     pub(super) done: bool,
     /// Where it may run.
     pub(super) place: Option<TaskPlace>,
-    /// The runs that ended in failure.
-    pub(super) failures: u32,
+    /// The runs that ended in failure; a gang's stand at its first task.
+    pub(super) failed_runs: Vec<u64>,
     /// The highest number of a run.
     pub(super) last_run: u64,
     /// The newest checkpoint.
@@ -111,8 +111,6 @@
     pub(super) ask_after: BootTime,
     /// The room that is kept while permissions are renewed.
     pub(super) reserved: Vec<(WorkerKey, ResourceVector)>,
-    /// The runs whose failures were counted.
-    pub(super) failed_runs: Vec<u64>,
 }
 
 /// A job.
@@ -213,9 +211,10 @@
                 .filter(|(_, task)| task.done)
                 .map(|(index, _)| index as u32)
                 .collect();
-            let failed: Vec<(u32, u32)> = tasks()
-                .filter(|(_, task)| task.failures > 0)
-                .map(|(index, task)| (index as u32, task.failures))
+            let failed: Vec<(u32, u64)> = tasks()
+                .flat_map(|(index, task)| {
+                    task.failed_runs.iter().map(move |&run| (index as u32, run))
+                })
                 .collect();
             if !done.is_empty() || !failed.is_empty() {
                 let progress = crate::UnitProgress { done, failed };
@@ -273,9 +272,10 @@
                 remaining -= 1;
             }
         }
-        for &(index, failures) in &progress.failed {
+        for &(index, run) in &progress.failed {
             if let Some(task) = tasks.get_mut(index as usize) {
-                task.failures = failures;
+                task.failed_runs.push(run);
+                task.last_run = task.last_run.max(run);
             }
         }
     }
@@ -289,6 +289,5 @@
         asking: false,
         ask_after: BootTime::ZERO,
         reserved: Vec::new(),
-        failed_runs: Vec::new(),
     }
 }
--- a/crates/geraniumwinch-fleet/src/job_record.rs
+++ b/crates/geraniumwinch-fleet/src/job_record.rs
@@ -48,8 +48,9 @@
 pub struct UnitProgress {
     /// The tasks that are done.
     pub done: Vec<u32>,
-    /// The tasks that have failed, with the number of their failed runs.
-    pub failed: Vec<(u32, u32)>,
+    /// The failed runs: the task, which is the first one for a gang, and the run's number. The
+    /// next owner may read the same ends again and must not count them twice.
+    pub failed: Vec<(u32, u64)>,
 }
 
 /// A job with its progress.
