--- a/crates/geraniumwinch-cell/src/order_sender.rs
+++ b/crates/geraniumwinch-cell/src/order_sender.rs
@@ -23,6 +23,9 @@
 use crate::cell_metrics;
 use crate::worker_gateway::OrderResult;
 
+/// The wait before an order to start a task that had no answer is repeated.
+const START_RETRY: Duration = Duration::from_millis(60);
+
 /// A worker's own clock at a moment of this VM's.
 #[derive(Debug, Clone, Copy)]
 struct ClockReading {
@@ -110,11 +113,13 @@
             match result {
                 Ok(()) => return StartOutcome::Started,
                 Err(OrderError::Call(error)) if !error.without_effect() => {
+                    log_event!(Warn, "start-unanswered", task = start.task, error = error);
                     if repeated {
                         return StartOutcome::Unknown;
                     }
                     repeated = true;
                     cell_metrics::count_retry("start");
+                    tokio::time::sleep(START_RETRY).await;
                 }
                 Err(OrderError::Call(_)) if repeated => return StartOutcome::Unknown,
                 Err(error) => return self.refused(worker, &error, repeated),
--- a/crates/geraniumwinch-fleet/src/fleet_board/reporting.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/reporting.rs
@@ -307,6 +307,7 @@
             if place.phase == PlacePhase::Starting {
                 place.phase = PlacePhase::Unknown;
                 place.since = now;
+                self.blame(worker, now);
             }
             return;
         }
