Hand the ownership over when the store answers only others

After 1 s without a renewal the owner probes other processes and has one that the store answers end its lease.

--- a/crates/geraniumwinch-cell/src/authority.rs
+++ b/crates/geraniumwinch-cell/src/authority.rs
@@ -32,6 +32,11 @@
         self.renewed.set(self.renewed.get().max(sent));
     }
 
+    /// Returns the time since the last renewal.
+    pub(crate) fn age(&self, now: BootTime) -> Duration {
+        now.saturating_sub(self.renewed.get())
+    }
+
     /// Notes that another process may own the cell.
     pub(crate) fn lose(&self) {
         self.lost.set(true);
--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -352,9 +352,11 @@
             PeerRequest::Waiting(queue) => {
                 PeerReply::Waiting(self.board.borrow().waiting(&queue) as u64)
             }
-            PeerRequest::OwnerSeen(_) | PeerRequest::Catalog | PeerRequest::Ask(_) => {
-                PeerReply::NotOwner
-            }
+            PeerRequest::OwnerSeen(_)
+            | PeerRequest::ProbeStore
+            | PeerRequest::Depose(..)
+            | PeerRequest::Catalog
+            | PeerRequest::Ask(_) => PeerReply::NotOwner,
         }
     }
 
--- a/crates/geraniumwinch-cell/src/cell_node.rs
+++ b/crates/geraniumwinch-cell/src/cell_node.rs
@@ -35,7 +35,7 @@
 use crate::peer_service::PeerClient;
 
 /// How old the owner's last answer may be while this process takes callers.
-const READY_AGE: Duration = Duration::from_millis(2500);
+const READY_AGE: Duration = Duration::from_millis(1100);
 /// How much sooner than it would be killed a process ends.
 const STOP_MARGIN: Duration = Duration::from_millis(1300);
 /// The greatest body of a peer's call in bytes.
@@ -177,6 +177,13 @@
                 let current = self.catalog.current();
                 PeerReply::Catalog(current.map(|current| current.bytes.clone()))
             }
+            PeerRequest::ProbeStore => {
+                PeerReply::StoreUp(self.owner.store_answers().await)
+            }
+            PeerRequest::Depose(epoch, lease) => {
+                let ended = self.owner.end_lease(epoch, lease, "asked").await;
+                PeerReply::StoreUp(ended)
+            }
             PeerRequest::Ask(order) => self.ask(order).await,
             request => match self.owner.active() {
                 Some(active) => active.handle(request).await,
--- a/crates/geraniumwinch-cell/src/cell_owner.rs
+++ b/crates/geraniumwinch-cell/src/cell_owner.rs
@@ -38,6 +38,12 @@
 const RENEWAL: Duration = Duration::from_millis(700);
 /// The wait before a failed renewal is repeated.
 const RENEWAL_RETRY: Duration = Duration::from_millis(120);
+/// The age of the last renewal from which another owner is looked for.
+const HAND_OVER_AGE: Duration = Duration::from_millis(1000);
+/// The most processes that are probed for another owner.
+const HAND_OVER_MOST: usize = 4;
+/// The time in which they have to answer.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(350);
 /// The time between two words to the owner.
 const HELLO: Duration = Duration::from_millis(400);
 /// The time in which the owner has to answer.
@@ -239,17 +245,47 @@
 
     /// Ends the lease of an owner whose process is gone.
     async fn depose(&self, owner: &OwnerRecord, reason: &str) {
-        log_event!(
-            Warn,
-            "owner-deposed",
-            epoch = owner.epoch,
-            name = owner.name,
-            reason = reason
-        );
-        if let Err(error) = self.ports.store.end_lease(owner.lease).await {
+        self.end_lease(owner.epoch, owner.lease, reason).await;
+        self.watch.await_change(HELLO_RETRY).await;
+    }
+
+    /// Ends the lease of the owner of an epoch and returns whether the store has done so.
+    pub(crate) async fn end_lease(&self, epoch: u64, lease: u64, reason: &str) -> bool {
+        log_event!(Warn, "owner-deposed", epoch = epoch, reason = reason);
+        let result = self.ports.store.end_lease(lease).await;
+        if let Err(error) = &result {
             log_event!(Warn, "lease-end-failed", error = error);
         }
-        self.watch.await_change(HELLO_RETRY).await;
+        result.is_ok()
+    }
+
+    /// Returns whether the store answers this process now.
+    pub(crate) async fn store_answers(&self) -> bool {
+        self.ports.store.get(EPOCH_KEY).await.is_ok()
+    }
+
+    /// Hands the ownership over to a process that the store answers, if there is one.
+    async fn hand_over(&self, authority: &OwnerAuthority) -> bool {
+        let Some(active) = self.active() else { return false };
+        let now = self.ports.clock.now();
+        let live = active.members.borrow().live(now);
+        let others: Vec<SocketAddr> = live.iter().map(|note| note.address).collect();
+        let probed = others.choose_multiple(&mut rand::rng(), HAND_OVER_MOST).copied();
+        let calls = probed.map(|other| async move {
+            let probe = PeerRequest::ProbeStore;
+            let answer = self.peers.call(other, &probe, HAND_OVER_TIMEOUT).await;
+            matches!(answer, Ok(PeerReply::StoreUp(true))).then_some(other)
+        });
+        let Some(heir) = join_all(calls).await.into_iter().flatten().next() else {
+            return false;
+        };
+        log_event!(Warn, "ownership-handed-over", epoch = authority.epoch, to = heir);
+        authority.lose();
+        let depose = PeerRequest::Depose(authority.epoch, authority.lease);
+        if let Err(error) = self.peers.call(heir, &depose, HELLO_TIMEOUT).await {
+            log_event!(Warn, "hand-over-failed", error = error);
+        }
+        true
     }
 
     /// Claims the ownership and, if it is won, dispatches until it ends.
@@ -372,6 +408,11 @@
                         epoch = authority.epoch,
                         error = error
                     );
+                    if authority.age(self.ports.clock.now()) > HAND_OVER_AGE
+                        && self.hand_over(&authority).await
+                    {
+                        return;
+                    }
                     RENEWAL_RETRY
                 }
             };
--- a/crates/geraniumwinch-cell/src/peer_message.rs
+++ b/crates/geraniumwinch-cell/src/peer_message.rs
@@ -61,6 +61,11 @@
     Hello(MemberNote),
     /// Has the peer heard from the owner of an epoch within the last moments?
     OwnerSeen(u64),
+    /// Does the store answer the peer?
+    ProbeStore,
+    /// The owner of an epoch, which the store doesn't answer, has given its ownership up; end its
+    /// lease.
+    Depose(u64, u64),
     /// Pass the configuration on.
     Catalog,
     /// Take a job; only the owner answers.
@@ -84,6 +89,8 @@
     Hello(u64, u64, Vec<MemberNote>),
     /// Whether the owner was heard from.
     OwnerSeen(bool),
+    /// Whether the store has answered.
+    StoreUp(bool),
     /// The configuration as it was read, if there is one.
     Catalog(Option<Vec<u8>>),
     /// The request was refused or failed.
