--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -16,6 +16,7 @@
 use geraniumwinch_fleet::JobRecord;
 use geraniumwinch_fleet::PermissionAsk;
 use geraniumwinch_fleet::PermissionGrant;
+use geraniumwinch_fleet::ShareMeter;
 use geraniumwinch_fleet::WorkerKey;
 use tokio::sync::Notify;
 
@@ -24,6 +25,7 @@
 use crate::authority::OwnerAuthority;
 use crate::catalog_watch::CatalogWatch;
 use crate::cell_metrics;
+use crate::cell_owner::OWNER_TTL;
 use crate::member_table::MemberTable;
 use crate::order_sender::OrderSender;
 use crate::owner_record::JOB_PREFIX;
@@ -46,6 +48,9 @@
 const PASS_GAP: Duration = Duration::from_millis(4);
 /// The time between two reads of the list of workers.
 const LIST_INTERVAL: Duration = Duration::from_millis(700);
+/// The part of the room of all workers that waiting work may ask for before the accounts' shares
+/// of new jobs are enforced.
+const BACKLOG_LIMIT: f64 = 0.25;
 /// The wait before a read of the store is repeated during a takeover.
 const LOAD_RETRY: Duration = Duration::from_millis(100);
 /// The time between two searches for records that nobody can ask for any longer.
@@ -77,6 +82,9 @@
     stored: Rc<Notify>,
     limits_version: Cell<u64>,
     resigned: Cell<bool>,
+    shares: RefCell<ShareMeter>,
+    /// The work that waits as a part of the room of all workers.
+    backlog: Cell<f64>,
 }
 
 impl CellDispatcher {
@@ -94,7 +102,8 @@
         let began = ports.clock.now();
         let lease =
             settings.worker_lease.mul_f64(1.0 + LEASE_SLACK) + Duration::from_millis(200);
-        let uncertain_until = began + lease;
+        // A former owner that was cut off extends leases until its own ownership ends.
+        let uncertain_until = began + lease + OWNER_TTL;
         let board = Rc::new(RefCell::new(FleetBoard::new(authority.epoch, lease)));
         let jobs = load_jobs(&ports, &authority, &board, uncertain_until).await?;
         let seal = load_seal(&ports, &authority).await?;
@@ -140,6 +149,8 @@
             stored,
             limits_version: Cell::new(0),
             resigned: Cell::new(false),
+            shares: RefCell::default(),
+            backlog: Cell::new(0.0),
         });
         workers.into_iter().for_each(|worker| dispatcher.run_worker(worker));
         Some(dispatcher)
@@ -237,6 +248,7 @@
         let events = board.take_events();
         let due = board.has_due_writes(now);
         let counts = board.counts(now);
+        self.backlog.set(board.backlog());
         drop(board);
         cell_metrics::set_counts(counts);
         for start in starts {
@@ -373,6 +385,9 @@
         if self.board.borrow().state(&order.id).is_some() {
             return PeerReply::Accepted;
         }
+        if !self.admits(&order.account) {
+            return PeerReply::Refused(ErrorKind::TeamLimit);
+        }
         let JobOrder { id, rules, account, request } = order;
         let wall = self.ports.clock.wall();
         let record = JobRecord::new(rules, account, wall, request);
@@ -385,6 +400,19 @@
         }
     }
 
+    /// Returns whether a further job of an account is taken now: when the cell has more work than
+    /// room, only the account's share of new jobs is.
+    fn admits(&self, account: &Name) -> bool {
+        let weight = self.catalog.current().and_then(|current| {
+            let limits = current.catalog.accounts.iter().map(|found| &found.limit);
+            limits.filter(|limit| limit.account == *account).map(|limit| limit.weight).next()
+        });
+        let Some(weight) = weight else { return true };
+        let now = self.ports.clock.now();
+        let within = self.shares.borrow_mut().take(account, weight, now);
+        within || self.backlog.get() < BACKLOG_LIMIT
+    }
+
     /// Cancels a job and answers once the store holds it.
     async fn cancel(&self, job: &Name, now: BootTime) -> PeerReply {
         if !self.board.borrow_mut().cancel(job, now) {
--- a/crates/geraniumwinch-cell/src/cell_owner.rs
+++ b/crates/geraniumwinch-cell/src/cell_owner.rs
@@ -47,7 +47,7 @@
 /// The time between two words to the owner.
 const HELLO: Duration = Duration::from_millis(400);
 /// The time in which the owner has to answer.
-const HELLO_TIMEOUT: Duration = Duration::from_millis(500);
+const HELLO_TIMEOUT: Duration = Duration::from_millis(400);
 /// The wait after the owner was not reached.
 const HELLO_RETRY: Duration = Duration::from_millis(80);
 /// How old the owner's last answer may be for it to count as seen.
@@ -197,10 +197,19 @@
                     self.watch.await_change(HELLO_RETRY).await;
                 }
             }
+            Err(_) if !self.stopping.get() && self.silent_owner(owner).await => {
+                self.depose(owner, "silent").await;
+            }
             _ => self.watch.await_change(HELLO_RETRY).await,
         }
     }
 
+    /// Returns whether neither this process nor others have heard from the owner for a while.
+    async fn silent_owner(&self, owner: &OwnerRecord) -> bool {
+        let (epoch, _) = self.seen.get();
+        epoch == owner.epoch && !self.owner_seen(epoch) && self.confirm_gone(owner).await
+    }
+
     /// Takes a newer configuration over from a peer.
     async fn fetch_catalog(&self, from: SocketAddr) {
         let call = self.peers.call(from, &PeerRequest::Catalog, HELLO_TIMEOUT);
--- a/crates/geraniumwinch-core/src/error_kind.rs
+++ b/crates/geraniumwinch-core/src/error_kind.rs
@@ -42,6 +42,8 @@
 const SOON: Option<Duration> = Some(Duration::from_millis(250));
 /// The condition usually ends within a takeover or a heartbeat or two.
 const SECONDS: Option<Duration> = Some(Duration::from_secs(2));
+/// The condition may end with a takeover or a short outage, and a repetition costs little.
+const ONE_SECOND: Option<Duration> = Some(Duration::from_secs(1));
 /// The condition ends when an outage or a partition ends.
 const OUTAGE: Option<Duration> = Some(Duration::from_secs(10));
 
@@ -81,9 +83,9 @@
     /// No live endpoint serves the queue.
     EndpointMissing => "endpoint-missing", 503, NotRun, SECONDS;
     /// The dispatcher is still learning what a former owner granted.
-    DomainRecovering => "domain-recovering", 503, NotRun, SECONDS;
+    DomainRecovering => "domain-recovering", 503, NotRun, ONE_SECOND;
     /// The failure domain has no reachable dispatcher.
-    DomainUnowned => "domain-unowned", 503, NotRun, SECONDS;
+    DomainUnowned => "domain-unowned", 503, NotRun, ONE_SECOND;
     /// The home domain of the idempotency key can't be reached.
     HomeUnreachable => "home-unreachable", 503, NotRun, OUTAGE;
     /// No endpoint accepted a connection.
@@ -107,7 +109,7 @@
     /// The table of idempotency keys is full.
     RecordsFull => "records-full", 503, NotRun, OUTAGE;
     /// Neither the store nor another process of the domain could keep the record.
-    StoreUnavailable => "store-unavailable", 503, NotRun, OUTAGE;
+    StoreUnavailable => "store-unavailable", 503, NotRun, ONE_SECOND;
     /// It is not known whether the store has kept the record; it will be if it can be.
     StoreUnknown => "store-unknown", 503, Unknown, OUTAGE;
     /// The configuration has moved on since the revision it is based on.
@@ -117,7 +119,7 @@
     /// It is not known whether the configuration was published.
     PublishUnknown => "publish-unknown", 503, Unknown, SECONDS;
     /// The process has not learnt the configuration yet.
-    ProcessStarting => "process-starting", 503, NotRun, SECONDS;
+    ProcessStarting => "process-starting", 503, NotRun, ONE_SECOND;
     /// The process is stopping.
     ProcessStopping => "process-stopping", 503, NotRun, SOON;
 }
--- a/crates/geraniumwinch-fleet/src/fleet_board/placing.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/placing.rs
@@ -63,6 +63,22 @@
         round
     }
 
+    /// Returns the processor time that waiting tasks ask for, as a part of that of all workers.
+    pub fn backlog(&self) -> f64 {
+        let room: u64 = self.workers.values().map(|slot| slot.card.capacity.cpu_millis).sum();
+        let mut asked = 0;
+        for &(_, _, key) in &self.open {
+            let job = &self.jobs[key];
+            for unit in 0..job.units.len() as u32 {
+                let waiting = u64::from(job.units[unit as usize].waiting);
+                if waiting > 0 && job.ready(unit) {
+                    asked += waiting * job.plan(unit).reserved().cpu_millis;
+                }
+            }
+        }
+        asked as f64 / room.max(1) as f64
+    }
+
     /// Returns what accounts may have running on workers that have not reported: at most the tasks
     /// of former owners' jobs that no worker has reported.
     fn unseen_use(&self, now: BootTime) -> HashMap<Name, ResourceVector> {
