--- a/crates/geraniumwinch-cell/src/call_client.rs
+++ b/crates/geraniumwinch-cell/src/call_client.rs
@@ -4,8 +4,10 @@
 
 use awc::Client;
 use awc::Connector;
+use awc::error::ConnectError;
 use awc::error::SendRequestError;
 use awc::http::Method;
+use awc::http::header::CONTENT_LENGTH;
 use bytes::Bytes;
 
 use crate::CallError;
@@ -97,9 +99,14 @@
         }
         let mut answer = call.send_body(request.body).await.map_err(classify)?;
         let status = answer.status().as_u16();
+        let length = answer.headers().get(CONTENT_LENGTH);
+        let length = length.and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
         let body = answer.body().limit(MAX_ANSWER).await;
         let body =
             body.map_err(|error| CallError::NoAnswer { message: error.to_string() })?;
+        if length.is_some_and(|length| body.len() < length) {
+            return Err(CallError::NoAnswer { message: "truncated".to_owned() });
+        }
         Ok(CallAnswer { status, body })
     }
 }
@@ -108,6 +115,10 @@
 fn classify(error: SendRequestError) -> CallError {
     let message = error.to_string();
     match error {
+        // The library says so also of a connection that ends after the request was sent.
+        SendRequestError::Connect(ConnectError::Disconnected) => {
+            CallError::NoAnswer { message }
+        }
         SendRequestError::Connect(_) | SendRequestError::Url(_) => {
             CallError::NotSent { message }
         }
--- /dev/null
+++ b/crates/geraniumwinch-cell/tests/call_client.rs
@@ -0,0 +1,85 @@
+//! What the HTTP client says of calls without an answer.
+
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::time::Duration;
+
+use awc::http::Method;
+use geraniumwinch_cell::CallClient;
+use geraniumwinch_cell::CallError;
+use geraniumwinch_cell::CallRequest;
+
+/// What a server does with a request that it has read.
+#[derive(Clone, Copy)]
+enum Behaviour {
+    Answer,
+    Close,
+    Truncate,
+    Ignore,
+}
+
+/// Starts a server that handles one connection.
+fn serve(behaviour: Behaviour) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it listens");
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the client connects");
+        let mut bytes = [0; 4096];
+        let _ = stream.read(&mut bytes).expect("the request arrives");
+        let text: &[u8] = match behaviour {
+            Behaviour::Answer => b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+            Behaviour::Truncate => b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok",
+            Behaviour::Close | Behaviour::Ignore => b"",
+        };
+        stream.write_all(text).expect("the client reads");
+        if matches!(behaviour, Behaviour::Ignore) {
+            std::thread::sleep(Duration::from_secs(2));
+        }
+    });
+    address
+}
+
+/// Calls an address.
+fn call(address: SocketAddr) -> Result<u16, CallError> {
+    actix_rt::System::new().block_on(async move {
+        let request = CallRequest {
+            method: Method::POST,
+            url: format!("http://{address}/x"),
+            headers: Vec::new(),
+            content_type: "text/plain",
+            body: "x".into(),
+            timeout: Duration::from_millis(400),
+        };
+        CallClient::new().call(request).await.map(|answer| answer.status)
+    })
+}
+
+/// Names each test.
+macro_rules! cases {
+    ($($name:ident: $address:expr => $expected:pat,)*) => {
+        $(#[test]
+        fn $name() {
+            let result = call($address);
+            assert!(matches!(result, $expected), "{result:?}");
+        })*
+    };
+}
+
+cases! {
+    an_answer_is_returned: serve(Behaviour::Answer) => Ok(200),
+    a_closed_connection_leaves_the_effect_open:
+        serve(Behaviour::Close) => Err(CallError::NoAnswer { .. }),
+    a_truncated_answer_leaves_the_effect_open:
+        serve(Behaviour::Truncate) => Err(CallError::NoAnswer { .. }),
+    a_timeout_leaves_the_effect_open:
+        serve(Behaviour::Ignore) => Err(CallError::NoAnswer { .. }),
+    a_refused_connection_has_no_effect: closed_port() => Err(CallError::NotSent { .. }),
+}
+
+/// Returns an address that nobody listens on.
+fn closed_port() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    listener.local_addr().expect("it listens")
+}
