Let large VMs own first, ask large questions in parts, count domains before deposing

Processes of a cut-off domain deposed the owner of the rest when a random sample fell on their own domain; processes of most failure domains have to confirm it now.

--- a/crates/geraniumwinch-cell/src/cell_owner.rs
+++ b/crates/geraniumwinch-cell/src/cell_owner.rs
@@ -2,15 +2,18 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::future::join_all;
+use geraniumwinch_core::Name;
 use geraniumwinch_core::log_event;
 use geraniumwinch_fleet::BootTime;
 use rand::Rng;
 use rand::seq::IndexedRandom;
+use rand::seq::SliceRandom;
 
 use crate::CallError;
 use crate::CellPorts;
@@ -56,12 +59,19 @@
 const VACANCY_AGE: Duration = Duration::from_millis(3500);
 /// The longest random wait before a claim.
 const CLAIM_JITTER: Duration = Duration::from_millis(40);
+/// The wait before a claim, times what the inverse of the VM's share of a core exceeds that of
+/// [`FULL_SHARE`] by, so that larger VMs claim first.
+const SMALL_VM_WAIT: Duration = Duration::from_millis(25);
+/// The longest such wait.
+const SMALL_VM_WAIT_MAX: Duration = Duration::from_millis(250);
+/// The share of a core with which a VM waits for none.
+const FULL_SHARE: f64 = 0.5;
 /// The wait of a process that reaches few others, so that a better placed one claims first.
 const CUT_OFF_WAIT: Duration = Duration::from_millis(900);
 /// The time in which peers have to answer a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
-/// The most peers that are probed.
-const PROBE_MOST: usize = 8;
+/// The most processes of a failure domain that are probed.
+const PROBES_PER_DOMAIN: usize = 2;
 /// The time at the begin of an ownership in which silent processes are not held against it.
 const SETTLING: Duration = Duration::from_millis(3000);
 /// The fewest known processes among which a majority means anything.
@@ -69,6 +79,15 @@
 /// The time after a resignation in which a process does not claim.
 const RESIGNED_WAIT: Duration = Duration::from_millis(3000);
 
+/// What processes of the failure domains have answered.
+#[derive(Debug, Clone, Copy)]
+struct DomainSurvey {
+    /// Whether processes of more than half of the failure domains have answered.
+    most_domains: bool,
+    /// Whether any of them has heard from the owner lately.
+    owner_seen: bool,
+}
+
 /// Owns the cell or follows the owner.
 pub(crate) struct CellOwner {
     ports: CellPorts,
@@ -218,38 +237,53 @@
         }
     }
 
-    /// Returns whether the other processes have not heard from the owner either.
+    /// Returns whether the processes of most failure domains answer and have not heard from the
+    /// owner either.
     async fn confirm_gone(&self, owner: &OwnerRecord) -> bool {
-        let others = self.others();
-        let known = others.len();
-        let answers = self.probe(others, owner.epoch).await;
-        answers.iter().all(|&seen| !seen) && answers.len() * 2 >= known
+        let survey = self.survey(owner.epoch).await;
+        survey.most_domains && !survey.owner_seen
     }
 
-    /// Returns the addresses of up to [`PROBE_MOST`] other processes.
-    fn others(&self) -> Vec<SocketAddr> {
+    /// Returns a few other processes of each failure domain.
+    fn others(&self) -> Vec<MemberNote> {
         let owner = self.watch.current().map(|owner| owner.address);
-        let members = self.members.borrow().all();
-        let mut others: Vec<SocketAddr> =
-            members.into_iter().map(|note| note.address).collect();
-        others.retain(|&other| other != self.settings.peers && Some(other) != owner);
-        let few = others.choose_multiple(&mut rand::rng(), PROBE_MOST);
-        few.copied().collect()
+        let mut others = self.members.borrow().all();
+        others.retain(|other| {
+            other.address != self.settings.peers && Some(other.address) != owner
+        });
+        others.shuffle(&mut rand::rng());
+        let mut chosen: Vec<MemberNote> = Vec::new();
+        for other in others {
+            let same = chosen.iter().filter(|note| note.domain == other.domain).count();
+            if same < PROBES_PER_DOMAIN {
+                chosen.push(other);
+            }
+        }
+        chosen
     }
 
-    /// Asks processes whether they have heard from the owner; the answers are those that came.
-    async fn probe(&self, others: Vec<SocketAddr>, epoch: u64) -> Vec<bool> {
+    /// Asks a few processes of each failure domain whether they have heard from the owner.
+    async fn survey(&self, epoch: u64) -> DomainSurvey {
+        let others = self.others();
+        let mut known: BTreeSet<Name> = BTreeSet::from([self.settings.domain.clone()]);
+        known.extend(others.iter().map(|note| note.domain.clone()));
         let request = PeerRequest::OwnerSeen(epoch);
         let calls = others.into_iter().map(|other| {
             let (peers, request) = (&self.peers, &request);
             async move {
-                match peers.call(other, request, PROBE_TIMEOUT).await {
-                    Ok(PeerReply::OwnerSeen(seen)) => Some(seen),
+                match peers.call(other.address, request, PROBE_TIMEOUT).await {
+                    Ok(PeerReply::OwnerSeen(seen)) => Some((other.domain, seen)),
                     _ => None,
                 }
             }
         });
-        join_all(calls).await.into_iter().flatten().collect()
+        let answers: Vec<(Name, bool)> = join_all(calls).await.into_iter().flatten().collect();
+        let mut reached = BTreeSet::from([self.settings.domain.clone()]);
+        reached.extend(answers.iter().map(|(domain, _)| domain.clone()));
+        DomainSurvey {
+            most_domains: reached.len() * 2 > known.len(),
+            owner_seen: answers.iter().any(|&(_, seen)| seen),
+        }
     }
 
     /// Ends the lease of an owner whose process is gone.
@@ -300,10 +334,8 @@
     /// Claims the ownership and, if it is won, dispatches until it ends.
     async fn claim(self: &Rc<Self>) {
         let jitter = CLAIM_JITTER.mul_f64(rand::rng().random());
-        self.watch.await_change(jitter).await;
-        let others = self.others();
-        let known = others.len();
-        if known >= QUORUM_MIN && self.probe(others, 0).await.len() * 2 < known {
+        self.watch.await_change(self.size_wait() + jitter).await;
+        if !self.survey(0).await.most_domains {
             self.watch.await_change(CUT_OFF_WAIT).await;
         }
         if !self.may_claim() {
@@ -319,6 +351,13 @@
         }
     }
 
+    /// Returns how long this process lets those on larger VMs claim first.
+    fn size_wait(&self) -> Duration {
+        let share = self.settings.cpu_share.max(0.01);
+        let lacking = (1.0 / share - 1.0 / FULL_SHARE).max(0.0);
+        SMALL_VM_WAIT.mul_f64(lacking).min(SMALL_VM_WAIT_MAX)
+    }
+
     /// Writes the record of a new ownership; nothing if another process was faster.
     async fn try_claim(&self) -> crate::Result<Option<(OwnerAuthority, u64)>> {
         let store = &self.ports.store;
--- a/crates/geraniumwinch-fleet/src/fleet_board/asking.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/asking.rs
@@ -21,8 +21,11 @@
 const ASK_SURPLUS: f64 = 2.5;
 /// The fewest workers of a first question.
 const ASK_MIN: usize = 8;
-/// The most workers that one question may name.
-const ASK_MAX: usize = 100;
+/// The most workers that one question names; the service takes up to 100, but several shorter
+/// calls of several VMs take less time.
+const ASK_MAX: usize = 60;
+/// The most questions that are open for a step.
+const ASK_PARTS: usize = 4;
 /// The time before a question that failed is asked again.
 const ASK_RETRY: Duration = Duration::from_millis(60);
 
@@ -81,7 +84,7 @@
         let mut names = Vec::new();
         for (worker, fits, _) in rooms {
             let enough = covered >= wanted && names.len() >= ASK_MIN;
-            if enough || names.len() == ASK_MAX {
+            if enough || names.len() == ASK_MAX * ASK_PARTS {
                 break;
             }
             covered += f64::from(fits);
@@ -90,24 +93,31 @@
         names
     }
 
-    /// Creates a question about a unit, unless one is open or a failed one is too recent.
+    /// Creates the questions about a unit, unless some are open or failed ones are too recent.
     pub(super) fn ask(
         &mut self,
         key: JobKey,
         unit: u32,
-        workers: Vec<Name>,
+        workers: &[Name],
         now: BootTime,
-    ) -> Option<PermissionAsk> {
+    ) -> Vec<PermissionAsk> {
         let job = &mut self.jobs[key];
-        let cost = job.record.rules.permission?;
+        let step = job.step_name(unit);
+        let Some(cost) = job.record.rules.permission else { return Vec::new() };
         let slot = &mut job.units[unit as usize];
-        if workers.is_empty() || slot.asking || now < slot.ask_after {
-            return None;
+        if workers.is_empty() || slot.asking > 0 || now < slot.ask_after {
+            return Vec::new();
         }
-        slot.asking = true;
+        let part = workers.len().div_ceil(workers.len().div_ceil(ASK_MAX));
         let priority = job.record.rules.priority;
-        let call_time = cost.call_time(workers.len());
-        Some(PermissionAsk { step: job.step_name(unit), priority, call_time, workers })
+        let mut asks = Vec::new();
+        for workers in workers.chunks(part) {
+            let (step, workers) = (step.clone(), workers.to_vec());
+            let call_time = cost.call_time(workers.len());
+            asks.push(PermissionAsk { step, priority, call_time, workers });
+        }
+        slot.asking = asks.len();
+        asks
     }
 
     /// Finds the unit that a step's name means.
@@ -132,10 +142,9 @@
         grants: Vec<PermissionGrant>,
     ) {
         let Some((key, unit)) = self.find_unit(step) else { return };
-        self.release_reserved(key, unit);
+        self.end_ask(key, unit);
         let job = &mut self.jobs[key];
         let slot = &mut job.units[unit as usize];
-        slot.asking = false;
         let fresh = asked.iter().filter(|id| !slot.permissions.contains_key(*id)).count();
         for id in asked {
             slot.permissions.entry(id.clone()).or_insert(None);
@@ -154,10 +163,17 @@
     /// Notes that a question was not answered.
     pub fn permission_failed(&mut self, step: &StepName, now: BootTime) {
         let Some((key, unit)) = self.find_unit(step) else { return };
-        self.release_reserved(key, unit);
+        self.end_ask(key, unit);
+        self.jobs[key].units[unit as usize].ask_after = now + ASK_RETRY;
+    }
+
+    /// Counts a question off; with the last one the room that was kept is given back.
+    fn end_ask(&mut self, key: JobKey, unit: u32) {
         let slot = &mut self.jobs[key].units[unit as usize];
-        slot.asking = false;
-        slot.ask_after = now + ASK_RETRY;
+        slot.asking = slot.asking.saturating_sub(1);
+        if slot.asking == 0 {
+            self.release_reserved(key, unit);
+        }
     }
 
     /// Gives the room back that was kept while permissions were renewed.
--- a/crates/geraniumwinch-fleet/src/fleet_board/job_slot.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/job_slot.rs
@@ -105,8 +105,8 @@
     pub(super) waiting: u32,
     /// What the permission service has said of workers: a proof, or none if they may not run it.
     pub(super) permissions: HashMap<Name, Option<PermissionGrant>>,
-    /// Whether a question to the permission service is open.
-    pub(super) asking: bool,
+    /// The open questions to the permission service.
+    pub(super) asking: usize,
     /// Before this time the permission service is not asked again.
     pub(super) ask_after: BootTime,
     /// The room that is kept while permissions are renewed.
@@ -286,7 +286,7 @@
         remaining,
         waiting: remaining,
         permissions: HashMap::new(),
-        asking: false,
+        asking: 0,
         ask_after: BootTime::ZERO,
         reserved: Vec::new(),
     }
--- a/crates/geraniumwinch-fleet/src/fleet_board/placing.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/placing.rs
@@ -121,7 +121,7 @@
         let slot = &job.units[unit as usize];
         let schedule = job.record.request.schedule;
         slot.waiting > 0
-            && !slot.asking
+            && slot.reserved.is_empty()
             && schedule.is_none_or(|schedule| schedule.due(slot.occurrence) <= wall)
             && job.ready(unit)
     }
@@ -306,12 +306,11 @@
                 names.push(id.clone());
             }
         }
-        if let Some(ask) = self.ask(key, unit, names, now) {
-            round.asks.push(ask);
-            if keep_room {
-                self.reserve(key, unit, chosen);
-            }
+        let asks = self.ask(key, unit, &names, now);
+        if keep_room && !asks.is_empty() {
+            self.reserve(key, unit, chosen);
         }
+        round.asks.extend(asks);
     }
 
     /// Asks about workers that nobody has asked about yet.
@@ -340,7 +339,7 @@
             }
         }
         let names = self.choose_asked(key, needed, rooms);
-        round.asks.extend(self.ask(key, unit, names, now));
+        round.asks.extend(self.ask(key, unit, &names, now));
     }
 }
 
