--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -240,7 +240,8 @@
         let mut asks = Vec::new();
         let mut starts = Vec::new();
         if self.authority.may_start(now) {
-            let round = board.place(self.ports.clock.wall(), now);
+            let long_asks = self.desk.long_room(&self.askers(now), now);
+            let round = board.place(self.ports.clock.wall(), now, long_asks);
             starts = round.starts;
             asks = round.asks;
         }
@@ -279,12 +280,17 @@
         if self.desk.waiting() == 0 {
             return;
         }
+        for (member, ask) in self.desk.assign(&self.askers(now), now) {
+            actix_rt::spawn(Rc::clone(self).ask(member, ask));
+        }
+    }
+
+    /// Returns the addresses of the VMs that can ask the permission service.
+    fn askers(&self, now: BootTime) -> Vec<SocketAddr> {
         let mut members = vec![self.settings.peers];
         let live = self.members.borrow().live(now);
         members.extend(live.iter().map(|note| note.address));
-        for (member, ask) in self.desk.assign(&members, now) {
-            actix_rt::spawn(Rc::clone(self).ask(member, ask));
-        }
+        members
     }
 
     /// Has a question asked by a VM and takes the answer in.
@@ -385,7 +391,7 @@
         if self.board.borrow().state(&order.id).is_some() {
             return PeerReply::Accepted;
         }
-        if !self.admits(&order.account) {
+        if !self.journal.is_pending(&order.id) && !self.admits(&order.account) {
             return PeerReply::Refused(ErrorKind::TeamLimit);
         }
         let JobOrder { id, rules, account, request } = order;
--- a/crates/geraniumwinch-cell/src/permission_desk.rs
+++ b/crates/geraniumwinch-cell/src/permission_desk.rs
@@ -12,8 +12,6 @@
 use geraniumwinch_fleet::BootTime;
 use geraniumwinch_fleet::PermissionAsk;
 
-/// The calls that take longer than this are long ones.
-const LONG_CALL: Duration = Duration::from_millis(150);
 /// The share of VMs that long calls leave to short ones.
 const SHORT_SHARE: f64 = 0.34;
 /// How long after a short call some VMs are kept free of long ones.
@@ -62,9 +60,9 @@
         let mut assigned = Vec::new();
         let mut left = Vec::new();
         for ask in waiting.drain(..) {
-            match self.choose(members, ask.call_time, now) {
+            match self.choose(members, ask.is_long(), now) {
                 Some(member) => {
-                    self.begin(member, ask.call_time, now);
+                    self.begin(member, &ask, now);
                     assigned.push((member, ask));
                 }
                 None => left.push(ask),
@@ -74,24 +72,34 @@
         assigned
     }
 
+    /// Returns the number of long calls that can be made at once.
+    pub(crate) fn long_room(&self, members: &[SocketAddr], now: BootTime) -> usize {
+        let loads = self.loads.borrow();
+        let load = |member: &SocketAddr| loads.get(member).copied().unwrap_or_default();
+        let long = members.iter().filter(|member| load(member).long).count();
+        let idle = members.iter().filter(|member| {
+            load(member).open == 0 && load(member).resting_until <= now
+        });
+        let short_calls = now < self.last_short.get() + SHORT_MEMORY;
+        let share = if short_calls { SHORT_SHARE } else { 0.0 };
+        let spared = (members.len() as f64 * share).ceil() as usize;
+        let most = members.len().saturating_sub(spared).max(1);
+        idle.count().min(most.saturating_sub(long))
+    }
+
     /// Chooses a VM for a call.
     fn choose(
         &self,
         members: &[SocketAddr],
-        call_time: Duration,
+        long: bool,
         now: BootTime,
     ) -> Option<SocketAddr> {
         let loads = self.loads.borrow();
         let load = |member: &SocketAddr| loads.get(member).copied().unwrap_or_default();
         let rested = || members.iter().filter(|member| load(member).resting_until <= now);
         let idle = rested().find(|member| load(member).open == 0).copied();
-        if call_time > LONG_CALL {
-            let long = members.iter().filter(|member| load(member).long).count();
-            let short_calls = now < self.last_short.get() + SHORT_MEMORY;
-            let share = if short_calls { SHORT_SHARE } else { 0.0 };
-            let spared = (members.len() as f64 * share).ceil() as usize;
-            let most = members.len().saturating_sub(spared).max(1);
-            return idle.filter(|_| long < most);
+        if long {
+            return idle.filter(|_| self.long_room(members, now) > 0);
         }
         idle.or_else(|| {
             rested()
@@ -103,15 +111,15 @@
     }
 
     /// Notes that a VM makes a call.
-    fn begin(&self, member: SocketAddr, call_time: Duration, now: BootTime) {
-        if call_time <= LONG_CALL {
+    fn begin(&self, member: SocketAddr, ask: &PermissionAsk, now: BootTime) {
+        if !ask.is_long() {
             self.last_short.set(now);
         }
         let mut loads = self.loads.borrow_mut();
         let load = loads.entry(member).or_default();
         load.open += 1;
-        load.long |= call_time > LONG_CALL;
-        load.busy_until = load.busy_until.max(now) + call_time;
+        load.long |= ask.is_long();
+        load.busy_until = load.busy_until.max(now) + ask.call_time;
     }
 
     /// Notes that a call of a VM has ended, with an answer or without.
--- a/crates/geraniumwinch-cell/src/record_journal.rs
+++ b/crates/geraniumwinch-cell/src/record_journal.rs
@@ -163,6 +163,11 @@
         receiver.await.unwrap_or(Err(ErrorKind::StoreUnknown))
     }
 
+    /// Returns whether a job is on its way to the store.
+    pub(crate) fn is_pending(&self, id: &Name) -> bool {
+        self.waiters.borrow().contains_key(id)
+    }
+
     /// Has the records of jobs removed that nobody can ask for any longer.
     pub(crate) fn remove(&self, jobs: Vec<Name>) {
         self.removals.borrow_mut().extend(jobs);
--- a/crates/geraniumwinch-cell/src/submit_desk.rs
+++ b/crates/geraniumwinch-cell/src/submit_desk.rs
@@ -180,6 +180,10 @@
             let timeout = OWNER_TIMEOUT.min(end.saturating_sub(now));
             match self.call(&owner, &request, timeout).await {
                 Ok(PeerReply::NotOwner) => {}
+                // The refusal holds for this attempt, not for an earlier one on its way.
+                Ok(PeerReply::Refused(_)) if maybe_received => {
+                    return Err(ErrorKind::StoreUnknown);
+                }
                 Ok(reply) => return Ok(reply),
                 Err(CallError::NotSent { .. }) => {}
                 Err(_) => {
--- a/crates/geraniumwinch-fleet/src/fleet_board.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board.rs
@@ -2,6 +2,7 @@
 
 mod account_ledger;
 mod asking;
+mod claiming;
 mod ending;
 mod job_slot;
 mod placing;
--- a/crates/geraniumwinch-fleet/src/fleet_board/asking.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/asking.rs
@@ -9,6 +9,7 @@
 use crate::PermissionGrant;
 use crate::StepName;
 use crate::WorkerKey;
+use crate::run_order::is_long_call;
 
 use super::FleetBoard;
 use super::job_slot::JobKey;
@@ -69,10 +70,12 @@
     ///
     /// `rooms` holds workers with the number of the step's tasks that fit there now and, as a
     /// second order, in an empty worker. A full cell is asked about as a whole, as one call that
-    /// names more workers is shorter than two calls.
+    /// names more workers is shorter than two calls. A gang's room is made on the allowed workers,
+    /// so that it needs enough of them even if they are full now.
     pub(super) fn choose_asked(
         &self,
         key: JobKey,
+        gang: bool,
         needed: usize,
         mut rooms: Vec<(WorkerKey, u32, u32)>,
     ) -> Vec<Name> {
@@ -82,24 +85,28 @@
         let wanted = needed as f64 * ASK_SURPLUS / share.max(0.05);
         let mut covered = 0.0;
         let mut names = Vec::new();
-        for (worker, fits, _) in rooms {
+        for (worker, now_fits, ever_fits) in rooms {
             let enough = covered >= wanted && names.len() >= ASK_MIN;
             if enough || names.len() == ASK_MAX * ASK_PARTS {
                 break;
             }
-            covered += f64::from(fits);
+            covered += f64::from(if gang { ever_fits } else { now_fits });
             names.push(self.workers[worker].card.id.clone());
         }
         names
     }
 
     /// Creates the questions about a unit, unless some are open or failed ones are too recent.
+    ///
+    /// At most `budget` of them are long: one that had to wait for a VM would be answered when
+    /// the room is gone.
     pub(super) fn ask(
         &mut self,
         key: JobKey,
         unit: u32,
         workers: &[Name],
         now: BootTime,
+        budget: &mut usize,
     ) -> Vec<PermissionAsk> {
         let job = &mut self.jobs[key];
         let step = job.step_name(unit);
@@ -114,6 +121,12 @@
         for workers in workers.chunks(part) {
             let (step, workers) = (step.clone(), workers.to_vec());
             let call_time = cost.call_time(workers.len());
+            if is_long_call(call_time) {
+                if *budget == 0 {
+                    break;
+                }
+                *budget -= 1;
+            }
             asks.push(PermissionAsk { step, priority, call_time, workers });
         }
         slot.asking = asks.len();
--- a/crates/geraniumwinch-fleet/src/fleet_board/placing.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/placing.rs
@@ -27,6 +27,8 @@
     pub starts: Vec<RunStart>,
     /// The questions to the permission service.
     pub asks: Vec<PermissionAsk>,
+    /// The long questions that may still be asked.
+    long_asks: usize,
 }
 
 /// A worker that could take tasks of a step.
@@ -43,9 +45,15 @@
 }
 
 impl FleetBoard {
-    /// Places the tasks that wait; `wall` is the time since 1970.
-    pub fn place(&mut self, wall: Duration, now: BootTime) -> PlacementRound {
-        let mut round = PlacementRound::default();
+    /// Places the tasks that wait; `wall` is the time since 1970, `long_asks` the number of long
+    /// questions that can be asked at once.
+    pub fn place(
+        &mut self,
+        wall: Duration,
+        now: BootTime,
+        long_asks: usize,
+    ) -> PlacementRound {
+        let mut round = PlacementRound { long_asks, ..PlacementRound::default() };
         let uncertain = self.workers.values().any(|slot| slot.incarnation.is_none());
         let unseen = if uncertain { self.unseen_use(now) } else { HashMap::new() };
         self.accounts.set_unseen(unseen);
@@ -157,7 +165,9 @@
             if renewable.len() == needed {
                 self.renew(key, unit, &renewable, true, now, round);
             } else {
-                self.ask_more(key, unit, &plan, needed, now, round);
+                if !self.claim(key, unit, needed, now) {
+                    self.ask_more(key, unit, &plan, needed, now, round);
+                }
                 self.preempt(key, unit, needed, wall, now);
             }
             return;
@@ -182,7 +192,8 @@
     ) -> Vec<RoomOffer> {
         let mut offers = Vec::new();
         for (worker, slot) in &self.workers {
-            if !slot.usable(now) || !self.suits(key, plan, slot) {
+            let open = slot.usable(now) && !self.claimed_from(key, unit, slot, now);
+            if !open || !self.suits(key, plan, slot) {
                 continue;
             }
             let fits = self.fits(key, unit, plan, worker, &slot.free());
@@ -212,7 +223,7 @@
     }
 
     /// Returns how many tasks of a unit fit into room on a worker.
-    fn fits(
+    pub(super) fn fits(
         &self,
         key: JobKey,
         unit: u32,
@@ -247,6 +258,10 @@
             .map(|(index, _)| index as u32)
             .collect();
         let gang = self.jobs[key].plan(unit).gang;
+        if gang {
+            self.release_claims(key, unit);
+        }
+        let slot = &self.jobs[key].units[unit as usize];
         let highest = slot.tasks.iter().map(|task| task.last_run).max().unwrap_or(0);
         let shared = slot.tasks.iter().find_map(|task| task.checkpoint.clone());
         for (&worker, index) in chosen.iter().zip(indices) {
@@ -306,7 +321,7 @@
                 names.push(id.clone());
             }
         }
-        let asks = self.ask(key, unit, &names, now);
+        let asks = self.ask(key, unit, &names, now, &mut round.long_asks);
         if keep_room && !asks.is_empty() {
             self.reserve(key, unit, chosen);
         }
@@ -338,8 +353,9 @@
                 rooms.push((worker, now_fits, ever_fits));
             }
         }
-        let names = self.choose_asked(key, needed, rooms);
-        round.asks.extend(self.ask(key, unit, &names, now));
+        let names = self.choose_asked(key, plan.gang, needed, rooms);
+        let asks = self.ask(key, unit, &names, now, &mut round.long_asks);
+        round.asks.extend(asks);
     }
 }
 
--- a/crates/geraniumwinch-fleet/src/run_order.rs
+++ b/crates/geraniumwinch-fleet/src/run_order.rs
@@ -1,5 +1,7 @@
 //! What the dispatcher tells workers to do and asks the permission service.
 
+use std::time::Duration;
+
 use geraniumwinch_core::Name;
 
 use crate::BootTime;
@@ -7,6 +9,9 @@
 use crate::TaskName;
 use crate::WorkerKey;
 
+/// The calls of the permission service that take longer than this are long ones.
+const LONG_CALL: Duration = Duration::from_millis(150);
+
 /// An order to start a task.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RunStart {
@@ -60,11 +65,23 @@
     /// The urgency of the queue; 0 goes first.
     pub priority: u32,
     /// The time that the call will take.
-    pub call_time: std::time::Duration,
+    pub call_time: Duration,
     /// The workers that are asked about.
     pub workers: Vec<Name>,
 }
 
+impl PermissionAsk {
+    /// Returns whether the call takes so long that short ones should not stand behind it.
+    pub fn is_long(&self) -> bool {
+        is_long_call(self.call_time)
+    }
+}
+
+/// Returns whether a call of this time is a long one.
+pub(crate) fn is_long_call(call_time: Duration) -> bool {
+    call_time > LONG_CALL
+}
+
 /// The permission to place a step on a worker.
 #[derive(Debug, Clone, PartialEq)]
 pub struct PermissionGrant {
