Refuse jobs that can't be done in time under a backlog; no claims of room

Kept: a gang asks about more workers only if the permitted ones would not hold it when cleared; long questions are asked as VMs are free. New: while waiting work exceeds a quarter of the room, a job that would miss its objective behind those before it is refused at once; overdue jobs go last.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -53,6 +53,8 @@
 const BACKLOG_LIMIT: f64 = 0.25;
 /// The wait before a read of the store is repeated during a takeover.
 const LOAD_RETRY: Duration = Duration::from_millis(100);
+/// The time between two log lines of the board's numbers.
+const TELL_INTERVAL: Duration = Duration::from_secs(1);
 /// The time between two searches for records that nobody can ask for any longer.
 const EXPIRE_INTERVAL: Duration = Duration::from_secs(10);
 /// The most records that are removed at a time.
@@ -161,12 +163,17 @@
         let journal = actix_rt::spawn(Rc::clone(&self.journal).run());
         let listing = actix_rt::spawn(Rc::clone(&self).list_workers());
         let mut expired = self.ports.clock.now();
+        let mut told = expired;
         while !self.authority.is_lost() {
             self.pass();
             // An elapsed wait needs no handling: a pass is due either way.
             let _ = tokio::time::timeout(PASS_INTERVAL, self.pump.notified()).await;
             tokio::time::sleep(PASS_GAP).await;
             let now = self.ports.clock.now();
+            if now >= told + TELL_INTERVAL {
+                told = now;
+                self.tell_counts(now);
+            }
             if now >= expired + EXPIRE_INTERVAL {
                 expired = now;
                 self.expire_records();
@@ -180,6 +187,22 @@
         self.stored.notify_waiters();
     }
 
+    /// Shows the board's numbers in the log and the metrics.
+    fn tell_counts(&self, now: BootTime) {
+        let counts = self.board.borrow().counts(now);
+        cell_metrics::set_counts(counts);
+        log_event!(
+            Info,
+            "board",
+            live_jobs = counts.live_jobs,
+            placed = counts.placed,
+            usable_workers = counts.usable_workers,
+            workers = counts.workers,
+            used = format!("{:.2}", counts.used),
+            backlog = format!("{:.2}", self.backlog.get())
+        );
+    }
+
     /// Removes records that nobody can ask for any longer.
     fn expire_records(&self) {
         let wall = self.ports.clock.wall();
@@ -248,10 +271,8 @@
         let stops = board.take_stops();
         let events = board.take_events();
         let due = board.has_due_writes(now);
-        let counts = board.counts(now);
         self.backlog.set(board.backlog());
         drop(board);
-        cell_metrics::set_counts(counts);
         for start in starts {
             self.sender.start(start);
         }
@@ -391,12 +412,14 @@
         if self.board.borrow().state(&order.id).is_some() {
             return PeerReply::Accepted;
         }
-        if !self.journal.is_pending(&order.id) && !self.admits(&order.account) {
-            return PeerReply::Refused(ErrorKind::TeamLimit);
-        }
         let JobOrder { id, rules, account, request } = order;
         let wall = self.ports.clock.wall();
         let record = JobRecord::new(rules, account, wall, request);
+        if !self.journal.is_pending(&id)
+            && let Some(kind) = self.refusal(&record, wall)
+        {
+            return PeerReply::Refused(kind);
+        }
         match self.journal.create(id, record).await {
             Ok(()) => {
                 self.pump.notify_one();
@@ -406,6 +429,18 @@
         }
     }
 
+    /// Returns why a new job is not taken, if it isn't.
+    fn refusal(&self, record: &JobRecord, wall: Duration) -> Option<ErrorKind> {
+        if !self.admits(&record.account) {
+            return Some(ErrorKind::TeamLimit);
+        }
+        if self.backlog.get() < BACKLOG_LIMIT {
+            return None;
+        }
+        let excess = self.board.borrow().excess_wait(record, wall);
+        excess.map(|_| ErrorKind::DeadlineUnmeetable)
+    }
+
     /// Returns whether a further job of an account is taken now: when the cell has more work than
     /// room, only the account's share of new jobs is.
     fn admits(&self, account: &Name) -> bool {
--- a/crates/geraniumwinch-fleet/src/fleet_board.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board.rs
@@ -1,8 +1,9 @@
 //! The jobs and workers of a cell.
 
 mod account_ledger;
+mod admitting;
 mod asking;
-mod claiming;
+mod clearing;
 mod ending;
 mod job_slot;
 mod placing;
@@ -49,7 +50,7 @@
 const RUNS_PER_EPOCH: u64 = 1 << 16;
 
 /// Numbers that describe the board.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct FleetCounts {
     /// The jobs that are not ended.
     pub live_jobs: usize,
@@ -59,6 +60,8 @@
     pub usable_workers: usize,
     /// All workers.
     pub workers: usize,
+    /// The part of the usable workers' processors that tasks reserve.
+    pub used: f64,
 }
 
 /// The jobs and workers of a cell and what runs where.
@@ -263,11 +266,15 @@
 
     /// Returns numbers that describe the board.
     pub fn counts(&self, now: BootTime) -> FleetCounts {
+        let usable = || self.workers.values().filter(|slot| slot.usable(now));
+        let used: u64 = usable().map(|slot| slot.used.cpu_millis).sum();
+        let room: u64 = usable().map(|slot| slot.card.capacity.cpu_millis).sum();
         FleetCounts {
             live_jobs: self.open.len(),
             placed: self.workers.values().map(|slot| slot.places.len()).sum(),
-            usable_workers: self.workers.values().filter(|slot| slot.usable(now)).count(),
+            usable_workers: usable().count(),
             workers: self.workers.len(),
+            used: used as f64 / room.max(1) as f64,
         }
     }
 
--- a/crates/geraniumwinch-fleet/src/fleet_board/asking.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/asking.rs
@@ -20,6 +20,8 @@
 const SHARE_GAIN: f64 = 0.2;
 /// How much more room a question covers than the step needs.
 const ASK_SURPLUS: f64 = 2.5;
+/// The same for a gang, as a part of the room of empty workers: most of it is taken.
+const GANG_SURPLUS: f64 = 4.5;
 /// The fewest workers of a first question.
 const ASK_MIN: usize = 8;
 /// The most workers that one question names; the service takes up to 100, but several shorter
@@ -82,7 +84,8 @@
         rooms.sort_by_key(|&(_, now, ever)| std::cmp::Reverse((now, ever)));
         let queue = &self.jobs[key].record.rules.queue;
         let share = self.allowed_share.get(queue).copied().unwrap_or(FIRST_SHARE);
-        let wanted = needed as f64 * ASK_SURPLUS / share.max(0.05);
+        let surplus = if gang { GANG_SURPLUS } else { ASK_SURPLUS };
+        let wanted = needed as f64 * surplus / share.max(0.05);
         let mut covered = 0.0;
         let mut names = Vec::new();
         for (worker, now_fits, ever_fits) in rooms {
--- a/crates/geraniumwinch-fleet/src/fleet_board/job_slot.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/job_slot.rs
@@ -20,6 +20,9 @@
 /// The workers that a question for permission names in the longest chain of work.
 const CHAIN_WORKERS: usize = 30;
 
+/// Up to this many times its objective a job's result is of some use.
+const LATE_FACTOR: u32 = 3;
+
 new_key_type! {
     /// Names a job of the board.
     pub(super) struct JobKey;
@@ -36,6 +39,17 @@
     pub(super) index: u32,
 }
 
+/// How late a job is; the order is that of service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum JobLateness {
+    /// It can be done within its objective.
+    InTime,
+    /// It can be done while its result is of some use.
+    Late,
+    /// Its result is of little use by then.
+    Overdue,
+}
+
 /// How far the order for a placed task has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum PlacePhase {
@@ -188,11 +202,18 @@
         self.record.phase == JobPhase::Live
     }
 
-    /// Returns whether the job can no longer be done in time if none of its tasks was started.
-    pub(super) fn is_late(&self, wall: Duration) -> bool {
-        let scheduled = self.record.request.schedule.is_some();
+    /// Returns how late the job is if its waiting tasks were started now.
+    pub(super) fn lateness(&self, wall: Duration) -> JobLateness {
         let needed = if self.started { Duration::ZERO } else { self.chain };
-        !scheduled && wall + needed > self.objective
+        let end = wall + needed;
+        let allowed = self.objective.saturating_sub(self.record.accepted);
+        if self.record.request.schedule.is_some() || end <= self.objective {
+            JobLateness::InTime
+        } else if end <= self.record.accepted + allowed * LATE_FACTOR {
+            JobLateness::Late
+        } else {
+            JobLateness::Overdue
+        }
     }
 
     /// Returns whether the steps before a unit are done.
@@ -225,7 +246,7 @@
 }
 
 /// Returns the longest chain of a job's estimated work, with one question for permission a step.
-fn longest_chain(record: &JobRecord) -> Duration {
+pub(super) fn longest_chain(record: &JobRecord) -> Duration {
     let ask = record.rules.permission.map_or(Duration::ZERO, |cost| cost.call_time(CHAIN_WORKERS));
     let mut ends: Vec<Duration> = Vec::with_capacity(record.request.steps.len());
     for step in &record.request.steps {
--- a/crates/geraniumwinch-fleet/src/fleet_board/placing.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/placing.rs
@@ -15,6 +15,7 @@
 use super::FleetBoard;
 use super::asking::Permit;
 use super::job_slot::JobKey;
+use super::job_slot::JobLateness;
 use super::job_slot::PlacePhase;
 use super::job_slot::TaskPlace;
 use super::job_slot::TaskRef;
@@ -71,22 +72,6 @@
         round
     }
 
-    /// Returns the processor time that waiting tasks ask for, as a part of that of all workers.
-    pub fn backlog(&self) -> f64 {
-        let room: u64 = self.workers.values().map(|slot| slot.card.capacity.cpu_millis).sum();
-        let mut asked = 0;
-        for &(_, _, key) in &self.open {
-            let job = &self.jobs[key];
-            for unit in 0..job.units.len() as u32 {
-                let waiting = u64::from(job.units[unit as usize].waiting);
-                if waiting > 0 && job.ready(unit) {
-                    asked += waiting * job.plan(unit).reserved().cpu_millis;
-                }
-            }
-        }
-        asked as f64 / room.max(1) as f64
-    }
-
     /// Returns what accounts may have running on workers that have not reported: at most the tasks
     /// of former owners' jobs that no worker has reported.
     fn unseen_use(&self, now: BootTime) -> HashMap<Name, ResourceVector> {
@@ -112,11 +97,11 @@
 
     /// Returns the open jobs by urgency; of one urgency, those go first that can still be in time.
     fn by_urgency(&self, wall: Duration) -> Vec<JobKey> {
-        let mut open: Vec<(u32, bool, u64, JobKey)> = self
+        let mut open: Vec<(u32, JobLateness, u64, JobKey)> = self
             .open
             .iter()
             .map(|&(priority, serial, key)| {
-                (priority, self.jobs[key].is_late(wall), serial, key)
+                (priority, self.jobs[key].lateness(wall), serial, key)
             })
             .collect();
         open.sort_unstable();
@@ -165,7 +150,7 @@
             if renewable.len() == needed {
                 self.renew(key, unit, &renewable, true, now, round);
             } else {
-                if !self.claim(key, unit, needed, now) {
+                if !self.fits_once_cleared(key, unit, needed, now) {
                     self.ask_more(key, unit, &plan, needed, now, round);
                 }
                 self.preempt(key, unit, needed, wall, now);
@@ -192,8 +177,7 @@
     ) -> Vec<RoomOffer> {
         let mut offers = Vec::new();
         for (worker, slot) in &self.workers {
-            let open = slot.usable(now) && !self.claimed_from(key, unit, slot, now);
-            if !open || !self.suits(key, plan, slot) {
+            if !slot.usable(now) || !self.suits(key, plan, slot) {
                 continue;
             }
             let fits = self.fits(key, unit, plan, worker, &slot.free());
@@ -258,10 +242,6 @@
             .map(|(index, _)| index as u32)
             .collect();
         let gang = self.jobs[key].plan(unit).gang;
-        if gang {
-            self.release_claims(key, unit);
-        }
-        let slot = &self.jobs[key].units[unit as usize];
         let highest = slot.tasks.iter().map(|task| task.last_run).max().unwrap_or(0);
         let shared = slot.tasks.iter().find_map(|task| task.checkpoint.clone());
         for (&worker, index) in chosen.iter().zip(indices) {
--- a/crates/geraniumwinch-fleet/src/fleet_board/preempting.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/preempting.rs
@@ -11,6 +11,7 @@
 use super::FleetBoard;
 use super::asking::Permit;
 use super::job_slot::JobKey;
+use super::job_slot::JobLateness;
 use super::job_slot::PlacePhase;
 use super::job_slot::TaskRef;
 use super::placing::times;
@@ -32,7 +33,7 @@
         now: BootTime,
     ) {
         let job = &self.jobs[key];
-        if job.record.rules.priority != 0 || job.is_late(wall) {
+        if job.record.rules.priority != 0 || job.lateness(wall) != JobLateness::InTime {
             return;
         }
         let plan = job.plan(unit).clone();
--- a/crates/geraniumwinch-fleet/src/fleet_board/worker_slot.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/worker_slot.rs
@@ -20,19 +20,6 @@
     pub(super) job: Option<(JobKey, u64)>,
 }
 
-/// The gang that a worker's room is being cleared for.
-#[derive(Debug, Clone, Copy)]
-pub(super) struct RoomClaim {
-    /// The job.
-    pub(super) job: JobKey,
-    /// The gang's unit.
-    pub(super) unit: u32,
-    /// The urgency of the job.
-    pub(super) priority: u32,
-    /// When the claim ends.
-    pub(super) until: BootTime,
-}
-
 /// A worker with what runs there.
 #[derive(Debug)]
 pub(super) struct WorkerSlot {
@@ -56,8 +43,6 @@
     pub(super) stray_room: ResourceVector,
     /// Whether a run of unknown size is there.
     pub(super) stray_unknown: bool,
-    /// The gang that the room is being cleared for, with the end of the claim.
-    pub(super) claim: Option<RoomClaim>,
     /// The runs that ended in failure since the last one that was done.
     pub(super) failures: u32,
     /// Until when it takes no tasks because runs failed there.
@@ -84,7 +69,6 @@
             places: BTreeSet::new(),
             stray_room: ResourceVector::default(),
             stray_unknown: false,
-            claim: None,
             failures: 0,
             quarantine: BootTime::ZERO,
             processed: 0,
