--- /dev/null
+++ b/crates/geraniumwinch-fleet/tests/common/mod.rs
@@ -0,0 +1,203 @@
+//! A board with workers that the tests speak for.
+
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::time::Duration;
+
+use geraniumwinch_core::Name;
+use geraniumwinch_core::ResourceVector;
+use geraniumwinch_fleet::BootTime;
+use geraniumwinch_fleet::EndedRun;
+use geraniumwinch_fleet::FleetBoard;
+use geraniumwinch_fleet::JobPhase;
+use geraniumwinch_fleet::JobRecord;
+use geraniumwinch_fleet::JobRequest;
+use geraniumwinch_fleet::QueueRules;
+use geraniumwinch_fleet::RunEnd;
+use geraniumwinch_fleet::RunStart;
+use geraniumwinch_fleet::RunningRun;
+use geraniumwinch_fleet::StartOutcome;
+use geraniumwinch_fleet::StepName;
+use geraniumwinch_fleet::StepPlan;
+use geraniumwinch_fleet::TaskName;
+use geraniumwinch_fleet::WorkerCard;
+use geraniumwinch_fleet::WorkerKey;
+use geraniumwinch_fleet::WorkerReport;
+
+/// The longest lease of a worker.
+pub const LEASE: Duration = Duration::from_millis(6350);
+/// The long questions that may be asked in one pass.
+pub const LONG_ASKS: usize = 9;
+/// The calendar time of the tests.
+pub const WALL: Duration = Duration::from_secs(1_800_000_000);
+/// The lifetime of all workers.
+pub const LIFETIME: u64 = 7;
+
+/// Names each test of a table.
+#[macro_export]
+macro_rules! cases {
+    ($($(#[doc = $doc:literal])* $name:ident($cell:ident) $body:block)*) => {
+        $($(#[doc = $doc])* #[test]
+        fn $name() {
+            #[allow(unused_mut, reason = "some cases only look")]
+            let mut $cell = $crate::common::TestCell::new(1);
+            $body
+        })*
+    };
+}
+
+/// A board and the time.
+pub struct TestCell {
+    /// The board.
+    pub board: FleetBoard,
+    /// The time since boot.
+    pub now: BootTime,
+}
+
+/// Creates the card of a worker with 16 processors.
+pub fn card(id: &str) -> WorkerCard {
+    WorkerCard {
+        id: id.into(),
+        service: "service".into(),
+        address: format!("10.0.0.1:{}", 1000 + id.len()).into(),
+        domain: "domain".into(),
+        accepting: true,
+        capacity: ResourceVector {
+            cpu_millis: 16_000,
+            memory_bytes: 64 << 30,
+            accelerators: 0,
+        },
+        labels: Vec::new(),
+        incarnation: LIFETIME,
+    }
+}
+
+/// Creates a step of like tasks.
+pub fn step(tasks: u32, cpu_millis: u64) -> StepPlan {
+    StepPlan {
+        tasks,
+        demand: ResourceVector { cpu_millis, memory_bytes: 1 << 30, accelerators: 0 },
+        estimate: Duration::from_secs(2),
+        ..StepPlan::default()
+    }
+}
+
+/// Creates the rules of a queue without permissions.
+pub fn rules(priority: u32) -> QueueRules {
+    QueueRules {
+        queue: "queue".into(),
+        service: "service".into(),
+        priority,
+        attempts: 4,
+        stretch: 4.0,
+        objective: Duration::from_secs(1),
+        permission: None,
+    }
+}
+
+/// Creates the record of a job that was just accepted.
+pub fn record(rules: QueueRules, steps: Vec<StepPlan>) -> JobRecord {
+    let request = JobRequest { spec: "spec".into(), steps, schedule: None };
+    JobRecord::new(rules, "account".into(), WALL, request)
+}
+
+/// Creates the name of a task of a job's first occurrence.
+pub fn task(job: &str, step: u32, index: u32) -> TaskName {
+    TaskName { step: StepName { job: job.into(), occurrence: 0, step }, index }
+}
+
+/// Creates a run that a worker lists.
+pub fn running(task: TaskName, run: u64) -> RunningRun {
+    RunningRun { task, run, checkpoint: None, percent: 10 }
+}
+
+/// Creates an end that a worker lists.
+pub fn ended(number: u64, task: TaskName, run: u64, end: RunEnd) -> EndedRun {
+    EndedRun { number, task, run, end, checkpoint: None }
+}
+
+impl TestCell {
+    /// Creates an empty board of an epoch.
+    pub fn new(epoch: u64) -> Self {
+        TestCell { board: FleetBoard::new(epoch, LEASE), now: Duration::from_secs(100) }
+    }
+
+    /// Lists workers that the store knows and that have reported that nothing runs.
+    pub fn add_workers(&mut self, ids: &[&str]) -> Vec<WorkerKey> {
+        let keys = self.list_workers(ids);
+        for &key in &keys {
+            self.report(key, Vec::new(), Vec::new());
+        }
+        keys
+    }
+
+    /// Lists workers that the store knows and that have not reported.
+    pub fn list_workers(&mut self, ids: &[&str]) -> Vec<WorkerKey> {
+        let cards: Vec<WorkerCard> = ids.iter().map(|id| card(id)).collect();
+        let keys = self.board.set_workers(cards.clone(), self.now);
+        self.board.workers_recorded(&cards);
+        keys
+    }
+
+    /// Has a worker report at the present time.
+    pub fn report(
+        &mut self,
+        worker: WorkerKey,
+        running: Vec<RunningRun>,
+        ended: Vec<EndedRun>,
+    ) {
+        let report =
+            WorkerReport { incarnation: LIFETIME, clock_ms: 1, running, ended };
+        self.board.report(worker, &report, self.now, self.now);
+    }
+
+    /// Accepts a job.
+    pub fn accept(&mut self, id: &str, record: JobRecord) {
+        self.board.accept(id.into(), record);
+    }
+
+    /// Makes a pass and returns the tasks to start.
+    pub fn place(&mut self) -> Vec<RunStart> {
+        self.board.place(WALL, self.now, LONG_ASKS).starts
+    }
+
+    /// Makes a pass and has all its starts succeed.
+    pub fn start_all(&mut self) -> Vec<RunStart> {
+        let starts = self.place();
+        for start in &starts {
+            self.outcome(start, StartOutcome::Started);
+        }
+        self.wait(1);
+        starts
+    }
+
+    /// Tells what became of a start.
+    pub fn outcome(&mut self, start: &RunStart, outcome: StartOutcome) {
+        let now = self.now;
+        self.board.start_outcome(start.worker, &start.task, start.run, outcome, now);
+    }
+
+    /// Lets milliseconds pass and does what has become due.
+    pub fn wait(&mut self, millis: u64) {
+        self.now += Duration::from_millis(millis);
+        self.board.sweep(self.now);
+    }
+
+    /// Has the store take all changes, and returns the records.
+    pub fn store_all(&mut self) -> Vec<(Name, JobRecord)> {
+        let later = self.now + Duration::from_secs(1);
+        let writes = self.board.take_writes(1000, later).expect("records are encoded");
+        let mut records = Vec::new();
+        for write in writes {
+            let record = JobRecord::decode(&write.bytes).expect("records are decoded");
+            self.board.written(&write.job, write.version, record.phase);
+            records.push((write.job, record));
+        }
+        records
+    }
+
+    /// Returns the state of a job as the store holds it.
+    pub fn phase(&self, job: &str) -> Option<JobPhase> {
+        self.board.state(job).map(|(phase, _)| phase)
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-fleet/tests/load.rs
@@ -0,0 +1,221 @@
+//! Heavy load: who goes first, who makes room, who is refused.
+
+mod common;
+
+use std::time::Duration;
+
+use geraniumwinch_fleet::PermissionCost;
+use geraniumwinch_fleet::PermissionGrant;
+use geraniumwinch_fleet::QueueRules;
+use geraniumwinch_fleet::ShareMeter;
+use geraniumwinch_fleet::StartOutcome;
+use geraniumwinch_fleet::StepPlan;
+
+use self::common::LONG_ASKS;
+use self::common::TestCell;
+use self::common::WALL;
+use self::common::record;
+use self::common::rules;
+use self::common::running;
+use self::common::step;
+use self::common::task;
+
+/// Creates the rules of a queue that needs permissions; a call takes `base` and 1 ms a worker.
+fn permitted(priority: u32, base: Duration) -> QueueRules {
+    let per_worker = Duration::from_millis(1);
+    let validity = Duration::from_secs(2);
+    let permission = Some(PermissionCost { base, per_worker, validity });
+    QueueRules { permission, ..rules(priority) }
+}
+
+/// Answers a question with a permission for each of the named workers.
+fn allow(cell: &mut TestCell, ask: &geraniumwinch_fleet::PermissionAsk, allowed: &[&str]) {
+    let until = cell.now + Duration::from_secs(2);
+    let grants = allowed.iter().map(|&worker| PermissionGrant {
+        worker: worker.into(),
+        ticket: "ticket".into(),
+        until,
+    });
+    cell.board.permitted(&ask.step, &ask.workers, grants.collect());
+}
+
+cases! {
+    urgent_jobs_go_first(cell) {
+        cell.add_workers(&["w"]);
+        cell.accept("bulk", record(rules(2), vec![step(4, 4_000)]));
+        cell.accept("urgent", record(rules(0), vec![step(1, 4_000)]));
+        assert_eq!(cell.place()[0].task, task("urgent", 0, 0));
+    }
+
+    /// One job that can't be in time any more must not make all others late.
+    late_jobs_go_behind_those_in_time(cell) {
+        cell.add_workers(&["w"]);
+        let mut late = record(rules(1), vec![step(1, 16_000)]);
+        late.accepted = WALL - Duration::from_secs(30);
+        cell.accept("late", late);
+        cell.accept("fresh", record(rules(1), vec![step(1, 16_000)]));
+        assert_eq!(cell.place()[0].task, task("fresh", 0, 0));
+    }
+
+    an_urgent_task_takes_the_room_of_one_with_checkpoints(cell) {
+        cell.add_workers(&["w"]);
+        let bulk = StepPlan { saves_progress: true, ..step(4, 4_000) };
+        cell.accept("bulk", record(rules(2), vec![bulk]));
+        cell.start_all();
+        cell.accept("urgent", record(rules(0), vec![step(1, 4_000)]));
+        cell.place();
+        assert_eq!(cell.board.take_stops().len(), 1);
+        cell.place();
+        assert_eq!(cell.board.take_stops().len(), 0, "the room that comes free is enough");
+    }
+
+    /// trouble-3 of kbc-winch: half of all runs were stopped for gangs that did not fit.
+    nothing_is_stopped_for_a_gang_that_does_not_fit_then(cell) {
+        cell.add_workers(&["w"]);
+        let bulk = StepPlan { saves_progress: true, ..step(4, 4_000) };
+        cell.accept("bulk", record(rules(2), vec![bulk]));
+        cell.start_all();
+        let gang = StepPlan { gang: true, ..step(5, 4_000) };
+        cell.accept("urgent", record(rules(0), vec![gang]));
+        cell.place();
+        assert_eq!(cell.board.take_stops().len(), 0);
+    }
+
+    a_task_is_preempted_once(cell) {
+        let workers = cell.add_workers(&["w"]);
+        let bulk = StepPlan { saves_progress: true, ..step(1, 16_000) };
+        cell.accept("bulk", record(rules(2), vec![bulk]));
+        cell.start_all();
+        for (urgent, stops) in [("urgent-1", 1), ("urgent-2", 0)] {
+            cell.accept(urgent, record(rules(0), vec![step(1, 4_000)]));
+            cell.place();
+            let sent = cell.board.take_stops();
+            assert_eq!(sent.len(), stops, "{urgent}");
+            if let Some(stop) = sent.first() {
+                cell.board.stop_answered(workers[0], &stop.task, stop.run, cell.now);
+                cell.wait(1);
+                cell.report(workers[0], Vec::new(), Vec::new());
+                cell.board.cancel(urgent, cell.now);
+                assert_eq!(cell.start_all().len(), 1, "the bulk task runs again");
+            }
+        }
+    }
+
+    a_job_that_would_be_late_behind_others_is_refused(cell) {
+        cell.add_workers(&["w"]);
+        let new = record(rules(1), vec![step(1, 4_000)]);
+        assert_eq!(cell.board.excess_wait(&new, WALL), None);
+        cell.accept("ahead", record(rules(1), vec![step(60, 4_000)]));
+        let excess = cell.board.excess_wait(&new, WALL);
+        assert!(excess.is_some_and(|excess| excess > Duration::from_secs(1)));
+        let urgent = record(rules(0), vec![step(1, 4_000)]);
+        assert_eq!(cell.board.excess_wait(&urgent, WALL), None, "it goes before them");
+    }
+
+    a_task_starts_with_its_permission(cell) {
+        cell.add_workers(&["w", "v"]);
+        cell.accept("job", record(permitted(1, Duration::ZERO), vec![step(1, 4_000)]));
+        let round = cell.board.place(WALL, cell.now, LONG_ASKS);
+        assert!(round.starts.is_empty());
+        allow(&mut cell, &round.asks[0], &["v"]);
+        let starts = cell.place();
+        assert_eq!(starts[0].ticket.as_deref(), Some("ticket"));
+        assert_eq!(cell.board.card(starts[0].worker).map(|card| &*card.id), Some("v"));
+    }
+
+    an_expired_permission_is_renewed_for_that_worker_only(cell) {
+        cell.add_workers(&["w", "v"]);
+        cell.accept("job", record(permitted(1, Duration::ZERO), vec![step(1, 4_000)]));
+        let ask = cell.board.place(WALL, cell.now, LONG_ASKS).asks.remove(0);
+        allow(&mut cell, &ask, &["v"]);
+        cell.wait(2100);
+        let round = cell.board.place(WALL, cell.now, LONG_ASKS);
+        assert!(round.starts.is_empty());
+        assert_eq!(round.asks[0].workers, ["v".into()]);
+    }
+
+    a_refused_permission_is_renewed(cell) {
+        cell.add_workers(&["w"]);
+        cell.accept("job", record(permitted(1, Duration::ZERO), vec![step(1, 4_000)]));
+        let ask = cell.board.place(WALL, cell.now, LONG_ASKS).asks.remove(0);
+        allow(&mut cell, &ask, &["w"]);
+        let start = cell.place().remove(0);
+        cell.outcome(&start, StartOutcome::NotPermitted);
+        assert_eq!(cell.board.place(WALL, cell.now, LONG_ASKS).asks.len(), 1);
+    }
+
+    a_question_without_an_answer_is_asked_again_after_a_pause(cell) {
+        cell.add_workers(&["w"]);
+        cell.accept("job", record(permitted(1, Duration::ZERO), vec![step(1, 4_000)]));
+        let ask = cell.board.place(WALL, cell.now, LONG_ASKS).asks.remove(0);
+        assert!(cell.board.place(WALL, cell.now, LONG_ASKS).asks.is_empty(), "one is open");
+        cell.board.permission_failed(&ask.step, cell.now);
+        assert!(cell.board.place(WALL, cell.now, LONG_ASKS).asks.is_empty());
+        cell.wait(100);
+        assert_eq!(cell.board.place(WALL, cell.now, LONG_ASKS).asks.len(), 1);
+    }
+
+    /// Long questions that wait for a VM are answered when the room is gone.
+    long_questions_are_asked_as_vms_are_free(cell) {
+        cell.add_workers(&["w"]);
+        let long = permitted(1, Duration::from_millis(500));
+        cell.accept("a", record(long.clone(), vec![step(1, 4_000)]));
+        cell.accept("b", record(long, vec![step(1, 4_000)]));
+        assert_eq!(cell.board.place(WALL, cell.now, 1).asks.len(), 1);
+        assert_eq!(cell.board.place(WALL, cell.now, 0).asks.len(), 0);
+        assert_eq!(cell.board.place(WALL, cell.now, 1).asks.len(), 1);
+    }
+
+    /// The room of a gang is kept while its permissions are renewed.
+    a_gang_keeps_its_room_while_it_asks_again(cell) {
+        cell.add_workers(&["w"]);
+        let gang = StepPlan { gang: true, ..step(4, 4_000) };
+        cell.accept("gang", record(permitted(1, Duration::ZERO), vec![gang]));
+        let ask = cell.board.place(WALL, cell.now, LONG_ASKS).asks.remove(0);
+        allow(&mut cell, &ask, &["w"]);
+        cell.wait(2100);
+        let ask = cell.board.place(WALL, cell.now, LONG_ASKS).asks.remove(0);
+        cell.accept("single", record(rules(2), vec![step(1, 1_000)]));
+        assert!(cell.place().is_empty());
+        allow(&mut cell, &ask, &["w"]);
+        assert_eq!(cell.place().len(), 4);
+    }
+
+    a_large_cell_is_asked_in_parts(cell) {
+        let ids: Vec<String> = (0..200).map(|index| format!("w{index}")).collect();
+        let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+        cell.add_workers(&ids);
+        let gang = StepPlan { gang: true, ..step(60, 4_000) };
+        cell.accept("gang", record(permitted(1, Duration::from_millis(500)), vec![gang]));
+        let asks = cell.board.place(WALL, cell.now, LONG_ASKS).asks;
+        assert!(asks.len() > 1);
+        assert!(asks.iter().all(|ask| ask.workers.len() <= 60));
+    }
+
+    a_running_task_keeps_its_percent(cell) {
+        let workers = cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![step(1, 4_000)]));
+        cell.start_all();
+        cell.report(workers[0], vec![running(task("job", 0, 0), 1)], Vec::new());
+        assert_eq!(cell.board.counts(cell.now).placed, 1);
+    }
+}
+
+/// One account sends many times its usual; the others keep their share.
+#[test]
+fn an_account_gets_its_share_of_new_jobs() {
+    let mut meter = ShareMeter::default();
+    let (hot, calm) = ("hot".into(), "calm".into());
+    let mut taken = [0, 0];
+    for millis in 0..5000 {
+        let now = Duration::from_millis(millis);
+        if meter.take(&hot, 10, now) {
+            taken[0] += 1;
+        }
+        if millis % 200 == 0 && meter.take(&calm, 10, now) {
+            taken[1] += 1;
+        }
+    }
+    assert_eq!(taken[1], 25, "the calm account is within its share");
+    assert!((50..=60).contains(&taken[0]), "{} of 5000", taken[0]);
+}
--- /dev/null
+++ b/crates/geraniumwinch-fleet/tests/room.rs
@@ -0,0 +1,121 @@
+//! No worker is overcommitted, and no account runs more than its limit.
+
+mod common;
+
+use geraniumwinch_core::ResourceVector;
+use geraniumwinch_fleet::AccountLimit;
+use geraniumwinch_fleet::RunEnd;
+use geraniumwinch_fleet::StartOutcome;
+
+use self::common::ended;
+use self::common::record;
+use self::common::rules;
+use self::common::running;
+use self::common::step;
+use self::common::task;
+
+/// Limits the account of the tests.
+fn limit(cpu_millis: u64) -> Vec<AccountLimit> {
+    let limit = ResourceVector { cpu_millis, memory_bytes: 0, accelerators: 0 };
+    vec![AccountLimit { account: "account".into(), weight: 1, limit }]
+}
+
+cases! {
+    tasks_fill_a_worker_and_no_more(cell) {
+        cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![step(9, 4_000)]));
+        assert_eq!(cell.start_all().len(), 4);
+        assert_eq!(cell.place().len(), 0);
+    }
+
+    room_comes_free_when_the_end_is_listed(cell) {
+        let workers = cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![step(5, 4_000)]));
+        cell.start_all();
+        let left = (1..4).map(|index| running(task("job", 0, index), 1)).collect();
+        cell.report(workers[0], left, vec![ended(1, task("job", 0, 0), 1, RunEnd::Done)]);
+        assert_eq!(cell.place().len(), 1);
+    }
+
+    /// A start without an answer keeps its room: it may be carried out later.
+    an_unanswered_start_keeps_its_room(cell) {
+        cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![step(5, 4_000)]));
+        for start in cell.place() {
+            cell.outcome(&start, StartOutcome::Unknown);
+        }
+        assert_eq!(cell.place().len(), 0);
+    }
+
+    /// An unanswered start is stopped, and its room is free once a later report lacks it.
+    an_unanswered_start_is_taken_back(cell) {
+        let workers = cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![step(1, 4_000)]));
+        let start = cell.place().remove(0);
+        cell.outcome(&start, StartOutcome::Unknown);
+        cell.wait(800);
+        let stop = cell.board.take_stops().remove(0);
+        assert_eq!((stop.task.clone(), stop.run), (start.task.clone(), start.run));
+        cell.report(workers[0], Vec::new(), Vec::new());
+        assert_eq!(cell.place().len(), 0, "a late start is not shut out yet");
+        cell.board.stop_answered(workers[0], &stop.task, stop.run, cell.now);
+        cell.wait(1);
+        cell.report(workers[0], Vec::new(), Vec::new());
+        assert_eq!(cell.place()[0].run, start.run + 1);
+    }
+
+    a_run_that_nobody_wants_takes_room_and_is_stopped(cell) {
+        let workers = cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![step(4, 4_000)]));
+        cell.report(workers[0], vec![running(task("unknown", 0, 0), 1)], Vec::new());
+        assert_eq!(cell.place().len(), 0, "the size of an unknown run is unknown");
+        assert_eq!(cell.board.take_stops().len(), 1);
+        cell.report(workers[0], Vec::new(), Vec::new());
+        assert_eq!(cell.place().len(), 4);
+    }
+
+    a_draining_worker_gets_no_tasks(cell) {
+        cell.add_workers(&["w"]);
+        let mut card = common::card("w");
+        card.accepting = false;
+        cell.board.set_workers(vec![card], cell.now);
+        cell.accept("job", record(rules(1), vec![step(1, 1_000)]));
+        assert_eq!(cell.place().len(), 0);
+    }
+
+    /// The next owner could not ask a worker that the store doesn't know.
+    a_worker_that_the_store_does_not_know_gets_no_tasks(cell) {
+        let cards = vec![common::card("w")];
+        let workers = cell.board.set_workers(cards.clone(), cell.now);
+        cell.report(workers[0], Vec::new(), Vec::new());
+        cell.accept("job", record(rules(1), vec![step(1, 1_000)]));
+        assert_eq!(cell.place().len(), 0);
+        assert_eq!(cell.board.unrecorded_workers(), Some(cards.clone()));
+        cell.board.workers_recorded(&cards);
+        assert_eq!(cell.place().len(), 1);
+    }
+
+    an_account_runs_no_more_than_its_limit(cell) {
+        cell.add_workers(&["w", "v"]);
+        cell.board.set_limits(limit(9_000));
+        cell.accept("job", record(rules(1), vec![step(5, 4_000)]));
+        assert_eq!(cell.start_all().len(), 2);
+    }
+
+    a_gang_over_the_limit_starts_no_member(cell) {
+        cell.add_workers(&["w", "v"]);
+        cell.board.set_limits(limit(9_000));
+        let mut plan = step(3, 4_000);
+        plan.gang = true;
+        cell.accept("job", record(rules(1), vec![plan]));
+        assert_eq!(cell.place().len(), 0);
+    }
+
+    tasks_of_a_step_are_spread_as_asked(cell) {
+        cell.add_workers(&["w", "v"]);
+        let mut plan = step(5, 1_000);
+        plan.per_worker = 2;
+        cell.accept("job", record(rules(1), vec![plan]));
+        assert_eq!(cell.start_all().len(), 4);
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-fleet/tests/runs.rs
@@ -0,0 +1,202 @@
+//! Runs of tasks: order of steps, ends, failures, gangs, silent and failing workers, cancelling.
+
+mod common;
+
+use geraniumwinch_fleet::BoardEvent;
+use geraniumwinch_fleet::JobPhase;
+use geraniumwinch_fleet::RunEnd;
+use geraniumwinch_fleet::StartOutcome;
+use geraniumwinch_fleet::StepPlan;
+
+use self::common::ended;
+use self::common::record;
+use self::common::rules;
+use self::common::running;
+use self::common::step;
+use self::common::task;
+
+/// Creates a gang.
+fn gang(tasks: u32, cpu_millis: u64) -> StepPlan {
+    StepPlan { gang: true, ..step(tasks, cpu_millis) }
+}
+
+cases! {
+    a_step_waits_for_those_before_it(cell) {
+        let workers = cell.add_workers(&["w"]);
+        let second = StepPlan { after: vec![0], ..step(1, 1_000) };
+        cell.accept("job", record(rules(1), vec![step(1, 1_000), second]));
+        let starts = cell.start_all();
+        assert_eq!(starts.len(), 1);
+        let end = ended(1, task("job", 0, 0), starts[0].run, RunEnd::Done);
+        cell.report(workers[0], Vec::new(), vec![end]);
+        assert_eq!(cell.place()[0].task, task("job", 1, 0));
+    }
+
+    a_job_is_shown_completed_once_the_store_holds_it(cell) {
+        let workers = cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![step(1, 1_000)]));
+        cell.start_all();
+        let end = ended(1, task("job", 0, 0), 1, RunEnd::Done);
+        cell.report(workers[0], Vec::new(), vec![end]);
+        assert_eq!(cell.phase("job"), Some(JobPhase::Live));
+        assert_eq!(cell.board.stored_ends(workers[0]), 0, "the end is not acknowledged");
+        cell.store_all();
+        assert_eq!(cell.phase("job"), Some(JobPhase::Completed));
+        assert_eq!(cell.board.stored_ends(workers[0]), 1);
+    }
+
+    a_refused_write_is_written_again(cell) {
+        let workers = cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![step(1, 1_000)]));
+        cell.start_all();
+        let end = ended(1, task("job", 0, 0), 1, RunEnd::Done);
+        cell.report(workers[0], Vec::new(), vec![end]);
+        let writes = cell.board.take_writes(9, cell.now).expect("it is encoded");
+        assert_eq!(writes.len(), 1);
+        cell.board.rewrite("job", cell.now);
+        assert_eq!(cell.store_all().len(), 1);
+        assert_eq!(cell.phase("job"), Some(JobPhase::Completed));
+    }
+
+    a_job_fails_after_its_attempts(cell) {
+        let workers = cell.add_workers(&["w"]);
+        let mut twice = rules(1);
+        twice.attempts = 2;
+        cell.accept("job", record(twice, vec![step(1, 1_000)]));
+        for number in 1..=2 {
+            let starts = cell.start_all();
+            assert_eq!(starts.len(), 1);
+            let end = ended(number, task("job", 0, 0), starts[0].run, RunEnd::Failed);
+            cell.report(workers[0], Vec::new(), vec![end]);
+        }
+        assert_eq!(cell.place().len(), 0);
+        cell.store_all();
+        assert_eq!(cell.phase("job"), Some(JobPhase::Failed));
+    }
+
+    a_gang_starts_as_a_whole_or_not_at_all(cell) {
+        cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![gang(5, 4_000)]));
+        assert_eq!(cell.place().len(), 0);
+        cell.add_workers(&["v"]);
+        cell.board.set_workers(vec![common::card("w"), common::card("v")], cell.now);
+        let starts = cell.place();
+        assert_eq!(starts.len(), 5);
+        assert!(starts.iter().all(|start| start.run == starts[0].run));
+    }
+
+    one_end_of_a_gang_ends_all_its_work(cell) {
+        let workers = cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![gang(2, 1_000)]));
+        cell.start_all();
+        let left = vec![running(task("job", 0, 1), 1)];
+        let end = ended(1, task("job", 0, 0), 1, RunEnd::Done);
+        cell.report(workers[0], left, vec![end]);
+        cell.store_all();
+        assert_eq!(cell.phase("job"), Some(JobPhase::Completed));
+        assert!(cell.board.take_stops().is_empty(), "the other member ends by itself");
+    }
+
+    a_gang_that_lost_a_member_starts_anew_with_a_higher_run(cell) {
+        let workers = cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![gang(2, 1_000)]));
+        cell.start_all();
+        let ends = vec![
+            ended(1, task("job", 0, 0), 1, RunEnd::Failed),
+            ended(2, task("job", 0, 1), 1, RunEnd::Broken),
+        ];
+        cell.report(workers[0], Vec::new(), ends);
+        let starts = cell.place();
+        assert_eq!(starts.iter().map(|start| start.run).collect::<Vec<u64>>(), [2, 2]);
+    }
+
+    a_gang_with_a_refused_member_stops_the_others(cell) {
+        cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![gang(2, 1_000)]));
+        let starts = cell.place();
+        cell.outcome(&starts[0], StartOutcome::Started);
+        cell.outcome(&starts[1], StartOutcome::Refused);
+        let stops = cell.board.take_stops();
+        assert_eq!(stops.len(), 1);
+        assert_eq!(stops[0].task, starts[0].task);
+    }
+
+    a_silent_worker_is_given_up_when_its_lease_has_ended(cell) {
+        let workers = cell.add_workers(&["w", "v"]);
+        cell.accept("job", record(rules(1), vec![step(1, 1_000)]));
+        let start = cell.start_all().remove(0);
+        cell.board.extend_lease(start.worker, cell.now);
+        cell.board.mark_silent(start.worker);
+        cell.wait(6300);
+        assert_eq!(cell.place().len(), 0, "the run may go on");
+        cell.wait(100);
+        let other = workers.into_iter().find(|&worker| worker != start.worker);
+        let starts = cell.place();
+        assert_eq!(starts.len(), 1);
+        assert_eq!(Some(starts[0].worker), other);
+    }
+
+    a_restarted_worker_runs_nothing_of_before(cell) {
+        let workers = cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![step(1, 1_000)]));
+        cell.start_all();
+        let report = geraniumwinch_fleet::WorkerReport {
+            incarnation: common::LIFETIME + 1,
+            ..Default::default()
+        };
+        cell.board.report(workers[0], &report, cell.now, cell.now);
+        assert_eq!(cell.place()[0].run, 2);
+    }
+
+    /// A worker that fails what it starts takes nothing for a while.
+    a_worker_that_fails_in_a_row_is_quarantined(cell) {
+        let workers = cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![step(3, 1_000)]));
+        cell.start_all();
+        let ends = (0..3)
+            .map(|index| {
+                let number = u64::from(index) + 1;
+                ended(number, task("job", 0, index), 1, RunEnd::Failed)
+            })
+            .collect();
+        cell.report(workers[0], Vec::new(), ends);
+        assert_eq!(cell.place().len(), 0);
+        let events = cell.board.take_events();
+        assert!(events.iter().any(|event| matches!(event, BoardEvent::Quarantined { .. })));
+        cell.wait(4000);
+        assert_eq!(cell.place().len(), 3);
+    }
+
+    a_run_without_progress_is_moved(cell) {
+        let workers = cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![step(1, 1_000)]));
+        cell.start_all();
+        for _ in 0..3 {
+            cell.report(workers[0], vec![running(task("job", 0, 0), 1)], Vec::new());
+            cell.wait(900);
+        }
+        assert_eq!(cell.board.take_stops().len(), 1);
+    }
+
+    a_cancelled_job_is_stopped_at_once(cell) {
+        cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![step(5, 4_000)]));
+        cell.start_all();
+        assert!(cell.board.cancel("job", cell.now));
+        assert!(!cell.board.cancel("other", cell.now));
+        assert_eq!(cell.board.take_stops().len(), 4);
+        assert_eq!(cell.place().len(), 0);
+        cell.store_all();
+        assert_eq!(cell.phase("job"), Some(JobPhase::Cancelled));
+    }
+
+    a_run_resumes_from_its_checkpoint(cell) {
+        let workers = cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![step(1, 1_000)]));
+        cell.start_all();
+        let mut end = ended(1, task("job", 0, 0), 1, RunEnd::Stopped);
+        end.checkpoint = Some("half".into());
+        cell.report(workers[0], Vec::new(), vec![end]);
+        assert_eq!(cell.place()[0].checkpoint.as_deref(), Some("half"));
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-fleet/tests/takeover.rs
@@ -0,0 +1,160 @@
+//! A new owner: what runs on, what ended unread, and what may run out of sight.
+
+mod common;
+
+use std::time::Duration;
+
+use geraniumwinch_core::ResourceVector;
+use geraniumwinch_fleet::AccountLimit;
+use geraniumwinch_fleet::JobPhase;
+use geraniumwinch_fleet::JobRecord;
+use geraniumwinch_fleet::RunEnd;
+use geraniumwinch_fleet::UnitProgress;
+
+use self::common::LEASE;
+use self::common::TestCell;
+use self::common::card;
+use self::common::ended;
+use self::common::record;
+use self::common::rules;
+use self::common::running;
+use self::common::step;
+use self::common::task;
+
+/// Creates the board of the second epoch with a job of the first one.
+fn second_epoch(record: JobRecord) -> TestCell {
+    let mut cell = TestCell::new(2);
+    let uncertain_until = cell.now + LEASE;
+    cell.board.load("job".into(), record, uncertain_until);
+    cell
+}
+
+#[test]
+fn runs_are_adopted_and_not_started_again() {
+    let mut cell = second_epoch(record(rules(1), vec![step(1, 4_000)]));
+    let workers = cell.list_workers(&["w"]);
+    cell.report(workers[0], vec![running(task("job", 0, 0), 3)], Vec::new());
+    assert_eq!(cell.place().len(), 0);
+    cell.wait(1);
+    cell.report(
+        workers[0],
+        Vec::new(),
+        vec![ended(1, task("job", 0, 0), 3, RunEnd::Done)],
+    );
+    cell.store_all();
+    assert_eq!(cell.phase("job"), Some(JobPhase::Completed));
+}
+
+/// trouble-2 of kbc-winch: the entries of workers had lapsed with the store.
+#[test]
+fn workers_of_former_owners_are_asked_though_they_are_not_listed() {
+    let mut cell = second_epoch(record(rules(1), vec![step(1, 4_000)]));
+    let unlisted = cell.board.load_workers(vec![card("w")], cell.now);
+    cell.add_workers(&["v"]);
+    assert_eq!(cell.place().len(), 0, "the task may have ended on the unlisted worker");
+    cell.report(
+        unlisted[0],
+        Vec::new(),
+        vec![ended(1, task("job", 0, 0), 1, RunEnd::Done)],
+    );
+    assert_eq!(cell.place().len(), 0);
+    cell.store_all();
+    assert_eq!(cell.phase("job"), Some(JobPhase::Completed));
+}
+
+#[test]
+fn tasks_start_anew_when_the_leases_of_unseen_workers_have_ended() {
+    let mut cell = second_epoch(record(rules(1), vec![step(1, 4_000)]));
+    let workers = cell.list_workers(&["gone", "w"]);
+    cell.report(workers[1], Vec::new(), Vec::new());
+    assert_eq!(cell.place().len(), 0);
+    cell.wait(6400);
+    let starts = cell.place();
+    assert_eq!(starts.len(), 1);
+    assert!(starts[0].run > 1, "run numbers rise over epochs");
+}
+
+/// trouble-1 of tractorcover-eg: the store had turned the former owner away.
+#[test]
+fn the_failure_of_an_earlier_run_counts() {
+    let mut two_failures = record(rules(1), vec![step(1, 4_000)]);
+    two_failures.rules.attempts = 4;
+    let progress = UnitProgress { done: Vec::new(), failed: vec![(0, 1), (0, 2)] };
+    two_failures.progress.insert(0, progress);
+    let mut cell = second_epoch(two_failures);
+    let workers = cell.list_workers(&["w", "v"]);
+    cell.report(workers[0], vec![running(task("job", 0, 0), 4)], Vec::new());
+    cell.report(
+        workers[1],
+        Vec::new(),
+        vec![ended(1, task("job", 0, 0), 3, RunEnd::Failed)],
+    );
+    cell.wait(1);
+    cell.report(
+        workers[0],
+        Vec::new(),
+        vec![ended(1, task("job", 0, 0), 4, RunEnd::Failed)],
+    );
+    assert_eq!(cell.place().len(), 0, "four runs have failed");
+    cell.store_all();
+    assert_eq!(cell.phase("job"), Some(JobPhase::Failed));
+}
+
+/// mix 13005321520 of tractorcover-eg: the end was stored, but not acknowledged.
+#[test]
+fn a_stored_failure_that_is_read_again_counts_once() {
+    let mut one_failure = record(rules(1), vec![step(1, 4_000)]);
+    one_failure.rules.attempts = 2;
+    let progress = UnitProgress { done: Vec::new(), failed: vec![(0, 1)] };
+    one_failure.progress.insert(0, progress);
+    let mut cell = second_epoch(one_failure);
+    let workers = cell.list_workers(&["w"]);
+    cell.report(
+        workers[0],
+        Vec::new(),
+        vec![ended(1, task("job", 0, 0), 1, RunEnd::Failed)],
+    );
+    assert_eq!(cell.place().len(), 1);
+}
+
+/// hunt-a3ce-11 of tractorcover-eg: a domain was cut off when the owner changed.
+#[test]
+fn what_may_run_out_of_sight_counts_against_the_limit() {
+    let mut cell = second_epoch(record(rules(1), vec![step(2, 4_000)]));
+    let limit =
+        ResourceVector { cpu_millis: 9_000, memory_bytes: 0, accelerators: 0 };
+    cell.board.set_limits(vec![AccountLimit {
+        account: "account".into(),
+        weight: 1,
+        limit,
+    }]);
+    let workers = cell.list_workers(&["unseen", "w"]);
+    cell.report(workers[1], Vec::new(), Vec::new());
+    cell.accept("new", record(rules(0), vec![step(2, 4_000)]));
+    assert_eq!(cell.place().len(), 0, "8000 of 9000 may run on the unseen worker");
+    cell.wait(6400);
+    assert_eq!(cell.place().len(), 2);
+}
+
+#[test]
+fn done_tasks_of_the_record_stay_done() {
+    let mut half = record(rules(1), vec![step(2, 4_000)]);
+    half.progress
+        .insert(0, UnitProgress { done: vec![1], failed: Vec::new() });
+    let mut cell = second_epoch(half);
+    cell.add_workers(&["w"]);
+    let starts = cell.place();
+    assert_eq!(starts.len(), 1);
+    assert_eq!(starts[0].task, task("job", 0, 0));
+}
+
+#[test]
+fn a_record_survives_the_store() {
+    let mut job = record(rules(1), vec![step(2, 4_000)]);
+    job.progress.insert(0, UnitProgress { done: vec![1], failed: vec![(0, 9)] });
+    let bytes = job.encode().expect("it is encoded");
+    assert_eq!(JobRecord::decode(&bytes).expect("it is decoded"), job);
+    assert!(JobRecord::decode(&[99, 0]).is_err());
+    assert!(JobRecord::decode(&[]).is_err());
+    assert_eq!(job.accepted, common::WALL + Duration::ZERO);
+}
