Test the path on the platform with real processes against a stand-in

The stand-in speaks the platform's protocol: store with transactions, watches and leases, workers with runs, fences and leases, permissions. 19 tests: jobs through any process, idempotent hand-in, failures, cancelling, refusals, an owner that is killed, frozen or stopped, the loss of all processes, a busy store, lost answers.

--- a/crates/geraniumwinch-cell/src/call_client.rs
+++ b/crates/geraniumwinch-cell/src/call_client.rs
@@ -100,7 +100,8 @@
         let mut answer = call.send_body(request.body).await.map_err(classify)?;
         let status = answer.status().as_u16();
         let length = answer.headers().get(CONTENT_LENGTH);
-        let length = length.and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
+        let length =
+            length.and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
         let body = answer.body().limit(MAX_ANSWER).await;
         let body =
             body.map_err(|error| CallError::NoAnswer { message: error.to_string() })?;
--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -446,7 +446,10 @@
     fn admits(&self, account: &Name) -> bool {
         let weight = self.catalog.current().and_then(|current| {
             let limits = current.catalog.accounts.iter().map(|found| &found.limit);
-            limits.filter(|limit| limit.account == *account).map(|limit| limit.weight).next()
+            limits
+                .filter(|limit| limit.account == *account)
+                .map(|limit| limit.weight)
+                .next()
         });
         let Some(weight) = weight else { return true };
         let now = self.ports.clock.now();
--- a/crates/geraniumwinch-cell/src/cell_owner.rs
+++ b/crates/geraniumwinch-cell/src/cell_owner.rs
@@ -277,7 +277,8 @@
                 }
             }
         });
-        let answers: Vec<(Name, bool)> = join_all(calls).await.into_iter().flatten().collect();
+        let answers: Vec<(Name, bool)> =
+            join_all(calls).await.into_iter().flatten().collect();
         let mut reached = BTreeSet::from([self.settings.domain.clone()]);
         reached.extend(answers.iter().map(|(domain, _)| domain.clone()));
         DomainSurvey {
--- a/crates/geraniumwinch-cell/src/order_sender.rs
+++ b/crates/geraniumwinch-cell/src/order_sender.rs
@@ -113,7 +113,12 @@
             match result {
                 Ok(()) => return StartOutcome::Started,
                 Err(OrderError::Call(error)) if !error.without_effect() => {
-                    log_event!(Warn, "start-unanswered", task = start.task, error = error);
+                    log_event!(
+                        Warn,
+                        "start-unanswered",
+                        task = start.task,
+                        error = error
+                    );
                     if repeated {
                         return StartOutcome::Unknown;
                     }
--- a/crates/geraniumwinch-cell/src/permission_desk.rs
+++ b/crates/geraniumwinch-cell/src/permission_desk.rs
@@ -77,9 +77,9 @@
         let loads = self.loads.borrow();
         let load = |member: &SocketAddr| loads.get(member).copied().unwrap_or_default();
         let long = members.iter().filter(|member| load(member).long).count();
-        let idle = members.iter().filter(|member| {
-            load(member).open == 0 && load(member).resting_until <= now
-        });
+        let idle = members
+            .iter()
+            .filter(|member| load(member).open == 0 && load(member).resting_until <= now);
         let short_calls = now < self.last_short.get() + SHORT_MEMORY;
         let share = if short_calls { SHORT_SHARE } else { 0.0 };
         let spared = (members.len() as f64 * share).ceil() as usize;
--- a/crates/geraniumwinch-fleet/src/fleet_board.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board.rs
@@ -147,7 +147,11 @@
     /// Puts the workers on the board where tasks of a former owner may run.
     ///
     /// They take no tasks before the platform's list has them.
-    pub fn load_workers(&mut self, cards: Vec<WorkerCard>, now: BootTime) -> Vec<WorkerKey> {
+    pub fn load_workers(
+        &mut self,
+        cards: Vec<WorkerCard>,
+        now: BootTime,
+    ) -> Vec<WorkerKey> {
         let fresh = self.set_workers(cards, now);
         for &key in &fresh {
             let slot = &mut self.workers[key];
--- a/crates/geraniumwinch-fleet/src/fleet_board/admitting.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/admitting.rs
@@ -44,19 +44,22 @@
             for unit in 0..job.units.len() as u32 {
                 let plan = job.plan(unit);
                 let waiting = f64::from(job.units[unit as usize].waiting);
-                let work = plan.estimate.as_secs_f64() * plan.reserved().cpu_millis as f64;
+                let work =
+                    plan.estimate.as_secs_f64() * plan.reserved().cpu_millis as f64;
                 ahead += waiting * work;
             }
         }
         let wait = Duration::from_secs_f64(ahead / (self.processors() * PACKED_SHARE));
         let chain = longest_chain(record);
-        let allowed = chain.mul_f64(record.rules.stretch.max(1.0)) + record.rules.objective;
+        let allowed =
+            chain.mul_f64(record.rules.stretch.max(1.0)) + record.rules.objective;
         (wait + chain).checked_sub(allowed).filter(|excess| !excess.is_zero())
     }
 
     /// Returns the processors of all workers in thousandths of a core, at least one.
     fn processors(&self) -> f64 {
-        let room: u64 = self.workers.values().map(|slot| slot.card.capacity.cpu_millis).sum();
+        let room: u64 =
+            self.workers.values().map(|slot| slot.card.capacity.cpu_millis).sum();
         room.max(1000) as f64
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_board/job_slot.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/job_slot.rs
@@ -247,7 +247,10 @@
 
 /// Returns the longest chain of a job's estimated work, with one question for permission a step.
 pub(super) fn longest_chain(record: &JobRecord) -> Duration {
-    let ask = record.rules.permission.map_or(Duration::ZERO, |cost| cost.call_time(CHAIN_WORKERS));
+    let ask = record
+        .rules
+        .permission
+        .map_or(Duration::ZERO, |cost| cost.call_time(CHAIN_WORKERS));
     let mut ends: Vec<Duration> = Vec::with_capacity(record.request.steps.len());
     for step in &record.request.steps {
         let before = step.after.iter().filter_map(|&before| ends.get(before as usize));
--- a/crates/geraniumwinch-fleet/tests/common/mod.rs
+++ b/crates/geraniumwinch-fleet/tests/common/mod.rs
@@ -146,8 +146,7 @@
         running: Vec<RunningRun>,
         ended: Vec<EndedRun>,
     ) {
-        let report =
-            WorkerReport { incarnation: LIFETIME, clock_ms: 1, running, ended };
+        let report = WorkerReport { incarnation: LIFETIME, clock_ms: 1, running, ended };
         self.board.report(worker, &report, self.now, self.now);
     }
 
--- a/crates/geraniumwinch-fleet/tests/load.rs
+++ b/crates/geraniumwinch-fleet/tests/load.rs
@@ -29,7 +29,11 @@
 }
 
 /// Answers a question with a permission for each of the named workers.
-fn allow(cell: &mut TestCell, ask: &geraniumwinch_fleet::PermissionAsk, allowed: &[&str]) {
+fn allow(
+    cell: &mut TestCell,
+    ask: &geraniumwinch_fleet::PermissionAsk,
+    allowed: &[&str],
+) {
     let until = cell.now + Duration::from_secs(2);
     let grants = allowed.iter().map(|&worker| PermissionGrant {
         worker: worker.into(),
--- a/crates/geraniumwinch-fleet/tests/takeover.rs
+++ b/crates/geraniumwinch-fleet/tests/takeover.rs
@@ -121,8 +121,7 @@
 #[test]
 fn what_may_run_out_of_sight_counts_against_the_limit() {
     let mut cell = second_epoch(record(rules(1), vec![step(2, 4_000)]));
-    let limit =
-        ResourceVector { cpu_millis: 9_000, memory_bytes: 0, accelerators: 0 };
+    let limit = ResourceVector { cpu_millis: 9_000, memory_bytes: 0, accelerators: 0 };
     cell.board.set_limits(vec![AccountLimit {
         account: "account".into(),
         weight: 1,
@@ -139,8 +138,7 @@
 #[test]
 fn done_tasks_of_the_record_stay_done() {
     let mut half = record(rules(1), vec![step(2, 4_000)]);
-    half.progress
-        .insert(0, UnitProgress { done: vec![1], failed: Vec::new() });
+    half.progress.insert(0, UnitProgress { done: vec![1], failed: Vec::new() });
     let mut cell = second_epoch(half);
     cell.add_workers(&["w"]);
     let starts = cell.place();
--- /dev/null
+++ b/crates/geraniumwinch-standins/src/fleet/job_worker.rs
@@ -0,0 +1,265 @@
+//! A worker of the platform: it starts what it is told, whether it fits or not.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use actix_web::HttpRequest;
+use actix_web::HttpResponse;
+use actix_web::web;
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::stand_in::lock;
+use crate::stand_in::unix_millis;
+
+use super::SharedWorkers;
+
+/// The time between two looks of a call that waits for an end.
+const HOLD_LOOK: Duration = Duration::from_millis(10);
+/// The longest lease.
+const MAX_LEASE_MS: u64 = 6000;
+
+/// A run.
+#[derive(Debug, Clone)]
+struct JobRun {
+    task: String,
+    run: u64,
+    started_ms: u64,
+    ends: Instant,
+    /// How it will end by itself.
+    outcome: &'static str,
+    /// How and when it has ended.
+    ended: Option<(&'static str, u64)>,
+}
+
+/// A worker.
+#[derive(Debug)]
+pub struct JobWorker {
+    born: u64,
+    since: Instant,
+    fence: u64,
+    lease_end_ms: u64,
+    runs: Vec<JobRun>,
+    ended: Vec<(u64, usize)>,
+    numbers: u64,
+    /// The highest run of each task that was stopped or has ended.
+    closed: HashMap<String, u64>,
+}
+
+impl Default for JobWorker {
+    fn default() -> Self {
+        JobWorker {
+            born: unix_millis(),
+            since: Instant::now(),
+            fence: 0,
+            lease_end_ms: 0,
+            runs: Vec::new(),
+            ended: Vec::new(),
+            numbers: 0,
+            closed: HashMap::new(),
+        }
+    }
+}
+
+/// An order or a look.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default)]
+struct WireOrder {
+    task: String,
+    run: u64,
+    /// `MILLISECONDS OUTCOME`: how long the task works and how it ends.
+    spec: String,
+    deadline_ms: u64,
+    fencing_token: u64,
+    last_seen: u64,
+    wait_ms: u64,
+}
+
+impl JobWorker {
+    /// Returns the worker's own clock.
+    fn clock_ms(&self) -> u64 {
+        self.since.elapsed().as_millis() as u64 + 1
+    }
+
+    /// Ends what has ended by itself or by the lease.
+    fn advance(&mut self) {
+        let (clock, now) = (self.clock_ms(), Instant::now());
+        for index in 0..self.runs.len() {
+            let run = &self.runs[index];
+            if run.ended.is_some() {
+                continue;
+            }
+            if clock > self.lease_end_ms {
+                self.end(index, "lapsed");
+            } else if run.ends <= now {
+                self.end(index, run.outcome);
+            }
+        }
+    }
+
+    /// Ends a run.
+    fn end(&mut self, index: usize, how: &'static str) {
+        self.numbers += 1;
+        let run = &mut self.runs[index];
+        run.ended = Some((how, unix_millis()));
+        let closed = self.closed.entry(run.task.clone()).or_default();
+        *closed = run.run.max(*closed);
+        self.ended.push((self.numbers, index));
+    }
+
+    /// Checks the fence of an order and extends the lease.
+    fn admit(&mut self, order: &WireOrder) -> Result<(), &'static str> {
+        self.advance();
+        if order.fencing_token < self.fence {
+            return Err("fence");
+        }
+        self.fence = order.fencing_token;
+        let longest = self.clock_ms() + MAX_LEASE_MS;
+        self.lease_end_ms = self.lease_end_ms.max(order.deadline_ms.min(longest));
+        Ok(())
+    }
+
+    /// Starts a task.
+    fn start(&mut self, order: WireOrder) -> Result<(), &'static str> {
+        if order.deadline_ms <= self.clock_ms() {
+            return Err("late");
+        }
+        self.admit(&order)?;
+        let there = |run: &&JobRun| run.task == order.task && run.run == order.run;
+        if self.runs.iter().find(there).is_some_and(|run| run.ended.is_none()) {
+            return Ok(());
+        }
+        if self.closed.get(&order.task).is_some_and(|&closed| order.run <= closed) {
+            return Err("old");
+        }
+        let (millis, outcome) =
+            order.spec.split_once(' ').unwrap_or((&order.spec, "done"));
+        let outcome = if outcome == "failed" { "failed" } else { "done" };
+        let work = Duration::from_millis(millis.parse().unwrap_or(100));
+        self.runs.push(JobRun {
+            task: order.task,
+            run: order.run,
+            started_ms: unix_millis(),
+            ends: Instant::now() + work,
+            outcome,
+            ended: None,
+        });
+        Ok(())
+    }
+
+    /// Stops a run and shuts out its late start.
+    fn stop(&mut self, order: &WireOrder) -> Result<(), &'static str> {
+        self.admit(order)?;
+        let closed = self.closed.entry(order.task.clone()).or_default();
+        *closed = order.run.max(*closed);
+        let running = |run: &JobRun| {
+            run.task == order.task && run.run <= order.run && run.ended.is_none()
+        };
+        if let Some(index) = self.runs.iter().position(running) {
+            self.end(index, "stopped");
+        }
+        Ok(())
+    }
+
+    /// Shows both lists.
+    fn lists(&self, seen: u64) -> Value {
+        let running = self.runs.iter().filter(|run| run.ended.is_none());
+        let running: Vec<Value> =
+            running.map(|run| json!([run.task, run.run, "", 50, 0])).collect();
+        let ended = self.ended.iter().filter(|(number, _)| *number > seen);
+        let ended = ended.map(|&(number, index)| {
+            let run = &self.runs[index];
+            let how = run.ended.map_or("", |(how, _)| how);
+            json!([number, run.task, run.run, how, ""])
+        });
+        json!({
+            "clock_ms": self.clock_ms(), "born": self.born,
+            "running": running, "ended": ended.collect::<Vec<Value>>(),
+        })
+    }
+
+    /// Returns all runs that were ever started.
+    pub(super) fn account(&mut self) -> Vec<Value> {
+        self.advance();
+        let show = |run: &JobRun| {
+            let (how, ended_ms) = run.ended.unwrap_or(("running", u64::MAX));
+            json!({
+                "task": run.task, "run": run.run, "started_ms": run.started_ms,
+                "ended_ms": ended_ms, "how": how,
+            })
+        };
+        self.runs.iter().map(show).collect()
+    }
+
+    /// Answers an order.
+    fn answer(&self, result: Result<(), &'static str>) -> HttpResponse {
+        let clock_ms = self.clock_ms();
+        match result {
+            Ok(()) => HttpResponse::Ok().json(json!({ "clock_ms": clock_ms })),
+            Err(reason) => HttpResponse::Conflict()
+                .json(json!({ "clock_ms": clock_ms, "reason": reason })),
+        }
+    }
+}
+
+/// Adds the workers' calls.
+pub fn routes(config: &mut web::ServiceConfig) {
+    config
+        .route("/-/run-start", web::post().to(start))
+        .route("/-/run-stop", web::post().to(stop))
+        .route("/-/hold", web::post().to(hold));
+}
+
+/// Finds the worker that a request is for: they follow the store's port in order.
+fn find<'a>(workers: &'a SharedWorkers, request: &HttpRequest) -> &'a Mutex<JobWorker> {
+    let port = request.app_config().local_addr().port();
+    &workers[usize::from(port).wrapping_sub(1) % super::PORT_STEP]
+}
+
+/// Starts a task.
+async fn start(
+    workers: SharedWorkers,
+    request: HttpRequest,
+    order: web::Json<WireOrder>,
+) -> HttpResponse {
+    let mut worker = lock(find(&workers, &request));
+    let result = worker.start(order.into_inner());
+    worker.answer(result)
+}
+
+/// Stops a run.
+async fn stop(
+    workers: SharedWorkers,
+    request: HttpRequest,
+    order: web::Json<WireOrder>,
+) -> HttpResponse {
+    let mut worker = lock(find(&workers, &request));
+    let result = worker.stop(&order);
+    worker.answer(result)
+}
+
+/// Extends the lease and shows both lists, once there is an end or the wait is over.
+async fn hold(
+    workers: SharedWorkers,
+    request: HttpRequest,
+    order: web::Json<WireOrder>,
+) -> HttpResponse {
+    let worker = find(&workers, &request);
+    let end = Instant::now() + Duration::from_millis(order.wait_ms);
+    loop {
+        {
+            let mut worker = lock(worker);
+            if let Err(reason) = worker.admit(&order) {
+                return worker.answer(Err(reason));
+            }
+            let news = worker.ended.iter().any(|(number, _)| *number > order.last_seen);
+            if news || Instant::now() >= end {
+                return HttpResponse::Ok().json(worker.lists(order.last_seen));
+            }
+        }
+        tokio::time::sleep(HOLD_LOOK).await;
+    }
+}
--- a/crates/geraniumwinch-standins/src/main.rs
+++ b/crates/geraniumwinch-standins/src/main.rs
@@ -4,6 +4,7 @@
 
 mod executor;
 mod fault_proxy;
+mod fleet;
 mod platform_store;
 mod stand_in;
 mod vm_list;
@@ -16,7 +17,7 @@
 use self::stand_in::StandInOptions;
 
 /// The kinds of stand-ins.
-const KINDS: &str = "store | vm-list | worker | executor | proxy";
+const KINDS: &str = "store | vm-list | worker | executor | fleet | proxy";
 
 fn main() -> ExitCode {
     let words: Vec<String> = std::env::args().skip(1).collect();
@@ -62,6 +63,7 @@
         "vm-list" => system.block_on(vm_list::serve(stand_in)),
         "worker" => system.block_on(worker::serve(stand_in)),
         "executor" => system.block_on(executor::serve(stand_in)),
+        "fleet" => system.block_on(fleet::serve(stand_in)),
         "proxy" => system.block_on(fault_proxy::serve(stand_in)),
         _ => {
             eprintln!("{usage}");
--- /dev/null
+++ b/crates/geraniumwinch-tests/src/fleet_cell.rs
@@ -0,0 +1,266 @@
+//! A cell of real processes on a stand-in for the users' platform.
+
+use std::path::Path;
+use std::path::PathBuf;
+
+use awc::http::Method;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::CellAddresses;
+use crate::CellProcess;
+use crate::TestAnswer;
+use crate::TestClient;
+use crate::wait_until;
+
+/// The port of the stand-in's store; workers follow it.
+const PLATFORM_PORT: u16 = 3100;
+/// The ports of a process: callers, readiness, peers, metrics.
+const PORTS: [u16; 4] = [4001, 4002, 4003, 4004];
+/// The key of the one client account.
+pub const FLEET_KEY: &str = "Token key-a";
+/// The host name of the queues.
+const HOST: &str = "queue.example";
+
+/// A cell of real processes on a stand-in for the users' platform.
+pub struct FleetCell {
+    addresses: CellAddresses,
+    folder: PathBuf,
+    processes: Vec<Option<CellProcess>>,
+    _platform: CellProcess,
+    client: TestClient,
+}
+
+impl FleetCell {
+    /// Starts a stand-in with workers of 16 processors, and processes, and waits until all take
+    /// callers.
+    pub async fn start(processes: usize, workers: u16) -> FleetCell {
+        let addresses = CellAddresses::reserve();
+        let folder = std::env::temp_dir().join(format!(
+            "geraniumwinch-fleet-{}-{}",
+            std::process::id(),
+            addresses.platform_prefix()
+        ));
+        std::fs::create_dir_all(&folder).expect("a folder for logs");
+        let arguments = [
+            "fleet".to_owned(),
+            "--listen".to_owned(),
+            addresses.platform(PLATFORM_PORT).to_string(),
+            "--count".to_owned(),
+            workers.to_string(),
+        ];
+        let log = folder.join("platform.log");
+        let platform = CellProcess::start("geraniumwinch-standins", &arguments, &log);
+        let client = TestClient::default();
+        let mut cell = FleetCell {
+            addresses,
+            folder,
+            processes: Vec::new(),
+            _platform: platform,
+            client,
+        };
+        wait_until("the stand-in answers", async || {
+            cell.post("/faults", &json!({})).await.status == 200
+        })
+        .await;
+        cell.publish(1).await;
+        for index in 0..processes {
+            cell.processes.push(None);
+            cell.start_process(index);
+        }
+        for index in 0..processes {
+            cell.await_ready(index).await;
+        }
+        cell
+    }
+
+    /// Starts a process.
+    pub fn start_process(&mut self, index: usize) {
+        let settings = self.folder.join(format!("{index}.ini"));
+        std::fs::write(&settings, self.settings(index)).expect("settings are written");
+        let arguments =
+            ["cell".to_owned(), "--settings".to_owned(), settings.display().to_string()];
+        let log = self.log_path(index);
+        let process = CellProcess::start("geraniumwinch", &arguments, &log);
+        self.processes[index] = Some(process);
+    }
+
+    /// Returns where a process writes its log.
+    fn log_path(&self, index: usize) -> PathBuf {
+        self.folder.join(format!("{index}.log"))
+    }
+
+    /// Creates the settings of a process.
+    fn settings(&self, index: usize) -> String {
+        let [callers, readiness, peers, metrics] =
+            PORTS.map(|port| self.addresses.entry(0, index, port));
+        let store = self.addresses.platform(PLATFORM_PORT);
+        format!(
+            "[process]\nname = node-{index}\nfailure-domain = d{index}\n\
+             stop-grace-s = 4\n[vm]\ncpu-share = 1\n[listen]\ncallers = {callers}\n\
+             readiness = {readiness}\npeers = {peers}\nmetrics = {metrics}\n\
+             [platform]\nstore = {store}\npermissions = {store}\n\
+             [workers]\nlease-ms = 6000\nheartbeat-ms = 1500\n[jobs]\nretention-s = 120\n"
+        )
+    }
+
+    /// Waits until a process takes callers.
+    pub async fn await_ready(&self, index: usize) {
+        let url = format!("http://{}/-/ready", self.addresses.entry(0, index, PORTS[1]));
+        wait_until("a process is ready", async || {
+            self.client.send(Method::GET, &url, &[], "").await.status == 200
+        })
+        .await;
+    }
+
+    /// Publishes a configuration with the queues `/jobs/` and `/open/`.
+    pub async fn publish(&self, version: u64) {
+        let route = |name: &str, prefix: &str, public: bool| {
+            json!({
+                "name": name, "hostname": HOST, "prefix": prefix, "kind": "unsafe",
+                "target_duration_ms": 1000, "priority": 1, "service": "service",
+                "max_attempts": 2, "stretch": 2.0, "public": public,
+                "advice": { "decide_ms": 1.0, "per_item_ms": 0.1, "validity_ms": 2000 },
+            })
+        };
+        let configuration = json!({
+            "version": version,
+            "routes": [route("jobs", "/jobs/", false), route("open", "/open/", true)],
+            "services": [{ "name": "service" }],
+            "limits": {
+                "max_header_bytes": 16384, "max_body_bytes": 262_144,
+                "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
+            },
+            "tenants": [{
+                "name": "a", "api_keys": ["key-a"], "weight": 50,
+                "cap": { "cpu": 0, "mem_mb": 0, "gpu": 0 },
+            }],
+        });
+        self.post("/operator", &configuration).await;
+    }
+
+    /// Sets the stand-in's switches of faults.
+    pub async fn set_faults(&self, faults: Value) {
+        self.post("/faults", &faults).await;
+    }
+
+    /// Posts to the stand-in.
+    async fn post(&self, path: &str, body: &Value) -> TestAnswer {
+        let url = format!("http://{}{path}", self.addresses.platform(PLATFORM_PORT));
+        let headers = [("Content-Type", "application/json")];
+        self.client.send(Method::POST, &url, &headers, body.to_string()).await
+    }
+
+    /// Calls a process as a caller.
+    pub async fn call(
+        &self,
+        index: usize,
+        method: Method,
+        path: &str,
+        key: Option<&str>,
+        body: &str,
+    ) -> TestAnswer {
+        let url = format!("http://{}{path}", self.addresses.entry(0, index, PORTS[0]));
+        let mut headers = vec![("Host", HOST), ("Geraniumwinch-Deadline-Ms", "3000")];
+        headers.extend(key.map(|key| ("Authorization", key)));
+        self.client.send(method, &url, &headers, body.to_owned()).await
+    }
+
+    /// Hands a job of one step in.
+    pub async fn submit(&self, index: usize, id: &str, spec: &str, tasks: u32) -> u16 {
+        let step =
+            json!({ "count": tasks, "cpu": 1000, "mem_mb": 64, "estimate_ms": 100 });
+        let body = json!({ "spec": spec, "steps": [step] }).to_string();
+        let path = format!("/jobs/{id}");
+        self.call(index, Method::POST, &path, Some(FLEET_KEY), &body).await.status
+    }
+
+    /// Returns the state of a job, or nothing if the process can't tell.
+    pub async fn state(&self, index: usize, id: &str) -> Option<String> {
+        let path = format!("/jobs/{id}");
+        let answer = self.call(index, Method::GET, &path, Some(FLEET_KEY), "").await;
+        (answer.status == 200).then(|| answer.field("state"))
+    }
+
+    /// Waits until a process shows a job in a state.
+    pub async fn await_state(&self, index: usize, id: &str, state: &str) {
+        wait_until(&format!("job {id} is {state}"), async || {
+            self.state(index, id).await.as_deref() == Some(state)
+        })
+        .await;
+    }
+
+    /// Returns which process owns the cell, by its metrics.
+    pub async fn owner(&self) -> Option<usize> {
+        for index in 0..self.processes.len() {
+            if self.processes[index].is_none() {
+                continue;
+            }
+            let url =
+                format!("http://{}/metrics", self.addresses.entry(0, index, PORTS[3]));
+            let answer = self.client.send(Method::GET, &url, &[], "").await;
+            let text = String::from_utf8_lossy(&answer.body).into_owned();
+            let epoch =
+                text.lines().find(|line| line.starts_with("geraniumwinch_cell_epoch "));
+            if epoch.is_some_and(|line| !line.ends_with(" 0")) {
+                return Some(index);
+            }
+        }
+        None
+    }
+
+    /// Waits until a process owns the cell and returns which.
+    pub async fn await_owner(&self) -> usize {
+        wait_until("a process owns the cell", async || self.owner().await.is_some())
+            .await;
+        self.owner().await.expect("it has just been found")
+    }
+
+    /// Kills a process.
+    pub fn kill(&mut self, index: usize) {
+        if let Some(mut process) = self.processes[index].take() {
+            process.kill();
+        }
+    }
+
+    /// Returns a process.
+    pub fn process(&mut self, index: usize) -> &mut CellProcess {
+        self.processes[index].as_mut().expect("the process runs")
+    }
+
+    /// Returns the folder of the logs.
+    pub fn folder(&self) -> &Path {
+        &self.folder
+    }
+
+    /// Returns all runs that workers have started.
+    pub async fn runs(&self) -> Vec<Value> {
+        let url = format!("http://{}/account", self.addresses.platform(PLATFORM_PORT));
+        let account = self.client.get_json(&url).await;
+        account["runs"].as_array().cloned().unwrap_or_default()
+    }
+
+    /// Checks that no task ran twice at the same time or after it was done.
+    ///
+    /// # Panics
+    ///
+    /// Panics with the runs of a task that did.
+    pub async fn check_runs(&self) {
+        let runs = self.runs().await;
+        for (index, one) in runs.iter().enumerate() {
+            for other in &runs[index + 1..] {
+                if one["task"] != other["task"] {
+                    continue;
+                }
+                let time = |run: &Value, field: &str| run[field].as_u64().unwrap_or(0);
+                let (first, second) =
+                    match time(one, "started_ms") <= time(other, "started_ms") {
+                        true => (one, other),
+                        false => (other, one),
+                    };
+                let apart = time(first, "ended_ms") <= time(second, "started_ms");
+                assert!(apart && first["how"] != "done", "{first} and {second}");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-tests/tests/platform_path.rs
@@ -0,0 +1,183 @@
+//! The whole path on the users' platform: real processes against a stand-in.
+
+use std::time::Duration;
+
+use awc::http::Method;
+use geraniumwinch_tests::FLEET_KEY;
+use geraniumwinch_tests::FleetCell;
+use geraniumwinch_tests::run_test;
+use geraniumwinch_tests::wait_until;
+use serde_json::json;
+use test_case::test_case;
+
+/// Creates the identifier of a job.
+fn id(number: u64) -> String {
+    format!("{number:016x}")
+}
+
+#[test]
+fn jobs_run_to_their_end_through_any_process() {
+    run_test(async {
+        let cell = FleetCell::start(3, 4).await;
+        for number in 0..12 {
+            let process = number as usize % 3;
+            assert_eq!(cell.submit(process, &id(number), "50 done", 3).await, 200);
+        }
+        for number in 0..12 {
+            cell.await_state((number as usize + 1) % 3, &id(number), "completed").await;
+        }
+        assert_eq!(cell.runs().await.len(), 36);
+        cell.check_runs().await;
+    });
+}
+
+#[test]
+fn the_same_job_at_two_processes_is_one_job() {
+    run_test(async {
+        let cell = FleetCell::start(3, 2).await;
+        let id = id(1);
+        let tries = (0..6).map(|index| cell.submit(index % 3, &id, "50 done", 2));
+        let statuses = futures_util::future::join_all(tries).await;
+        assert_eq!(statuses, [200; 6]);
+        cell.await_state(0, &id, "completed").await;
+        assert_eq!(cell.submit(1, &id, "50 done", 2).await, 200, "a late repetition");
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        assert_eq!(cell.runs().await.len(), 2);
+    });
+}
+
+#[test]
+fn a_job_fails_after_its_attempts() {
+    run_test(async {
+        let cell = FleetCell::start(1, 2).await;
+        assert_eq!(cell.submit(0, &id(1), "20 failed", 1).await, 200);
+        cell.await_state(0, &id(1), "failed").await;
+        assert_eq!(cell.runs().await.len(), 2);
+    });
+}
+
+#[test]
+fn a_cancelled_job_stops() {
+    run_test(async {
+        let cell = FleetCell::start(2, 2).await;
+        let path = format!("/jobs/{}", id(1));
+        assert_eq!(cell.submit(0, &id(1), "60000 done", 3).await, 200);
+        cell.await_state(1, &id(1), "running").await;
+        let answer = cell.call(1, Method::DELETE, &path, Some(FLEET_KEY), "").await;
+        assert_eq!(answer.status, 200);
+        cell.await_state(0, &id(1), "cancelled").await;
+        wait_until("all runs have stopped", async || {
+            cell.runs().await.iter().all(|run| run["how"] == "stopped")
+        })
+        .await;
+    });
+}
+
+#[test_case("GET", "/jobs/0000000000000001", None, 401; "no key")]
+#[test_case("GET", "/jobs/0000000000000001", Some("Token wrong"), 401; "unknown key")]
+#[test_case("GET", "/jobs/0000000000000001", Some(FLEET_KEY), 410; "unknown job")]
+#[test_case("DELETE", "/jobs/0000000000000001", Some(FLEET_KEY), 410; "unknown job to cancel")]
+#[test_case("GET", "/other/0000000000000001", Some(FLEET_KEY), 404; "unknown queue")]
+#[test_case("GET", "/jobs/short", Some(FLEET_KEY), 404; "no identifier")]
+#[test_case("POST", "/jobs/0000000000000001", Some(FLEET_KEY), 400; "no job in the body")]
+#[test_case("GET", "/open/", None, 200; "open queue")]
+fn calls_get_the_right_status(method: &str, path: &str, key: Option<&str>, status: u16) {
+    run_test(async {
+        let cell = FleetCell::start(1, 1).await;
+        let method = Method::from_bytes(method.as_bytes()).expect("a method");
+        assert_eq!(cell.call(0, method, path, key, "{}").await.status, status);
+    });
+}
+
+/// The owner is killed, frozen or asked to stop while tasks run: each task's work is done once.
+#[test_case("kill"; "killed")]
+#[test_case("freeze"; "frozen")]
+#[test_case("terminate"; "asked to stop")]
+fn jobs_survive_their_owner(how: &str) {
+    run_test(async {
+        let mut cell = FleetCell::start(3, 4).await;
+        let owner = cell.await_owner().await;
+        let other = (owner + 1) % 3;
+        for number in 0..8 {
+            assert_eq!(cell.submit(other, &id(number), "900 done", 3).await, 200);
+        }
+        match how {
+            "kill" => cell.kill(owner),
+            "freeze" => cell.process(owner).freeze(),
+            _ => cell.process(owner).terminate(),
+        }
+        for number in 0..8 {
+            cell.await_state(other, &id(number), "completed").await;
+        }
+        if how == "freeze" {
+            cell.process(owner).thaw();
+            tokio::time::sleep(Duration::from_millis(1500)).await;
+        }
+        cell.check_runs().await;
+    });
+}
+
+/// All processes are killed right after a job was taken: it is known and runs.
+#[test]
+fn a_job_that_was_taken_survives_the_loss_of_all_processes() {
+    run_test(async {
+        let mut cell = FleetCell::start(3, 2).await;
+        assert_eq!(cell.submit(0, &id(1), "400 done", 2).await, 200);
+        for index in 0..3 {
+            cell.kill(index);
+        }
+        for index in 0..3 {
+            cell.start_process(index);
+        }
+        cell.await_state(0, &id(1), "completed").await;
+        cell.check_runs().await;
+    });
+}
+
+/// The store refuses all calls: new jobs are refused soon and never run, running ones end.
+#[test]
+fn a_refused_job_never_runs() {
+    run_test(async {
+        let cell = FleetCell::start(2, 2).await;
+        assert_eq!(cell.submit(0, &id(1), "300 done", 1).await, 200);
+        cell.set_faults(json!({ "store_busy": true })).await;
+        let status = cell.submit(1, &id(2), "50 done", 1).await;
+        assert_eq!(status, 503);
+        cell.set_faults(json!({})).await;
+        cell.await_state(0, &id(1), "completed").await;
+        tokio::time::sleep(Duration::from_millis(500)).await;
+        let runs = cell.runs().await;
+        assert!(runs.iter().all(|run| !run["task"].to_string().contains(&id(2))));
+    });
+}
+
+/// The store makes writes without answering: the caller is not told that its job has not run.
+#[test]
+fn an_unanswered_write_is_no_refusal() {
+    run_test(async {
+        let cell = FleetCell::start(2, 2).await;
+        cell.set_faults(json!({ "store_lost": true })).await;
+        let status = cell.submit(1, &id(1), "50 done", 1).await;
+        assert!(status == 504 || status == 200, "{status}");
+        cell.set_faults(json!({})).await;
+        cell.await_state(0, &id(1), "completed").await;
+        cell.check_runs().await;
+    });
+}
+
+/// A configuration without a key is in force at each process soon.
+#[test]
+fn a_new_configuration_is_in_force_at_each_process() {
+    run_test(async {
+        let cell = FleetCell::start(2, 1).await;
+        cell.publish(2).await;
+        for index in 0..2 {
+            wait_until("the configuration is in force", async || {
+                let log = cell.folder().join(format!("{index}.log"));
+                let log = std::fs::read_to_string(log).unwrap_or_default();
+                log.contains("event=catalog version=2")
+            })
+            .await;
+        }
+    });
+}
