--- a/crates/geraniumwinch-tests/src/cell_process.rs
+++ b/crates/geraniumwinch-tests/src/cell_process.rs
@@ -34,6 +34,18 @@
         CellProcess { child, log: log.to_owned() }
     }
 
+    /// Starts a program whose output nobody reads; it stays open until the process is dropped.
+    pub fn start_unread(program: &str, arguments: &[String], log: &Path) -> CellProcess {
+        let child = Command::new(program_path(program))
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null())
+            .spawn()
+            .unwrap_or_else(|error| panic!("{program} does not start: {error}"));
+        CellProcess { child, log: log.to_owned() }
+    }
+
     /// Sends a signal.
     fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(self.child.id() as i32);
--- a/crates/geraniumwinch-tests/src/fleet_cell.rs
+++ b/crates/geraniumwinch-tests/src/fleet_cell.rs
@@ -74,17 +74,29 @@
         cell
     }
 
+    /// Starts a process whose output nobody reads.
+    pub fn start_unread_process(&mut self, index: usize) {
+        let arguments = self.write_settings(index);
+        let log = self.log_path(index);
+        let process = CellProcess::start_unread("geraniumwinch", &arguments, &log);
+        self.processes[index] = Some(process);
+    }
+
     /// Starts a process.
     pub fn start_process(&mut self, index: usize) {
-        let settings = self.folder.join(format!("{index}.ini"));
-        std::fs::write(&settings, self.settings(index)).expect("settings are written");
-        let arguments =
-            ["cell".to_owned(), "--settings".to_owned(), settings.display().to_string()];
+        let arguments = self.write_settings(index);
         let log = self.log_path(index);
         let process = CellProcess::start("geraniumwinch", &arguments, &log);
         self.processes[index] = Some(process);
     }
 
+    /// Writes the settings of a process and returns its arguments.
+    fn write_settings(&self, index: usize) -> [String; 3] {
+        let settings = self.folder.join(format!("{index}.ini"));
+        std::fs::write(&settings, self.settings(index)).expect("settings are written");
+        ["cell".to_owned(), "--settings".to_owned(), settings.display().to_string()]
+    }
+
     /// Returns where a process writes its log.
     fn log_path(&self, index: usize) -> PathBuf {
         self.folder.join(format!("{index}.log"))
--- a/crates/geraniumwinch-tests/tests/platform_path.rs
+++ b/crates/geraniumwinch-tests/tests/platform_path.rs
@@ -181,3 +181,18 @@
         }
     });
 }
+
+/// Nobody reads the log of the only process: it goes on serving.
+#[test]
+fn a_log_that_nobody_reads_blocks_nothing() {
+    run_test(async {
+        let mut cell = FleetCell::start(1, 2).await;
+        cell.kill(0);
+        cell.start_unread_process(0);
+        cell.await_ready(0).await;
+        for number in 0..400 {
+            assert_eq!(cell.submit(0, &id(number), "1 done", 2).await, 200);
+        }
+        cell.await_state(0, &id(399), "completed").await;
+    });
+}
--- a/crates/geraniumwinch/src/log_setup.rs
+++ b/crates/geraniumwinch/src/log_setup.rs
@@ -1,13 +1,14 @@
 //! Sets the log up.
 
 use log::LevelFilter;
-use log4rs::append::console::ConsoleAppender;
 use log4rs::config::Appender;
 use log4rs::config::Config;
 use log4rs::config::Logger;
 use log4rs::config::Root;
 use log4rs::encode::pattern::PatternEncoder;
 
+use crate::line_writer::LineWriter;
+
 /// The form of a line: key=value pairs that begin with the time and the level.
 const PATTERN: &str = "time={d(%Y-%m-%dT%H:%M:%S%.3fZ)(utc)} level={l} {m}{n}";
 /// The name of the one appender.
@@ -16,8 +17,7 @@
 /// Writes log lines of a level and above to the standard output.
 pub(crate) fn init(level: &str) {
     let level = level.parse().unwrap_or(LevelFilter::Info);
-    let encoder = Box::new(PatternEncoder::new(PATTERN));
-    let appender = ConsoleAppender::builder().encoder(encoder).build();
+    let appender = LineWriter::start(PatternEncoder::new(PATTERN));
     let quiet = |name: &str| Logger::builder().build(name, LevelFilter::Error);
     let config = Config::builder()
         .appender(Appender::builder().build(STDOUT, Box::new(appender)))
--- a/crates/geraniumwinch/src/main.rs
+++ b/crates/geraniumwinch/src/main.rs
@@ -4,6 +4,7 @@
 mod client_call;
 mod command_table;
 mod commands;
+mod line_writer;
 mod log_setup;
 
 use std::process::ExitCode;
@@ -13,7 +14,9 @@
 
 fn main() -> ExitCode {
     let words: Vec<String> = std::env::args().skip(1).collect();
-    match run(&words) {
+    let result = run(&words);
+    log::logger().flush();
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("error: {error}");
