--- a/crates/geraniumwinch-fleet/src/fleet_board.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board.rs
@@ -321,7 +321,6 @@
         }
         slot.last_run = slot.last_run.max(place.run);
         slot.place = Some(place);
-        job.started = true;
         let worker = &mut self.workers[place.worker];
         worker.used.add(&size);
         worker.places.insert(task);
--- a/crates/geraniumwinch-fleet/src/fleet_board/job_slot.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/job_slot.rs
@@ -144,7 +144,7 @@
     pub(super) written: u64,
     /// The order of acceptance.
     pub(super) serial: u64,
-    /// Whether any task has been started.
+    /// Whether a worker has said that it runs or ran a task.
     pub(super) started: bool,
     /// Until when tasks without a place may still run on a worker that has not reported.
     pub(super) uncertain_until: BootTime,
--- a/crates/geraniumwinch-fleet/src/fleet_board/reporting.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/reporting.rs
@@ -122,6 +122,7 @@
         let current =
             |place: &TaskPlace| place.worker == worker && place.run == ended.run;
         let job = &mut self.jobs[task.job];
+        job.started = true;
         let live = job.live();
         let slot = &mut job.units[task.unit as usize].tasks[task.index as usize];
         slot.last_run = slot.last_run.max(ended.run);
@@ -203,6 +204,7 @@
                 }
             }
         }
+        self.jobs[task.job].started = true;
         if running.checkpoint.is_some() {
             let unit = &mut self.jobs[task.job].units[task.unit as usize];
             unit.tasks[task.index as usize].checkpoint.clone_from(&running.checkpoint);
@@ -301,6 +303,7 @@
                 place.since = now;
                 place.progressed = now;
             }
+            self.jobs[task.job].started = true;
             return;
         }
         if outcome == StartOutcome::Unknown {
--- a/crates/geraniumwinch-fleet/tests/runs.rs
+++ b/crates/geraniumwinch-fleet/tests/runs.rs
@@ -178,6 +178,18 @@
         assert_eq!(cell.board.take_stops().len(), 1);
     }
 
+    /// twice-in-three-seconds of kbc-winch: a crashed worker had got the orders.
+    a_job_waits_until_a_worker_says_that_a_task_runs(cell) {
+        cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![step(1, 1_000)]));
+        let start = cell.place().remove(0);
+        assert_eq!(cell.board.waiting("queue"), 1);
+        cell.outcome(&start, StartOutcome::Unknown);
+        assert_eq!(cell.board.waiting("queue"), 1);
+        cell.outcome(&start, StartOutcome::Started);
+        assert_eq!(cell.board.waiting("queue"), 0);
+    }
+
     a_cancelled_job_is_stopped_at_once(cell) {
         cell.add_workers(&["w"]);
         cell.accept("job", record(rules(1), vec![step(5, 4_000)]));
--- a/crates/geraniumwinch/src/command_table.rs
+++ b/crates/geraniumwinch/src/command_table.rs
@@ -36,6 +36,13 @@
         options: commands::entry::options,
         run: commands::cell::run,
     },
+    CliCommand {
+        name: "explain",
+        arguments: "ID LOGFILE...",
+        doc: "Print what the logs of all processes say of a job, in the order of time.",
+        options: Options::new,
+        run: commands::explain::run,
+    },
     CliCommand {
         name: "check",
         arguments: "FILE",
--- a/crates/geraniumwinch/src/line_writer.rs
+++ b/crates/geraniumwinch/src/line_writer.rs
@@ -103,7 +103,8 @@
         let event = event.split(' ').next().unwrap_or_default();
         let (admitted, left_out) = self.admit(event);
         if left_out > 0 {
-            let line = format!("level=WARN event=log-limited kind={event} count={left_out}\n");
+            let line =
+                format!("level=WARN event=log-limited kind={event} count={left_out}\n");
             self.send(line.into_bytes());
         }
         if admitted {
