--- a/crates/geraniumwinch-cell/src/cell_owner.rs
+++ b/crates/geraniumwinch-cell/src/cell_owner.rs
@@ -57,6 +57,8 @@
 const SEEN_AGE: Duration = Duration::from_millis(1000);
 /// How old the store's word that nobody owns the cell may be.
 const VACANCY_AGE: Duration = Duration::from_millis(3500);
+/// The longest wait for the answer to a claim.
+const CLAIM_TIMEOUT: Duration = Duration::from_millis(1000);
 /// The longest random wait before a claim.
 const CLAIM_JITTER: Duration = Duration::from_millis(40);
 /// The wait before a claim, times what the inverse of the VM's share of a core exceeds that of
@@ -376,7 +378,7 @@
             address: self.settings.peers,
             lease,
         };
-        let outcome = store.commit(&claim_batch(&record, epoch_revision)).await;
+        let outcome = store.commit(&claim_batch(&record, epoch_revision), CLAIM_TIMEOUT).await;
         let revision = match outcome {
             Ok(CommitOutcome::Committed(revision)) => Some(revision),
             Ok(_) => None,
--- a/crates/geraniumwinch-cell/src/record_journal.rs
+++ b/crates/geraniumwinch-cell/src/record_journal.rs
@@ -42,8 +42,13 @@
 const BATCH_GAP: Duration = Duration::from_millis(28);
 /// The wait before a transaction that failed is tried again.
 const RETRY: Duration = Duration::from_millis(60);
+/// The wait for the first answer of a transaction, which doubles with each try: where answers are
+/// lost, the next try finds out what became of the one before.
+const FIRST_TIMEOUT: Duration = Duration::from_millis(350);
+/// The longest wait for an answer.
+const LAST_TIMEOUT: Duration = Duration::from_millis(1400);
 /// The time without success after which new jobs are refused.
-const STALL: Duration = Duration::from_millis(400);
+const STALL: Duration = Duration::from_millis(800);
 /// The most bytes of records in one transaction.
 const MAX_BATCH_BYTES: usize = 512 * 1024;
 
@@ -271,11 +276,14 @@
         let transaction = self.transaction(batch, number);
         let began = self.ports.clock.now();
         let mut unanswered = false;
+        let mut timeout = FIRST_TIMEOUT;
         loop {
             if self.authority.is_lost() {
                 return if unanswered { BatchEnd::Lost } else { BatchEnd::NotWritten };
             }
-            match self.ports.store.commit(&transaction).await {
+            let outcome = self.ports.store.commit(&transaction, timeout).await;
+            timeout = (timeout * 2).min(LAST_TIMEOUT);
+            match outcome {
                 Ok(CommitOutcome::Committed(revision)) => {
                     self.seal_revision.set(revision);
                     self.succeed(began);
--- a/crates/geraniumwinch-cell/src/record_store.rs
+++ b/crates/geraniumwinch-cell/src/record_store.rs
@@ -104,10 +104,11 @@
         wait: Duration,
     ) -> LocalBoxFuture<'static, Result<WatchOutcome>>;
 
-    /// Makes a transaction.
+    /// Makes a transaction; `timeout` is the longest wait for the answer.
     fn commit(
         &self,
         batch: &StoreBatch,
+        timeout: Duration,
     ) -> LocalBoxFuture<'static, Result<CommitOutcome>>;
 
     /// Grants a lease.
