--- a/crates/geraniumwinch-cell/src/cell_owner.rs
+++ b/crates/geraniumwinch-cell/src/cell_owner.rs
@@ -378,7 +378,8 @@
             address: self.settings.peers,
             lease,
         };
-        let outcome = store.commit(&claim_batch(&record, epoch_revision), CLAIM_TIMEOUT).await;
+        let outcome =
+            store.commit(&claim_batch(&record, epoch_revision), CLAIM_TIMEOUT).await;
         let revision = match outcome {
             Ok(CommitOutcome::Committed(revision)) => Some(revision),
             Ok(_) => None,
--- a/crates/geraniumwinch-fleet/src/fleet_board.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board.rs
@@ -18,6 +18,7 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use geraniumwinch_core::Name;
@@ -84,6 +85,8 @@
     accounts: AccountLedger,
     /// The share of workers that each queue's permissions allow, as learnt so far.
     allowed_share: HashMap<Name, f64>,
+    /// Whether the store's list of workers has some that are gone.
+    gone_recorded: bool,
     stops: Vec<RunStop>,
     events: Vec<BoardEvent>,
     next_serial: u64,
@@ -104,6 +107,7 @@
             dirty: HashMap::new(),
             accounts: AccountLedger::default(),
             allowed_share: HashMap::new(),
+            gone_recorded: false,
             stops: Vec::new(),
             events: Vec::new(),
             next_serial: 0,
@@ -161,19 +165,22 @@
         fresh
     }
 
-    /// Returns the cards of all workers if the store doesn't know some of them.
+    /// Returns the cards of the workers where tasks may run if the store lacks some of them, or
+    /// has others: the next owner would wait for these.
     pub fn unrecorded_workers(&self) -> Option<Vec<WorkerCard>> {
-        let unrecorded = self.workers.values().any(|slot| !slot.recorded);
-        unrecorded.then(|| self.workers.values().map(|slot| slot.card.clone()).collect())
+        let differs = |slot: &WorkerSlot| slot.recorded != slot.may_run();
+        let changed = self.gone_recorded || self.workers.values().any(differs);
+        let holding = self.workers.values().filter(|slot| slot.may_run());
+        changed.then(|| holding.map(|slot| slot.card.clone()).collect())
     }
 
-    /// Notes that the store knows workers.
+    /// Notes that the store knows these workers and no others.
     pub fn workers_recorded(&mut self, cards: &[WorkerCard]) {
-        for card in cards {
-            if let Some(&key) = self.worker_ids.get(&card.id) {
-                self.workers[key].recorded = true;
-            }
+        let known: HashSet<&Name> = cards.iter().map(|card| &card.id).collect();
+        for slot in self.workers.values_mut() {
+            slot.recorded = known.contains(&slot.card.id);
         }
+        self.gone_recorded = known.iter().any(|&id| !self.worker_ids.contains_key(id));
     }
 
     /// Returns what a worker says of itself.
@@ -194,12 +201,13 @@
     /// Returns whether a worker is gone: it is not listed and nothing may run there.
     pub fn forget_if_gone(&mut self, worker: WorkerKey, now: BootTime) -> bool {
         let Some(slot) = self.workers.get(worker) else { return true };
-        let idle = slot.places.is_empty() && slot.silent && slot.expiry <= now;
-        if slot.listed || !idle {
+        let empty = slot.idle() || (slot.places.is_empty() && slot.expiry <= now);
+        if slot.listed || !slot.silent || !empty {
             return false;
         }
         if let Some(slot) = self.workers.remove(worker) {
             self.worker_ids.remove(&slot.card.id);
+            self.gone_recorded |= slot.recorded;
         }
         true
     }
--- a/crates/geraniumwinch-fleet/src/fleet_board/worker_slot.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/worker_slot.rs
@@ -88,6 +88,20 @@
             && self.quarantine <= now
     }
 
+    /// Returns whether tasks may run there now or be started: not on one that drains and is known
+    /// to run nothing.
+    pub(super) fn may_run(&self) -> bool {
+        let takes = self.listed && self.card.accepting;
+        takes || !self.idle()
+    }
+
+    /// Returns whether it is known that nothing runs there: it has said so, and nothing was
+    /// started since.
+    pub(super) fn idle(&self) -> bool {
+        let strays = self.stray_unknown || self.stray_room != ResourceVector::default();
+        self.incarnation.is_some() && self.places.is_empty() && !strays
+    }
+
     /// Returns the room that is left.
     pub(super) fn free(&self) -> ResourceVector {
         self.card.capacity.minus(&self.used).minus(&self.stray_room)
--- a/crates/geraniumwinch-fleet/tests/common/mod.rs
+++ b/crates/geraniumwinch-fleet/tests/common/mod.rs
@@ -122,7 +122,7 @@
         TestCell { board: FleetBoard::new(epoch, LEASE), now: Duration::from_secs(100) }
     }
 
-    /// Lists workers that the store knows and that have reported that nothing runs.
+    /// Lists workers that the store knows; the new ones have reported that nothing runs.
     pub fn add_workers(&mut self, ids: &[&str]) -> Vec<WorkerKey> {
         let keys = self.list_workers(ids);
         for &key in &keys {
--- a/crates/geraniumwinch-fleet/tests/runs.rs
+++ b/crates/geraniumwinch-fleet/tests/runs.rs
@@ -78,8 +78,7 @@
         cell.add_workers(&["w"]);
         cell.accept("job", record(rules(1), vec![gang(5, 4_000)]));
         assert_eq!(cell.place().len(), 0);
-        cell.add_workers(&["v"]);
-        cell.board.set_workers(vec![common::card("w"), common::card("v")], cell.now);
+        cell.add_workers(&["w", "v"]);
         let starts = cell.place();
         assert_eq!(starts.len(), 5);
         assert!(starts.iter().all(|start| start.run == starts[0].run));
--- a/crates/geraniumwinch-fleet/tests/takeover.rs
+++ b/crates/geraniumwinch-fleet/tests/takeover.rs
@@ -135,6 +135,53 @@
     assert_eq!(cell.place().len(), 2);
 }
 
+/// scale-1 of kbc-winch-grown: each new owner waited for workers that had long been taken away.
+#[test]
+fn the_store_forgets_a_worker_that_is_gone() {
+    let mut cell = TestCell::new(1);
+    let workers = cell.add_workers(&["gone", "w"]);
+    cell.accept("job", record(rules(1), vec![step(8, 4_000)]));
+    assert_eq!(cell.start_all().len(), 8);
+    cell.board.extend_lease(workers[0], cell.now);
+    cell.board.set_workers(vec![card("w")], cell.now);
+    cell.board.mark_silent(workers[0]);
+    assert!(!cell.board.forget_if_gone(workers[0], cell.now), "its lease goes on");
+    assert_eq!(cell.board.unrecorded_workers(), None, "tasks may run there");
+    cell.wait(6400);
+    assert!(cell.board.forget_if_gone(workers[0], cell.now));
+    let left = vec![card("w")];
+    assert_eq!(cell.board.unrecorded_workers(), Some(left.clone()));
+    cell.board.workers_recorded(&left);
+    assert_eq!(cell.board.unrecorded_workers(), None);
+}
+
+/// trouble-3 of kbc-winch-grown: workers were replaced all day, and each new owner waited for those
+/// that had just left.
+#[test]
+fn the_store_forgets_a_draining_worker_that_runs_nothing() {
+    let mut cell = TestCell::new(1);
+    let workers = cell.add_workers(&["leaving", "w"]);
+    cell.accept("job", record(rules(1), vec![step(8, 4_000)]));
+    assert_eq!(cell.start_all().len(), 8);
+    let mut leaving = card("leaving");
+    leaving.accepting = false;
+    cell.board.set_workers(vec![leaving.clone(), card("w")], cell.now);
+    assert_eq!(cell.board.unrecorded_workers(), None, "tasks run there");
+    let ends = (0..8)
+        .map(|index| ended(u64::from(index) + 1, task("job", 0, index), 1, RunEnd::Done));
+    cell.report(workers[0], Vec::new(), ends.collect());
+    let left = vec![card("w")];
+    assert_eq!(cell.board.unrecorded_workers(), Some(left.clone()));
+    cell.board.workers_recorded(&left);
+    cell.accept("new", record(rules(1), vec![step(8, 4_000)]));
+    cell.board.set_workers(vec![card("leaving"), card("w")], cell.now);
+    let starts = cell.place();
+    assert!(
+        starts.iter().all(|start| start.worker == workers[1]),
+        "it isn't recorded yet"
+    );
+}
+
 #[test]
 fn done_tasks_of_the_record_stay_done() {
     let mut half = record(rules(1), vec![step(2, 4_000)]);
