--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -1,5 +1,8 @@
 //! The decisions of the process that owns the cell.
 
+mod board_log;
+mod loading;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
@@ -9,7 +12,6 @@
 use geraniumwinch_core::ErrorKind;
 use geraniumwinch_core::Name;
 use geraniumwinch_core::log_event;
-use geraniumwinch_fleet::BoardEvent;
 use geraniumwinch_fleet::BootTime;
 use geraniumwinch_fleet::FleetBoard;
 use geraniumwinch_fleet::JobPhase;
@@ -28,10 +30,6 @@
 use crate::cell_owner::OWNER_TTL;
 use crate::member_table::MemberTable;
 use crate::order_sender::OrderSender;
-use crate::owner_record::JOB_PREFIX;
-use crate::owner_record::SEAL_KEY;
-use crate::owner_record::WORKERS_KEY;
-use crate::owner_record::decode_workers;
 use crate::peer_message::AskOrder;
 use crate::peer_message::JobOrder;
 use crate::peer_message::MemberNote;
@@ -42,6 +40,11 @@
 use crate::record_journal::RecordJournal;
 use crate::worker_loop::WorkerLoop;
 
+use self::board_log::log_board_event;
+use self::loading::load_jobs;
+use self::loading::load_seal;
+use self::loading::load_workers;
+
 /// The longest time between two passes over the board.
 const PASS_INTERVAL: Duration = Duration::from_millis(100);
 /// The least time between two passes.
@@ -51,8 +54,6 @@
 /// The part of the room of all workers that waiting work may ask for before the accounts' shares
 /// of new jobs are enforced.
 const BACKLOG_LIMIT: f64 = 0.25;
-/// The wait before a read of the store is repeated during a takeover.
-const LOAD_RETRY: Duration = Duration::from_millis(100);
 /// The time between two log lines of the board's numbers.
 const TELL_INTERVAL: Duration = Duration::from_secs(1);
 /// The time between two searches for records that nobody can ask for any longer.
@@ -489,109 +490,3 @@
         }
     }
 }
-
-/// Reads the store until it answers or the ownership ends.
-macro_rules! read_until_lost {
-    ($ports:expr, $authority:expr, $call:expr) => {
-        loop {
-            if !$authority.may_start($ports.clock.now()) {
-                return None;
-            }
-            match $call.await {
-                Ok(answer) => break answer,
-                Err(error) => {
-                    log_event!(Warn, "takeover-read-failed", error = error);
-                    tokio::time::sleep(LOAD_RETRY).await;
-                }
-            }
-        }
-    };
-}
-
-/// Reads all jobs onto the board and returns their number.
-async fn load_jobs(
-    ports: &CellPorts,
-    authority: &OwnerAuthority,
-    board: &RefCell<FleetBoard>,
-    uncertain_until: BootTime,
-) -> Option<usize> {
-    let mut after = String::new();
-    let mut records = Vec::new();
-    loop {
-        let page =
-            read_until_lost!(ports, authority, ports.store.list(JOB_PREFIX, &after));
-        for item in &page.items {
-            match JobRecord::decode(&item.value) {
-                Ok(record) => {
-                    let id: Name = item.key[JOB_PREFIX.len()..].into();
-                    records.push((id, record));
-                }
-                Err(error) => {
-                    log_event!(Error, "record-unreadable", key = item.key, error = error);
-                }
-            }
-        }
-        match page.items.last() {
-            Some(last) if page.more => after = last.key.clone(),
-            _ => break,
-        }
-    }
-    records.sort_by_key(|(_, record)| record.accepted);
-    let count = records.len();
-    let mut board = board.borrow_mut();
-    for (id, record) in records {
-        board.load(id, record, uncertain_until);
-    }
-    Some(count)
-}
-
-/// Reads the revision of the seal.
-async fn load_seal(ports: &CellPorts, authority: &OwnerAuthority) -> Option<u64> {
-    let item = read_until_lost!(ports, authority, ports.store.get(SEAL_KEY));
-    Some(item.map_or(0, |item| item.revision))
-}
-
-/// Puts the workers on the board where tasks of former owners may run.
-async fn load_workers(
-    ports: &CellPorts,
-    authority: &OwnerAuthority,
-    board: &RefCell<FleetBoard>,
-) -> Option<Vec<WorkerKey>> {
-    let item = read_until_lost!(ports, authority, ports.store.get(WORKERS_KEY));
-    let Some(item) = item else { return Some(Vec::new()) };
-    let Some(cards) = decode_workers(&item.value) else {
-        log_event!(Error, "workers-unreadable", bytes = item.value.len());
-        return Some(Vec::new());
-    };
-    Some(board.borrow_mut().load_workers(cards, ports.clock.now()))
-}
-
-/// Logs a decision of the board.
-fn log_board_event(event: &BoardEvent) {
-    match event {
-        BoardEvent::Ended { task, run, worker, end } => {
-            cell_metrics::count_end(end.as_str());
-            let end = end.as_str();
-            log_event!(Info, "ended", task = task, run = run, worker = worker, end = end);
-        }
-        BoardEvent::Expired { task, run, worker } => {
-            log_event!(Warn, "run-expired", task = task, run = run, worker = worker);
-        }
-        BoardEvent::Missing { task, run, worker } => {
-            log_event!(Warn, "run-missing", task = task, run = run, worker = worker);
-        }
-        BoardEvent::Stalled { task, run, worker } => {
-            log_event!(Warn, "run-stalled", task = task, run = run, worker = worker);
-        }
-        BoardEvent::Preempted { task, run, worker } => {
-            log_event!(Info, "preempted", task = task, run = run, worker = worker);
-        }
-        BoardEvent::JobEnded { job, phase } => {
-            cell_metrics::count_job_end(phase);
-            log_event!(Info, "job-ended", job = job, phase = phase);
-        }
-        BoardEvent::Quarantined { worker } => {
-            log_event!(Warn, "worker-quarantined", worker = worker);
-        }
-    }
-}
--- /dev/null
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/loading.rs
@@ -0,0 +1,100 @@
+//! What a new owner reads from the store.
+
+use std::cell::RefCell;
+use std::time::Duration;
+
+use geraniumwinch_core::Name;
+use geraniumwinch_core::log_event;
+use geraniumwinch_fleet::BootTime;
+use geraniumwinch_fleet::FleetBoard;
+use geraniumwinch_fleet::JobRecord;
+use geraniumwinch_fleet::WorkerKey;
+
+use crate::CellPorts;
+use crate::authority::OwnerAuthority;
+use crate::owner_record::JOB_PREFIX;
+use crate::owner_record::SEAL_KEY;
+use crate::owner_record::WORKERS_KEY;
+use crate::owner_record::decode_workers;
+
+/// The wait before a read of the store is repeated during a takeover.
+const LOAD_RETRY: Duration = Duration::from_millis(100);
+
+/// Reads the store until it answers or the ownership ends.
+macro_rules! read_until_lost {
+    ($ports:expr, $authority:expr, $call:expr) => {
+        loop {
+            if !$authority.may_start($ports.clock.now()) {
+                return None;
+            }
+            match $call.await {
+                Ok(answer) => break answer,
+                Err(error) => {
+                    log_event!(Warn, "takeover-read-failed", error = error);
+                    tokio::time::sleep(LOAD_RETRY).await;
+                }
+            }
+        }
+    };
+}
+
+/// Reads all jobs onto the board and returns their number.
+pub(super) async fn load_jobs(
+    ports: &CellPorts,
+    authority: &OwnerAuthority,
+    board: &RefCell<FleetBoard>,
+    uncertain_until: BootTime,
+) -> Option<usize> {
+    let mut after = String::new();
+    let mut records = Vec::new();
+    loop {
+        let page =
+            read_until_lost!(ports, authority, ports.store.list(JOB_PREFIX, &after));
+        for item in &page.items {
+            match JobRecord::decode(&item.value) {
+                Ok(record) => {
+                    let id: Name = item.key[JOB_PREFIX.len()..].into();
+                    records.push((id, record));
+                }
+                Err(error) => {
+                    log_event!(Error, "record-unreadable", key = item.key, error = error);
+                }
+            }
+        }
+        match page.items.last() {
+            Some(last) if page.more => after = last.key.clone(),
+            _ => break,
+        }
+    }
+    records.sort_by_key(|(_, record)| record.accepted);
+    let count = records.len();
+    let mut board = board.borrow_mut();
+    for (id, record) in records {
+        board.load(id, record, uncertain_until);
+    }
+    Some(count)
+}
+
+/// Reads the revision of the seal.
+pub(super) async fn load_seal(
+    ports: &CellPorts,
+    authority: &OwnerAuthority,
+) -> Option<u64> {
+    let item = read_until_lost!(ports, authority, ports.store.get(SEAL_KEY));
+    Some(item.map_or(0, |item| item.revision))
+}
+
+/// Puts the workers on the board where tasks of former owners may run.
+pub(super) async fn load_workers(
+    ports: &CellPorts,
+    authority: &OwnerAuthority,
+    board: &RefCell<FleetBoard>,
+) -> Option<Vec<WorkerKey>> {
+    let item = read_until_lost!(ports, authority, ports.store.get(WORKERS_KEY));
+    let Some(item) = item else { return Some(Vec::new()) };
+    let Some(cards) = decode_workers(&item.value) else {
+        log_event!(Error, "workers-unreadable", bytes = item.value.len());
+        return Some(Vec::new());
+    };
+    Some(board.borrow_mut().load_workers(cards, ports.clock.now()))
+}
--- a/crates/geraniumwinch-cell/src/cell_owner.rs
+++ b/crates/geraniumwinch-cell/src/cell_owner.rs
@@ -19,8 +19,6 @@
 use crate::CellPorts;
 use crate::CellSettings;
 use crate::CommitOutcome;
-use crate::StoreBatch;
-use crate::StoreWrite;
 use crate::authority::OwnerAuthority;
 use crate::catalog_watch::CatalogWatch;
 use crate::cell_dispatcher::CellDispatcher;
@@ -29,6 +27,8 @@
 use crate::owner_record::EPOCH_KEY;
 use crate::owner_record::OWNER_KEY;
 use crate::owner_record::OwnerRecord;
+use crate::owner_record::claim_batch;
+use crate::owner_record::decode_epoch;
 use crate::owner_watch::OwnerWatch;
 use crate::peer_message::MemberNote;
 use crate::peer_message::PeerReply;
@@ -488,31 +488,3 @@
         known >= QUORUM_MIN && (members.live(now).len() + 1) * 2 < known + 1
     }
 }
-
-/// Creates the transaction that takes the ownership.
-fn claim_batch(record: &OwnerRecord, epoch_revision: u64) -> StoreBatch {
-    let write = |key: &str, value: Vec<u8>, lease: Option<u64>| StoreWrite {
-        key: key.to_owned(),
-        value,
-        lease,
-    };
-    StoreBatch {
-        expected: vec![(OWNER_KEY.to_owned(), 0), (EPOCH_KEY.to_owned(), epoch_revision)],
-        writes: vec![
-            write(OWNER_KEY, record.encode(), Some(record.lease)),
-            write(EPOCH_KEY, record.epoch.to_be_bytes().to_vec(), None),
-        ],
-        removals: Vec::new(),
-    }
-}
-
-/// Decodes the number of the last epoch.
-fn decode_epoch(bytes: &[u8]) -> u64 {
-    match <[u8; 8]>::try_from(bytes) {
-        Ok(bytes) => u64::from_be_bytes(bytes),
-        Err(_) => {
-            log_event!(Error, "epoch-unreadable", bytes = bytes.len());
-            0
-        }
-    }
-}
--- a/crates/geraniumwinch-cell/src/owner_record.rs
+++ b/crates/geraniumwinch-cell/src/owner_record.rs
@@ -3,10 +3,14 @@
 use std::net::SocketAddr;
 
 use geraniumwinch_core::Name;
+use geraniumwinch_core::log_event;
 use geraniumwinch_fleet::WorkerCard;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::StoreBatch;
+use crate::StoreWrite;
+
 /// The key of the record; it ends with the owner's lease.
 pub(crate) const OWNER_KEY: &str = "cell/owner";
 /// The key of the number of the last epoch.
@@ -75,3 +79,31 @@
 pub(crate) fn decode_workers(bytes: &[u8]) -> Option<Vec<WorkerCard>> {
     postcard::from_bytes(bytes).ok()
 }
+
+/// Creates the transaction that takes the ownership.
+pub(crate) fn claim_batch(record: &OwnerRecord, epoch_revision: u64) -> StoreBatch {
+    let write = |key: &str, value: Vec<u8>, lease: Option<u64>| StoreWrite {
+        key: key.to_owned(),
+        value,
+        lease,
+    };
+    StoreBatch {
+        expected: vec![(OWNER_KEY.to_owned(), 0), (EPOCH_KEY.to_owned(), epoch_revision)],
+        writes: vec![
+            write(OWNER_KEY, record.encode(), Some(record.lease)),
+            write(EPOCH_KEY, record.epoch.to_be_bytes().to_vec(), None),
+        ],
+        removals: Vec::new(),
+    }
+}
+
+/// Decodes the number of the last epoch.
+pub(crate) fn decode_epoch(bytes: &[u8]) -> u64 {
+    match <[u8; 8]>::try_from(bytes) {
+        Ok(bytes) => u64::from_be_bytes(bytes),
+        Err(_) => {
+            log_event!(Error, "epoch-unreadable", bytes = bytes.len());
+            0
+        }
+    }
+}
--- a/crates/geraniumwinch/src/commands.rs
+++ b/crates/geraniumwinch/src/commands.rs
@@ -15,6 +15,7 @@
 
 use crate::cli_error::CliError;
 use crate::cli_error::Result;
+use crate::client_call::read_file;
 
 /// Creates the options of commands that call a server.
 pub(crate) fn client_options() -> Options {
@@ -40,3 +41,14 @@
         || CliError::Usage { message: format!("{name} is missing; see `--help`") };
     matches.free.get(position).map(String::as_str).ok_or_else(missing)
 }
+
+/// Returns the file that `--settings` names, with its text.
+pub(crate) fn settings_file(matches: &Matches) -> Result<(String, String)> {
+    let Some(file) = matches.opt_str("settings") else {
+        return Err(CliError::Usage {
+            message: "`--settings FILE` is missing".to_owned(),
+        });
+    };
+    let text = read_file(&file)?;
+    Ok((file, text))
+}
--- a/crates/geraniumwinch/src/commands/entry.rs
+++ b/crates/geraniumwinch/src/commands/entry.rs
@@ -7,10 +7,9 @@
 use getopts::Matches;
 use getopts::Options;
 
-use crate::cli_error::CliError;
 use crate::cli_error::Result;
-use crate::client_call::read_file;
 use crate::commands::check::invalid;
+use crate::commands::settings_file;
 use crate::log_setup;
 
 /// Creates the options.
@@ -22,12 +21,7 @@
 
 /// Runs the process until it is told to stop.
 pub(crate) fn run(matches: &Matches) -> Result<()> {
-    let Some(file) = matches.opt_str("settings") else {
-        return Err(CliError::Usage {
-            message: "`--settings FILE` is missing".to_owned(),
-        });
-    };
-    let text = read_file(&file)?;
+    let (file, text) = settings_file(matches)?;
     let settings =
         NodeSettings::parse(&file, &text).map_err(|problems| invalid(&problems))?;
     log_setup::init(&settings.log_level);
