--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -22,6 +22,7 @@
 use geraniumwinch_fleet::WorkerKey;
 use tokio::sync::Notify;
 
+use crate::CallError;
 use crate::CellPorts;
 use crate::CellSettings;
 use crate::authority::OwnerAuthority;
@@ -359,7 +360,8 @@
         ask: PermissionAsk,
     ) -> Option<Vec<(Name, Name)>> {
         if member == self.settings.peers {
-            return self.ports.permissions.ask(ask).await.ok();
+            let allowed = self.ports.permissions.ask(ask).await;
+            return allowed.inspect_err(|error| log_permission_failure(error)).ok();
         }
         let order = AskOrder {
             job: ask.step.job,
@@ -370,8 +372,13 @@
         };
         let timeout = ask.call_time + ASK_SLACK;
         match self.peers.call(member, &PeerRequest::Ask(order), timeout).await {
+            // The peer has logged why it has no answer.
             Ok(PeerReply::Allowed(allowed)) => allowed,
-            _ => None,
+            Ok(_) => None,
+            Err(error) => {
+                log_permission_failure(&error);
+                None
+            }
         }
     }
 
@@ -490,3 +497,8 @@
         }
     }
 }
+
+/// Logs that a question to the permission service brought no answer.
+fn log_permission_failure(error: &CallError) {
+    log_event!(Warn, "permission-failed", error = error);
+}
