--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -361,7 +361,7 @@
     ) -> Option<Vec<(Name, Name)>> {
         if member == self.settings.peers {
             let allowed = self.ports.permissions.ask(ask).await;
-            return allowed.inspect_err(|error| log_permission_failure(error)).ok();
+            return allowed.inspect_err(log_permission_failure).ok();
         }
         let order = AskOrder {
             job: ask.step.job,
