--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -43,7 +43,7 @@
 
 use self::board_log::log_board_event;
 use self::loading::load_jobs;
-use self::loading::load_seal;
+use self::loading::load_seals;
 use self::loading::load_workers;
 
 /// The longest time between two passes over the board.
@@ -109,9 +109,12 @@
         // A former owner that was cut off extends leases until its own ownership ends.
         let uncertain_until = began + lease + OWNER_TTL;
         let board = Rc::new(RefCell::new(FleetBoard::new(authority.epoch, lease)));
-        let jobs = load_jobs(&ports, &authority, &board, uncertain_until).await?;
-        let seal = load_seal(&ports, &authority).await?;
-        let workers = load_workers(&ports, &authority, &board).await?;
+        let (jobs, seals, workers) = tokio::join!(
+            load_jobs(&ports, &authority, &board, uncertain_until),
+            load_seals(&ports, &authority),
+            load_workers(&ports, &authority, &board),
+        );
+        let (jobs, seals, workers) = (jobs?, seals?, workers?);
         let pump = Rc::new(Notify::new());
         let stored = Rc::new(Notify::new());
         let journal = Rc::new(RecordJournal::new(
@@ -119,7 +122,7 @@
             Rc::clone(&authority),
             Rc::clone(&board),
             owner_revision,
-            seal,
+            seals,
             Rc::clone(&stored),
         ));
         let sender = Rc::new(OrderSender::new(
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/loading.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/loading.rs
@@ -13,9 +13,11 @@
 use crate::CellPorts;
 use crate::authority::OwnerAuthority;
 use crate::owner_record::JOB_PREFIX;
-use crate::owner_record::SEAL_KEY;
+use crate::owner_record::SEAL_PREFIX;
 use crate::owner_record::WORKERS_KEY;
 use crate::owner_record::decode_workers;
+use crate::owner_record::seal_key;
+use crate::record_journal::LANES;
 
 /// The wait before a read of the store is repeated during a takeover.
 const LOAD_RETRY: Duration = Duration::from_millis(100);
@@ -75,13 +77,18 @@
     Some(count)
 }
 
-/// Reads the revision of the seal.
-pub(super) async fn load_seal(
+/// Reads the revisions of the seals of the journal's lanes.
+pub(super) async fn load_seals(
     ports: &CellPorts,
     authority: &OwnerAuthority,
-) -> Option<u64> {
-    let item = read_until_lost!(ports, authority, ports.store.get(SEAL_KEY));
-    Some(item.map_or(0, |item| item.revision))
+) -> Option<[u64; LANES]> {
+    let page = read_until_lost!(ports, authority, ports.store.list(SEAL_PREFIX, ""));
+    let revision = |lane| {
+        let key = seal_key(lane);
+        let item = page.items.iter().find(|item| item.key == key);
+        item.map_or(0, |item| item.revision)
+    };
+    Some(std::array::from_fn(revision))
 }
 
 /// Puts the workers on the board where tasks of former owners may run.
--- a/crates/geraniumwinch-cell/src/owner_record.rs
+++ b/crates/geraniumwinch-cell/src/owner_record.rs
@@ -15,8 +15,8 @@
 pub(crate) const OWNER_KEY: &str = "cell/owner";
 /// The key of the number of the last epoch.
 pub(crate) const EPOCH_KEY: &str = "cell/epoch";
-/// The key that each transaction of the owner rewrites, so that no late one is carried out.
-pub(crate) const SEAL_KEY: &str = "cell/seal";
+/// The prefix of the keys that the owner's transactions rewrite, so that no late one is carried out.
+pub(crate) const SEAL_PREFIX: &str = "cell/seal/";
 /// The key of the workers where tasks may run.
 pub(crate) const WORKERS_KEY: &str = "cell/workers";
 /// The prefix of the jobs' keys.
@@ -70,6 +70,11 @@
     }
 }
 
+/// Returns the key of the seal of a lane of transactions.
+pub(crate) fn seal_key(lane: usize) -> String {
+    format!("{SEAL_PREFIX}{lane}")
+}
+
 /// Encodes the workers where tasks may run.
 pub(crate) fn encode_workers(workers: &[WorkerCard]) -> Vec<u8> {
     postcard::to_stdvec(workers).expect("cards have a fixed form")
--- a/crates/geraniumwinch-cell/src/record_journal.rs
+++ b/crates/geraniumwinch-cell/src/record_journal.rs
@@ -1,4 +1,7 @@
-//! Writes jobs and their progress to the store, one transaction at a time.
+//! Writes jobs and their progress to the store.
+
+mod open_batch;
+mod seal_lane;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -14,8 +17,6 @@
 use geraniumwinch_fleet::FleetBoard;
 use geraniumwinch_fleet::JobPhase;
 use geraniumwinch_fleet::JobRecord;
-use geraniumwinch_fleet::RecordWrite;
-use geraniumwinch_fleet::WorkerCard;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
@@ -29,10 +30,15 @@
 use crate::cell_metrics;
 use crate::owner_record::JOB_PREFIX;
 use crate::owner_record::OWNER_KEY;
-use crate::owner_record::SEAL_KEY;
 use crate::owner_record::SealRecord;
 use crate::owner_record::WORKERS_KEY;
 use crate::owner_record::encode_workers;
+use crate::owner_record::seal_key;
+
+use self::open_batch::BatchEnd;
+use self::open_batch::NewJob;
+use self::open_batch::OpenBatch;
+use self::seal_lane::SealLane;
 
 /// The most entries of the store's transactions.
 const MAX_ENTRIES: usize = 32;
@@ -49,91 +55,65 @@
 const LAST_TIMEOUT: Duration = Duration::from_millis(1400);
 /// The time without success after which new jobs are refused.
 const STALL: Duration = Duration::from_millis(800);
+/// The most transactions that are on their way while the store answers.
+pub(crate) const LANES: usize = 8;
+/// The same while tries fail: the jobs of further ones would get no answer either.
+const FAILING_LANES: usize = 2;
 /// The most bytes of records in one transaction.
 const MAX_BATCH_BYTES: usize = 512 * 1024;
 
 /// Who awaits that a job is stored.
 type Waiter = oneshot::Sender<Result<(), ErrorKind>>;
 
-/// A job that is to be stored.
-struct NewJob {
-    id: Name,
-    record: JobRecord,
-    bytes: Vec<u8>,
-}
-
-/// What a transaction holds beside its conditions.
-#[derive(Default)]
-struct OpenBatch {
-    jobs: Vec<NewJob>,
-    records: Vec<(RecordWrite, JobPhase)>,
-    removals: Vec<Name>,
-    /// The workers where tasks may run, if the store doesn't know some.
-    workers: Option<Vec<WorkerCard>>,
-}
-
-impl OpenBatch {
-    /// Returns whether there is nothing to write.
-    fn is_empty(&self) -> bool {
-        self.jobs.is_empty()
-            && self.records.is_empty()
-            && self.removals.is_empty()
-            && self.workers.is_none()
-    }
-}
-
-/// How a transaction ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum BatchEnd {
-    /// It was made.
-    Written,
-    /// It was not made and won't be.
-    NotWritten,
-    /// The ownership has ended, and it is not known whether it was made.
-    Lost,
-}
-
 /// Writes jobs and their progress to the store.
 ///
-/// Each transaction has the ownership and the seal of the one before as conditions. A transaction
-/// without an answer is repeated; a late copy of it finds the seal rewritten and does nothing.
+/// Each transaction has the ownership and the seal of its lane as conditions. One without an answer
+/// is repeated; a late copy of it finds the seal rewritten and does nothing. While the store
+/// answers within [`BATCH_GAP`], one lane carries all; a slow store gets several transactions at
+/// once, of different jobs.
 pub(crate) struct RecordJournal {
     ports: CellPorts,
     authority: Rc<OwnerAuthority>,
     board: Rc<RefCell<FleetBoard>>,
     owner_revision: u64,
-    seal_revision: Cell<u64>,
-    batch: Cell<u64>,
+    lanes: Vec<SealLane>,
     queue: RefCell<VecDeque<NewJob>>,
     waiters: RefCell<HashMap<Name, Vec<Waiter>>>,
     removals: RefCell<Vec<Name>>,
+    /// Whether the record of the workers is on its way.
+    writing_workers: Cell<bool>,
     /// Since when no transaction has succeeded although one was tried.
-    stalled: Cell<Option<BootTime>>,
+    failing: Cell<Option<BootTime>>,
+    /// When the last transaction succeeded.
+    succeeded: Cell<BootTime>,
     wake: Notify,
     stored: Rc<Notify>,
 }
 
 impl RecordJournal {
-    /// Creates the journal of an epoch; `stored` is notified after each transaction.
+    /// Creates the journal of an epoch; `seals` holds the revisions of the lanes' seals, and
+    /// `stored` is notified after each transaction.
     pub(crate) fn new(
         ports: CellPorts,
         authority: Rc<OwnerAuthority>,
         board: Rc<RefCell<FleetBoard>>,
         owner_revision: u64,
-        seal_revision: u64,
+        seals: [u64; LANES],
         stored: Rc<Notify>,
     ) -> Self {
+        let lanes = seals.into_iter().enumerate();
         RecordJournal {
             ports,
             authority,
             board,
             owner_revision,
-            seal_revision: Cell::new(seal_revision),
-            batch: Cell::new(0),
+            lanes: lanes.map(|(number, seal)| SealLane::new(number, seal)).collect(),
             queue: RefCell::default(),
             waiters: RefCell::default(),
             removals: RefCell::default(),
-            stalled: Cell::new(None),
+            writing_workers: Cell::new(false),
+            failing: Cell::new(None),
+            succeeded: Cell::new(BootTime::ZERO),
             wake: Notify::new(),
             stored,
         }
@@ -187,31 +167,50 @@
     /// Returns whether the store has taken nothing for a while.
     fn is_stalled(&self) -> bool {
         let now = self.ports.clock.now();
-        self.stalled.get().is_some_and(|since| now > since + STALL)
+        self.failing.get().is_some_and(|since| now > since + STALL)
     }
 
     /// Writes until the ownership ends.
     pub(crate) async fn run(self: Rc<Self>) {
         while !self.authority.is_lost() {
             self.wake.notified().await;
-            loop {
-                let began = self.ports.clock.now();
-                let batch = self.open_batch(began);
-                if batch.is_empty() {
-                    break;
-                }
-                let end = self.write(&batch).await;
-                self.close_batch(batch, end);
-                if self.authority.is_lost() {
+            while let Some(lane) = self.idle_lane() {
+                let batch = self.open_batch(self.ports.clock.now());
+                if batch.is_empty() || self.authority.is_lost() {
+                    self.close_batch(batch, BatchEnd::NotWritten);
                     break;
                 }
-                let spent = self.ports.clock.now().saturating_sub(began);
-                tokio::time::sleep(BATCH_GAP.saturating_sub(spent)).await;
+                self.lanes[lane].busy.set(true);
+                actix_rt::spawn(Rc::clone(&self).write_in(lane, batch));
+                tokio::time::sleep(BATCH_GAP).await;
             }
         }
+        while self.busy_lanes() > 0 {
+            self.wake.notified().await;
+        }
         self.fail_waiters();
     }
 
+    /// Returns the number of transactions that are on their way.
+    fn busy_lanes(&self) -> usize {
+        self.lanes.iter().filter(|lane| lane.busy.get()).count()
+    }
+
+    /// Returns the lane for a further transaction, if there may be one.
+    fn idle_lane(&self) -> Option<usize> {
+        let most = if self.failing.get().is_some() { FAILING_LANES } else { LANES };
+        let idle = self.lanes.iter().position(|lane| !lane.busy.get());
+        idle.filter(|_| self.busy_lanes() < most)
+    }
+
+    /// Makes a transaction in a lane and tells everybody concerned.
+    async fn write_in(self: Rc<Self>, lane: usize, batch: OpenBatch) {
+        let end = self.write(&self.lanes[lane], &batch).await;
+        self.close_batch(batch, end);
+        self.lanes[lane].busy.set(false);
+        self.wake.notify_one();
+    }
+
     /// Collects what goes into the next transaction.
     fn open_batch(&self, now: BootTime) -> OpenBatch {
         let mut batch = OpenBatch::default();
@@ -225,7 +224,10 @@
             batch.jobs.push(job);
         }
         let mut board = self.board.borrow_mut();
-        batch.workers = board.unrecorded_workers();
+        if !self.writing_workers.get() {
+            batch.workers = board.unrecorded_workers();
+            self.writing_workers.set(batch.workers.is_some());
+        }
         match board.take_writes(entries, now) {
             Ok(writes) => {
                 for write in writes {
@@ -243,14 +245,18 @@
     }
 
     /// Creates the transaction of a batch.
-    fn transaction(&self, batch: &OpenBatch, number: u64) -> StoreBatch {
+    fn transaction(
+        &self,
+        lane: &SealLane,
+        batch: &OpenBatch,
+        seal: SealRecord,
+    ) -> StoreBatch {
         let expected = vec![
             (OWNER_KEY.to_owned(), self.owner_revision),
-            (SEAL_KEY.to_owned(), self.seal_revision.get()),
+            (seal_key(lane.number), lane.revision.get()),
         ];
-        let seal = SealRecord { epoch: self.authority.epoch, batch: number };
         let mut writes = vec![StoreWrite {
-            key: SEAL_KEY.to_owned(),
+            key: seal_key(lane.number),
             value: seal.encode(),
             lease: None,
         }];
@@ -270,10 +276,9 @@
     }
 
     /// Makes a transaction, however often it takes, until the ownership ends.
-    async fn write(&self, batch: &OpenBatch) -> BatchEnd {
-        let number = self.batch.get() + 1;
-        self.batch.set(number);
-        let transaction = self.transaction(batch, number);
+    async fn write(&self, lane: &SealLane, batch: &OpenBatch) -> BatchEnd {
+        let seal = lane.next_seal(self.authority.epoch);
+        let transaction = self.transaction(lane, batch, seal);
         let began = self.ports.clock.now();
         let mut unanswered = false;
         let mut timeout = FIRST_TIMEOUT;
@@ -285,12 +290,12 @@
             timeout = (timeout * 2).min(LAST_TIMEOUT);
             match outcome {
                 Ok(CommitOutcome::Committed(revision)) => {
-                    self.seal_revision.set(revision);
+                    lane.revision.set(revision);
                     self.succeed(began);
                     return BatchEnd::Written;
                 }
                 Ok(CommitOutcome::Conflict(items)) => {
-                    return self.resolve_conflict(&items, number, began);
+                    return self.resolve_conflict(lane, &items, seal, began);
                 }
                 Ok(CommitOutcome::LeaseEnded) => {
                     self.authority.lose();
@@ -313,15 +318,15 @@
     /// Finds out whether an earlier try of a transaction was made.
     fn resolve_conflict(
         &self,
+        lane: &SealLane,
         items: &[StoreItem],
-        number: u64,
+        seal: SealRecord,
         began: BootTime,
     ) -> BatchEnd {
-        let seal = items.iter().find(|item| item.key == SEAL_KEY);
-        let ours = SealRecord { epoch: self.authority.epoch, batch: number };
-        match seal {
-            Some(item) if SealRecord::decode(&item.value) == Some(ours) => {
-                self.seal_revision.set(item.revision);
+        let key = seal_key(lane.number);
+        match items.iter().find(|item| item.key == key) {
+            Some(item) if SealRecord::decode(&item.value) == Some(seal) => {
+                lane.revision.set(item.revision);
                 self.succeed(began);
                 BatchEnd::Written
             }
@@ -345,29 +350,36 @@
         if self.is_stalled() {
             log_event!(Info, "store-regained", part = "journal");
         }
-        self.stalled.set(None);
+        self.failing.set(None);
+        self.succeeded.set(now);
     }
 
     /// Notes that a try failed and returns whether the store has taken nothing for a while.
     fn note_failure(&self, error: &CallError, began: BootTime) -> bool {
         cell_metrics::count_retry("commit");
-        let stalled = self.is_stalled();
-        if self.stalled.get().is_none() {
-            self.stalled.set(Some(began));
+        let known = self.failing.get();
+        if known.is_none() {
+            self.failing.set(Some(began.max(self.succeeded.get())));
         }
-        if !stalled && self.is_stalled() {
+        let stalled = self.is_stalled();
+        if stalled {
             log_event!(Warn, "store-lost", part = "journal", error = error);
+            self.refuse_queued();
+        }
+        stalled
+    }
+
+    /// Refuses the jobs that are in no transaction yet.
+    fn refuse_queued(&self) {
+        let queued: Vec<NewJob> = self.queue.borrow_mut().drain(..).collect();
+        for job in queued {
+            self.answer(&job.id, Err(ErrorKind::StoreUnavailable));
         }
-        self.is_stalled()
     }
 
     /// Tells everybody concerned how a transaction ended.
     fn close_batch(&self, batch: OpenBatch, end: BatchEnd) {
-        let result = match end {
-            BatchEnd::Written => Ok(()),
-            BatchEnd::NotWritten => Err(ErrorKind::StoreUnavailable),
-            BatchEnd::Lost => Err(ErrorKind::StoreUnknown),
-        };
+        let result = end.result();
         let mut board = self.board.borrow_mut();
         for job in batch.jobs {
             if end == BatchEnd::Written {
@@ -382,8 +394,11 @@
                 board.rewrite(&write.job, self.ports.clock.now());
             }
         }
-        if let Some(workers) = batch.workers.filter(|_| end == BatchEnd::Written) {
-            board.workers_recorded(&workers);
+        if let Some(workers) = batch.workers {
+            self.writing_workers.set(false);
+            if end == BatchEnd::Written {
+                board.workers_recorded(&workers);
+            }
         }
         drop(board);
         if end != BatchEnd::Written {
--- a/crates/geraniumwinch-fleet/src/fleet_board/job_slot.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/job_slot.rs
@@ -140,8 +140,8 @@
     pub(super) version: u64,
     /// The last change that the store holds.
     pub(super) stored: u64,
-    /// The last change that was handed to the store.
-    pub(super) written: u64,
+    /// Whether a change is on its way to the store.
+    pub(super) writing: bool,
     /// The order of acceptance.
     pub(super) serial: u64,
     /// Whether a worker has said that it runs or ran a task.
@@ -171,7 +171,7 @@
             shown,
             version: 0,
             stored: 0,
-            written: 0,
+            writing: false,
             serial,
             started,
             uncertain_until: BootTime::ZERO,
--- a/crates/geraniumwinch-fleet/src/fleet_board/recording.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/recording.rs
@@ -40,10 +40,12 @@
         self.dirty.iter().any(|(&key, &since)| self.write_due(key, since, now))
     }
 
-    /// Returns whether a job's changes must be written now: those that end it at once.
+    /// Returns whether a job's changes must be written now: those that end it at once, but none
+    /// while an earlier one is on its way.
     fn write_due(&self, key: JobKey, since: BootTime, now: BootTime) -> bool {
         let job = &self.jobs[key];
-        job.record.phase != job.shown || now >= since + PROGRESS_DELAY
+        let due = job.record.phase != job.shown || now >= since + PROGRESS_DELAY;
+        due && !job.writing
     }
 
     /// Takes up to `most` records that must be written now.
@@ -68,7 +70,7 @@
             self.dirty.remove(&key);
             let job = &mut self.jobs[key];
             job.collect_progress();
-            job.written = job.version;
+            job.writing = true;
             let bytes = encode(&job.record)?;
             writes.push(RecordWrite { job: job.id.clone(), version: job.version, bytes });
         }
@@ -79,6 +81,7 @@
     pub fn written(&mut self, job: &str, version: u64, phase: JobPhase) {
         let Some(&key) = self.job_ids.get(job) else { return };
         let slot = &mut self.jobs[key];
+        slot.writing = false;
         slot.stored = slot.stored.max(version);
         slot.shown = phase;
         let workers: Vec<WorkerKey> = self.workers.keys().collect();
@@ -90,6 +93,7 @@
     /// Has a job's record written again, as the store did not take it.
     pub fn rewrite(&mut self, job: &str, now: BootTime) {
         if let Some(&key) = self.job_ids.get(job) {
+            self.jobs[key].writing = false;
             self.dirty.entry(key).or_insert(now);
         }
     }
