Let large VMs own the cell, keep room for gangs, and take jobs by the work that goes before them

Changes: the last epoch's record names the size of its owner's VM, and VMs less than half as large wait 1.5 s before a claim and hand over to a larger one that is there. The store's record of a silent worker lists the jobs that have tasks on it, and a new owner holds only those back; a worker gets no task before the store says that tasks of any job may run there. What may run unseen is at most what the unseen workers can hold. A job is refused if the work of its urgency and above takes longer on the processors that less urgent tasks leave than its objective lets it wait, and beyond the account's share sooner. Passes look at granted workers only and pause for twice the time they took. An owner renews once more before it hands over.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -50,11 +50,16 @@
 const PASS_INTERVAL: Duration = Duration::from_millis(100);
 /// The least time between two passes.
 const PASS_GAP: Duration = Duration::from_millis(4);
+/// How many times as long as the last pass that time is, so that reports and callers get most of
+/// the processor.
+const PASS_GAP_FACTOR: u32 = 2;
+/// The most of that time.
+const PASS_GAP_MAX: Duration = Duration::from_millis(50);
 /// The time between two reads of the list of workers.
 const LIST_INTERVAL: Duration = Duration::from_millis(700);
-/// The part of the room of all workers that waiting work may ask for before the accounts' shares
-/// of new jobs are enforced.
-const BACKLOG_LIMIT: f64 = 0.25;
+/// The part of the time that a job can wait that others before it may take for a job beyond its
+/// account's share.
+const EXCESS_STRAIN: f64 = 0.4;
 /// The time between two log lines of the board's numbers.
 const TELL_INTERVAL: Duration = Duration::from_secs(1);
 /// The time between two searches for records that nobody can ask for any longer.
@@ -87,8 +92,6 @@
     limits_version: Cell<u64>,
     resigned: Cell<bool>,
     shares: RefCell<ShareMeter>,
-    /// The work that waits as a part of the room of all workers.
-    backlog: Cell<f64>,
 }
 
 impl CellDispatcher {
@@ -157,7 +160,6 @@
             limits_version: Cell::new(0),
             resigned: Cell::new(false),
             shares: RefCell::default(),
-            backlog: Cell::new(0.0),
         });
         workers.into_iter().for_each(|worker| dispatcher.run_worker(worker));
         Some(dispatcher)
@@ -170,10 +172,13 @@
         let mut expired = self.ports.clock.now();
         let mut told = expired;
         while !self.authority.is_lost() {
+            let began = self.ports.clock.now();
             self.pass();
+            let took = self.ports.clock.now().saturating_sub(began);
             // An elapsed wait needs no handling: a pass is due either way.
             let _ = tokio::time::timeout(PASS_INTERVAL, self.pump.notified()).await;
-            tokio::time::sleep(PASS_GAP).await;
+            let gap = (took * PASS_GAP_FACTOR).clamp(PASS_GAP, PASS_GAP_MAX);
+            tokio::time::sleep(gap).await;
             let now = self.ports.clock.now();
             if now >= told + TELL_INTERVAL {
                 told = now;
@@ -204,7 +209,7 @@
             usable_workers = counts.usable_workers,
             workers = counts.workers,
             used = format!("{:.2}", counts.used),
-            backlog = format!("{:.2}", self.backlog.get())
+            backlog = format!("{:.2}", self.board.borrow().backlog())
         );
     }
 
@@ -276,7 +281,7 @@
         let stops = board.take_stops();
         let events = board.take_events();
         let due = board.has_due_writes(now);
-        self.backlog.set(board.backlog());
+        board.measure_backlog(self.ports.clock.wall());
         drop(board);
         for start in starts {
             self.sender.start(start);
@@ -427,7 +432,7 @@
         let wall = self.ports.clock.wall();
         let record = JobRecord::new(rules, account, wall, request);
         if !self.journal.is_pending(&id)
-            && let Some(kind) = self.refusal(&record, wall)
+            && let Some(kind) = self.refusal(&record)
         {
             return PeerReply::Refused(kind);
         }
@@ -440,21 +445,22 @@
         }
     }
 
-    /// Returns why a new job is not taken, if it isn't.
-    fn refusal(&self, record: &JobRecord, wall: Duration) -> Option<ErrorKind> {
-        if !self.admits(&record.account) {
-            return Some(ErrorKind::TeamLimit);
+    /// Returns why a new job is not taken, if it isn't: one that would be late behind those before
+    /// it, and sooner one of an account that has sent more than its share.
+    fn refusal(&self, record: &JobRecord) -> Option<ErrorKind> {
+        let within_share = self.take_share(&record.account);
+        let strain = self.board.borrow().strain(record);
+        if strain > 1.0 {
+            Some(ErrorKind::DeadlineUnmeetable)
+        } else if !within_share && strain > EXCESS_STRAIN {
+            Some(ErrorKind::TeamLimit)
+        } else {
+            None
         }
-        if self.backlog.get() < BACKLOG_LIMIT {
-            return None;
-        }
-        let excess = self.board.borrow().excess_wait(record, wall);
-        excess.map(|_| ErrorKind::DeadlineUnmeetable)
     }
 
-    /// Returns whether a further job of an account is taken now: when the cell has more work than
-    /// room, only the account's share of new jobs is.
-    fn admits(&self, account: &Name) -> bool {
+    /// Counts a new job of an account and returns whether it is within the account's share.
+    fn take_share(&self, account: &Name) -> bool {
         let weight = self.catalog.current().and_then(|current| {
             let limits = current.catalog.accounts.iter().map(|found| &found.limit);
             limits
@@ -464,8 +470,7 @@
         });
         let Some(weight) = weight else { return true };
         let now = self.ports.clock.now();
-        let within = self.shares.borrow_mut().take(account, weight, now);
-        within || self.backlog.get() < BACKLOG_LIMIT
+        self.shares.borrow_mut().take(account, weight, now)
     }
 
     /// Cancels a job and answers once the store holds it.
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/loading.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/loading.rs
@@ -99,9 +99,9 @@
 ) -> Option<Vec<WorkerKey>> {
     let item = read_until_lost!(ports, authority, ports.store.get(WORKERS_KEY));
     let Some(item) = item else { return Some(Vec::new()) };
-    let Some(cards) = decode_workers(&item.value) else {
+    let Some(records) = decode_workers(&item.value) else {
         log_event!(Error, "workers-unreadable", bytes = item.value.len());
         return Some(Vec::new());
     };
-    Some(board.borrow_mut().load_workers(cards, ports.clock.now()))
+    Some(board.borrow_mut().load_workers(records, ports.clock.now()))
 }
--- a/crates/geraniumwinch-cell/src/cell_owner.rs
+++ b/crates/geraniumwinch-cell/src/cell_owner.rs
@@ -25,10 +25,10 @@
 use crate::cell_metrics;
 use crate::member_table::MemberTable;
 use crate::owner_record::EPOCH_KEY;
+use crate::owner_record::EpochRecord;
 use crate::owner_record::OWNER_KEY;
 use crate::owner_record::OwnerRecord;
 use crate::owner_record::claim_batch;
-use crate::owner_record::decode_epoch;
 use crate::owner_watch::OwnerWatch;
 use crate::peer_message::MemberNote;
 use crate::peer_message::PeerReply;
@@ -66,6 +66,11 @@
 const SMALL_VM_WAIT: Duration = Duration::from_millis(25);
 /// The longest such wait.
 const SMALL_VM_WAIT_MAX: Duration = Duration::from_millis(250);
+/// How many times larger than this one a VM is that is let claim, or own, instead.
+const OUTSIZED_FACTOR: u32 = 2;
+/// The least wait before a claim if the last owner's VM was that much larger: others like it may
+/// be about to start.
+const LARGER_VM_WAIT: Duration = Duration::from_millis(1500);
 /// The share of a core with which a VM waits for none.
 const FULL_SHARE: f64 = 0.5;
 /// The wait of a process that reaches few others, so that a better placed one claims first.
@@ -182,6 +187,11 @@
             && self.watch.vacant(VACANCY_AGE)
     }
 
+    /// Returns the share of a core that this VM has, in thousandths.
+    fn cpu_millis(&self) -> u32 {
+        (self.settings.cpu_share * 1000.0) as u32
+    }
+
     /// Returns what this process says of itself.
     fn note(&self) -> MemberNote {
         MemberNote {
@@ -189,6 +199,7 @@
             address: self.settings.peers,
             domain: self.settings.domain.clone(),
             version: self.catalog.version(),
+            cpu_millis: self.cpu_millis(),
             stopping: self.stopping.get(),
         }
     }
@@ -325,19 +336,64 @@
         let Some(heir) = join_all(calls).await.into_iter().flatten().next() else {
             return false;
         };
-        log_event!(Warn, "ownership-handed-over", epoch = authority.epoch, to = heir);
+        if self.renews(authority).await {
+            return false;
+        }
+        self.hand_to(authority, heir, "store").await;
+        true
+    }
+
+    /// Hands the ownership over to a process on a much larger VM, if there is one that the store
+    /// answers.
+    async fn yield_to_larger(&self, authority: &OwnerAuthority) -> bool {
+        let Some(active) = self.active() else { return false };
+        let live = active.members.borrow().live(self.ports.clock.now());
+        let larger = live.iter().filter(|note| self.is_outsized(note.cpu_millis));
+        let Some(heir) = larger.max_by_key(|note| note.cpu_millis) else { return false };
+        let probe = PeerRequest::ProbeStore;
+        let answer = self.peers.call(heir.address, &probe, HAND_OVER_TIMEOUT).await;
+        if !matches!(answer, Ok(PeerReply::StoreUp(true))) {
+            return false;
+        }
+        self.no_claim_before.set(self.ports.clock.now() + RESIGNED_WAIT);
+        self.hand_to(authority, heir.address, "larger").await;
+        true
+    }
+
+    /// Ends the ownership here and has another process end its lease.
+    async fn hand_to(&self, authority: &OwnerAuthority, heir: SocketAddr, reason: &str) {
+        log_event!(
+            Warn,
+            "ownership-handed-over",
+            epoch = authority.epoch,
+            to = heir,
+            reason = reason
+        );
         authority.lose();
         let depose = PeerRequest::Depose(authority.epoch, authority.lease);
         if let Err(error) = self.peers.call(heir, &depose, HELLO_TIMEOUT).await {
             log_event!(Warn, "hand-over-failed", error = error);
         }
-        true
+    }
+
+    /// Returns whether the store, which answers another process, renews the ownership as well: it
+    /// may have come back for all.
+    async fn renews(&self, authority: &OwnerAuthority) -> bool {
+        let sent = self.ports.clock.now();
+        let renewal = self.ports.store.renew_lease(authority.lease);
+        let renewed = tokio::time::timeout(HAND_OVER_TIMEOUT, renewal).await;
+        let renewed = matches!(renewed, Ok(Ok(true)));
+        if renewed {
+            authority.renew(sent);
+        }
+        renewed
     }
 
     /// Claims the ownership and, if it is won, dispatches until it ends.
     async fn claim(self: &Rc<Self>) {
         let jitter = CLAIM_JITTER.mul_f64(rand::rng().random());
-        self.watch.await_change(self.size_wait() + jitter).await;
+        let wait = self.size_wait().await;
+        self.watch.await_change(wait + jitter).await;
         if !self.survey(0).await.most_domains {
             self.watch.await_change(CUT_OFF_WAIT).await;
         }
@@ -355,10 +411,20 @@
     }
 
     /// Returns how long this process lets those on larger VMs claim first.
-    fn size_wait(&self) -> Duration {
+    async fn size_wait(&self) -> Duration {
         let share = self.settings.cpu_share.max(0.01);
         let lacking = (1.0 / share - 1.0 / FULL_SHARE).max(0.0);
-        SMALL_VM_WAIT.mul_f64(lacking).min(SMALL_VM_WAIT_MAX)
+        let wait = SMALL_VM_WAIT.mul_f64(lacking).min(SMALL_VM_WAIT_MAX);
+        // Without an answer the claim fails anyway.
+        let last = self.ports.store.get(EPOCH_KEY).await.ok().flatten();
+        let last = last.and_then(|item| EpochRecord::decode(&item.value));
+        let larger = last.is_some_and(|last| self.is_outsized(last.cpu_millis));
+        if larger { wait.max(LARGER_VM_WAIT) } else { wait }
+    }
+
+    /// Returns whether a VM with a share of a core is much larger than this one.
+    fn is_outsized(&self, cpu_millis: u32) -> bool {
+        cpu_millis > self.cpu_millis() * OUTSIZED_FACTOR
     }
 
     /// Writes the record of a new ownership; nothing if another process was faster.
@@ -368,7 +434,7 @@
         let lease = store.grant_lease(OWNER_TTL).await?;
         let last = store.get(EPOCH_KEY).await?;
         let (last_epoch, epoch_revision) = match &last {
-            Some(item) => (decode_epoch(&item.value), item.revision),
+            Some(item) => (read_epoch(item)?, item.revision),
             None => (0, 0),
         };
         let record = OwnerRecord {
@@ -376,6 +442,7 @@
             name: self.settings.name.clone(),
             process: self.process,
             address: self.settings.peers,
+            cpu_millis: self.cpu_millis(),
             lease,
         };
         let outcome =
@@ -468,6 +535,9 @@
                     RENEWAL_RETRY
                 }
             };
+            if sent > began + SETTLING && self.yield_to_larger(&authority).await {
+                return;
+            }
             if sent > began + SETTLING && self.is_cut_off(sent) {
                 log_event!(Warn, "owner-cut-off", epoch = authority.epoch);
                 self.no_claim_before.set(sent + RESIGNED_WAIT);
@@ -488,3 +558,11 @@
         known >= QUORUM_MIN && (members.live(now).len() + 1) * 2 < known + 1
     }
 }
+
+/// Reads the number of the last epoch: without it, a new owner's orders could bear an older one's.
+fn read_epoch(item: &crate::StoreItem) -> crate::Result<u64> {
+    let record = EpochRecord::decode(&item.value);
+    let message = || format!("{} has {} bytes", item.key, item.value.len());
+    let epoch = record.map(|record| record.epoch);
+    epoch.ok_or_else(|| CallError::Unreadable { message: message() })
+}
--- a/crates/geraniumwinch-cell/src/peer_message.rs
+++ b/crates/geraniumwinch-cell/src/peer_message.rs
@@ -35,6 +35,8 @@
     pub(crate) domain: Name,
     /// The number of its configuration.
     pub(crate) version: u64,
+    /// The share of a core that its VM has, in thousandths.
+    pub(crate) cpu_millis: u32,
     /// Whether it is stopping.
     pub(crate) stopping: bool,
 }
--- a/crates/geraniumwinch-cell/src/record_journal.rs
+++ b/crates/geraniumwinch-cell/src/record_journal.rs
@@ -396,8 +396,9 @@
         }
         if let Some(workers) = batch.workers {
             self.writing_workers.set(false);
-            if end == BatchEnd::Written {
-                board.workers_recorded(&workers);
+            match end {
+                BatchEnd::Written => board.workers_recorded(&workers),
+                BatchEnd::NotWritten | BatchEnd::Lost => board.workers_unrecorded(),
             }
         }
         drop(board);
--- a/crates/geraniumwinch-cell/src/record_journal/open_batch.rs
+++ b/crates/geraniumwinch-cell/src/record_journal/open_batch.rs
@@ -5,7 +5,7 @@
 use geraniumwinch_fleet::JobPhase;
 use geraniumwinch_fleet::JobRecord;
 use geraniumwinch_fleet::RecordWrite;
-use geraniumwinch_fleet::WorkerCard;
+use geraniumwinch_fleet::WorkerRecord;
 
 /// A job that is to be stored.
 pub(super) struct NewJob {
@@ -27,7 +27,7 @@
     /// The jobs whose records are removed.
     pub(super) removals: Vec<Name>,
     /// The workers where tasks may run, if the store doesn't know some.
-    pub(super) workers: Option<Vec<WorkerCard>>,
+    pub(super) workers: Option<Vec<WorkerRecord>>,
 }
 
 impl OpenBatch {
--- a/crates/geraniumwinch-cell/src/submit_desk.rs
+++ b/crates/geraniumwinch-cell/src/submit_desk.rs
@@ -27,8 +27,10 @@
 const OWNER_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The wait before an owner that was not reached is tried again.
 const RETRY: Duration = Duration::from_millis(40);
-/// How much sooner than the caller's deadline an answer is due.
+/// How much sooner than the caller's deadline an answer is due, at most.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(250);
+/// The part of the caller's patience that the margin takes of a short one.
+const MARGIN_DIVISOR: u32 = 6;
 
 /// The job that a caller hands in.
 #[derive(Debug, Clone, PartialEq)]
@@ -160,7 +162,7 @@
         patience: Duration,
     ) -> DeskResult<PeerReply> {
         let began = self.ports.clock.now();
-        let end = began + patience.saturating_sub(DEADLINE_MARGIN);
+        let end = began + patience - DEADLINE_MARGIN.min(patience / MARGIN_DIVISOR);
         let mut maybe_received = false;
         loop {
             let now = self.ports.clock.now();
--- a/crates/geraniumwinch-core/src/resource_vector.rs
+++ b/crates/geraniumwinch-core/src/resource_vector.rs
@@ -43,6 +43,15 @@
         rest
     }
 
+    /// Returns the lesser amount of each resource.
+    pub fn least(&self, other: &ResourceVector) -> ResourceVector {
+        ResourceVector {
+            cpu_millis: self.cpu_millis.min(other.cpu_millis),
+            memory_bytes: self.memory_bytes.min(other.memory_bytes),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
     /// Returns the largest fraction that `self` takes of any resource of `total`.
     pub fn dominant_share(&self, total: &ResourceVector) -> f64 {
         let cpu = fraction(self.cpu_millis, total.cpu_millis);
--- a/crates/geraniumwinch-fleet/src/fleet_board.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board.rs
@@ -10,15 +10,17 @@
 mod preempting;
 mod recording;
 mod reporting;
+mod room_claim;
 mod sweeping;
 mod worker_slot;
+mod workers;
 
 pub use self::placing::PlacementRound;
 pub use self::recording::RecordWrite;
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::time::Duration;
 
 use geraniumwinch_core::Name;
@@ -35,6 +37,7 @@
 use crate::WorkerCard;
 
 use self::account_ledger::AccountLedger;
+use self::admitting::WaitingLoad;
 use self::job_slot::JobKey;
 use self::job_slot::JobSlot;
 use self::job_slot::PlacePhase;
@@ -83,9 +86,12 @@
     /// The jobs with changes that were not handed to the store, with the time of the first one.
     dirty: HashMap<JobKey, BootTime>,
     accounts: AccountLedger,
+    load: WaitingLoad,
+    /// The processors that placed tasks have, by urgency, in thousandths of a core.
+    held: BTreeMap<u32, u64>,
     /// The share of workers that each queue's permissions allow, as learnt so far.
     allowed_share: HashMap<Name, f64>,
-    /// Whether the store's list of workers has some that are gone.
+    /// Whether the store's records of workers have some that are gone or are not known.
     gone_recorded: bool,
     stops: Vec<RunStop>,
     events: Vec<BoardEvent>,
@@ -106,6 +112,8 @@
             open: BTreeSet::new(),
             dirty: HashMap::new(),
             accounts: AccountLedger::default(),
+            load: WaitingLoad::default(),
+            held: BTreeMap::new(),
             allowed_share: HashMap::new(),
             gone_recorded: false,
             stops: Vec::new(),
@@ -119,70 +127,6 @@
         self.accounts.set_limits(limits);
     }
 
-    /// Takes over the platform's list of workers and returns those that are new.
-    pub fn set_workers(
-        &mut self,
-        cards: Vec<WorkerCard>,
-        now: BootTime,
-    ) -> Vec<WorkerKey> {
-        for slot in self.workers.values_mut() {
-            slot.listed = false;
-        }
-        let mut fresh = Vec::new();
-        for card in cards {
-            match self.worker_ids.get(&card.id) {
-                Some(&key) => {
-                    let slot = &mut self.workers[key];
-                    slot.card = card;
-                    slot.listed = true;
-                }
-                None => {
-                    let id = card.id.clone();
-                    let key =
-                        self.workers.insert(WorkerSlot::new(card, now + self.lease));
-                    self.worker_ids.insert(id, key);
-                    fresh.push(key);
-                }
-            }
-        }
-        fresh
-    }
-
-    /// Puts the workers on the board where tasks of a former owner may run.
-    ///
-    /// They take no tasks before the platform's list has them.
-    pub fn load_workers(
-        &mut self,
-        cards: Vec<WorkerCard>,
-        now: BootTime,
-    ) -> Vec<WorkerKey> {
-        let fresh = self.set_workers(cards, now);
-        for &key in &fresh {
-            let slot = &mut self.workers[key];
-            slot.listed = false;
-            slot.recorded = true;
-        }
-        fresh
-    }
-
-    /// Returns the cards of the workers where tasks may run if the store lacks some of them, or
-    /// has others: the next owner would wait for these.
-    pub fn unrecorded_workers(&self) -> Option<Vec<WorkerCard>> {
-        let differs = |slot: &WorkerSlot| slot.recorded != slot.may_run();
-        let changed = self.gone_recorded || self.workers.values().any(differs);
-        let holding = self.workers.values().filter(|slot| slot.may_run());
-        changed.then(|| holding.map(|slot| slot.card.clone()).collect())
-    }
-
-    /// Notes that the store knows these workers and no others.
-    pub fn workers_recorded(&mut self, cards: &[WorkerCard]) {
-        let known: HashSet<&Name> = cards.iter().map(|card| &card.id).collect();
-        for slot in self.workers.values_mut() {
-            slot.recorded = known.contains(&slot.card.id);
-        }
-        self.gone_recorded = known.iter().any(|&id| !self.worker_ids.contains_key(id));
-    }
-
     /// Returns what a worker says of itself.
     pub fn card(&self, worker: WorkerKey) -> Option<&WorkerCard> {
         self.workers.get(worker).map(|slot| &slot.card)
@@ -198,20 +142,6 @@
         self.workers.get(worker).is_some_and(|slot| !slot.unstored.is_empty())
     }
 
-    /// Returns whether a worker is gone: it is not listed and nothing may run there.
-    pub fn forget_if_gone(&mut self, worker: WorkerKey, now: BootTime) -> bool {
-        let Some(slot) = self.workers.get(worker) else { return true };
-        let empty = slot.idle() || (slot.places.is_empty() && slot.expiry <= now);
-        if slot.listed || !slot.silent || !empty {
-            return false;
-        }
-        if let Some(slot) = self.workers.remove(worker) {
-            self.worker_ids.remove(&slot.card.id);
-            self.gone_recorded |= slot.recorded;
-        }
-        true
-    }
-
     /// Puts a job of the store on the board of a new owner.
     ///
     /// Its tasks that no worker reports may still run on workers that have not reported until
@@ -224,6 +154,7 @@
     /// Puts a job on the board that the store has just taken.
     pub fn accept(&mut self, id: Name, record: JobRecord) {
         if !self.job_ids.contains_key(&id) {
+            self.count_accepted(&record);
             self.insert(id, record);
         }
     }
@@ -332,6 +263,7 @@
         let worker = &mut self.workers[place.worker];
         worker.used.add(&size);
         worker.places.insert(task);
+        *self.held.entry(job.record.rules.priority).or_default() += size.cpu_millis;
         self.accounts.take(&job.record.account, &size);
     }
 
@@ -349,6 +281,9 @@
             worker.used.subtract(&size);
             worker.places.remove(&task);
         }
+        if let Some(held) = self.held.get_mut(&job.record.rules.priority) {
+            *held = held.saturating_sub(size.cpu_millis);
+        }
         self.accounts.release(&job.record.account, &size);
         Some(place)
     }
--- a/crates/geraniumwinch-fleet/src/fleet_board/asking.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/asking.rs
@@ -183,31 +183,9 @@
         self.jobs[key].units[unit as usize].ask_after = now + ASK_RETRY;
     }
 
-    /// Counts a question off; with the last one the room that was kept is given back.
+    /// Counts a question off.
     fn end_ask(&mut self, key: JobKey, unit: u32) {
         let slot = &mut self.jobs[key].units[unit as usize];
         slot.asking = slot.asking.saturating_sub(1);
-        if slot.asking == 0 {
-            self.release_reserved(key, unit);
-        }
-    }
-
-    /// Gives the room back that was kept while permissions were renewed.
-    pub(super) fn release_reserved(&mut self, key: JobKey, unit: u32) {
-        let slot = &mut self.jobs[key].units[unit as usize];
-        for (worker, size) in std::mem::take(&mut slot.reserved) {
-            if let Some(worker) = self.workers.get_mut(worker) {
-                worker.used.subtract(&size);
-            }
-        }
-    }
-
-    /// Keeps room for tasks while their permissions are renewed.
-    pub(super) fn reserve(&mut self, key: JobKey, unit: u32, workers: &[WorkerKey]) {
-        let size = self.jobs[key].plan(unit).reserved();
-        for &worker in workers {
-            self.workers[worker].used.add(&size);
-            self.jobs[key].units[unit as usize].reserved.push((worker, size));
-        }
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_board/clearing.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/clearing.rs
@@ -42,13 +42,13 @@
     /// Returns a worker's room once the tasks of other urgencies have ended.
     fn cleared_room(&self, key: JobKey, slot: &WorkerSlot) -> ResourceVector {
         let priority = self.jobs[key].record.rules.priority;
-        let mut room = slot.free();
+        let mut others = ResourceVector::default();
         for task in &slot.places {
             let job = &self.jobs[task.job];
             if job.record.rules.priority != priority {
-                room.add(&job.plan(task.unit).reserved());
+                others.add(&job.plan(task.unit).reserved());
             }
         }
-        room
+        slot.free_without(&others)
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_board/ending.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/ending.rs
@@ -102,7 +102,7 @@
         self.open.remove(&(job.record.rules.priority, job.serial, key));
         let id = job.id.clone();
         for unit in 0..job.units.len() as u32 {
-            self.release_reserved(key, unit);
+            self.release_claim(key, unit);
         }
         self.touch(key, now);
         for task in self.placed_tasks(key) {
--- a/crates/geraniumwinch-fleet/src/fleet_board/job_slot.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/job_slot.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use geraniumwinch_core::Name;
-use geraniumwinch_core::ResourceVector;
 use slotmap::new_key_type;
 
 use crate::BootTime;
@@ -16,6 +15,7 @@
 use crate::TaskName;
 
 use super::WorkerKey;
+use super::room_claim::RoomClaim;
 
 /// The workers that a question for permission names in the longest chain of work.
 const CHAIN_WORKERS: usize = 30;
@@ -123,8 +123,10 @@
     pub(super) asking: usize,
     /// Before this time the permission service is not asked again.
     pub(super) ask_after: BootTime,
-    /// The room that is kept while permissions are renewed.
-    pub(super) reserved: Vec<(WorkerKey, ResourceVector)>,
+    /// The room that is kept for a gang.
+    pub(super) claim: Option<RoomClaim>,
+    /// Before this time no workers are searched for a gang that doesn't fit.
+    pub(super) clear_after: BootTime,
 }
 
 /// A job.
@@ -312,6 +314,7 @@
         permissions: HashMap::new(),
         asking: 0,
         ask_after: BootTime::ZERO,
-        reserved: Vec::new(),
+        claim: None,
+        clear_after: BootTime::ZERO,
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_board/placing.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/placing.rs
@@ -1,6 +1,7 @@
 //! The choice of workers for tasks that wait.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use geraniumwinch_core::Name;
@@ -42,7 +43,7 @@
     /// What is known of the permission.
     pub(super) permit: Permit,
     /// The order of preference; the least goes first.
-    rank: (bool, bool, u64),
+    rank: (bool, bool, u64, WorkerKey),
 }
 
 impl FleetBoard {
@@ -55,16 +56,16 @@
         long_asks: usize,
     ) -> PlacementRound {
         let mut round = PlacementRound { long_asks, ..PlacementRound::default() };
-        let uncertain = self.workers.values().any(|slot| slot.incarnation.is_none());
-        let unseen = if uncertain { self.unseen_use(now) } else { HashMap::new() };
-        self.accounts.set_unseen(unseen);
+        let unseen = self.unseen_jobs();
+        self.accounts.set_unseen(self.unseen_use(unseen.as_ref(), now));
         for key in self.by_urgency(wall) {
-            let job = &self.jobs[key];
-            if uncertain && job.uncertain_until > now {
+            if self.may_run_unseen(key, unseen.as_ref(), now) {
                 continue;
             }
-            for unit in 0..job.units.len() as u32 {
-                if self.due(key, unit, wall) {
+            for unit in 0..self.jobs[key].units.len() as u32 {
+                if self.due(key, unit, wall)
+                    && !self.settle_claim(key, unit, now, &mut round)
+                {
                     self.place_unit(key, unit, wall, now, &mut round);
                 }
             }
@@ -72,27 +73,48 @@
         round
     }
 
+    /// Returns whether waiting tasks of a job may run on workers that have not reported; `unseen`
+    /// holds the jobs whose tasks may, or nothing if those of any former owner's job may.
+    fn may_run_unseen(
+        &self,
+        key: JobKey,
+        unseen: Option<&HashSet<Name>>,
+        now: BootTime,
+    ) -> bool {
+        let job = &self.jobs[key];
+        job.uncertain_until > now && unseen.is_none_or(|unseen| unseen.contains(&job.id))
+    }
+
     /// Returns what accounts may have running on workers that have not reported: at most the tasks
-    /// of former owners' jobs that no worker has reported.
-    fn unseen_use(&self, now: BootTime) -> HashMap<Name, ResourceVector> {
-        let mut unseen: HashMap<Name, ResourceVector> = HashMap::new();
+    /// of former owners' jobs that no worker has reported, and what these workers have room for.
+    fn unseen_use(
+        &self,
+        unseen: Option<&HashSet<Name>>,
+        now: BootTime,
+    ) -> HashMap<Name, ResourceVector> {
+        let mut room = ResourceVector::default();
+        for slot in self.workers.values() {
+            if slot.inherited.is_some() && slot.incarnation.is_none() {
+                room.add(&slot.card.capacity);
+            }
+        }
+        let mut used: HashMap<Name, ResourceVector> = HashMap::new();
         for &(_, _, key) in &self.open {
-            let job = &self.jobs[key];
-            if job.uncertain_until <= now {
+            if !self.may_run_unseen(key, unseen, now) {
                 continue;
             }
+            let job = &self.jobs[key];
+            let used = used.entry(job.record.account.clone()).or_default();
             for unit in 0..job.units.len() as u32 {
-                if !job.ready(unit) {
-                    continue;
-                }
-                let size = job.plan(unit).reserved();
-                let used = unseen.entry(job.record.account.clone()).or_default();
-                for _ in 0..job.units[unit as usize].waiting {
-                    used.add(&size);
+                if job.ready(unit) {
+                    let size = job.plan(unit).reserved();
+                    let waiting = job.units[unit as usize].waiting;
+                    (0..waiting).for_each(|_| used.add(&size));
                 }
             }
         }
-        unseen
+        used.values_mut().for_each(|used| *used = used.least(&room));
+        used
     }
 
     /// Returns the open jobs by urgency; of one urgency, those go first that can still be in time.
@@ -114,7 +136,6 @@
         let slot = &job.units[unit as usize];
         let schedule = job.record.request.schedule;
         slot.waiting > 0
-            && slot.reserved.is_empty()
             && schedule.is_none_or(|schedule| schedule.due(slot.occurrence) <= wall)
             && job.ready(unit)
     }
@@ -149,11 +170,11 @@
         if plan.gang {
             if renewable.len() == needed {
                 self.renew(key, unit, &renewable, true, now, round);
-            } else {
+            } else if self.may_search(key, unit, now) {
                 if !self.fits_once_cleared(key, unit, needed, now) {
                     self.ask_more(key, unit, &plan, needed, now, round);
                 }
-                self.preempt(key, unit, needed, wall, now);
+                self.clear_for_gang(key, unit, needed, wall, now, round);
             }
             return;
         }
@@ -176,27 +197,46 @@
         now: BootTime,
     ) -> Vec<RoomOffer> {
         let mut offers = Vec::new();
-        for (worker, slot) in &self.workers {
-            if !slot.usable(now) || !self.suits(key, plan, slot) {
-                continue;
-            }
-            let fits = self.fits(key, unit, plan, worker, &slot.free());
-            if fits == 0 {
-                continue;
-            }
-            let permit = self.permit(key, unit, &slot.card.id, now);
-            if permit == Permit::Denied {
-                continue;
+        let job = &self.jobs[key];
+        if job.record.rules.permission.is_none() {
+            let offer = |worker| self.offer(key, unit, plan, worker, now);
+            offers.extend(self.workers.keys().filter_map(offer));
+        } else {
+            let granted = job.units[unit as usize].permissions.iter();
+            let granted = granted.filter(|(_, grant)| grant.is_some());
+            for worker in granted.filter_map(|(id, _)| self.worker_ids.get(id)) {
+                offers.extend(self.offer(key, unit, plan, *worker, now));
             }
-            let far =
-                plan.affinity.as_ref().is_some_and(|r| !slot.card.labels.contains(r));
-            let rank = (slot.failures > 0, far, slot.free().cpu_millis);
-            offers.push(RoomOffer { worker, fits, permit, rank });
         }
         offers.sort_by_key(|offer| offer.rank);
         offers
     }
 
+    /// Returns what a worker has for a unit's tasks, unless it has no room or may not run them.
+    fn offer(
+        &self,
+        key: JobKey,
+        unit: u32,
+        plan: &StepPlan,
+        worker: WorkerKey,
+        now: BootTime,
+    ) -> Option<RoomOffer> {
+        let slot = &self.workers[worker];
+        if !slot.usable(now) || !self.suits(key, plan, slot) {
+            return None;
+        }
+        let free = slot.free();
+        let fits = self.fits(key, unit, plan, worker, &free);
+        if fits == 0 {
+            return None;
+        }
+        let permit = self.permit(key, unit, &slot.card.id, now);
+        let far = plan.affinity.as_ref().is_some_and(|r| !slot.card.labels.contains(r));
+        let rank = (slot.failures > 0, far, free.cpu_millis, worker);
+        let possible = !matches!(permit, Permit::Denied | Permit::Unasked);
+        possible.then_some(RoomOffer { worker, fits, permit, rank })
+    }
+
     /// Returns whether a worker may run tasks of a step at all.
     pub(super) fn suits(&self, key: JobKey, plan: &StepPlan, slot: &WorkerSlot) -> bool {
         let labelled = plan
@@ -225,7 +265,7 @@
     }
 
     /// Starts tasks of a unit on the chosen workers.
-    fn start(
+    pub(super) fn start(
         &mut self,
         key: JobKey,
         unit: u32,
@@ -284,8 +324,9 @@
         });
     }
 
-    /// Asks again about workers whose permissions have expired, and keeps a gang's room.
-    fn renew(
+    /// Asks again about workers whose permissions have expired, and keeps a gang's room; returns
+    /// whether it could ask.
+    pub(super) fn renew(
         &mut self,
         key: JobKey,
         unit: u32,
@@ -293,7 +334,7 @@
         keep_room: bool,
         now: BootTime,
         round: &mut PlacementRound,
-    ) {
+    ) -> bool {
         let mut names: Vec<Name> = Vec::new();
         for &worker in chosen {
             let id = &self.workers[worker].card.id;
@@ -302,10 +343,13 @@
             }
         }
         let asks = self.ask(key, unit, &names, now, &mut round.long_asks);
-        if keep_room && !asks.is_empty() {
-            self.reserve(key, unit, chosen);
+        let asked = !asks.is_empty();
+        if keep_room && asked {
+            let longest = asks.iter().map(|ask| ask.call_time).max().unwrap_or_default();
+            self.claim_room(key, unit, chosen, now + longest);
         }
         round.asks.extend(asks);
+        asked
     }
 
     /// Asks about workers that nobody has asked about yet.
@@ -318,7 +362,10 @@
         now: BootTime,
         round: &mut PlacementRound,
     ) {
-        if self.jobs[key].record.rules.permission.is_none() {
+        let job = &self.jobs[key];
+        let slot = &job.units[unit as usize];
+        let open = slot.asking > 0 || now < slot.ask_after;
+        if job.record.rules.permission.is_none() || open {
             return;
         }
         let mut rooms = Vec::new();
--- a/crates/geraniumwinch-fleet/src/fleet_board/worker_slot.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/worker_slot.rs
@@ -6,6 +6,7 @@
 use geraniumwinch_core::ResourceVector;
 
 use crate::BootTime;
+use crate::RunHolders;
 use crate::WorkerCard;
 
 use super::job_slot::JobKey;
@@ -20,6 +21,27 @@
     pub(super) job: Option<(JobKey, u64)>,
 }
 
+/// Whose tasks the store says may run on a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum StoredHolders {
+    /// Nobody's, or the store is about to say less than it does.
+    Nobody,
+    /// Those of some jobs.
+    Some,
+    /// Those of any job.
+    Any,
+}
+
+impl StoredHolders {
+    /// Returns what a record with these holders says.
+    pub(super) fn of(holders: &RunHolders) -> Self {
+        match holders {
+            RunHolders::Any => StoredHolders::Any,
+            RunHolders::Only(_) => StoredHolders::Some,
+        }
+    }
+}
+
 /// A worker with what runs there.
 #[derive(Debug)]
 pub(super) struct WorkerSlot {
@@ -27,8 +49,10 @@
     pub(super) card: WorkerCard,
     /// Whether the platform's list still has it.
     pub(super) listed: bool,
-    /// Whether the store knows that tasks may run there, so that the next owner asks it.
-    pub(super) recorded: bool,
+    /// Whose tasks the store says may run there, so that the next owner asks it.
+    pub(super) stored_holders: StoredHolders,
+    /// Whose tasks a former owner may have left there, if it had any.
+    pub(super) inherited: Option<RunHolders>,
     /// The lifetime of the last report; none before the first one of this epoch.
     pub(super) incarnation: Option<u64>,
     /// Whether the last calls were left without an answer.
@@ -61,7 +85,8 @@
         WorkerSlot {
             card,
             listed: true,
-            recorded: false,
+            stored_holders: StoredHolders::Nobody,
+            inherited: None,
             incarnation: None,
             silent: false,
             expiry,
@@ -80,7 +105,7 @@
     /// Returns whether tasks may be placed there.
     pub(super) fn usable(&self, now: BootTime) -> bool {
         self.listed
-            && self.recorded
+            && self.stored_holders == StoredHolders::Any
             && self.card.accepting
             && !self.silent
             && self.incarnation.is_some()
@@ -95,11 +120,28 @@
         takes || !self.idle()
     }
 
+    /// Returns whose tasks the store should say may run there.
+    pub(super) fn wanted_holders(&self) -> StoredHolders {
+        match &self.inherited {
+            Some(holders) if self.incarnation.is_none() => StoredHolders::of(holders),
+            _ if !self.silent || self.has_strays() => match self.may_run() {
+                true => StoredHolders::Any,
+                false => StoredHolders::Nobody,
+            },
+            _ if self.places.is_empty() => StoredHolders::Nobody,
+            _ => StoredHolders::Some,
+        }
+    }
+
     /// Returns whether it is known that nothing runs there: it has said so, and nothing was
     /// started since.
     pub(super) fn idle(&self) -> bool {
-        let strays = self.stray_unknown || self.stray_room != ResourceVector::default();
-        self.incarnation.is_some() && self.places.is_empty() && !strays
+        self.incarnation.is_some() && self.places.is_empty() && !self.has_strays()
+    }
+
+    /// Returns whether runs are there that no job wants.
+    pub(super) fn has_strays(&self) -> bool {
+        self.stray_unknown || self.stray_room != ResourceVector::default()
     }
 
     /// Returns the room that is left.
@@ -107,6 +149,20 @@
         self.card.capacity.minus(&self.used).minus(&self.stray_room)
     }
 
+    /// Returns whether all that is reserved fits, also room that is kept for gangs while other tasks
+    /// are stopped.
+    pub(super) fn fits_used(&self) -> bool {
+        let mut used = self.used;
+        used.add(&self.stray_room);
+        used.least(&self.card.capacity) == used
+    }
+
+    /// Returns the room that is left once some of what is reserved is given back.
+    pub(super) fn free_without(&self, given_back: &ResourceVector) -> ResourceVector {
+        let used = self.used.minus(given_back);
+        self.card.capacity.minus(&used).minus(&self.stray_room)
+    }
+
     /// Forgets what a former lifetime said.
     pub(super) fn begin_lifetime(&mut self, incarnation: u64) {
         self.incarnation = Some(incarnation);
--- /dev/null
+++ b/crates/geraniumwinch-fleet/src/fleet_board/workers.rs
@@ -0,0 +1,160 @@
+//! The workers of the board, and what the next owner has to know of them.
+
+use std::collections::HashSet;
+
+use geraniumwinch_core::Name;
+
+use crate::BootTime;
+use crate::RunHolders;
+use crate::WorkerCard;
+use crate::WorkerRecord;
+
+use super::FleetBoard;
+use super::WorkerKey;
+use super::worker_slot::StoredHolders;
+use super::worker_slot::WorkerSlot;
+
+impl FleetBoard {
+    /// Takes over the platform's list of workers and returns those that are new.
+    pub fn set_workers(
+        &mut self,
+        cards: Vec<WorkerCard>,
+        now: BootTime,
+    ) -> Vec<WorkerKey> {
+        for slot in self.workers.values_mut() {
+            slot.listed = false;
+        }
+        let mut fresh = Vec::new();
+        for card in cards {
+            match self.worker_ids.get(&card.id) {
+                Some(&key) => {
+                    let slot = &mut self.workers[key];
+                    slot.card = card;
+                    slot.listed = true;
+                }
+                None => fresh.push(self.insert_worker(card, now)),
+            }
+        }
+        fresh
+    }
+
+    /// Adds a worker.
+    fn insert_worker(&mut self, card: WorkerCard, now: BootTime) -> WorkerKey {
+        let id = card.id.clone();
+        let key = self.workers.insert(WorkerSlot::new(card, now + self.lease));
+        self.worker_ids.insert(id, key);
+        key
+    }
+
+    /// Puts the workers on the board where tasks of a former owner may run.
+    ///
+    /// They take no tasks before the platform's list has them.
+    pub fn load_workers(
+        &mut self,
+        records: Vec<WorkerRecord>,
+        now: BootTime,
+    ) -> Vec<WorkerKey> {
+        let mut fresh = Vec::new();
+        for record in records {
+            if self.worker_ids.contains_key(&record.card.id) {
+                continue;
+            }
+            let key = self.insert_worker(record.card, now);
+            let slot = &mut self.workers[key];
+            slot.listed = false;
+            slot.stored_holders = StoredHolders::of(&record.holders);
+            slot.inherited = Some(record.holders);
+            fresh.push(key);
+        }
+        fresh
+    }
+
+    /// Returns the records of the workers where tasks may run if the store lacks some of them, or
+    /// has others: the next owner would wait for these.
+    ///
+    /// Workers of which the store is to say something else get no tasks until it has said that
+    /// they may have some.
+    pub fn unrecorded_workers(&mut self) -> Option<Vec<WorkerRecord>> {
+        let mut changed = std::mem::take(&mut self.gone_recorded);
+        for slot in self.workers.values_mut() {
+            if slot.stored_holders != slot.wanted_holders() {
+                changed = true;
+                slot.stored_holders = StoredHolders::Nobody;
+            }
+        }
+        changed.then(|| self.workers.values().filter_map(|w| self.record(w)).collect())
+    }
+
+    /// Returns what the store should say of a worker; nothing if no task may run there.
+    fn record(&self, slot: &WorkerSlot) -> Option<WorkerRecord> {
+        let holders = match slot.wanted_holders() {
+            StoredHolders::Nobody => return None,
+            StoredHolders::Any => RunHolders::Any,
+            StoredHolders::Some => match &slot.inherited {
+                Some(inherited) if slot.incarnation.is_none() => inherited.clone(),
+                _ => RunHolders::Only(self.jobs_at(slot)),
+            },
+        };
+        Some(WorkerRecord { card: slot.card.clone(), holders })
+    }
+
+    /// Returns the jobs that have tasks on a worker.
+    fn jobs_at(&self, slot: &WorkerSlot) -> Vec<Name> {
+        let places = slot.places.iter();
+        let mut jobs: Vec<Name> =
+            places.map(|task| self.jobs[task.job].id.clone()).collect();
+        jobs.sort_unstable();
+        jobs.dedup();
+        jobs
+    }
+
+    /// Notes that the store knows these workers and no others.
+    pub fn workers_recorded(&mut self, records: &[WorkerRecord]) {
+        let mut known = HashSet::new();
+        for slot in self.workers.values_mut() {
+            slot.stored_holders = StoredHolders::Nobody;
+        }
+        for record in records {
+            match self.worker_ids.get(&record.card.id) {
+                Some(&key) => {
+                    self.workers[key].stored_holders = StoredHolders::of(&record.holders);
+                    known.insert(key);
+                }
+                None => self.gone_recorded = true,
+            }
+        }
+    }
+
+    /// Notes that the store did not take the records, so that they are written again.
+    pub fn workers_unrecorded(&mut self) {
+        self.gone_recorded = true;
+    }
+
+    /// Returns the jobs of former owners whose tasks may run on workers that have not reported;
+    /// nothing if tasks of any of their jobs may.
+    pub(super) fn unseen_jobs(&self) -> Option<HashSet<Name>> {
+        let mut jobs = HashSet::new();
+        for slot in self.workers.values().filter(|slot| slot.incarnation.is_none()) {
+            match &slot.inherited {
+                Some(RunHolders::Any) => return None,
+                Some(RunHolders::Only(held)) => jobs.extend(held.iter().cloned()),
+                None => {}
+            }
+        }
+        Some(jobs)
+    }
+
+    /// Returns whether a worker is gone: it is not listed and nothing may run there.
+    pub fn forget_if_gone(&mut self, worker: WorkerKey, now: BootTime) -> bool {
+        let Some(slot) = self.workers.get(worker) else { return true };
+        let empty = slot.idle() || (slot.places.is_empty() && slot.expiry <= now);
+        if slot.listed || !slot.silent || !empty {
+            return false;
+        }
+        if let Some(slot) = self.workers.remove(worker) {
+            self.worker_ids.remove(&slot.card.id);
+            self.gone_recorded |= slot.stored_holders != StoredHolders::Nobody;
+        }
+        true
+    }
+}
--- a/crates/geraniumwinch-fleet/src/lib.rs
+++ b/crates/geraniumwinch-fleet/src/lib.rs
@@ -14,6 +14,7 @@
 mod step_plan;
 mod task_name;
 mod worker_card;
+mod worker_record;
 mod worker_report;
 
 pub use self::board_event::BoardEvent;
@@ -43,6 +44,8 @@
 pub use self::task_name::TaskName;
 pub use self::worker_card::AccountLimit;
 pub use self::worker_card::WorkerCard;
+pub use self::worker_record::RunHolders;
+pub use self::worker_record::WorkerRecord;
 pub use self::worker_report::EndedRun;
 pub use self::worker_report::RunningRun;
 pub use self::worker_report::WorkerReport;
--- /dev/null
+++ b/crates/geraniumwinch-fleet/src/worker_record.rs
@@ -0,0 +1,32 @@
+//! What the store keeps of the workers where tasks may run.
+
+use geraniumwinch_core::Name;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::WorkerCard;
+
+/// Whose tasks may run on a worker.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RunHolders {
+    /// Those of any job.
+    Any,
+    /// Those of these jobs only: the worker leaves calls without an answer and gets no new tasks.
+    Only(Vec<Name>),
+}
+
+/// A worker where tasks may run, for the next owner.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WorkerRecord {
+    /// What the worker says of itself.
+    pub card: WorkerCard,
+    /// Whose tasks may run there.
+    pub holders: RunHolders,
+}
+
+impl WorkerRecord {
+    /// Creates the record of a worker where tasks of any job may run.
+    pub fn open(card: WorkerCard) -> Self {
+        WorkerRecord { card, holders: RunHolders::Any }
+    }
+}
