Add a soak of the platform path with random faults that overlap

Real processes behind a loopback proxy (store links of single processes, links of workers: cut, frozen either way, answers dropped, delayed), killed, frozen, stopped, all at once; a store that refuses, loses answers, is slow, acts late or drops its history; workers that carry orders out late, begin a new lifetime, or have a clock 2% slow; configurations with and without a key. Checked from what callers and workers saw: accepted jobs end, refused ones never ran, no task runs twice, no worker is over its room, the account keeps its limit, a withdrawn key is refused.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Commands of the project; see README.md.
 
-.PHONY: prepare build try test bench capacity soak
+.PHONY: prepare build try test bench capacity soak platform-soak
 
 prepare:
 	@command -v cmake >/dev/null || { apt-get update -qq && apt-get install -y -qq cmake; }
@@ -26,5 +26,12 @@
 		SOAK_SEED=$$seed cargo nextest run -p geraniumwinch-tests --run-ignored only soak || exit 1; \
 	done
 
+# The same on the users' platform, four seeds at a time; SEEDS names them.
+SEEDS ?= $$(seq 100 149)
+platform-soak: build
+	echo $(SEEDS) | tr ' ' '\n' | xargs -P 4 -I{} sh -c \
+		'SOAK_SEED={} cargo nextest run -p geraniumwinch-tests --test platform_soak \
+		--run-ignored only > target/soak-{}.log 2>&1 && echo {} passed || echo {} FAILED'
+
 test: build
 	cargo nextest run --workspace --no-fail-fast -E "$$(.ci/known-red)"
--- a/crates/geraniumwinch-standins/src/fault_proxy.rs
+++ b/crates/geraniumwinch-standins/src/fault_proxy.rs
@@ -57,6 +57,9 @@
     /// The beginning of the source's IP address.
     #[serde(default)]
     from: String,
+    /// The beginning of the address that the source has connected to, as `IP:PORT`.
+    #[serde(default)]
+    at: String,
     /// The beginning of the target's address, as `IP:PORT`.
     #[serde(default)]
     to: String,
@@ -90,6 +93,7 @@
 #[derive(Debug, Clone)]
 struct Ends {
     from: String,
+    at: String,
     to: String,
     state: ProxyState,
 }
@@ -99,7 +103,9 @@
     fn rule(&self) -> Option<ProxyRule> {
         let rules = lock(&self.state.rules);
         let applies = |rule: &&ProxyRule| {
-            self.from.starts_with(&rule.from) && self.to.starts_with(&rule.to)
+            self.from.starts_with(&rule.from)
+                && self.at.starts_with(&rule.at)
+                && self.to.starts_with(&rule.to)
         };
         rules.iter().find(applies).cloned()
     }
@@ -169,6 +175,7 @@
             while let Ok((stream, from)) = listener.accept().await {
                 let ends = Ends {
                     from: from.ip().to_string(),
+                    at: route.listen.to_string(),
                     to: route.target.to_string(),
                     state: state.clone(),
                 };
--- a/crates/geraniumwinch-standins/src/fleet.rs
+++ b/crates/geraniumwinch-standins/src/fleet.rs
@@ -38,6 +38,12 @@
     store_busy: bool,
     /// Whether the store makes writes without answering.
     store_lost: bool,
+    /// How long the store takes for the answer to a transaction, in milliseconds.
+    store_delay_ms: u64,
+    /// How long after its call a transaction is made, without an answer, in milliseconds.
+    store_late_ms: u64,
+    /// How long after its call every third order is carried out, in milliseconds.
+    orders_late_ms: u64,
 }
 
 /// Serves until the process ends.
@@ -50,8 +56,10 @@
         instances.push((format!("{}-{index}", options.name), address));
     }
     let workers = instances.iter().map(|(id, address)| {
+        let mut address = *address;
+        address.set_port(address.port() + options.proxy_offset);
         lock(&store).register(id, &address.to_string(), options.cores, options.memory_gb);
-        Mutex::new(JobWorker::default())
+        Mutex::new(JobWorker::new(clock_rate(address.port())))
     });
     let workers: SharedWorkers = web::Data::new(workers.collect());
     let mut server = HttpServer::new(move || {
@@ -64,6 +72,8 @@
             .route("/-/advise", web::post().to(advise))
             .route("/faults", web::post().to(set_faults))
             .route("/operator", web::post().to(publish))
+            .route("/forget", web::post().to(forget_history))
+            .route("/restart", web::post().to(restart_worker))
             .route("/account", web::get().to(account))
     })
     .workers(1)
@@ -75,6 +85,11 @@
     server.run().await
 }
 
+/// Returns how fast a worker's clock runs: those on odd ports are 2% slow.
+fn clock_rate(port: u16) -> f64 {
+    if port % 2 == 1 { 0.98 } else { 1.0 }
+}
+
 /// Allows every worker.
 async fn advise(body: web::Json<Value>) -> HttpResponse {
     let workers = body["workers"].as_array().cloned().unwrap_or_default();
@@ -89,6 +104,18 @@
     HttpResponse::Ok().json(json!({}))
 }
 
+/// Drops the store's history.
+async fn forget_history(store: SharedStore) -> HttpResponse {
+    lock(&store).forget_history();
+    HttpResponse::Ok().json(json!({}))
+}
+
+/// Begins a new lifetime of a worker.
+async fn restart_worker(workers: SharedWorkers, index: web::Json<usize>) -> HttpResponse {
+    lock(&workers[index.into_inner()]).restart();
+    HttpResponse::Ok().json(json!({}))
+}
+
 /// Writes the operators' configuration.
 async fn publish(store: SharedStore, body: web::Bytes) -> HttpResponse {
     lock(&store).put("op/config", &body);
@@ -97,7 +124,8 @@
 
 /// Tells every run that was started, with its end.
 async fn account(workers: SharedWorkers) -> HttpResponse {
+    let workers = workers.iter().enumerate();
     let runs: Vec<Value> =
-        workers.iter().flat_map(|worker| lock(worker).account()).collect();
+        workers.flat_map(|(index, worker)| lock(worker).account(index)).collect();
     HttpResponse::Ok().json(json!({ "runs": runs }))
 }
--- a/crates/geraniumwinch-standins/src/fleet/job_worker.rs
+++ b/crates/geraniumwinch-standins/src/fleet/job_worker.rs
@@ -15,6 +15,7 @@
 use crate::stand_in::lock;
 use crate::stand_in::unix_millis;
 
+use super::SharedStore;
 use super::SharedWorkers;
 
 /// The time between two looks of a call that waits for an end.
@@ -40,6 +41,8 @@
 pub struct JobWorker {
     born: u64,
     since: Instant,
+    /// How fast its clock runs.
+    clock_rate: f64,
     fence: u64,
     lease_end_ms: u64,
     runs: Vec<JobRun>,
@@ -47,21 +50,8 @@
     numbers: u64,
     /// The highest run of each task that was stopped or has ended.
     closed: HashMap<String, u64>,
-}
-
-impl Default for JobWorker {
-    fn default() -> Self {
-        JobWorker {
-            born: unix_millis(),
-            since: Instant::now(),
-            fence: 0,
-            lease_end_ms: 0,
-            runs: Vec::new(),
-            ended: Vec::new(),
-            numbers: 0,
-            closed: HashMap::new(),
-        }
-    }
+    /// The orders that have come.
+    orders: u64,
 }
 
 /// An order or a look.
@@ -79,9 +69,35 @@
 }
 
 impl JobWorker {
+    /// Creates a worker that runs nothing.
+    pub(super) fn new(clock_rate: f64) -> Self {
+        JobWorker {
+            born: unix_millis(),
+            since: Instant::now(),
+            clock_rate,
+            fence: 0,
+            lease_end_ms: 0,
+            runs: Vec::new(),
+            ended: Vec::new(),
+            numbers: 0,
+            closed: HashMap::new(),
+            orders: 0,
+        }
+    }
+
+    /// Begins a new lifetime, in which nothing of before is known; the account keeps the runs.
+    pub(super) fn restart(&mut self) {
+        self.advance();
+        for run in self.runs.iter_mut().filter(|run| run.ended.is_none()) {
+            run.ended = Some(("crashed", unix_millis()));
+        }
+        let runs = std::mem::take(&mut self.runs);
+        *self = JobWorker { runs, ..JobWorker::new(self.clock_rate) };
+    }
+
     /// Returns the worker's own clock.
     fn clock_ms(&self) -> u64 {
-        self.since.elapsed().as_millis() as u64 + 1
+        self.since.elapsed().mul_f64(self.clock_rate).as_millis() as u64 + 1
     }
 
     /// Ends what has ended by itself or by the lease.
@@ -182,12 +198,12 @@
     }
 
     /// Returns all runs that were ever started.
-    pub(super) fn account(&mut self) -> Vec<Value> {
+    pub(super) fn account(&mut self, worker: usize) -> Vec<Value> {
         self.advance();
         let show = |run: &JobRun| {
             let (how, ended_ms) = run.ended.unwrap_or(("running", u64::MAX));
             json!({
-                "task": run.task, "run": run.run, "started_ms": run.started_ms,
+                "worker": worker, "task": run.task, "run": run.run, "started_ms": run.started_ms,
                 "ended_ms": ended_ms, "how": how,
             })
         };
@@ -215,19 +231,46 @@
 
 /// Finds the worker that a request is for: they follow the store's port in order.
 fn find<'a>(workers: &'a SharedWorkers, request: &HttpRequest) -> &'a Mutex<JobWorker> {
+    &workers[find_index(request)]
+}
+
+/// Returns the number of the worker that a request is for.
+fn find_index(request: &HttpRequest) -> usize {
     let port = request.app_config().local_addr().port();
-    &workers[usize::from(port).wrapping_sub(1) % super::PORT_STEP]
+    usize::from(port).wrapping_sub(1) % super::PORT_STEP
+}
+
+/// Holds every third order back while orders are carried out late.
+///
+/// The time stands in the order's own task, so that a caller that has gone away stops nothing.
+async fn delay_order(store: &SharedStore, worker: &Mutex<JobWorker>) {
+    let late_ms = lock(store).faults.orders_late_ms;
+    let number = {
+        let mut worker = lock(worker);
+        worker.orders += 1;
+        worker.orders
+    };
+    if late_ms > 0 && number.is_multiple_of(3) {
+        tokio::time::sleep(Duration::from_millis(late_ms)).await;
+    }
 }
 
 /// Starts a task.
 async fn start(
+    store: SharedStore,
     workers: SharedWorkers,
     request: HttpRequest,
     order: web::Json<WireOrder>,
 ) -> HttpResponse {
-    let mut worker = lock(find(&workers, &request));
-    let result = worker.start(order.into_inner());
-    worker.answer(result)
+    let worker = find_index(&request);
+    let order = order.into_inner();
+    let started = actix_rt::spawn(async move {
+        delay_order(&store, &workers[worker]).await;
+        let mut worker = lock(&workers[worker]);
+        let result = worker.start(order);
+        worker.answer(result)
+    });
+    started.await.unwrap_or_else(|_| HttpResponse::InternalServerError().finish())
 }
 
 /// Stops a run.
--- a/crates/geraniumwinch-standins/src/fleet/kv_store.rs
+++ b/crates/geraniumwinch-standins/src/fleet/kv_store.rs
@@ -43,6 +43,8 @@
     revision: u64,
     leases: HashMap<u64, (Duration, Instant)>,
     history: Vec<(u64, String, Value)>,
+    /// The revision up to which the history was dropped.
+    forgotten: u64,
     pub(super) faults: FleetFaults,
 }
 
@@ -89,6 +91,12 @@
         }
     }
 
+    /// Drops the history; watches from before begin anew.
+    pub(super) fn forget_history(&mut self) {
+        self.history.clear();
+        self.forgotten = self.revision;
+    }
+
     /// Removes the items of leases that have ended.
     fn expire(&mut self) {
         let now = Instant::now();
@@ -245,6 +253,9 @@
             if let Some(answer) = busy(&store) {
                 return answer;
             }
+            if after < store.forgotten {
+                return HttpResponse::Gone().json(json!({}));
+            }
             let events = store.history.iter().filter(|(revision, key, _)| {
                 *revision > after && key.starts_with(&query.prefix)
             });
@@ -258,19 +269,31 @@
     }
 }
 
-/// Makes a transaction.
+/// Makes a transaction, perhaps late and without an answer.
 async fn transact(store: SharedStore, body: web::Json<WireTxn>) -> HttpResponse {
-    let (answer, lost) = {
+    let faults = lock(&store).faults;
+    if faults.store_late_ms > 0 && !faults.store_busy {
+        let late = Duration::from_millis(faults.store_late_ms);
+        let body = body.into_inner();
+        actix_rt::spawn(async move {
+            tokio::time::sleep(late).await;
+            let mut store = lock(&store);
+            store.expire();
+            store.transact(&body);
+        });
+        tokio::time::sleep(SILENCE).await;
+        return HttpResponse::GatewayTimeout().finish();
+    }
+    let answer = {
         let mut store = lock(&store);
         store.expire();
-        if let Some(answer) = busy(&store) {
-            return answer;
+        match busy(&store) {
+            Some(answer) => return answer,
+            None => store.transact(&body),
         }
-        (store.transact(&body), store.faults.store_lost)
     };
-    if lost {
-        tokio::time::sleep(SILENCE).await;
-    }
+    let silence = if faults.store_lost { SILENCE } else { Duration::ZERO };
+    tokio::time::sleep(silence + Duration::from_millis(faults.store_delay_ms)).await;
     answer
 }
 
--- a/crates/geraniumwinch-standins/src/main.rs
+++ b/crates/geraniumwinch-standins/src/main.rs
@@ -32,6 +32,12 @@
     options.optopt("", "name", "the prefix of their names", "NAME");
     options.optopt("", "cpu", "the cores of a worker", "N");
     options.optopt("", "memory-gb", "the memory of a worker in GB", "N");
+    options.optopt(
+        "",
+        "proxy-offset",
+        "what to add to the ports of workers' entries",
+        "N",
+    );
     let usage =
         options.usage(&format!("geraniumwinch-standins {KINDS} --listen IP:PORT"));
     let matches = match options.parse(&words) {
@@ -56,6 +62,7 @@
         name: matches.opt_str("name").unwrap_or_else(|| matches.free[0].clone()),
         cores: number("cpu", 16),
         memory_gb: number("memory-gb", 64),
+        proxy_offset: number("proxy-offset", 0) as u16,
     };
     let system = actix_rt::System::new();
     let served = match matches.free[0].as_str() {
--- a/crates/geraniumwinch-standins/src/stand_in.rs
+++ b/crates/geraniumwinch-standins/src/stand_in.rs
@@ -19,6 +19,8 @@
     pub cores: u64,
     /// The memory of a worker in GB.
     pub memory_gb: u64,
+    /// What is added to the ports of workers in their entries, where a proxy stands before them.
+    pub proxy_offset: u16,
 }
 
 impl StandInOptions {
--- a/crates/geraniumwinch-tests/src/fleet_cell.rs
+++ b/crates/geraniumwinch-tests/src/fleet_cell.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use awc::http::Method;
 use serde_json::Value;
@@ -9,6 +10,7 @@
 
 use crate::CellAddresses;
 use crate::CellProcess;
+use crate::FleetLoad;
 use crate::TestAnswer;
 use crate::TestClient;
 use crate::wait_until;
@@ -19,6 +21,14 @@
 const PORTS: [u16; 4] = [4001, 4002, 4003, 4004];
 /// The key of the one client account.
 pub const FLEET_KEY: &str = "Token key-a";
+/// The key of the same client account that configurations with even numbers lack.
+pub const ROTATED_KEY: &str = "Token key-b";
+/// The port of the proxy's control calls.
+const PROXY_PORT: u16 = 3000;
+/// What is added to a worker's port to get the proxy's port in front of it.
+const PROXY_OFFSET: u16 = 10_000;
+/// The first port of the proxy in front of the store; each process has one of its own.
+const STORE_PROXY_PORT: u16 = 14_000;
 /// The host name of the queues.
 const HOST: &str = "queue.example";
 
@@ -28,6 +38,10 @@
     folder: PathBuf,
     processes: Vec<Option<CellProcess>>,
     _platform: CellProcess,
+    /// The proxy in front of the store and the workers, if there is one.
+    proxy: Option<CellProcess>,
+    /// The processors that the client account may use, in thousandths of a core; 0 has no limit.
+    limit: u64,
     client: TestClient,
 }
 
@@ -35,6 +49,22 @@
     /// Starts a stand-in with workers of 16 processors, and processes, and waits until all take
     /// callers.
     pub async fn start(processes: usize, workers: u16) -> FleetCell {
+        FleetCell::start_as(processes, workers, false, 0).await
+    }
+
+    /// Starts the same with a proxy in front of the store and the workers, and a limit of the
+    /// client account.
+    pub async fn start_proxied(processes: usize, workers: u16, limit: u64) -> FleetCell {
+        FleetCell::start_as(processes, workers, true, limit).await
+    }
+
+    /// Starts a cell.
+    async fn start_as(
+        processes: usize,
+        workers: u16,
+        proxied: bool,
+        limit: u64,
+    ) -> FleetCell {
         let addresses = CellAddresses::reserve();
         let folder = std::env::temp_dir().join(format!(
             "geraniumwinch-fleet-{}-{}",
@@ -42,27 +72,32 @@
             addresses.platform_prefix()
         ));
         std::fs::create_dir_all(&folder).expect("a folder for logs");
-        let arguments = [
-            "fleet".to_owned(),
-            "--listen".to_owned(),
-            addresses.platform(PLATFORM_PORT).to_string(),
-            "--count".to_owned(),
-            workers.to_string(),
-        ];
-        let log = folder.join("platform.log");
-        let platform = CellProcess::start("geraniumwinch-standins", &arguments, &log);
+        let offset = if proxied { PROXY_OFFSET } else { 0 };
+        let words =
+            ["--count", &workers.to_string(), "--proxy-offset", &offset.to_string()]
+                .map(str::to_owned);
+        let platform =
+            start_stand_in("fleet", addresses.platform(PLATFORM_PORT), &words, &folder);
+        let proxy = proxied.then(|| {
+            start_stand_in("proxy", addresses.platform(PROXY_PORT), &[], &folder)
+        });
         let client = TestClient::default();
         let mut cell = FleetCell {
             addresses,
             folder,
             processes: Vec::new(),
             _platform: platform,
+            proxy,
+            limit,
             client,
         };
         wait_until("the stand-in answers", async || {
             cell.post("/faults", &json!({})).await.status == 200
         })
         .await;
+        if proxied {
+            cell.add_routes(processes, workers).await;
+        }
         cell.publish(1).await;
         for index in 0..processes {
             cell.processes.push(None);
@@ -74,6 +109,54 @@
         cell
     }
 
+    /// Lets the proxy listen in front of the workers, and of the store for each process.
+    async fn add_routes(&self, processes: usize, workers: u16) {
+        wait_until("the proxy answers", async || self.set_rules(&[]).await == 200).await;
+        let address = |port| self.addresses.platform(port);
+        let mut routes = Vec::new();
+        for port in (1..=workers).map(|index| PLATFORM_PORT + index) {
+            let listen = address(port + PROXY_OFFSET);
+            routes.push(json!({ "listen": listen, "target": address(port) }));
+        }
+        for index in 0..processes {
+            let target = address(PLATFORM_PORT);
+            routes.push(json!({ "listen": self.store_address(index), "target": target }));
+        }
+        let url = format!("http://{}/routes", address(PROXY_PORT));
+        self.client.post_json(&url, &Value::Array(routes)).await;
+    }
+
+    /// Returns the address at which a process reaches the store.
+    pub fn store_address(&self, index: usize) -> std::net::SocketAddr {
+        match self.proxy {
+            Some(_) => self.addresses.platform(STORE_PROXY_PORT + index as u16),
+            None => self.addresses.platform(PLATFORM_PORT),
+        }
+    }
+
+    /// Returns the address at which processes reach a worker through the proxy.
+    pub fn worker_address(&self, index: u16) -> std::net::SocketAddr {
+        self.addresses.platform(PLATFORM_PORT + 1 + index + PROXY_OFFSET)
+    }
+
+    /// Replaces the proxy's rules and returns the status of its answer.
+    pub async fn set_rules(&self, rules: &[Value]) -> u16 {
+        let url = format!("http://{}/rules", self.addresses.platform(PROXY_PORT));
+        let headers = [("Content-Type", "application/json")];
+        let body = Value::Array(rules.to_vec()).to_string();
+        self.client.send(Method::POST, &url, &headers, body).await.status
+    }
+
+    /// Begins a new lifetime of a worker.
+    pub async fn restart_worker(&self, index: u16) {
+        self.post("/restart", &json!(index)).await;
+    }
+
+    /// Has the store drop its history.
+    pub async fn forget_history(&self) {
+        self.post("/forget", &json!({})).await;
+    }
+
     /// Starts a process whose output nobody reads.
     pub fn start_unread_process(&mut self, index: usize) {
         let arguments = self.write_settings(index);
@@ -106,12 +189,13 @@
     fn settings(&self, index: usize) -> String {
         let [callers, readiness, peers, metrics] =
             PORTS.map(|port| self.addresses.entry(0, index, port));
-        let store = self.addresses.platform(PLATFORM_PORT);
+        let store = self.store_address(index);
+        let permissions = self.addresses.platform(PLATFORM_PORT);
         format!(
             "[process]\nname = node-{index}\nfailure-domain = d{index}\n\
              stop-grace-s = 4\n[vm]\ncpu-share = 1\n[listen]\ncallers = {callers}\n\
              readiness = {readiness}\npeers = {peers}\nmetrics = {metrics}\n\
-             [platform]\nstore = {store}\npermissions = {store}\n\
+             [platform]\nstore = {store}\npermissions = {permissions}\n\
              [workers]\nlease-ms = 6000\nheartbeat-ms = 1500\n[jobs]\nretention-s = 120\n"
         )
     }
@@ -125,7 +209,8 @@
         .await;
     }
 
-    /// Publishes a configuration with the queues `/jobs/` and `/open/`.
+    /// Publishes a configuration with the queues `/jobs/` and `/open/`; those with even numbers lack
+    /// [`ROTATED_KEY`].
     pub async fn publish(&self, version: u64) {
         let route = |name: &str, prefix: &str, public: bool| {
             json!({
@@ -135,6 +220,8 @@
                 "advice": { "decide_ms": 1.0, "per_item_ms": 0.1, "validity_ms": 2000 },
             })
         };
+        let keys: &[&str] =
+            if version.is_multiple_of(2) { &["key-a"] } else { &["key-a", "key-b"] };
         let configuration = json!({
             "version": version,
             "routes": [route("jobs", "/jobs/", false), route("open", "/open/", true)],
@@ -144,8 +231,8 @@
                 "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
             },
             "tenants": [{
-                "name": "a", "api_keys": ["key-a"], "weight": 50,
-                "cap": { "cpu": 0, "mem_mb": 0, "gpu": 0 },
+                "name": "a", "api_keys": keys, "weight": 50,
+                "cap": { "cpu": self.limit, "mem_mb": 0, "gpu": 0 },
             }],
         });
         self.post("/operator", &configuration).await;
@@ -187,6 +274,19 @@
         self.call(index, Method::POST, &path, Some(FLEET_KEY), &body).await.status
     }
 
+    /// Creates callers that hand jobs in to all processes.
+    pub fn load(
+        &self,
+        seed: u64,
+        jobs: u64,
+        spacing: Duration,
+        task_millis: u64,
+    ) -> FleetLoad {
+        let url = |index| format!("http://{}", self.addresses.entry(0, index, PORTS[0]));
+        let urls = (0..self.processes.len()).map(url).collect();
+        FleetLoad { seed, jobs, spacing, task_millis, urls, host: HOST }
+    }
+
     /// Returns the state of a job, or nothing if the process can't tell.
     pub async fn state(&self, index: usize, id: &str) -> Option<String> {
         let path = format!("/jobs/{id}");
@@ -235,6 +335,11 @@
         }
     }
 
+    /// Returns whether a process was started and not killed.
+    pub fn is_started(&self, index: usize) -> bool {
+        self.processes[index].is_some()
+    }
+
     /// Returns a process.
     pub fn process(&mut self, index: usize) -> &mut CellProcess {
         self.processes[index].as_mut().expect("the process runs")
@@ -276,3 +381,16 @@
         }
     }
 }
+
+/// Starts a stand-in.
+fn start_stand_in(
+    kind: &str,
+    listen: std::net::SocketAddr,
+    words: &[String],
+    folder: &Path,
+) -> CellProcess {
+    let mut arguments = vec![kind.to_owned(), "--listen".to_owned(), listen.to_string()];
+    arguments.extend_from_slice(words);
+    let log = folder.join(format!("{kind}.log"));
+    CellProcess::start("geraniumwinch-standins", &arguments, &log)
+}
--- a/crates/geraniumwinch-tests/tests/platform_path.rs
+++ b/crates/geraniumwinch-tests/tests/platform_path.rs
@@ -165,6 +165,26 @@
     });
 }
 
+/// trouble-2 of kbc-winch-grown: a store that takes 0.3 s for each answer carried 93 jobs a second.
+#[test]
+fn a_slow_store_takes_many_jobs_at_once() {
+    run_test(async {
+        let cell = FleetCell::start(2, 16).await;
+        cell.set_faults(json!({ "store_delay_ms": 300 })).await;
+        let ids: Vec<String> = (0..420).map(id).collect();
+        let tries = ids.iter().enumerate();
+        let tries = tries.map(|(index, id)| cell.submit(index % 2, id, "1 done", 1));
+        let statuses = futures_util::future::join_all(tries).await;
+        let refused = statuses.iter().filter(|&&status| status != 200).count();
+        assert_eq!(refused, 0, "{statuses:?}");
+        cell.set_faults(json!({})).await;
+        for id in &ids {
+            cell.await_state(0, id, "completed").await;
+        }
+        cell.check_runs().await;
+    });
+}
+
 /// A configuration without a key is in force at each process soon.
 #[test]
 fn a_new_configuration_is_in_force_at_each_process() {
--- /dev/null
+++ b/crates/geraniumwinch-tests/tests/platform_soak.rs
@@ -0,0 +1,139 @@
+//! Random faults on the users' platform from a seed, judged by what callers and workers have seen.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use geraniumwinch_tests::FaultPlan;
+use geraniumwinch_tests::FleetCell;
+use geraniumwinch_tests::JobFate;
+use geraniumwinch_tests::ROTATED_KEY;
+use geraniumwinch_tests::run_test;
+use geraniumwinch_tests::wait_until;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use serde_json::Value;
+use test_case::test_case;
+
+/// The processes of the cell.
+const PROCESSES: usize = 4;
+/// The workers.
+const WORKERS: u16 = 6;
+/// The processors of a task and of a worker, in thousandths of a core.
+const TASK_MILLIS: u64 = 4000;
+const WORKER_MILLIS: u64 = 16_000;
+/// The processors that the client account may use, and the part by which a short overlap may
+/// exceed them, by the platform's bounds.
+const LIMIT_MILLIS: u64 = 60_000;
+const LIMIT_EXCESS: f64 = 0.1;
+/// The time over which faults strike.
+const STRIKING: Duration = Duration::from_secs(15);
+/// The jobs that are handed in meanwhile.
+const JOBS: u64 = 300;
+/// The time in which a withdrawn key is refused everywhere.
+const REVOCATION: Duration = Duration::from_secs(4);
+
+#[test_case(1; "seed 1")]
+#[test_case(2; "seed 2")]
+fn nothing_is_doubled_or_lost_under(seed: u64) {
+    run_seed(seed);
+}
+
+#[test]
+#[ignore = "a longer run for `make platform-soak`, which names the seed"]
+fn soak() {
+    let seed = std::env::var("SOAK_SEED").ok().and_then(|text| text.parse().ok());
+    run_seed(seed.expect("SOAK_SEED holds a number"));
+}
+
+/// Runs the faults of a seed.
+fn run_seed(seed: u64) {
+    run_test(async {
+        let mut cell = FleetCell::start_proxied(PROCESSES, WORKERS, LIMIT_MILLIS).await;
+        let load = cell.load(seed, JOBS, STRIKING / JOBS as u32, TASK_MILLIS);
+        let load = actix_rt::spawn(async move { load.run().await });
+        let rng = SmallRng::seed_from_u64(seed);
+        let mut plan = FaultPlan::new(rng, PROCESSES, WORKERS);
+        plan.strike(&mut cell, STRIKING).await;
+        plan.end_all(&mut cell).await;
+        println!("logs in {}", cell.folder().display());
+        let fates = load.await.expect("the callers end");
+        for index in 0..PROCESSES {
+            cell.await_ready(index).await;
+        }
+        check_ends(&cell, &fates).await;
+        check_runs(&cell, &fates).await;
+        check_withdrawn_key(&cell, plan.version()).await;
+    });
+}
+
+/// Checks that each accepted job ends as its caller was told.
+async fn check_ends(cell: &FleetCell, fates: &[JobFate]) {
+    let accepted = fates.iter().filter(|fate| fate.accepted()).count();
+    println!("{accepted} of {} jobs were accepted", fates.len());
+    for (number, fate) in fates.iter().enumerate().filter(|(_, fate)| fate.accepted()) {
+        let ends: &[&str] =
+            if fate.cancelled { &["cancelled", "completed"] } else { &["completed"] };
+        let attempted = number % 8 == 3;
+        wait_until(&format!("the end of {fate:?}"), async || {
+            let state = cell.state(number % PROCESSES, &fate.id).await;
+            let state = state.unwrap_or_default();
+            ends.contains(&state.as_str()) || (attempted && state == "cancelled")
+        })
+        .await;
+    }
+}
+
+/// Checks what the workers have run.
+async fn check_runs(cell: &FleetCell, fates: &[JobFate]) {
+    cell.check_runs().await;
+    let runs = cell.runs().await;
+    let job = |run: &Value| run["task"].as_str().unwrap_or_default()[..16].to_owned();
+    for fate in fates.iter().filter(|fate| fate.refused()) {
+        let ran = runs.iter().any(|run| job(run) == fate.id);
+        assert!(!ran, "{fate:?} ran though every try was refused");
+    }
+    for run in &runs {
+        let asked = fates.iter().any(|fate| fate.id == job(run));
+        assert!(asked, "nobody has handed in {run}");
+    }
+    let per_worker = (WORKER_MILLIS / TASK_MILLIS) as usize;
+    for worker in 0..u64::from(WORKERS) {
+        let most = most_at_once(runs.iter().filter(|run| run["worker"] == worker));
+        assert!(most <= per_worker, "{most} tasks on worker {worker}");
+    }
+    let limit = LIMIT_MILLIS as f64 * (1.0 + LIMIT_EXCESS) / TASK_MILLIS as f64;
+    let most = most_at_once(runs.iter());
+    assert!(most <= limit as usize + 1, "{most} tasks of the account, limit {limit}");
+}
+
+/// Returns the most runs that were there at the same time.
+fn most_at_once<'a>(runs: impl Iterator<Item = &'a Value>) -> usize {
+    let mut changes: BTreeMap<u64, (i64, i64)> = BTreeMap::new();
+    for run in runs {
+        let time = |field: &str| run[field].as_u64().unwrap_or(u64::MAX);
+        changes.entry(time("started_ms")).or_default().0 += 1;
+        changes.entry(time("ended_ms")).or_default().1 += 1;
+    }
+    let mut running = 0;
+    let mut most = 0;
+    for (began, ended) in changes.into_values() {
+        // Times are in whole milliseconds: an end frees the room for a start in the same one.
+        running -= ended;
+        most = most.max(running + began);
+        running += began;
+    }
+    most.max(0) as usize
+}
+
+/// Checks that a withdrawn key is soon refused by every process.
+async fn check_withdrawn_key(cell: &FleetCell, version: u64) {
+    let without = version + 2 - version % 2;
+    cell.publish(without).await;
+    tokio::time::sleep(REVOCATION).await;
+    for index in 0..PROCESSES {
+        let path = "/jobs/00000000000000ff";
+        let method = awc::http::Method::GET;
+        let answer = cell.call(index, method, path, Some(ROTATED_KEY), "").await;
+        assert_eq!(answer.status, 401, "process {index} takes a withdrawn key");
+    }
+}
