--- a/crates/geraniumwinch-cell/src/worker_loop.rs
+++ b/crates/geraniumwinch-cell/src/worker_loop.rs
@@ -83,7 +83,9 @@
         if lease_end_ms.is_some() {
             self.board.borrow_mut().extend_lease(self.worker, now);
         }
-        let acknowledged = self.board.borrow().stored_ends(self.worker);
+        // A silent worker may have begun a new lifetime, in which ends are numbered anew.
+        let acknowledged =
+            if silent { 0 } else { self.board.borrow().stored_ends(self.worker) };
         let wait = if silent { Duration::ZERO } else { HOLD_WAIT };
         let order = HoldOrder { lease_end_ms, acknowledged, wait };
         let report = self.ports.workers.hold(target, order).await?;
