Record leaving workers with their jobs, and count what less urgent tasks free in time

Change: a worker that gets no new tasks, for whatever reason, is recorded with the jobs that have tasks there. The capacity that a new job is weighed against is what the workers can do within the time that it can wait, less what running less urgent tasks do in it, if they end at random times with the mean of their durations.

--- a/crates/geraniumwinch-fleet/src/fleet_board.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board.rs
@@ -37,6 +37,7 @@
 use crate::WorkerCard;
 
 use self::account_ledger::AccountLedger;
+use self::admitting::HeldRoom;
 use self::admitting::WaitingLoad;
 use self::job_slot::JobKey;
 use self::job_slot::JobSlot;
@@ -87,8 +88,8 @@
     dirty: HashMap<JobKey, BootTime>,
     accounts: AccountLedger,
     load: WaitingLoad,
-    /// The processors that placed tasks have, by urgency, in thousandths of a core.
-    held: BTreeMap<u32, u64>,
+    /// What placed tasks have, by urgency.
+    held: BTreeMap<u32, HeldRoom>,
     /// The share of workers that each queue's permissions allow, as learnt so far.
     allowed_share: HashMap<Name, f64>,
     /// Whether the store's records of workers have some that are gone or are not known.
@@ -263,7 +264,8 @@
         let worker = &mut self.workers[place.worker];
         worker.used.add(&size);
         worker.places.insert(task);
-        *self.held.entry(job.record.rules.priority).or_default() += size.cpu_millis;
+        let held = self.held.entry(job.record.rules.priority).or_default();
+        held.take(job.plan(task.unit));
         self.accounts.take(&job.record.account, &size);
     }
 
@@ -282,7 +284,7 @@
             worker.places.remove(&task);
         }
         if let Some(held) = self.held.get_mut(&job.record.rules.priority) {
-            *held = held.saturating_sub(size.cpu_millis);
+            held.give_back(job.plan(task.unit));
         }
         self.accounts.release(&job.record.account, &size);
         Some(place)
--- a/crates/geraniumwinch-fleet/src/fleet_board/admitting.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/admitting.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use crate::JobRecord;
+use crate::StepPlan;
 
 use super::FleetBoard;
 use super::job_slot::JobLateness;
@@ -20,6 +21,45 @@
 /// The least time that a job is taken to be able to wait.
 const MIN_SLACK: Duration = Duration::from_millis(50);
 
+/// What placed tasks of an urgency have.
+#[derive(Debug, Default, Clone, Copy)]
+pub(super) struct HeldRoom {
+    /// The processors in thousandths of a core.
+    cpu_millis: u64,
+    /// The processors times the tasks' estimated durations, in thousandths of core-seconds.
+    work: f64,
+}
+
+impl HeldRoom {
+    /// Counts a task.
+    pub(super) fn take(&mut self, plan: &StepPlan) {
+        self.cpu_millis += plan.reserved().cpu_millis;
+        self.work += work(plan);
+    }
+
+    /// Counts a task off.
+    pub(super) fn give_back(&mut self, plan: &StepPlan) {
+        self.cpu_millis = self.cpu_millis.saturating_sub(plan.reserved().cpu_millis);
+        self.work = (self.work - work(plan)).max(0.0);
+    }
+
+    /// Returns the work that the tasks do within a time in thousandths of core-seconds, if each ends
+    /// at a random time with the mean of their durations.
+    fn work_within(&self, time: f64) -> f64 {
+        let cpu = self.cpu_millis as f64;
+        if cpu == 0.0 || self.work == 0.0 {
+            return cpu * time;
+        }
+        let mean = self.work / cpu;
+        self.work * (1.0 - (-time / mean).exp())
+    }
+}
+
+/// Returns the work of a task in thousandths of core-seconds.
+fn work(plan: &StepPlan) -> f64 {
+    plan.reserved().cpu_millis as f64 * plan.estimate.as_secs_f64()
+}
+
 /// The work that waits.
 #[derive(Debug, Default)]
 pub(super) struct WaitingLoad {
@@ -42,13 +82,12 @@
                     continue;
                 }
                 let plan = job.plan(unit);
-                let demand = u64::from(waiting) * plan.reserved().cpu_millis;
                 if job.ready(unit) {
-                    load.demand += demand;
+                    load.demand += u64::from(waiting) * plan.reserved().cpu_millis;
                 }
                 if in_time {
                     *load.work.entry(priority).or_default() +=
-                        demand as f64 * plan.estimate.as_secs_f64();
+                        f64::from(waiting) * work(plan);
                 }
             }
         }
@@ -58,12 +97,7 @@
     /// Counts a job that was accepted since the work was added up.
     pub(super) fn count_accepted(&mut self, record: &JobRecord) {
         let steps = record.request.steps.iter();
-        let work: f64 = steps
-            .map(|plan| {
-                let demand = u64::from(plan.tasks) * plan.reserved().cpu_millis;
-                demand as f64 * plan.estimate.as_secs_f64()
-            })
-            .sum();
+        let work: f64 = steps.map(|plan| f64::from(plan.tasks) * work(plan)).sum();
         *self.load.work.entry(record.rules.priority).or_default() += work;
     }
 
@@ -72,26 +106,25 @@
         self.load.demand as f64 / self.processors()
     }
 
-    /// Returns how long a new job would wait behind those that go before it, as a part of the time
-    /// that its objective lets it wait.
+    /// Returns the work that goes before a new job, as a part of what the workers can do of it
+    /// within the time that the job's objective lets it wait.
     pub fn strain(&self, record: &JobRecord) -> f64 {
-        let ahead: f64 =
-            self.load.work.range(..=record.rules.priority).map(|(_, work)| work).sum();
-        let wait = ahead / self.available(record.rules.priority);
+        let priority = record.rules.priority;
+        let ahead: f64 = self.load.work.range(..=priority).map(|(_, work)| work).sum();
         let chain = longest_chain(record);
         let allowed =
             chain.mul_f64(record.rules.stretch.max(1.0)) + record.rules.objective;
         let slack = allowed.saturating_sub(chain).max(MIN_SLACK);
-        wait / slack.as_secs_f64()
+        ahead / self.capacity(priority, slack.as_secs_f64())
     }
 
-    /// Returns the processors that work of an urgency can get now, in thousandths of a core: those
-    /// that no less urgent task has.
-    fn available(&self, priority: u32) -> f64 {
-        let less_urgent = priority.saturating_add(1)..;
-        let held: u64 = self.held.range(less_urgent).map(|(_, &held)| held).sum();
-        let packed = self.processors() * PACKED_SHARE - held as f64;
-        packed.max(self.processors() * LEAST_SHARE)
+    /// Returns the work of an urgency and above that the workers can do within a time, in
+    /// thousandths of core-seconds: less urgent tasks keep their room until they end.
+    fn capacity(&self, priority: u32, time: f64) -> f64 {
+        let less_urgent = self.held.range(priority.saturating_add(1)..);
+        let held: f64 = less_urgent.map(|(_, held)| held.work_within(time)).sum();
+        let all = self.processors() * time;
+        (all * PACKED_SHARE - held).max(all * LEAST_SHARE)
     }
 
     /// Returns the processors of all workers in thousandths of a core, at least one.
--- a/crates/geraniumwinch-fleet/src/fleet_board/worker_slot.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/worker_slot.rs
@@ -113,21 +113,14 @@
             && self.quarantine <= now
     }
 
-    /// Returns whether tasks may run there now or be started: not on one that drains and is known
-    /// to run nothing.
-    pub(super) fn may_run(&self) -> bool {
-        let takes = self.listed && self.card.accepting;
-        takes || !self.idle()
-    }
-
-    /// Returns whose tasks the store should say may run there.
+    /// Returns whose tasks the store should say may run there: of a worker that gets no new tasks,
+    /// what it has is known.
     pub(super) fn wanted_holders(&self) -> StoredHolders {
+        let takes = self.listed && self.card.accepting && !self.silent;
         match &self.inherited {
             Some(holders) if self.incarnation.is_none() => StoredHolders::of(holders),
-            _ if !self.silent || self.has_strays() => match self.may_run() {
-                true => StoredHolders::Any,
-                false => StoredHolders::Nobody,
-            },
+            _ if self.incarnation.is_none() && !takes => StoredHolders::Nobody,
+            _ if takes || self.has_strays() => StoredHolders::Any,
             _ if self.places.is_empty() => StoredHolders::Nobody,
             _ => StoredHolders::Some,
         }
--- a/crates/geraniumwinch-fleet/src/worker_record.rs
+++ b/crates/geraniumwinch-fleet/src/worker_record.rs
@@ -11,7 +11,8 @@
 pub enum RunHolders {
     /// Those of any job.
     Any,
-    /// Those of these jobs only: the worker leaves calls without an answer and gets no new tasks.
+    /// Those of these jobs only: the worker is leaving, or leaves calls without an answer, and gets no
+    /// new tasks.
     Only(Vec<Name>),
 }
 
