--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -1,28 +1,22 @@
 //! The decisions of the process that owns the cell.
 
+mod admission;
+mod asking;
 mod board_log;
 mod loading;
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use geraniumwinch_core::ErrorKind;
-use geraniumwinch_core::Name;
 use geraniumwinch_core::log_event;
 use geraniumwinch_fleet::BootTime;
 use geraniumwinch_fleet::FleetBoard;
-use geraniumwinch_fleet::JobPhase;
-use geraniumwinch_fleet::JobRecord;
-use geraniumwinch_fleet::PermissionAsk;
-use geraniumwinch_fleet::PermissionGrant;
 use geraniumwinch_fleet::ShareMeter;
 use geraniumwinch_fleet::WorkerKey;
 use tokio::sync::Notify;
 
-use crate::CallError;
 use crate::CellPorts;
 use crate::CellSettings;
 use crate::authority::OwnerAuthority;
@@ -31,8 +25,6 @@
 use crate::cell_owner::OWNER_TTL;
 use crate::member_table::MemberTable;
 use crate::order_sender::OrderSender;
-use crate::peer_message::AskOrder;
-use crate::peer_message::JobOrder;
 use crate::peer_message::MemberNote;
 use crate::peer_message::PeerReply;
 use crate::peer_message::PeerRequest;
@@ -57,9 +49,6 @@
 const PASS_GAP_MAX: Duration = Duration::from_millis(50);
 /// The time between two reads of the list of workers.
 const LIST_INTERVAL: Duration = Duration::from_millis(700);
-/// The part of the time that a job can wait that others before it may take for a job beyond its
-/// account's share.
-const EXCESS_STRAIN: f64 = 0.4;
 /// The time between two log lines of the board's numbers.
 const TELL_INTERVAL: Duration = Duration::from_secs(1);
 /// The time between two searches for records that nobody can ask for any longer.
@@ -68,10 +57,6 @@
 const EXPIRE_MOST: usize = 200;
 /// How much more than its nominal time a worker's lease may last: a slow clock and delays.
 const LEASE_SLACK: f64 = 0.025;
-/// The time that a call through a peer may take beyond that of the permission service.
-const ASK_SLACK: Duration = Duration::from_millis(500);
-/// How much sooner a permission is taken to end here than at the worker.
-const PERMISSION_MARGIN: Duration = Duration::from_millis(80);
 /// The time after which a silent process is no longer told to others.
 const MEMBER_MEMORY: Duration = Duration::from_secs(15);
 
@@ -306,90 +291,6 @@
         }
     }
 
-    /// Has waiting questions asked by VMs that are free to.
-    fn assign_asks(self: &Rc<Self>, now: BootTime) {
-        if self.desk.waiting() == 0 {
-            return;
-        }
-        for (member, ask) in self.desk.assign(&self.askers(now), now) {
-            actix_rt::spawn(Rc::clone(self).ask(member, ask));
-        }
-    }
-
-    /// Returns the addresses of the VMs that can ask the permission service.
-    fn askers(&self, now: BootTime) -> Vec<SocketAddr> {
-        let mut members = vec![self.settings.peers];
-        let live = self.members.borrow().live(now);
-        members.extend(live.iter().map(|note| note.address));
-        members
-    }
-
-    /// Has a question asked by a VM and takes the answer in.
-    async fn ask(self: Rc<Self>, member: SocketAddr, ask: PermissionAsk) {
-        let began = self.ports.clock.now();
-        let step = ask.step.clone();
-        let asked = ask.workers.clone();
-        let allowed = self.ask_through(member, ask).await;
-        let now = self.ports.clock.now();
-        cell_metrics::record_ask(now.saturating_sub(began));
-        self.desk.end(member, allowed.is_some(), now);
-        log_event!(
-            Info,
-            "permission",
-            step = step,
-            asked = asked.len(),
-            allowed = allowed.as_ref().map_or(-1, |allowed| allowed.len() as i64),
-            ms = now.saturating_sub(began).as_millis()
-        );
-        let mut board = self.board.borrow_mut();
-        match allowed {
-            Some(allowed) => {
-                let validity = board.permission_validity(&step).unwrap_or_default();
-                let until = now + validity.saturating_sub(PERMISSION_MARGIN);
-                let grants = allowed
-                    .into_iter()
-                    .map(|(worker, ticket)| PermissionGrant { worker, ticket, until })
-                    .collect();
-                board.permitted(&step, &asked, grants);
-            }
-            None => {
-                cell_metrics::count_retry("permission");
-                board.permission_failed(&step, now);
-            }
-        }
-        drop(board);
-        self.pump.notify_one();
-    }
-
-    /// Asks the permission service from this VM or another.
-    async fn ask_through(
-        &self,
-        member: SocketAddr,
-        ask: PermissionAsk,
-    ) -> Option<Vec<(Name, Name)>> {
-        if member == self.settings.peers {
-            let allowed = self.ports.permissions.ask(ask).await;
-            return allowed.inspect_err(log_permission_failure).ok();
-        }
-        let order = AskOrder {
-            job: ask.step.job,
-            occurrence: ask.step.occurrence,
-            step: ask.step.step,
-            workers: ask.workers,
-            call_time: ask.call_time,
-        };
-        let timeout = ask.call_time + ASK_SLACK;
-        match self.peers.call(member, &PeerRequest::Ask(order), timeout).await {
-            // The peer has logged why it has no answer.
-            Ok(PeerReply::Allowed(allowed)) => allowed,
-            Ok(_) => None,
-            Err(error) => {
-                log_permission_failure(&error);
-                None
-            }
-        }
-    }
-
     /// Answers a request that only the owner answers.
     pub(crate) async fn handle(&self, request: PeerRequest) -> PeerReply {
         let now = self.ports.clock.now();
@@ -423,77 +324,6 @@
         PeerReply::Hello(self.authority.epoch, self.catalog.version(), members.all())
     }
 
-    /// Stores a job, once however often it comes.
-    async fn submit(&self, order: JobOrder) -> PeerReply {
-        if self.board.borrow().state(&order.id).is_some() {
-            return PeerReply::Accepted;
-        }
-        let JobOrder { id, rules, account, request } = order;
-        let wall = self.ports.clock.wall();
-        let record = JobRecord::new(rules, account, wall, request);
-        if !self.journal.is_pending(&id)
-            && let Some(kind) = self.refusal(&record)
-        {
-            return PeerReply::Refused(kind);
-        }
-        match self.journal.create(id, record).await {
-            Ok(()) => {
-                self.pump.notify_one();
-                PeerReply::Accepted
-            }
-            Err(kind) => PeerReply::Refused(kind),
-        }
-    }
-
-    /// Returns why a new job is not taken, if it isn't: one that would be late behind those before
-    /// it, and sooner one of an account that has sent more than its share.
-    fn refusal(&self, record: &JobRecord) -> Option<ErrorKind> {
-        let within_share = self.take_share(&record.account);
-        let strain = self.board.borrow().strain(record);
-        if strain > 1.0 {
-            Some(ErrorKind::DeadlineUnmeetable)
-        } else if !within_share && strain > EXCESS_STRAIN {
-            Some(ErrorKind::TeamLimit)
-        } else {
-            None
-        }
-    }
-
-    /// Counts a new job of an account and returns whether it is within the account's share.
-    fn take_share(&self, account: &Name) -> bool {
-        let weight = self.catalog.current().and_then(|current| {
-            let limits = current.catalog.accounts.iter().map(|found| &found.limit);
-            limits
-                .filter(|limit| limit.account == *account)
-                .map(|limit| limit.weight)
-                .next()
-        });
-        let Some(weight) = weight else { return true };
-        let now = self.ports.clock.now();
-        self.shares.borrow_mut().take(account, weight, now)
-    }
-
-    /// Cancels a job and answers once the store holds it.
-    async fn cancel(&self, job: &Name, now: BootTime) -> PeerReply {
-        if !self.board.borrow_mut().cancel(job, now) {
-            return PeerReply::State(None);
-        }
-        self.pump.notify_one();
-        self.journal.wake();
-        loop {
-            let changed = self.stored.notified();
-            let state = self.board.borrow().state(job);
-            match state {
-                Some((JobPhase::Live, _)) => {}
-                state => return PeerReply::State(state),
-            }
-            if self.authority.is_lost() {
-                return PeerReply::Refused(ErrorKind::StoreUnknown);
-            }
-            changed.await;
-        }
-    }
-
     /// Ends the ownership so that another process can take over at once.
     pub(crate) async fn resign(&self) {
         self.resigned.set(true);
@@ -505,8 +335,3 @@
         }
     }
 }
-
-/// Logs that a question to the permission service brought no answer.
-fn log_permission_failure(error: &CallError) {
-    log_event!(Warn, "permission-failed", error = error);
-}
--- a/crates/geraniumwinch-cell/src/cell_owner.rs
+++ b/crates/geraniumwinch-cell/src/cell_owner.rs
@@ -1,34 +1,30 @@
 //! Takes the ownership of the cell when it is free, and keeps in touch with the owner otherwise.
 
+mod claiming;
+mod hand_over;
+mod survey;
+
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::future::join_all;
-use geraniumwinch_core::Name;
 use geraniumwinch_core::log_event;
 use geraniumwinch_fleet::BootTime;
 use rand::Rng;
-use rand::seq::IndexedRandom;
-use rand::seq::SliceRandom;
 
 use crate::CallError;
 use crate::CellPorts;
 use crate::CellSettings;
-use crate::CommitOutcome;
+use crate::VmSize;
 use crate::authority::OwnerAuthority;
 use crate::catalog_watch::CatalogWatch;
 use crate::cell_dispatcher::CellDispatcher;
 use crate::cell_metrics;
 use crate::member_table::MemberTable;
 use crate::owner_record::EPOCH_KEY;
-use crate::owner_record::EpochRecord;
-use crate::owner_record::OWNER_KEY;
 use crate::owner_record::OwnerRecord;
-use crate::owner_record::claim_batch;
 use crate::owner_watch::OwnerWatch;
 use crate::peer_message::MemberNote;
 use crate::peer_message::PeerReply;
@@ -43,10 +39,6 @@
 const RENEWAL_RETRY: Duration = Duration::from_millis(120);
 /// The age of the last renewal from which another owner is looked for.
 const HAND_OVER_AGE: Duration = Duration::from_millis(1000);
-/// The most processes that are probed for another owner.
-const HAND_OVER_MOST: usize = 4;
-/// The time in which they have to answer.
-const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(350);
 /// The time between two words to the owner.
 const HELLO: Duration = Duration::from_millis(400);
 /// The time in which the owner has to answer.
@@ -57,28 +49,6 @@
 const SEEN_AGE: Duration = Duration::from_millis(1000);
 /// How old the store's word that nobody owns the cell may be.
 const VACANCY_AGE: Duration = Duration::from_millis(3500);
-/// The longest wait for the answer to a claim.
-const CLAIM_TIMEOUT: Duration = Duration::from_millis(1000);
-/// The longest random wait before a claim.
-const CLAIM_JITTER: Duration = Duration::from_millis(40);
-/// The wait before a claim, times what the inverse of the VM's share of a core exceeds that of
-/// [`FULL_SHARE`] by, so that larger VMs claim first.
-const SMALL_VM_WAIT: Duration = Duration::from_millis(25);
-/// The longest such wait.
-const SMALL_VM_WAIT_MAX: Duration = Duration::from_millis(250);
-/// How many times larger than this one a VM is that is let claim, or own, instead.
-const OUTSIZED_FACTOR: u32 = 2;
-/// The least wait before a claim if the last owner's VM was that much larger: others like it may
-/// be about to start.
-const LARGER_VM_WAIT: Duration = Duration::from_millis(1500);
-/// The share of a core with which a VM waits for none.
-const FULL_SHARE: f64 = 0.5;
-/// The wait of a process that reaches few others, so that a better placed one claims first.
-const CUT_OFF_WAIT: Duration = Duration::from_millis(900);
-/// The time in which peers have to answer a probe.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(200);
-/// The most processes of a failure domain that are probed.
-const PROBES_PER_DOMAIN: usize = 2;
 /// The time at the begin of an ownership in which silent processes are not held against it.
 const SETTLING: Duration = Duration::from_millis(3000);
 /// The fewest known processes among which a majority means anything.
@@ -86,15 +56,6 @@
 /// The time after a resignation in which a process does not claim.
 const RESIGNED_WAIT: Duration = Duration::from_millis(3000);
 
-/// What processes of the failure domains have answered.
-#[derive(Debug, Clone, Copy)]
-struct DomainSurvey {
-    /// Whether processes of more than half of the failure domains have answered.
-    most_domains: bool,
-    /// Whether any of them has heard from the owner lately.
-    owner_seen: bool,
-}
-
 /// Owns the cell or follows the owner.
 pub(crate) struct CellOwner {
     ports: CellPorts,
@@ -102,6 +63,8 @@
     catalog: Rc<CatalogWatch>,
     pub(crate) watch: Rc<OwnerWatch>,
     peers: PeerClient,
+    /// The size of this VM.
+    size: VmSize,
     /// The number that tells this process from a former one of the same name.
     pub(crate) process: u64,
     active: RefCell<Option<Rc<CellDispatcher>>>,
@@ -121,12 +84,14 @@
         watch: Rc<OwnerWatch>,
         peers: PeerClient,
     ) -> Rc<Self> {
+        let size = VmSize::of_share(settings.cpu_share);
         Rc::new(CellOwner {
             ports,
             settings,
             catalog,
             watch,
             peers,
+            size,
             process: rand::rng().random(),
             active: RefCell::new(None),
             members: RefCell::default(),
@@ -187,11 +152,6 @@
             && self.watch.vacant(VACANCY_AGE)
     }
 
-    /// Returns the share of a core that this VM has, in thousandths.
-    fn cpu_millis(&self) -> u32 {
-        (self.settings.cpu_share * 1000.0) as u32
-    }
-
     /// Returns what this process says of itself.
     fn note(&self) -> MemberNote {
         MemberNote {
@@ -199,7 +159,7 @@
             address: self.settings.peers,
             domain: self.settings.domain.clone(),
             version: self.catalog.version(),
-            cpu_millis: self.cpu_millis(),
+            size: self.size,
             stopping: self.stopping.get(),
         }
     }
@@ -236,12 +196,6 @@
         }
     }
 
-    /// Returns whether neither this process nor others have heard from the owner for a while.
-    async fn silent_owner(&self, owner: &OwnerRecord) -> bool {
-        let (epoch, _) = self.seen.get();
-        epoch == owner.epoch && !self.owner_seen(epoch) && self.confirm_gone(owner).await
-    }
-
     /// Takes a newer configuration over from a peer.
     async fn fetch_catalog(&self, from: SocketAddr) {
         let call = self.peers.call(from, &PeerRequest::Catalog, HELLO_TIMEOUT);
@@ -250,56 +204,6 @@
         }
     }
 
-    /// Returns whether the processes of most failure domains answer and have not heard from the
-    /// owner either.
-    async fn confirm_gone(&self, owner: &OwnerRecord) -> bool {
-        let survey = self.survey(owner.epoch).await;
-        survey.most_domains && !survey.owner_seen
-    }
-
-    /// Returns a few other processes of each failure domain.
-    fn others(&self) -> Vec<MemberNote> {
-        let owner = self.watch.current().map(|owner| owner.address);
-        let mut others = self.members.borrow().all();
-        others.retain(|other| {
-            other.address != self.settings.peers && Some(other.address) != owner
-        });
-        others.shuffle(&mut rand::rng());
-        let mut chosen: Vec<MemberNote> = Vec::new();
-        for other in others {
-            let same = chosen.iter().filter(|note| note.domain == other.domain).count();
-            if same < PROBES_PER_DOMAIN {
-                chosen.push(other);
-            }
-        }
-        chosen
-    }
-
-    /// Asks a few processes of each failure domain whether they have heard from the owner.
-    async fn survey(&self, epoch: u64) -> DomainSurvey {
-        let others = self.others();
-        let mut known: BTreeSet<Name> = BTreeSet::from([self.settings.domain.clone()]);
-        known.extend(others.iter().map(|note| note.domain.clone()));
-        let request = PeerRequest::OwnerSeen(epoch);
-        let calls = others.into_iter().map(|other| {
-            let (peers, request) = (&self.peers, &request);
-            async move {
-                match peers.call(other.address, request, PROBE_TIMEOUT).await {
-                    Ok(PeerReply::OwnerSeen(seen)) => Some((other.domain, seen)),
-                    _ => None,
-                }
-            }
-        });
-        let answers: Vec<(Name, bool)> =
-            join_all(calls).await.into_iter().flatten().collect();
-        let mut reached = BTreeSet::from([self.settings.domain.clone()]);
-        reached.extend(answers.iter().map(|(domain, _)| domain.clone()));
-        DomainSurvey {
-            most_domains: reached.len() * 2 > known.len(),
-            owner_seen: answers.iter().any(|&(_, seen)| seen),
-        }
-    }
-
     /// Ends the lease of an owner whose process is gone.
     async fn depose(&self, owner: &OwnerRecord, reason: &str) {
         self.end_lease(owner.epoch, owner.lease, reason).await;
@@ -321,155 +225,6 @@
         self.ports.store.get(EPOCH_KEY).await.is_ok()
     }
 
-    /// Hands the ownership over to a process that the store answers, if there is one.
-    async fn hand_over(&self, authority: &OwnerAuthority) -> bool {
-        let Some(active) = self.active() else { return false };
-        let now = self.ports.clock.now();
-        let live = active.members.borrow().live(now);
-        let others: Vec<SocketAddr> = live.iter().map(|note| note.address).collect();
-        let probed = others.choose_multiple(&mut rand::rng(), HAND_OVER_MOST).copied();
-        let calls = probed.map(|other| async move {
-            let probe = PeerRequest::ProbeStore;
-            let answer = self.peers.call(other, &probe, HAND_OVER_TIMEOUT).await;
-            matches!(answer, Ok(PeerReply::StoreUp(true))).then_some(other)
-        });
-        let Some(heir) = join_all(calls).await.into_iter().flatten().next() else {
-            return false;
-        };
-        if self.renews(authority).await {
-            return false;
-        }
-        self.hand_to(authority, heir, "store").await;
-        true
-    }
-
-    /// Hands the ownership over to a process on a much larger VM, if there is one that the store
-    /// answers.
-    async fn yield_to_larger(&self, authority: &OwnerAuthority) -> bool {
-        let Some(active) = self.active() else { return false };
-        let live = active.members.borrow().live(self.ports.clock.now());
-        let larger = live.iter().filter(|note| self.is_outsized(note.cpu_millis));
-        let Some(heir) = larger.max_by_key(|note| note.cpu_millis) else { return false };
-        let probe = PeerRequest::ProbeStore;
-        let answer = self.peers.call(heir.address, &probe, HAND_OVER_TIMEOUT).await;
-        if !matches!(answer, Ok(PeerReply::StoreUp(true))) {
-            return false;
-        }
-        self.no_claim_before.set(self.ports.clock.now() + RESIGNED_WAIT);
-        self.hand_to(authority, heir.address, "larger").await;
-        true
-    }
-
-    /// Ends the ownership here and has another process end its lease.
-    async fn hand_to(&self, authority: &OwnerAuthority, heir: SocketAddr, reason: &str) {
-        log_event!(
-            Warn,
-            "ownership-handed-over",
-            epoch = authority.epoch,
-            to = heir,
-            reason = reason
-        );
-        authority.lose();
-        let depose = PeerRequest::Depose(authority.epoch, authority.lease);
-        if let Err(error) = self.peers.call(heir, &depose, HELLO_TIMEOUT).await {
-            log_event!(Warn, "hand-over-failed", error = error);
-        }
-    }
-
-    /// Returns whether the store, which answers another process, renews the ownership as well: it
-    /// may have come back for all.
-    async fn renews(&self, authority: &OwnerAuthority) -> bool {
-        let sent = self.ports.clock.now();
-        let renewal = self.ports.store.renew_lease(authority.lease);
-        let renewed = tokio::time::timeout(HAND_OVER_TIMEOUT, renewal).await;
-        let renewed = matches!(renewed, Ok(Ok(true)));
-        if renewed {
-            authority.renew(sent);
-        }
-        renewed
-    }
-
-    /// Claims the ownership and, if it is won, dispatches until it ends.
-    async fn claim(self: &Rc<Self>) {
-        let jitter = CLAIM_JITTER.mul_f64(rand::rng().random());
-        let wait = self.size_wait().await;
-        self.watch.await_change(wait + jitter).await;
-        if !self.survey(0).await.most_domains {
-            self.watch.await_change(CUT_OFF_WAIT).await;
-        }
-        if !self.may_claim() {
-            return;
-        }
-        match self.try_claim().await {
-            Ok(Some((authority, revision))) => self.dispatch(authority, revision).await,
-            Ok(None) => self.watch.await_change(HELLO).await,
-            Err(error) => {
-                log_event!(Warn, "claim-failed", error = error);
-                self.watch.await_change(HELLO_RETRY).await;
-            }
-        }
-    }
-
-    /// Returns how long this process lets those on larger VMs claim first.
-    async fn size_wait(&self) -> Duration {
-        let share = self.settings.cpu_share.max(0.01);
-        let lacking = (1.0 / share - 1.0 / FULL_SHARE).max(0.0);
-        let wait = SMALL_VM_WAIT.mul_f64(lacking).min(SMALL_VM_WAIT_MAX);
-        // Without an answer the claim fails anyway.
-        let last = self.ports.store.get(EPOCH_KEY).await.ok().flatten();
-        let last = last.and_then(|item| EpochRecord::decode(&item.value));
-        let larger = last.is_some_and(|last| self.is_outsized(last.cpu_millis));
-        if larger { wait.max(LARGER_VM_WAIT) } else { wait }
-    }
-
-    /// Returns whether a VM with a share of a core is much larger than this one.
-    fn is_outsized(&self, cpu_millis: u32) -> bool {
-        cpu_millis > self.cpu_millis() * OUTSIZED_FACTOR
-    }
-
-    /// Writes the record of a new ownership; nothing if another process was faster.
-    async fn try_claim(&self) -> crate::Result<Option<(OwnerAuthority, u64)>> {
-        let store = &self.ports.store;
-        let sent = self.ports.clock.now();
-        let lease = store.grant_lease(OWNER_TTL).await?;
-        let last = store.get(EPOCH_KEY).await?;
-        let (last_epoch, epoch_revision) = match &last {
-            Some(item) => (read_epoch(item)?, item.revision),
-            None => (0, 0),
-        };
-        let record = OwnerRecord {
-            epoch: last_epoch + 1,
-            name: self.settings.name.clone(),
-            process: self.process,
-            address: self.settings.peers,
-            cpu_millis: self.cpu_millis(),
-            lease,
-        };
-        let outcome =
-            store.commit(&claim_batch(&record, epoch_revision), CLAIM_TIMEOUT).await;
-        let revision = match outcome {
-            Ok(CommitOutcome::Committed(revision)) => Some(revision),
-            Ok(_) => None,
-            Err(error) if error.without_effect() => return Err(error),
-            Err(_) => self.find_claim(&record).await?,
-        };
-        if revision.is_none() {
-            // Without a record the lease only takes room until it ends by itself.
-            let _ = store.end_lease(lease).await;
-        }
-        let authority = || OwnerAuthority::new(record.epoch, lease, OWNER_TTL, sent);
-        Ok(revision.map(|revision| (authority(), revision)))
-    }
-
-    /// Finds out whether a claim without an answer was carried out.
-    async fn find_claim(&self, record: &OwnerRecord) -> crate::Result<Option<u64>> {
-        let item = self.ports.store.get(OWNER_KEY).await?;
-        let ours = |item: &crate::StoreItem| {
-            OwnerRecord::decode(&item.value).as_ref() == Some(record)
-        };
-        Ok(item.filter(ours).map(|item| item.revision))
-    }
-
     /// Dispatches until the ownership ends.
     async fn dispatch(self: &Rc<Self>, authority: OwnerAuthority, revision: u64) {
         let authority = Rc::new(authority);
@@ -558,11 +313,3 @@
         known >= QUORUM_MIN && (members.live(now).len() + 1) * 2 < known + 1
     }
 }
-
-/// Reads the number of the last epoch: without it, a new owner's orders could bear an older one's.
-fn read_epoch(item: &crate::StoreItem) -> crate::Result<u64> {
-    let record = EpochRecord::decode(&item.value);
-    let message = || format!("{} has {} bytes", item.key, item.value.len());
-    let epoch = record.map(|record| record.epoch);
-    epoch.ok_or_else(|| CallError::Unreadable { message: message() })
-}
--- a/crates/geraniumwinch-cell/src/lib.rs
+++ b/crates/geraniumwinch-cell/src/lib.rs
@@ -26,6 +26,7 @@
 mod record_journal;
 mod record_store;
 mod submit_desk;
+mod vm_size;
 mod worker_gateway;
 mod worker_loop;
 
@@ -62,6 +63,7 @@
 pub use self::submit_desk::CallerRequest;
 pub use self::submit_desk::JobView;
 pub use self::submit_desk::SubmitDesk;
+pub use self::vm_size::VmSize;
 pub use self::worker_gateway::HoldOrder;
 pub use self::worker_gateway::OrderError;
 pub use self::worker_gateway::OrderResult;
--- a/crates/geraniumwinch-cell/src/owner_record.rs
+++ b/crates/geraniumwinch-cell/src/owner_record.rs
@@ -9,6 +9,7 @@
 
 use crate::StoreBatch;
 use crate::StoreWrite;
+use crate::VmSize;
 
 /// The key of the record; it ends with the owner's lease.
 pub(crate) const OWNER_KEY: &str = "cell/owner";
@@ -32,8 +33,8 @@
     pub(crate) process: u64,
     /// The owner's address for peers.
     pub(crate) address: SocketAddr,
-    /// The share of a core that the owner's VM has, in thousandths.
-    pub(crate) cpu_millis: u32,
+    /// The size of the owner's VM.
+    pub(crate) size: VmSize,
     /// The store's lease of the record.
     pub(crate) lease: u64,
 }
@@ -55,8 +56,8 @@
 pub(crate) struct EpochRecord {
     /// The number of the epoch.
     pub(crate) epoch: u64,
-    /// The share of a core that its owner's VM has, in thousandths.
-    pub(crate) cpu_millis: u32,
+    /// The size of its owner's VM.
+    pub(crate) size: VmSize,
 }
 
 impl EpochRecord {
@@ -114,7 +115,7 @@
         value,
         lease,
     };
-    let epoch = EpochRecord { epoch: record.epoch, cpu_millis: record.cpu_millis };
+    let epoch = EpochRecord { epoch: record.epoch, size: record.size };
     StoreBatch {
         expected: vec![(OWNER_KEY.to_owned(), 0), (EPOCH_KEY.to_owned(), epoch_revision)],
         writes: vec![
--- a/crates/geraniumwinch-cell/src/peer_message.rs
+++ b/crates/geraniumwinch-cell/src/peer_message.rs
@@ -11,6 +11,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::VmSize;
+
 /// A job that a caller hands in.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(crate) struct JobOrder {
@@ -35,8 +37,8 @@
     pub(crate) domain: Name,
     /// The number of its configuration.
     pub(crate) version: u64,
-    /// The share of a core that its VM has, in thousandths.
-    pub(crate) cpu_millis: u32,
+    /// The size of its VM.
+    pub(crate) size: VmSize,
     /// Whether it is stopping.
     pub(crate) stopping: bool,
 }
