Look for another owner 0.4 s after the store's first refusal, and prefer one rack where tasks are faster there

The next renewal was up to 0.7 s away, and another owner was looked for when the last success was 1 s old, so that the callers of a good second were late.

Tasks that the caller says are faster in one rack are placed in the rack that has most of them, else in the fullest rack that holds all, else in as few racks as possible.

--- a/crates/geraniumwinch-cell/src/authority.rs
+++ b/crates/geraniumwinch-cell/src/authority.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use geraniumwinch_fleet::BootTime;
+use tokio::sync::Notify;
 
 /// How much sooner the right ends here than at the store.
 const MARGIN: Duration = Duration::from_millis(300);
@@ -18,13 +19,15 @@
     ttl: Duration,
     renewed: Cell<BootTime>,
     lost: Cell<bool>,
+    doubted: Notify,
 }
 
 impl OwnerAuthority {
     /// Creates the right of an owner whose lease was granted by a call sent at `renewed`.
     pub(crate) fn new(epoch: u64, lease: u64, ttl: Duration, renewed: BootTime) -> Self {
         let renewed = Cell::new(renewed);
-        OwnerAuthority { epoch, lease, ttl, renewed, lost: Cell::new(false) }
+        let (lost, doubted) = (Cell::new(false), Notify::new());
+        OwnerAuthority { epoch, lease, ttl, renewed, lost, doubted }
     }
 
     /// Notes that the lease was renewed by a call sent at `sent`.
@@ -32,9 +35,15 @@
         self.renewed.set(self.renewed.get().max(sent));
     }
 
-    /// Returns the time since the last renewal.
-    pub(crate) fn age(&self, now: BootTime) -> Duration {
-        now.saturating_sub(self.renewed.get())
+    /// Notes that the store has refused or not answered a call, so that a renewal is due now.
+    pub(crate) fn doubt(&self) {
+        self.doubted.notify_one();
+    }
+
+    /// Waits until a renewal is due, at most for a time.
+    pub(crate) async fn await_doubt(&self, wait: Duration) {
+        // An elapsed wait needs no handling: a renewal is due either way.
+        let _ = tokio::time::timeout(wait, self.doubted.notified()).await;
     }
 
     /// Notes that another process may own the cell.
--- a/crates/geraniumwinch-cell/src/cell_owner.rs
+++ b/crates/geraniumwinch-cell/src/cell_owner.rs
@@ -37,8 +37,8 @@
 const RENEWAL: Duration = Duration::from_millis(700);
 /// The wait before a failed renewal is repeated.
 const RENEWAL_RETRY: Duration = Duration::from_millis(120);
-/// The age of the last renewal from which another owner is looked for.
-const HAND_OVER_AGE: Duration = Duration::from_millis(1000);
+/// The time without a renewal, though some were tried, after which another owner is looked for.
+const HAND_OVER_AFTER: Duration = Duration::from_millis(400);
 /// The time between two words to the owner.
 const HELLO: Duration = Duration::from_millis(400);
 /// The time in which the owner has to answer.
@@ -258,11 +258,13 @@
     /// Renews the ownership until it ends.
     async fn keep(self: Rc<Self>, authority: Rc<OwnerAuthority>) {
         let began = self.ports.clock.now();
+        let mut failing: Option<BootTime> = None;
         while !authority.is_lost() {
             let sent = self.ports.clock.now();
             let pause = match self.ports.store.renew_lease(authority.lease).await {
                 Ok(true) => {
                     authority.renew(sent);
+                    failing = None;
                     RENEWAL
                 }
                 Ok(false) => {
@@ -282,9 +284,9 @@
                         epoch = authority.epoch,
                         error = error
                     );
-                    if authority.age(self.ports.clock.now()) > HAND_OVER_AGE
-                        && self.hand_over(&authority).await
-                    {
+                    let since = *failing.get_or_insert(sent);
+                    let due = self.ports.clock.now() > since + HAND_OVER_AFTER;
+                    if due && self.hand_over(&authority).await {
                         return;
                     }
                     RENEWAL_RETRY
@@ -301,7 +303,10 @@
                 }
                 return;
             }
-            tokio::time::sleep(pause).await;
+            match failing {
+                None => authority.await_doubt(pause).await,
+                Some(_) => tokio::time::sleep(pause).await,
+            }
         }
     }
 
--- a/crates/geraniumwinch-cell/src/record_journal.rs
+++ b/crates/geraniumwinch-cell/src/record_journal.rs
@@ -360,6 +360,7 @@
         let known = self.failing.get();
         if known.is_none() {
             self.failing.set(Some(began.max(self.succeeded.get())));
+            self.authority.doubt();
         }
         let stalled = self.is_stalled();
         if stalled {
--- a/crates/geraniumwinch-fleet/src/fleet_board.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board.rs
@@ -8,6 +8,7 @@
 mod job_slot;
 mod placing;
 mod preempting;
+mod racks;
 mod recording;
 mod reporting;
 mod room_claim;
--- a/crates/geraniumwinch-fleet/src/fleet_board/placing.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/placing.rs
@@ -158,7 +158,10 @@
         if needed == 0 || partial {
             return;
         }
-        let offers = self.offers(key, unit, &plan, now);
+        let mut offers = self.offers(key, unit, &plan, now);
+        if plan.same_rack {
+            self.sort_by_rack(key, unit, needed, &mut offers);
+        }
         let valid = |offer: &RoomOffer| matches!(offer.permit, Permit::Valid(_));
         let chosen = choose(&offers, needed, valid);
         if chosen.len() == needed {
--- a/crates/geraniumwinch-fleet/src/worker_card.rs
+++ b/crates/geraniumwinch-fleet/src/worker_card.rs
@@ -22,6 +22,8 @@
     pub capacity: ResourceVector,
     /// Its labels: the kind and the rack.
     pub labels: Vec<Name>,
+    /// The rack that it stands in, if that is known.
+    pub rack: Option<Name>,
     /// The time of its start in milliseconds since 1970, which tells its lifetimes apart.
     pub incarnation: u64,
 }
--- a/crates/geraniumwinch-fleet/tests/common/mod.rs
+++ b/crates/geraniumwinch-fleet/tests/common/mod.rs
@@ -69,6 +69,7 @@
             accelerators: 0,
         },
         labels: Vec::new(),
+        rack: None,
         incarnation: LIFETIME,
     }
 }
--- a/crates/geraniumwinch-fleet/tests/room.rs
+++ b/crates/geraniumwinch-fleet/tests/room.rs
@@ -5,7 +5,9 @@
 use geraniumwinch_core::ResourceVector;
 use geraniumwinch_fleet::AccountLimit;
 use geraniumwinch_fleet::RunEnd;
+use geraniumwinch_fleet::RunStart;
 use geraniumwinch_fleet::StartOutcome;
+use geraniumwinch_fleet::StepPlan;
 use geraniumwinch_fleet::WorkerRecord;
 
 use self::common::ended;
@@ -120,4 +122,27 @@
         cell.accept("job", record(rules(1), vec![plan]));
         assert_eq!(cell.start_all().len(), 4);
     }
+
+    tasks_that_are_faster_in_one_rack_share_one(cell) {
+        let card = |id: &str, rack: &str| {
+            let rack = Some(rack.into());
+            geraniumwinch_fleet::WorkerCard { rack, ..common::card(id) }
+        };
+        let cards = vec![
+            card("a1", "r-a"), card("b1", "r-b"), card("b2", "r-b"), card("c1", "r-c"),
+        ];
+        let workers = cell.board.set_workers(cards.clone(), cell.now);
+        let records: Vec<WorkerRecord> =
+            cards.into_iter().map(WorkerRecord::open).collect();
+        cell.board.workers_recorded(&records);
+        for &worker in &workers {
+            cell.report(worker, Vec::new(), Vec::new());
+        }
+        let plan = StepPlan { same_rack: true, gang: true, ..step(6, 4_000) };
+        cell.accept("job", record(rules(1), vec![plan]));
+        let starts = cell.place();
+        assert_eq!(starts.len(), 6);
+        let in_rack_b = |start: &RunStart| workers[1..=2].contains(&start.worker);
+        assert!(starts.iter().all(in_rack_b), "only rack b holds all of them");
+    }
 }
