Keep what fills away from tasks with users of their own; metrics of first starts and ages; log regained stores

Cause: the platform's rules forbid that tasks that fill slow serving tasks over their target, and that long-running tasks are stopped while others of their step are away. The board placed both side by side and could stop long-running tasks for urgent ones.

Change: tasks that fill go to workers without serving tasks only, and are stopped where a serving task is placed, which prefers other workers; long-running tasks are never stopped for others. Records have a new format, since steps keep their target. Pacing, which would let both share a worker, is not built.

New metrics: wait until the first start, and when the configuration and the list of workers were last read.

--- a/crates/geraniumwinch-cell/src/catalog_watch.rs
+++ b/crates/geraniumwinch-cell/src/catalog_watch.rs
@@ -63,24 +63,21 @@
     pub(crate) async fn run(self: Rc<Self>) {
         let mut lost = false;
         loop {
-            let result = self.follow().await;
-            if let Err(error) = result {
+            if let Err(error) = self.follow(&mut lost).await {
                 if !lost {
                     log_event!(Warn, "store-lost", part = "catalog", error = error);
                 }
                 lost = true;
-            } else if lost {
-                log_event!(Info, "store-regained", part = "catalog");
-                lost = false;
             }
             tokio::time::sleep(RETRY).await;
         }
     }
 
     /// Reads the configuration and follows its changes until a call fails.
-    async fn follow(&self) -> crate::Result<()> {
+    async fn follow(&self, lost: &mut bool) -> crate::Result<()> {
         let key = self.ports.catalogs.key();
         let item = self.ports.store.get(key).await?;
+        self.answer(lost);
         let mut after = 0;
         if let Some(item) = item {
             after = item.revision;
@@ -88,6 +85,7 @@
         }
         loop {
             let outcome = self.ports.store.watch(key, after, WATCH_WAIT).await?;
+            self.answer(lost);
             let WatchOutcome::Changes(changes, revision) = outcome else {
                 return Ok(());
             };
@@ -99,4 +97,12 @@
             after = after.max(revision);
         }
     }
+
+    /// Notes that the store has answered.
+    fn answer(&self, lost: &mut bool) {
+        cell_metrics::set_catalog_checked(self.ports.clock.wall());
+        if std::mem::take(lost) {
+            log_event!(Info, "store-regained", part = "catalog");
+        }
+    }
 }
--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -217,6 +217,7 @@
                     if std::mem::take(&mut lost) {
                         log_event!(Info, "store-regained", part = "workers");
                     }
+                    cell_metrics::set_workers_listed(self.ports.clock.wall());
                     let now = self.ports.clock.now();
                     let fresh = self.board.borrow_mut().set_workers(cards, now);
                     for worker in fresh {
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/board_log.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/board_log.rs
@@ -25,6 +25,7 @@
         BoardEvent::Preempted { task, run, worker } => {
             log_event!(Info, "preempted", task = task, run = run, worker = worker);
         }
+        BoardEvent::FirstStart { wait } => cell_metrics::record_first_start(*wait),
         BoardEvent::JobEnded { job, phase } => {
             cell_metrics::count_job_end(phase);
             log_event!(Info, "job-ended", job = job, phase = phase);
--- a/crates/geraniumwinch-cell/src/cell_metrics.rs
+++ b/crates/geraniumwinch-cell/src/cell_metrics.rs
@@ -20,11 +20,14 @@
     OWNERSHIPS = "geraniumwinch_cell_ownerships_total", "counter", "change", "Ownerships of the cell that this process took, resigned or lost.";
     EPOCH = "geraniumwinch_cell_epoch", "gauge", "", "Epoch of the ownership that this process holds, or 0.";
     CATALOG = "geraniumwinch_cell_catalog_version", "gauge", "", "Number of the configuration in force.";
+    CATALOG_TIME = "geraniumwinch_cell_catalog_checked_timestamp_seconds", "gauge", "", "When the store last said which configuration is in force, in seconds since 1970.";
+    LIST_TIME = "geraniumwinch_cell_workers_listed_timestamp_seconds", "gauge", "", "When the owner last read the list of workers, in seconds since 1970.";
     LIVE_JOBS = "geraniumwinch_cell_live_jobs", "gauge", "", "Jobs that are not ended, at the owner.";
     PLACED = "geraniumwinch_cell_placed_tasks", "gauge", "", "Tasks that may run, at the owner.";
     USABLE = "geraniumwinch_cell_usable_workers", "gauge", "", "Workers that take tasks, at the owner.";
     STORE_TIME = "geraniumwinch_cell_commit_seconds", "histogram", "", "Time that a transaction of the journal takes in seconds.";
     ACCEPT_TIME = "geraniumwinch_cell_accept_seconds", "histogram", "", "Time from a job's arrival to its answer in seconds.";
+    START_WAIT = "geraniumwinch_cell_first_start_seconds", "histogram", "", "Time from a job's acceptance until a worker says that a task runs in seconds.";
     ASK_TIME = "geraniumwinch_cell_permission_seconds", "histogram", "", "Time that a question to the permission service takes in seconds.";
     TAKEOVER_TIME = "geraniumwinch_cell_takeover_seconds", "histogram", "", "Time from a won ownership until the new owner decides in seconds.";
 }
@@ -76,6 +79,21 @@
     gauge!(CATALOG).set(version as f64);
 }
 
+/// Shows when the store last told the configuration in force.
+pub(crate) fn set_catalog_checked(wall: Duration) {
+    gauge!(CATALOG_TIME).set(wall.as_secs_f64());
+}
+
+/// Shows when the list of workers was read last.
+pub(crate) fn set_workers_listed(wall: Duration) {
+    gauge!(LIST_TIME).set(wall.as_secs_f64());
+}
+
+/// Records the wait of a job for its first start.
+pub(crate) fn record_first_start(wait: Duration) {
+    histogram!(START_WAIT).record(wait.as_secs_f64());
+}
+
 /// Shows the owner's numbers.
 pub(crate) fn set_counts(counts: FleetCounts) {
     gauge!(LIVE_JOBS).set(counts.live_jobs as f64);
--- a/crates/geraniumwinch-cell/src/record_journal.rs
+++ b/crates/geraniumwinch-cell/src/record_journal.rs
@@ -84,6 +84,8 @@
     writing_workers: Cell<bool>,
     /// Since when no transaction has succeeded although one was tried.
     failing: Cell<Option<BootTime>>,
+    /// Whether the log was told that the store takes nothing.
+    lost: Cell<bool>,
     /// When the last transaction succeeded.
     succeeded: Cell<BootTime>,
     wake: Notify,
@@ -113,6 +115,7 @@
             removals: RefCell::default(),
             writing_workers: Cell::new(false),
             failing: Cell::new(None),
+            lost: Cell::new(false),
             succeeded: Cell::new(BootTime::ZERO),
             wake: Notify::new(),
             stored,
@@ -347,7 +350,7 @@
     fn succeed(&self, began: BootTime) {
         let now = self.ports.clock.now();
         cell_metrics::record_commit(now.saturating_sub(began));
-        if self.is_stalled() {
+        if self.lost.replace(false) {
             log_event!(Info, "store-regained", part = "journal");
         }
         self.failing.set(None);
@@ -357,14 +360,15 @@
     /// Notes that a try failed and returns whether the store has taken nothing for a while.
     fn note_failure(&self, error: &CallError, began: BootTime) -> bool {
         cell_metrics::count_retry("commit");
-        let known = self.failing.get();
-        if known.is_none() {
+        if self.failing.get().is_none() {
             self.failing.set(Some(began.max(self.succeeded.get())));
             self.authority.doubt();
         }
         let stalled = self.is_stalled();
         if stalled {
-            log_event!(Warn, "store-lost", part = "journal", error = error);
+            if !self.lost.replace(true) {
+                log_event!(Warn, "store-lost", part = "journal", error = error);
+            }
             self.refuse_queued();
         }
         stalled
@@ -384,7 +388,7 @@
         let mut board = self.board.borrow_mut();
         for job in batch.jobs {
             if end == BatchEnd::Written {
-                board.accept(job.id.clone(), job.record);
+                board.accept(job.id.clone(), job.record, self.ports.clock.now());
             }
             self.answer(&job.id, result);
         }
--- a/crates/geraniumwinch-fleet/src/board_event.rs
+++ b/crates/geraniumwinch-fleet/src/board_event.rs
@@ -1,5 +1,7 @@
 //! Decisions of the board that the log tells.
 
+use std::time::Duration;
+
 use geraniumwinch_core::Name;
 
 use crate::RunEnd;
@@ -55,6 +57,11 @@
         /// The worker.
         worker: Name,
     },
+    /// A worker says for the first time that a task of a job runs.
+    FirstStart {
+        /// The time since the job was accepted.
+        wait: Duration,
+    },
     /// A job has ended.
     JobEnded {
         /// The job.
--- a/crates/geraniumwinch-fleet/src/fleet_board.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board.rs
@@ -154,10 +154,11 @@
     }
 
     /// Puts a job on the board that the store has just taken.
-    pub fn accept(&mut self, id: Name, record: JobRecord) {
+    pub fn accept(&mut self, id: Name, record: JobRecord, now: BootTime) {
         if !self.job_ids.contains_key(&id) {
             self.count_accepted(&record);
-            self.insert(id, record);
+            let key = self.insert(id, record);
+            self.jobs[key].accepted_at = Some(now);
         }
     }
 
--- a/crates/geraniumwinch-fleet/src/fleet_board/job_slot.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/job_slot.rs
@@ -146,6 +146,8 @@
     pub(super) writing: bool,
     /// The order of acceptance.
     pub(super) serial: u64,
+    /// When it was put on the board after its acceptance; none for a former owner's job.
+    pub(super) accepted_at: Option<BootTime>,
     /// Whether a worker has said that it runs or ran a task.
     pub(super) started: bool,
     /// Until when tasks without a place may still run on a worker that has not reported.
@@ -175,6 +177,7 @@
             stored: 0,
             writing: false,
             serial,
+            accepted_at: None,
             started,
             uncertain_until: BootTime::ZERO,
             objective,
--- a/crates/geraniumwinch-fleet/src/fleet_board/placing.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/placing.rs
@@ -43,7 +43,7 @@
     /// What is known of the permission.
     pub(super) permit: Permit,
     /// The order of preference; the least goes first.
-    rank: (bool, bool, u64, WorkerKey),
+    rank: (bool, bool, bool, u64, WorkerKey),
 }
 
 impl FleetBoard {
@@ -228,6 +228,10 @@
         if !slot.usable(now) || !self.suits(key, plan, slot) {
             return None;
         }
+        let disturbed = self.disturbed(plan, slot).next().is_some();
+        if disturbed && plan.fills {
+            return None;
+        }
         let free = slot.free();
         let fits = self.fits(key, unit, plan, worker, &free);
         if fits == 0 {
@@ -235,11 +239,22 @@
         }
         let permit = self.permit(key, unit, &slot.card.id, now);
         let far = plan.affinity.as_ref().is_some_and(|r| !slot.card.labels.contains(r));
-        let rank = (slot.failures > 0, far, free.cpu_millis, worker);
+        let rank = (slot.failures > 0, disturbed, far, free.cpu_millis, worker);
         let possible = !matches!(permit, Permit::Denied | Permit::Unasked);
         possible.then_some(RoomOffer { worker, fits, permit, rank })
     }
 
+    /// Returns the tasks of a worker that tasks of a step would disturb, or be disturbed by.
+    fn disturbed(
+        &self,
+        plan: &StepPlan,
+        slot: &WorkerSlot,
+    ) -> impl Iterator<Item = TaskRef> {
+        let sensitive = plan.fills || plan.target.is_some();
+        let places = slot.places.iter().copied().filter(move |_| sensitive);
+        places.filter(|task| plan.disturbs(self.jobs[task.job].plan(task.unit)))
+    }
+
     /// Returns whether a worker may run tasks of a step at all.
     pub(super) fn suits(&self, key: JobKey, plan: &StepPlan, slot: &WorkerSlot) -> bool {
         let labelled = plan
@@ -312,6 +327,13 @@
             Permit::Valid(ticket) => ticket,
             _ => None,
         };
+        let plan = self.jobs[task.job].plan(task.unit);
+        let disturbing: Vec<TaskRef> = match plan.target {
+            Some(_) => self.disturbed(plan, &self.workers[worker]).collect(),
+            None => Vec::new(),
+        };
+        // They go on where no task has users of its own.
+        disturbing.into_iter().for_each(|task| self.stop(task, now));
         let phase = PlacePhase::Starting;
         let place =
             TaskPlace { worker, run, phase, since: now, percent: 0, progressed: now };
--- a/crates/geraniumwinch-fleet/src/fleet_board/preempting.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/preempting.rs
@@ -203,6 +203,7 @@
         job.record.rules.priority > priority
             && place.phase == PlacePhase::Running
             && !plan.gang
+            && !plan.long_running
             && !slot.preempted
             && (plan.saves_progress || young)
     }
--- a/crates/geraniumwinch-fleet/src/fleet_board/reporting.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/reporting.rs
@@ -109,8 +109,8 @@
         let place = self.place_of(task).copied();
         let current =
             |place: &TaskPlace| place.worker == worker && place.run == ended.run;
+        self.mark_started(task, now);
         let job = &mut self.jobs[task.job];
-        job.started = true;
         let live = job.live();
         let slot = &mut job.units[task.unit as usize].tasks[task.index as usize];
         slot.last_run = slot.last_run.max(ended.run);
@@ -137,6 +137,16 @@
         }
     }
 
+    /// Notes that a worker runs or ran a task.
+    fn mark_started(&mut self, task: TaskRef, now: BootTime) {
+        let job = &mut self.jobs[task.job];
+        let first = !std::mem::replace(&mut job.started, true);
+        if let Some(accepted) = job.accepted_at.filter(|_| first) {
+            let wait = now.saturating_sub(accepted);
+            self.events.push(BoardEvent::FirstStart { wait });
+        }
+    }
+
     /// Tells the log of an end.
     fn log_end(&mut self, worker: WorkerKey, ended: &EndedRun) {
         self.events.push(BoardEvent::Ended {
@@ -192,7 +202,7 @@
                 }
             }
         }
-        self.jobs[task.job].started = true;
+        self.mark_started(task, now);
         if running.checkpoint.is_some() {
             let unit = &mut self.jobs[task.job].units[task.unit as usize];
             unit.tasks[task.index as usize].checkpoint.clone_from(&running.checkpoint);
@@ -292,7 +302,7 @@
                 place.since = now;
                 place.progressed = now;
             }
-            self.jobs[task.job].started = true;
+            self.mark_started(task, now);
             return;
         }
         if outcome == StartOutcome::Unknown {
--- a/crates/geraniumwinch-fleet/src/job_record.rs
+++ b/crates/geraniumwinch-fleet/src/job_record.rs
@@ -16,7 +16,7 @@
 use crate::fleet_error::FormatSnafu;
 
 /// The format that this version writes.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 2;
 
 /// How far a job has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/geraniumwinch-fleet/src/step_plan.rs
+++ b/crates/geraniumwinch-fleet/src/step_plan.rs
@@ -36,9 +36,18 @@
     pub long_running: bool,
     /// Whether the tasks use only processor time that others leave, so that it is not reserved.
     pub fills: bool,
+    /// The tail of response times that tasks with users of their own must stay below.
+    pub target: Option<Duration>,
 }
 
 impl StepPlan {
+    /// Returns whether tasks of one step and another disturb each other on one worker: those that use
+    /// what others leave slow down those with users of their own.
+    pub fn disturbs(&self, other: &StepPlan) -> bool {
+        let slows = |one: &StepPlan, two: &StepPlan| one.fills && two.target.is_some();
+        slows(self, other) || slows(other, self)
+    }
+
     /// Returns what one task reserves of its worker.
     pub fn reserved(&self) -> ResourceVector {
         let cpu_millis = if self.fills { 0 } else { self.demand.cpu_millis };
--- a/crates/geraniumwinch-fleet/tests/common/mod.rs
+++ b/crates/geraniumwinch-fleet/tests/common/mod.rs
@@ -156,7 +156,7 @@
 
     /// Accepts a job.
     pub fn accept(&mut self, id: &str, record: JobRecord) {
-        self.board.accept(id.into(), record);
+        self.board.accept(id.into(), record, self.now);
     }
 
     /// Makes a pass and returns the tasks to start.
--- a/crates/geraniumwinch-fleet/tests/room.rs
+++ b/crates/geraniumwinch-fleet/tests/room.rs
@@ -145,4 +145,36 @@
         let in_rack_b = |start: &RunStart| workers[1..=2].contains(&start.worker);
         assert!(starts.iter().all(in_rack_b), "only rack b holds all of them");
     }
+
+    /// What fills gaps slows tasks down that have users of their own.
+    tasks_that_fill_stay_away_from_those_with_users(cell) {
+        let workers = cell.add_workers(&["w", "v"]);
+        let target = Some(std::time::Duration::from_millis(80));
+        let serving = StepPlan { target, long_running: true, ..step(1, 4_000) };
+        cell.accept("serving", record(rules(1), vec![serving.clone()]));
+        let first = cell.start_all()[0].worker;
+        let filling = StepPlan { fills: true, ..step(4, 4_000) };
+        cell.accept("filling", record(rules(2), vec![filling]));
+        let fills = cell.start_all();
+        assert_eq!(fills.len(), 4);
+        assert!(fills.iter().all(|start| start.worker != first));
+        cell.accept("wide", record(rules(1), vec![StepPlan { tasks: 4, ..serving }]));
+        let starts = cell.start_all();
+        assert_eq!(starts.len(), 4, "they need the other worker as well");
+        let stops = cell.board.take_stops();
+        assert_eq!(stops.len(), 4, "what fills there makes way");
+        assert!(stops.iter().all(|stop| workers.contains(&stop.worker)));
+    }
+
+    /// An outage that the scheduler causes counts against what a step may miss.
+    tasks_that_last_are_not_stopped_for_urgent_ones(cell) {
+        cell.add_workers(&["w"]);
+        let lasting =
+            StepPlan { long_running: true, saves_progress: true, ..step(4, 4_000) };
+        cell.accept("lasting", record(rules(2), vec![lasting]));
+        cell.start_all();
+        cell.accept("urgent", record(rules(0), vec![step(1, 4_000)]));
+        assert_eq!(cell.place().len(), 0);
+        assert_eq!(cell.board.take_stops().len(), 0);
+    }
 }
