Give the room of a gang back that is done or found running before it starts

A gang of which an unknown run of a former owner turns out to be done, or whose members are all found running, kept it until its job ended, so that the job's next steps had to wait for it.

the_room_of_a_gang_that_is_done_comes_free failed first (0 starts instead of 2).

--- a/crates/geraniumwinch-fleet/src/fleet_board.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board.rs
@@ -270,6 +270,9 @@
         let held = self.held.entry(job.record.rules.priority).or_default();
         held.take(job.plan(task.unit));
         self.accounts.take(&job.record.account, &size);
+        if self.jobs[task.job].units[task.unit as usize].waiting == 0 {
+            self.release_claim(task.job, task.unit);
+        }
     }
 
     /// Takes a task off its worker.
--- a/crates/geraniumwinch-fleet/src/fleet_board/ending.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/ending.rs
@@ -49,6 +49,7 @@
 
     /// Records that the work of a whole gang is done.
     pub(super) fn finish_gang(&mut self, task: TaskRef, now: BootTime) {
+        self.release_claim(task.job, task.unit);
         let members = self.jobs[task.job].units[task.unit as usize].tasks.len() as u32;
         for index in 0..members {
             self.finish_task(TaskRef { index, ..task }, now);
--- a/crates/geraniumwinch-fleet/src/fleet_board/preempting.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/preempting.rs
@@ -101,11 +101,7 @@
         places.sort_by_key(|place| place.cost);
         places.truncate(needed);
         let workers: Vec<WorkerKey> = places.iter().map(|place| place.worker).collect();
-        let valid = |&worker: &WorkerKey| {
-            let id = &self.workers[worker].card.id;
-            matches!(self.permit(key, unit, id, now), Permit::Valid(_))
-        };
-        if workers.iter().all(valid) {
+        if self.all_permitted(key, unit, &workers, now) {
             self.claim_room(key, unit, &workers, now);
         } else if !self.renew(key, unit, &workers, true, now, round) {
             return;
--- a/crates/geraniumwinch-fleet/src/fleet_board/room_claim.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_board/room_claim.rs
@@ -88,11 +88,7 @@
         if slot.asking > 0 || !cleared {
             return true;
         }
-        let valid = |&worker: &WorkerKey| {
-            let id = &self.workers[worker].card.id;
-            matches!(self.permit(key, unit, id, now), Permit::Valid(_))
-        };
-        let permitted = claim.workers.iter().all(valid);
+        let permitted = self.all_permitted(key, unit, &claim.workers, now);
         let workers = self.release_claim(key, unit);
         if permitted {
             self.start(key, unit, &workers, now, round);
@@ -100,6 +96,20 @@
         permitted
     }
 
+    /// Returns whether the permissions of a unit hold for all of some workers.
+    pub(super) fn all_permitted(
+        &self,
+        key: JobKey,
+        unit: u32,
+        workers: &[WorkerKey],
+        now: BootTime,
+    ) -> bool {
+        let permit = |&worker: &WorkerKey| {
+            self.permit(key, unit, &self.workers[worker].card.id, now)
+        };
+        workers.iter().map(permit).all(|permit| matches!(permit, Permit::Valid(_)))
+    }
+
     /// Returns whether a worker may get tasks of a unit once it has room and the permission holds.
     fn may_take(&self, key: JobKey, unit: u32, worker: WorkerKey, now: BootTime) -> bool {
         self.workers.get(worker).is_some_and(|slot| {
--- a/crates/geraniumwinch-fleet/tests/load.rs
+++ b/crates/geraniumwinch-fleet/tests/load.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use geraniumwinch_fleet::EndedRun;
 use geraniumwinch_fleet::PermissionCost;
 use geraniumwinch_fleet::PermissionGrant;
 use geraniumwinch_fleet::QueueRules;
@@ -152,6 +153,31 @@
         assert_eq!(cell.place().len(), 1, "the order to stop had no effect");
     }
 
+    the_room_of_a_gang_that_is_done_comes_free(cell) {
+        let workers = cell.add_workers(&["w"]);
+        let bulk = StepPlan { saves_progress: true, ..step(4, 4_000) };
+        cell.accept("bulk", record(rules(2), vec![bulk]));
+        let started = cell.start_all();
+        let gang = StepPlan { gang: true, ..step(2, 4_000) };
+        let next = StepPlan { after: vec![0], ..step(2, 4_000) };
+        cell.accept("gang", record(rules(1), vec![gang, next]));
+        assert_eq!(cell.place().len(), 0);
+        let stops = cell.board.take_stops();
+        let (stopped, left): (Vec<&RunStart>, Vec<&RunStart>) = started
+            .iter()
+            .partition(|start| stops.iter().any(|stop| stop.task == start.task));
+        let ends = stopped.iter().zip(2..).map(|(start, number)| {
+            ended(number, start.task.clone(), start.run, RunEnd::Stopped)
+        });
+        // A run of a former owner has ended that nobody knew of.
+        let mut ends: Vec<EndedRun> = ends.collect();
+        ends.insert(0, ended(1, task("gang", 0, 0), 9, RunEnd::Done));
+        let left = left.iter().map(|start| running(start.task.clone(), start.run));
+        cell.report(workers[0], left.collect(), ends);
+        let starts = cell.place();
+        assert_eq!(starts.len(), 2, "the next step has the room");
+    }
+
     a_job_that_would_be_late_behind_others_is_refused(cell) {
         cell.add_workers(&["w"]);
         let new = record(rules(1), vec![step(1, 4_000)]);
