--- a/crates/geraniumwinch-tests/src/fleet_cell.rs
+++ b/crates/geraniumwinch-tests/src/fleet_cell.rs
@@ -335,9 +335,11 @@
         }
     }
 
-    /// Returns whether a process was started and not killed.
-    pub fn is_started(&self, index: usize) -> bool {
-        self.processes[index].is_some()
+    /// Asks a process to stop.
+    pub fn signal_stop(&self, index: usize) {
+        if let Some(process) = &self.processes[index] {
+            process.terminate();
+        }
     }
 
     /// Returns a process.
--- a/crates/geraniumwinch-tests/tests/platform_path.rs
+++ b/crates/geraniumwinch-tests/tests/platform_path.rs
@@ -117,6 +117,35 @@
     });
 }
 
+/// A process is asked to stop while it has requests that wait for a slow store: all are answered.
+#[test_case(true; "the owner")]
+#[test_case(false; "another process")]
+fn a_planned_stop_cuts_no_request(of_owner: bool) {
+    run_test(async {
+        let cell = FleetCell::start(3, 4).await;
+        let owner = cell.await_owner().await;
+        let stopped = if of_owner { owner } else { (owner + 1) % 3 };
+        cell.set_faults(json!({ "store_delay_ms": 300 })).await;
+        let ids: Vec<String> = (0..40).map(id).collect();
+        let tries = ids.iter().map(|id| cell.submit(stopped, id, "20 done", 1));
+        let stop = async {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            cell.signal_stop(stopped);
+        };
+        let tries = futures_util::future::join_all(tries);
+        let (statuses, ()) = futures_util::future::join(tries, stop).await;
+        assert!(!statuses.contains(&0), "{statuses:?}");
+        cell.set_faults(json!({})).await;
+        let other = (stopped + 1) % 3;
+        for (id, &status) in ids.iter().zip(&statuses) {
+            if status == 200 {
+                cell.await_state(other, id, "completed").await;
+            }
+        }
+        cell.check_runs().await;
+    });
+}
+
 /// All processes are killed right after a job was taken: it is known and runs.
 #[test]
 fn a_job_that_was_taken_survives_the_loss_of_all_processes() {
