--- a/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
@@ -19,6 +19,26 @@
         SchedulerEvent::Missing { task, run, worker } => {
             log_event!(Warn, "run-missing", task = task, run = run, worker = worker);
         }
+        SchedulerEvent::Orphaned { task, run, worker, placed_run } => {
+            cell_metrics::count_orphan();
+            let placed_run = placed_run.unwrap_or_default();
+            log_event!(
+                Warn,
+                "run-orphaned",
+                task = task,
+                run = run,
+                worker = worker,
+                placed_run = placed_run
+            );
+        }
+        SchedulerEvent::Restarted { worker, incarnation } => {
+            log_event!(
+                Warn,
+                "worker-restarted",
+                worker = worker,
+                incarnation = incarnation
+            );
+        }
         SchedulerEvent::Stalled { task, run, worker } => {
             log_event!(Warn, "run-stalled", task = task, run = run, worker = worker);
         }
--- a/crates/geraniumwinch-cell/src/cell_metrics.rs
+++ b/crates/geraniumwinch-cell/src/cell_metrics.rs
@@ -16,6 +16,7 @@
     RETRIES = "geraniumwinch_cell_retries_total", "counter", "reason", "Repeated attempts, by what is repeated and why.";
     STARTS = "geraniumwinch_cell_starts_total", "counter", "outcome", "Orders to start a task, by outcome.";
     ENDS = "geraniumwinch_cell_ends_total", "counter", "end", "Runs that ended, by how.";
+    ORPHANS = "geraniumwinch_cell_orphans_total", "counter", "", "Reports of runs that their tasks should not have.";
     JOB_ENDS = "geraniumwinch_cell_job_ends_total", "counter", "phase", "Jobs that ended, by how.";
     OWNERSHIPS = "geraniumwinch_cell_ownerships_total", "counter", "change", "Ownerships of the cell that this process took, resigned or lost.";
     EPOCH = "geraniumwinch_cell_epoch", "gauge", "", "Epoch of the ownership that this process holds, or 0.";
@@ -63,6 +64,11 @@
     counter!(ENDS, "end" => end).increment(1);
 }
 
+/// Counts a report of a run that its task should not have.
+pub(crate) fn count_orphan() {
+    counter!(ORPHANS).increment(1);
+}
+
 /// Counts the end of a job.
 pub(crate) fn count_job_end(phase: &'static str) {
     counter!(JOB_ENDS, "phase" => phase).increment(1);
--- a/crates/geraniumwinch-cell/src/command_sender.rs
+++ b/crates/geraniumwinch-cell/src/command_sender.rs
@@ -106,6 +106,7 @@
                 "start",
                 task = start.task,
                 run = start.run,
+                copy = if retried { 2 } else { 1 },
                 worker =
                     self.target(worker).map_or_else(String::new, |t| t.id.to_string()),
                 resumed = start.checkpoint.is_some(),
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
@@ -38,7 +38,13 @@
         let Some(state) = self.workers.get_mut(worker) else { return };
         state.silent = false;
         if state.incarnation != Some(report.incarnation) {
+            let known = state.incarnation.is_some();
             state.begin_incarnation(report.incarnation);
+            if known {
+                let worker = state.info.id.clone();
+                let incarnation = report.incarnation;
+                self.events.push(SchedulerEvent::Restarted { worker, incarnation });
+            }
         }
         for ended in &report.ended {
             self.process_end(worker, ended, now);
@@ -257,6 +263,13 @@
     /// Queues the command to stop an orphaned run.
     fn stop_orphan(&mut self, worker: WorkerKey, running: &RunningRun) {
         let task = running.task.clone();
+        let placement = self.find_task(&task).and_then(|task| self.placement_of(task));
+        self.events.push(SchedulerEvent::Orphaned {
+            task: task.clone(),
+            run: running.run,
+            worker: self.workers[worker].info.id.clone(),
+            placed_run: placement.map(|placement| placement.run),
+        });
         self.stops.push(RunStop { worker, task, run: running.run });
     }
 
--- a/crates/geraniumwinch-fleet/src/scheduler_event.rs
+++ b/crates/geraniumwinch-fleet/src/scheduler_event.rs
@@ -39,6 +39,24 @@
         /// The worker.
         worker: Name,
     },
+    /// A worker reported a run that its task should not have, which is being stopped.
+    Orphaned {
+        /// The task.
+        task: TaskName,
+        /// The run number.
+        run: u64,
+        /// The worker.
+        worker: Name,
+        /// The run of the task's placement, if the task is placed.
+        placed_run: Option<u64>,
+    },
+    /// A worker reported a new incarnation.
+    Restarted {
+        /// The worker.
+        worker: Name,
+        /// The new incarnation.
+        incarnation: u64,
+    },
     /// A run made no progress for too long and is being stopped.
     Stalled {
         /// The task.
