--- a/crates/geraniumwinch-standins/src/fleet.rs
+++ b/crates/geraniumwinch-standins/src/fleet.rs
@@ -46,6 +46,20 @@
     store_late_ms: u64,
     /// The delay of every third start command of a worker, in milliseconds.
     orders_late_ms: u64,
+    /// Whether workers execute start commands without a response in time.
+    starts_unanswered: bool,
+    /// The index of a worker that refuses all start and stop commands, and how.
+    refusing_worker: Option<(usize, CommandRefusal)>,
+}
+
+/// How a worker refuses start and stop commands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum CommandRefusal {
+    /// It responds that it is unhealthy.
+    Unhealthy,
+    /// It responds to start commands that their tickets have expired.
+    Ticket,
 }
 
 /// Serves requests until the process ends.
--- a/crates/geraniumwinch-standins/src/fleet/job_worker.rs
+++ b/crates/geraniumwinch-standins/src/fleet/job_worker.rs
@@ -16,6 +16,7 @@
 use crate::stand_in::lock;
 use crate::stand_in::unix_millis;
 
+use super::CommandRefusal;
 use super::SharedStore;
 use super::SharedWorkers;
 
@@ -23,6 +24,8 @@
 const HOLD_POLL: Duration = Duration::from_millis(10);
 /// The maximum duration of a lease.
 const MAX_LEASE_MS: u64 = 6000;
+/// How long a response is withheld that should not arrive in time.
+const WITHHELD_RESPONSE: Duration = Duration::from_secs(2);
 
 /// A run of a task.
 #[derive(Debug, Clone)]
@@ -276,6 +279,12 @@
     lock(worker).incarnation == incarnation
 }
 
+/// Returns how a worker refuses commands, if it does.
+fn refusal(store: &SharedStore, worker: usize) -> Option<CommandRefusal> {
+    let (refusing, refusal) = lock(store).faults.refusing_worker?;
+    (refusing == worker).then_some(refusal)
+}
+
 /// Starts a run.
 ///
 /// The command is executed in a task of its own, so that it completes even if the caller disconnects.
@@ -291,19 +300,37 @@
         if !delay_start(&store, &workers[worker]).await {
             return HttpResponse::ServiceUnavailable().finish();
         }
-        let mut worker = lock(&workers[worker]);
-        let result = worker.start(command);
-        worker.command_response(result)
+        let refusal = refusal(&store, worker);
+        let unanswered = lock(&store).faults.starts_unanswered;
+        let response = {
+            let mut worker = lock(&workers[worker]);
+            let result = match refusal {
+                None => worker.start(command),
+                Some(CommandRefusal::Ticket) => Err("ticket"),
+                Some(CommandRefusal::Unhealthy) => {
+                    return HttpResponse::ServiceUnavailable().finish();
+                }
+            };
+            worker.command_response(result)
+        };
+        if unanswered {
+            tokio::time::sleep(WITHHELD_RESPONSE).await;
+        }
+        response
     });
     started.await.unwrap_or_else(|_| HttpResponse::InternalServerError().finish())
 }
 
 /// Stops a run.
 async fn stop(
+    store: SharedStore,
     workers: SharedWorkers,
     request: HttpRequest,
     command: web::Json<WireCommand>,
 ) -> HttpResponse {
+    if refusal(&store, worker_index(&request)) == Some(CommandRefusal::Unhealthy) {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
     let mut worker = lock(worker_for(&workers, &request));
     let result = worker.stop(&command);
     worker.command_response(result)
--- a/crates/geraniumwinch-tests/tests/platform_end_to_end.rs
+++ b/crates/geraniumwinch-tests/tests/platform_end_to_end.rs
@@ -274,3 +274,22 @@
         cell.await_state(0, &id(399), "completed").await;
     });
 }
+
+/// Guards against running a task twice: its start was executed without a response, and the refusal
+/// of the retry was taken for a refusal of the start (kbc-winch-grown, issue 19).
+#[test_case("unhealthy"; "because the worker is unhealthy")]
+#[test_case("ticket"; "because the ticket has expired")]
+fn a_refused_retry_does_not_release_the_run(refusal: &str) {
+    run_test(async {
+        let cell = FleetCell::start(1, 3).await;
+        cell.set_faults(json!({ "starts_unanswered": true })).await;
+        assert_eq!(cell.submit(0, &id(1), "2500 done", 1).await, 200);
+        wait_until("the task runs", async || !cell.runs().await.is_empty()).await;
+        let worker = cell.runs().await[0]["worker"].clone();
+        cell.set_faults(json!({ "refusing_worker": [worker, refusal] })).await;
+        tokio::time::sleep(Duration::from_millis(1500)).await;
+        cell.set_faults(json!({})).await;
+        cell.await_state(0, &id(1), "completed").await;
+        cell.check_runs().await;
+    });
+}
