Release a run only if no copy of its start command may have been executed

The refusal of the retry (unhealthy, expired ticket, too late) was taken for the outcome of the start, though it says nothing of the first copy. The task was started elsewhere and the capacity given away while the first copy ran. A run that its worker had meanwhile reported was released too.

Fix: the sender tells the scheduler of each copy without a response, and the scheduler releases a placement after a refusal only if there is none. Otherwise the run is unknown: a report confirms it, or a stop excludes it before the task is placed again. The rule lives in the scheduler, so no caller can get it wrong by judging the last response alone. Responses to commands move to a module of their own.

--- a/crates/geraniumwinch-cell/src/command_sender.rs
+++ b/crates/geraniumwinch-cell/src/command_sender.rs
@@ -121,6 +121,7 @@
                         task = start.task,
                         error = error
                     );
+                    self.record_unanswered(&start);
                     if retried {
                         return StartOutcome::Unknown;
                     }
@@ -128,12 +129,18 @@
                     cell_metrics::count_retry("start");
                     tokio::time::sleep(START_RETRY_DELAY).await;
                 }
-                Err(CommandError::Call(_)) if retried => return StartOutcome::Unknown,
-                Err(error) => return self.handle_refusal(worker, &error, retried),
+                Err(error) => return self.handle_refusal(worker, &error),
             }
         }
     }
 
+    /// Records that a copy of a start command got no response.
+    fn record_unanswered(&self, start: &RunStart) {
+        let now = self.ports.clock.now();
+        let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.start_unanswered(start.worker, &start.task, start.run, now);
+    }
+
     /// Sends a start command once.
     async fn send_start(&self, start: RunStart) -> CommandResult<()> {
         let now = self.ports.clock.now();
@@ -150,19 +157,13 @@
         self.ports.workers.start(target, StartCommand { start, lease_end_ms }).await
     }
 
-    /// Handles a refused start command and returns the outcome for the scheduler.
-    fn handle_refusal(
-        &self,
-        worker: WorkerKey,
-        error: &CommandError,
-        retried: bool,
-    ) -> StartOutcome {
+    /// Handles a refused copy of a start command and returns the outcome for the scheduler.
+    fn handle_refusal(&self, worker: WorkerKey, error: &CommandError) -> StartOutcome {
         match error {
             CommandError::Fenced => {
                 self.mark_ownership_lost();
                 StartOutcome::Unknown
             }
-            CommandError::StaleRun if retried => StartOutcome::Unknown,
             CommandError::StaleRun => StartOutcome::StaleRun,
             CommandError::NotPermitted => StartOutcome::NotPermitted,
             CommandError::Unhealthy => StartOutcome::Unhealthy,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -2,6 +2,7 @@
 
 mod account_usage;
 mod admission;
+mod command_responses;
 mod completion;
 mod gang_fit;
 mod gang_reservation;
--- /dev/null
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/command_responses.rs
@@ -0,0 +1,119 @@
+//! Handling of responses to commands, and of commands without a response.
+
+use crate::BootTime;
+use crate::StartOutcome;
+use crate::TaskName;
+
+use super::FleetScheduler;
+use super::WorkerKey;
+use super::job_state::RunPhase;
+use super::job_state::TaskRef;
+
+impl FleetScheduler {
+    /// Records that a copy of a start command got no response.
+    ///
+    /// The worker may have executed it, or may still execute it, so no refusal of another copy
+    /// releases the run.
+    pub fn start_unanswered(
+        &mut self,
+        worker: WorkerKey,
+        name: &TaskName,
+        run: u64,
+        now: BootTime,
+    ) {
+        let Some(task) = self.find_run(worker, name, run) else { return };
+        if let Some(placement) = self.placement_of_mut(task) {
+            placement.unanswered_at = Some(now);
+        }
+    }
+
+    /// Handles the outcome of a command to start a task: the response to its last copy.
+    pub fn start_outcome(
+        &mut self,
+        worker: WorkerKey,
+        name: &TaskName,
+        run: u64,
+        outcome: StartOutcome,
+        now: BootTime,
+    ) {
+        let Some(task) = self.find_run(worker, name, run) else { return };
+        match outcome {
+            StartOutcome::Started => self.confirm_start(task, now),
+            StartOutcome::Unknown => self.start_unknown(worker, task, now),
+            StartOutcome::Refused
+            | StartOutcome::StaleRun
+            | StartOutcome::NotPermitted
+            | StartOutcome::Unhealthy => self.start_refused(worker, task, outcome, now),
+        }
+    }
+
+    /// Handles the confirmation that a worker runs a task.
+    fn confirm_start(&mut self, task: TaskRef, now: BootTime) {
+        if let Some(placement) = self.placement_of_mut(task)
+            && matches!(placement.phase, RunPhase::Starting | RunPhase::Unknown)
+        {
+            placement.phase = RunPhase::Running;
+            placement.since = now;
+            placement.progressed = now;
+        }
+        self.mark_started(task, now);
+    }
+
+    /// Handles a start of which it is unknown whether the worker has executed it.
+    fn start_unknown(&mut self, worker: WorkerKey, task: TaskRef, now: BootTime) {
+        let Some(placement) = self.placement_of_mut(task) else { return };
+        if placement.phase == RunPhase::Starting {
+            placement.phase = RunPhase::Unknown;
+            placement.since = now;
+            self.record_failure(worker, now);
+        }
+    }
+
+    /// Handles a refused start: the task waits again if the worker executed no copy of the command.
+    fn start_refused(
+        &mut self,
+        worker: WorkerKey,
+        task: TaskRef,
+        outcome: StartOutcome,
+        now: BootTime,
+    ) {
+        if outcome == StartOutcome::NotPermitted {
+            let id = &self.workers[worker].info.id;
+            let unit = &mut self.jobs[task.job].units[task.unit as usize];
+            if let Some(Some(grant)) = unit.permissions.get_mut(id) {
+                grant.until = now;
+            }
+        }
+        let unanswered =
+            self.placement_of(task).is_some_and(|p| p.unanswered_at.is_some());
+        if unanswered {
+            self.start_unknown(worker, task, now);
+            return;
+        }
+        if outcome == StartOutcome::Unhealthy {
+            self.record_failure(worker, now);
+        }
+        self.abandon_run(task, now);
+    }
+
+    /// Handles a worker's response to a command to stop a run.
+    pub fn stop_response(
+        &mut self,
+        worker: WorkerKey,
+        name: &TaskName,
+        run: u64,
+        now: BootTime,
+    ) {
+        let Some(task) = self.find_run(worker, name, run) else { return };
+        if let Some(placement) = self.placement_of_mut(task) {
+            placement.phase = RunPhase::Stopping(Some(now));
+        }
+    }
+
+    /// Returns the task that is placed on a worker with the given run number.
+    fn find_run(&self, worker: WorkerKey, name: &TaskName, run: u64) -> Option<TaskRef> {
+        let task = self.find_task(name)?;
+        let placement = self.placement_of(task)?;
+        (placement.worker == worker && placement.run == run).then_some(task)
+    }
+}
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -308,8 +308,15 @@
         // The best-effort tasks are placed again on workers without latency-sensitive tasks.
         victims.into_iter().for_each(|task| self.stop(task, now));
         let phase = RunPhase::Starting;
-        let placement =
-            TaskPlacement { worker, run, phase, since: now, percent: 0, progressed: now };
+        let placement = TaskPlacement {
+            worker,
+            run,
+            phase,
+            since: now,
+            percent: 0,
+            progressed: now,
+            unanswered_at: None,
+        };
         self.assign(task, placement);
         let job = &self.jobs[task.job];
         round.starts.push(RunStart {
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
@@ -1,4 +1,4 @@
-//! Handling of worker reports and of responses to commands.
+//! Handling of worker reports.
 
 use std::collections::BTreeSet;
 
@@ -10,8 +10,6 @@
 use crate::RunStop;
 use crate::RunningRun;
 use crate::SchedulerEvent;
-use crate::StartOutcome;
-use crate::TaskName;
 use crate::WorkerReport;
 
 use super::FleetScheduler;
@@ -147,7 +145,7 @@
     }
 
     /// Records that a worker runs or ran a task of a job.
-    fn mark_started(&mut self, task: TaskRef, now: BootTime) {
+    pub(super) fn mark_started(&mut self, task: TaskRef, now: BootTime) {
         let job = &mut self.jobs[task.job];
         let first = !std::mem::replace(&mut job.started, true);
         if let Some(accepted) = job.accepted_at.filter(|_| first) {
@@ -244,6 +242,7 @@
             since: now,
             percent: running.percent,
             progressed: now,
+            unanswered_at: None,
         };
         self.assign(task, placement);
         true
@@ -308,77 +307,6 @@
             }
         }
     }
-
-    /// Handles the outcome of a command to start a task.
-    pub fn start_outcome(
-        &mut self,
-        worker: WorkerKey,
-        name: &TaskName,
-        run: u64,
-        outcome: StartOutcome,
-        now: BootTime,
-    ) {
-        let Some(task) = self.find_task(name) else { return };
-        let Some(placement) = self.placement_of_mut(task) else { return };
-        if placement.worker != worker || placement.run != run {
-            return;
-        }
-        if outcome == StartOutcome::Started {
-            if matches!(placement.phase, RunPhase::Starting | RunPhase::Unknown) {
-                placement.phase = RunPhase::Running;
-                placement.since = now;
-                placement.progressed = now;
-            }
-            self.mark_started(task, now);
-            return;
-        }
-        if outcome == StartOutcome::Unknown {
-            if placement.phase == RunPhase::Starting {
-                placement.phase = RunPhase::Unknown;
-                placement.since = now;
-                self.record_failure(worker, now);
-            }
-            return;
-        }
-        self.start_refused(worker, task, outcome, now);
-    }
-
-    /// Handles a start that the worker did not execute: the task waits again.
-    fn start_refused(
-        &mut self,
-        worker: WorkerKey,
-        task: TaskRef,
-        outcome: StartOutcome,
-        now: BootTime,
-    ) {
-        let id = self.workers[worker].info.id.clone();
-        match outcome {
-            StartOutcome::NotPermitted => {
-                let unit = &mut self.jobs[task.job].units[task.unit as usize];
-                if let Some(Some(grant)) = unit.permissions.get_mut(&id) {
-                    grant.until = now;
-                }
-            }
-            StartOutcome::Unhealthy => self.record_failure(worker, now),
-            _ => {}
-        }
-        self.abandon_run(task, now);
-    }
-
-    /// Handles a worker's response to a command to stop a run.
-    pub fn stop_response(
-        &mut self,
-        worker: WorkerKey,
-        name: &TaskName,
-        run: u64,
-        now: BootTime,
-    ) {
-        let Some(task) = self.find_task(name) else { return };
-        let Some(placement) = self.placement_of_mut(task) else { return };
-        if placement.worker == worker && placement.run == run {
-            placement.phase = RunPhase::Stopping(Some(now));
-        }
-    }
 }
 
 /// The result of matching a run in a report.
--- a/crates/geraniumwinch-fleet/src/run_command.rs
+++ b/crates/geraniumwinch-fleet/src/run_command.rs
@@ -40,18 +40,21 @@
     pub run: u64,
 }
 
-/// The outcome of a command to start a task.
+/// The outcome of a command to start a task: the response to its last copy. Copies without a
+/// response are recorded with [`FleetScheduler::start_unanswered`].
+///
+/// [`FleetScheduler::start_unanswered`]: crate::FleetScheduler::start_unanswered
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StartOutcome {
     /// The worker runs the task.
     Started,
-    /// The worker refused the command and runs nothing.
+    /// The worker refused the command.
     Refused,
     /// The worker refused the command because the run number is not higher than an earlier one.
     StaleRun,
     /// The worker refused the command because the permission is no longer valid.
     NotPermitted,
-    /// The worker is unhealthy and did not execute the command.
+    /// The worker is unhealthy and did not execute this copy.
     Unhealthy,
     /// No response arrived. The command may have been executed, or may still be.
     Unknown,
--- a/crates/geraniumwinch-fleet/tests/runs.rs
+++ b/crates/geraniumwinch-fleet/tests/runs.rs
@@ -227,6 +227,47 @@
         assert_eq!(cell.place()[0].checkpoint.as_deref(), Some("half"));
     }
 
+    /// Guards against running a task twice: its start was executed without a response, and the
+    /// refusal of the retry was taken for a refusal of the start (kbc-winch-grown, issue 19).
+    a_refused_retry_does_not_release_the_run(_cell) {
+        for outcome in [
+            StartOutcome::Refused,
+            StartOutcome::StaleRun,
+            StartOutcome::NotPermitted,
+            StartOutcome::Unhealthy,
+        ] {
+            let mut cell = common::TestCell::new(1);
+            cell.add_workers(&["w", "v"]);
+            cell.accept("job", record(rules(1), vec![step(1, 4_000)]));
+            let start = cell.place().remove(0);
+            let (worker, run) = (start.worker, start.run);
+            cell.scheduler.start_unanswered(worker, &start.task, run, cell.now);
+            cell.outcome(&start, outcome);
+            assert_eq!(cell.place().len(), 0, "{outcome:?} says nothing of the first copy");
+            cell.wait(700);
+            assert_eq!(cell.scheduler.take_stops().len(), 1, "{outcome:?}");
+            cell.scheduler.stop_response(worker, &start.task, run, cell.now);
+            cell.wait(5);
+            cell.report(worker, Vec::new(), Vec::new());
+            assert_eq!(cell.place().len(), 1, "the worker has excluded the first copy");
+        }
+    }
+
+    /// Guards against releasing the run of a busy worker that has already reported it, because the
+    /// retry of its start was refused (found while analysing issue 19).
+    a_refused_retry_does_not_release_a_reported_run(cell) {
+        cell.add_workers(&["w", "v"]);
+        cell.accept("job", record(rules(1), vec![step(1, 4_000)]));
+        let start = cell.place().remove(0);
+        let (worker, run) = (start.worker, start.run);
+        cell.scheduler.start_unanswered(worker, &start.task, run, cell.now);
+        cell.report(worker, vec![running(start.task.clone(), run)], Vec::new());
+        cell.outcome(&start, StartOutcome::Unhealthy);
+        assert_eq!(cell.place().len(), 0);
+        cell.wait(700);
+        assert!(cell.scheduler.take_stops().is_empty(), "the run goes on");
+    }
+
     /// Guards against running a task twice: its start command was in flight to a worker that
     /// restarted, and the task was also started elsewhere (platform soak, seeds 105 and 113).
     a_start_that_the_next_incarnation_may_execute_keeps_its_task(cell) {
