Exclude delayed starts in the next incarnation of their worker

What callers would see: a task running twice, and a worker over its capacity, on queues without permission. A start command without a response may be executed seconds later. A worker that restarts under its id accepts it then: the header names the id, the clock starts anew, and the new incarnation knows neither the fencing token nor a stop nor an end.

Cause: three facts about one incarnation were taken to hold for the next. The end of a silent worker's lease, a report of the new incarnation without the run, and a stop that the former one had confirmed each released the run.

Fix: a start without a response and without a ticket counts as executable for 13 s. So long a silent worker that is still listed keeps the task, for a lease more since a start carried out last has one; a new incarnation is sent the stops again, also for runs that were released before; and it must confirm them before their tasks are placed. Not covered: the time from the birth of an incarnation to its first contact, for runs that its predecessor had already excluded, and starts of a former owner, of which the new one knows nothing.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod command_responses;
 mod completion;
+mod delayed_starts;
 mod gang_fit;
 mod gang_reservation;
 mod job_state;
@@ -297,15 +298,21 @@
             placed_load.remove_task(job.plan(task.unit));
         }
         self.accounts.release(&job.record.account, &size);
+        self.remember_delayed_start(task, &placement);
         Some(placement)
     }
 
     /// Stops a placed task, unless it is already being stopped.
     fn stop(&mut self, task: TaskRef, now: BootTime) {
         let Some(placement) = self.placement_of_mut(task) else { return };
-        if matches!(placement.phase, RunPhase::Stopping(_)) {
-            return;
+        if !matches!(placement.phase, RunPhase::Stopping(_)) {
+            self.restart_stop(task, now);
         }
+    }
+
+    /// Stops a placed task, also if a stop was confirmed before.
+    fn restart_stop(&mut self, task: TaskRef, now: BootTime) {
+        let Some(placement) = self.placement_of_mut(task) else { return };
         placement.phase = RunPhase::Stopping(None);
         placement.since = now;
         self.send_stop(task);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
@@ -35,7 +35,8 @@
     ) {
         let Some(state) = self.workers.get_mut(worker) else { return };
         state.silent = false;
-        if state.incarnation != Some(report.incarnation) {
+        let restarted = state.incarnation != Some(report.incarnation);
+        if restarted {
             let known = state.incarnation.is_some();
             state.begin_incarnation(report.incarnation);
             if known {
@@ -59,6 +60,9 @@
                 RunMatch::Orphan(None) => unknown = true,
             }
         }
+        if restarted {
+            self.exclude_delayed_starts(worker, now);
+        }
         self.abandon_missing_runs(worker, &matched, sent, now);
         let state = &mut self.workers[worker];
         state.orphan_usage = orphans;
@@ -276,7 +280,7 @@
     /// ended with the worker's former incarnation.
     ///
     /// Runs with a command without a response are kept, since the worker may still execute the
-    /// command, even in its next incarnation.
+    /// command, even in its next incarnation, unless a stop excludes it.
     fn abandon_missing_runs(
         &mut self,
         worker: WorkerKey,
@@ -294,7 +298,15 @@
                     false
                 }
             };
-            if expected && !matched.contains(&task) {
+            if !expected || matched.contains(&task) {
+                continue;
+            }
+            let delayed = self.delayed_until(task, &placement);
+            if placement.phase == RunPhase::Running
+                && delayed.is_some_and(|until| now < until)
+            {
+                self.stop(task, now);
+            } else {
                 let name = self.jobs[task.job].task_name(task);
                 let id = self.workers[worker].info.id.clone();
                 let event = SchedulerEvent::Missing {
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/timeouts.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/timeouts.rs
@@ -29,15 +29,16 @@
     pub fn sweep(&mut self, now: BootTime) {
         let workers: Vec<WorkerKey> = self.workers.keys().collect();
         for worker in workers {
+            self.forget_delayed_starts(worker, now);
             let state = &self.workers[worker];
             let expired = state.silent && state.expiry <= now;
             let tasks: Vec<TaskRef> = state.tasks.iter().copied().collect();
             for task in tasks {
                 let Some(&placement) = self.placement_of(task) else { continue };
-                if expired {
-                    self.expire_run(task, placement, now);
-                } else {
+                if !expired {
                     self.sweep_run(task, placement, now);
+                } else if !self.may_run_after_expiry(task, &placement, now) {
+                    self.expire_run(task, placement, now);
                 }
             }
         }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
@@ -9,6 +9,7 @@
 use crate::PossibleRuns;
 use crate::WorkerInfo;
 
+use super::delayed_starts::DelayedStart;
 use super::job_state::JobKey;
 use super::job_state::TaskRef;
 
@@ -79,6 +80,8 @@
     pub(super) stored_end: u64,
     /// The ends between these two numbers.
     pub(super) unstored_ends: VecDeque<UnstoredEnd>,
+    /// The start commands of released runs that its next incarnation may execute.
+    pub(super) delayed_starts: Vec<DelayedStart>,
 }
 
 impl WorkerState {
@@ -101,6 +104,7 @@
             processed_end: 0,
             stored_end: 0,
             unstored_ends: VecDeque::new(),
+            delayed_starts: Vec::new(),
         }
     }
 
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
@@ -148,6 +148,7 @@
     pub fn remove_if_gone(&mut self, worker: WorkerKey, now: BootTime) -> bool {
         let Some(state) = self.workers.get(worker) else { return true };
         let empty = state.idle() || (state.tasks.is_empty() && state.expiry <= now);
+        let empty = empty && state.delayed_starts.is_empty();
         if state.listed || !state.silent || !empty {
             return false;
         }
