Raise the fencing token of commands when a worker restarts

What callers would see: a task running twice. A worker that restarts under its id knows no fencing token, so it executes whatever was meant for its former incarnation, also after it has reported: a start, and a poll, which extends its lease by up to 6 s that the owner does not know of. If the worker is then cut off, its tasks are started elsewhere while they still run there. A ticket does not refuse a poll, so this can act on every deployment.

Fix: the token of commands to a worker is the epoch and, below it, a number that rises with each incarnation that the owner learns of. A worker that was called once refuses what was meant for an earlier incarnation, as it refuses a former owner. A report without the run is proof against a delayed start only if the call carried the raised token; this replaces the stops that were sent again to a new incarnation. A command that is refused because the token has risen meanwhile does not end the ownership. The number does not fall when a worker is forgotten and listed again, since it is drawn from one sequence.

--- a/crates/geraniumwinch-cell/src/command_sender.rs
+++ b/crates/geraniumwinch-cell/src/command_sender.rs
@@ -26,6 +26,9 @@
 /// The delay before a start command without a response is retried.
 const START_RETRY_DELAY: Duration = Duration::from_millis(60);
 
+/// The number of low bits of a fencing token that hold the worker's fence. The epoch is above them.
+const FENCE_BITS: u32 = 24;
+
 /// A reading of a worker's clock and the local time at which it was received.
 #[derive(Debug, Clone, Copy)]
 struct ClockReading {
@@ -56,12 +59,13 @@
         CommandSender { ports, authority, scheduler, clocks, lease, pass_due }
     }
 
-    /// Returns the address of a worker and the epoch of commands to it.
+    /// Returns the address of a worker and the fencing token of commands to it.
     pub(crate) fn target(&self, worker: WorkerKey) -> Option<WorkerTarget> {
         let scheduler = self.scheduler.borrow();
         let info = scheduler.worker_info(worker)?;
         let (id, address) = (info.id.clone(), info.address.clone());
-        Some(WorkerTarget { id, address, epoch: self.authority.epoch })
+        let token = fencing_token(self.authority.epoch, scheduler.fence(worker));
+        Some(WorkerTarget { id, address, token })
     }
 
     /// Records the clock reading in a worker's response.
@@ -154,7 +158,24 @@
             return Err(CommandError::Call(CallError::NotSent { message }));
         };
         self.scheduler.borrow_mut().extend_lease(worker, now);
-        self.ports.workers.start(target, StartCommand { start, lease_end_ms }).await
+        let command = StartCommand { start, lease_end_ms };
+        let result = self.ports.workers.start(target.clone(), command).await;
+        self.check_fence(worker, &target, result)
+    }
+
+    /// Tells a command that was fenced off because the worker has restarted meanwhile from one that
+    /// was fenced off by a later owner.
+    fn check_fence(
+        &self,
+        worker: WorkerKey,
+        target: &WorkerTarget,
+        result: CommandResult<()>,
+    ) -> CommandResult<()> {
+        let raised = self.target(worker).is_some_and(|now| now.token > target.token);
+        match result {
+            Err(CommandError::Fenced) if raised => Err(CommandError::OtherIncarnation),
+            result => result,
+        }
     }
 
     /// Handles a refused copy of a start command and returns the outcome for the scheduler.
@@ -193,7 +214,8 @@
         let sender = Rc::clone(self);
         actix_rt::spawn(async move {
             let Some(target) = sender.target(stop.worker) else { return };
-            let result = sender.ports.workers.stop(target, stop.clone()).await;
+            let result = sender.ports.workers.stop(target.clone(), stop.clone()).await;
+            let result = sender.check_fence(stop.worker, &target, result);
             let outcome =
                 result.as_ref().map_or_else(CommandError::as_str, |()| "stopped");
             log_event!(Info, "stop", task = stop.task, run = stop.run, outcome = outcome);
@@ -209,3 +231,9 @@
         });
     }
 }
+
+/// Returns the fencing token of commands to a worker. A later epoch has a higher token than any
+/// fence of an earlier one.
+fn fencing_token(epoch: u64, fence: u64) -> u64 {
+    (epoch << FENCE_BITS) | fence.min((1 << FENCE_BITS) - 1)
+}
--- a/crates/geraniumwinch-cell/src/worker_gateway.rs
+++ b/crates/geraniumwinch-cell/src/worker_gateway.rs
@@ -20,9 +20,9 @@
     pub id: Name,
     /// The worker's address.
     pub address: Name,
-    /// The epoch of the owner that sends the command; workers refuse epochs below the highest they
-    /// have seen.
-    pub epoch: u64,
+    /// The fencing token of commands; workers refuse tokens below the highest that their incarnation
+    /// has seen.
+    pub token: u64,
 }
 
 /// A command to start a task.
@@ -48,7 +48,7 @@
 /// Why a command was not executed, as far as is known.
 #[derive(Debug, Clone)]
 pub enum CommandError {
-    /// The worker has seen a higher epoch.
+    /// The worker's incarnation has seen a higher fencing token.
     Fenced,
     /// The run number is not above that of an earlier run.
     StaleRun,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -85,6 +85,8 @@
     /// How long a worker's lease lasts after the last command that extends it.
     lease: Duration,
     workers: SlotMap<WorkerKey, WorkerState>,
+    /// The highest fence of any worker, also of those that were removed.
+    last_fence: u64,
     worker_ids: HashMap<Name, WorkerKey>,
     jobs: SlotMap<JobKey, JobState>,
     job_ids: HashMap<Name, JobKey>,
@@ -114,6 +116,7 @@
             first_run: epoch.saturating_sub(1) * RUNS_PER_EPOCH,
             lease,
             workers: SlotMap::with_key(),
+            last_fence: 0,
             worker_ids: HashMap::new(),
             jobs: SlotMap::with_key(),
             job_ids: HashMap::new(),
@@ -140,6 +143,12 @@
         self.workers.get(worker).map(|state| &state.info)
     }
 
+    /// Returns the number that commands to a worker carry in their fencing token. It rises when the
+    /// worker restarts, so that an incarnation that was called once refuses commands for earlier ones.
+    pub fn fence(&self, worker: WorkerKey) -> u64 {
+        self.workers.get(worker).map_or(0, |state| state.fence)
+    }
+
     /// Returns the sequence number up to which the store holds all ends of a worker's runs. Ends up
     /// to it can be acknowledged.
     pub fn stored_ends(&self, worker: WorkerKey) -> u64 {
@@ -298,21 +307,15 @@
             placed_load.remove_task(job.plan(task.unit));
         }
         self.accounts.release(&job.record.account, &size);
-        self.remember_delayed_start(task, &placement);
         Some(placement)
     }
 
     /// Stops a placed task, unless it is already being stopped.
     fn stop(&mut self, task: TaskRef, now: BootTime) {
         let Some(placement) = self.placement_of_mut(task) else { return };
-        if !matches!(placement.phase, RunPhase::Stopping(_)) {
-            self.restart_stop(task, now);
+        if matches!(placement.phase, RunPhase::Stopping(_)) {
+            return;
         }
-    }
-
-    /// Stops a placed task, also if a stop was confirmed before.
-    fn restart_stop(&mut self, task: TaskRef, now: BootTime) {
-        let Some(placement) = self.placement_of_mut(task) else { return };
         placement.phase = RunPhase::Stopping(None);
         placement.since = now;
         self.send_stop(task);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/delayed_starts.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/delayed_starts.rs
@@ -1,47 +1,36 @@
 //! Start commands without a response that another incarnation of their worker may execute.
 //!
 //! Within an incarnation, a stop, a report or the end of the lease excludes such a command. The next
-//! incarnation knows of none of these, and its clock starts anew. Only a ticket, which is valid in
-//! one incarnation, keeps it from executing the command.
+//! incarnation knows of none of these, and its clock starts anew. Until it is called with a raised
+//! fencing token, only a ticket, which is valid in one incarnation, keeps it from executing the
+//! command.
 
 use std::time::Duration;
 
 use crate::BootTime;
-use crate::RunStop;
-use crate::TaskName;
 
 use super::FleetScheduler;
-use super::WorkerKey;
-use super::job_state::RunPhase;
 use super::job_state::TaskPlacement;
 use super::job_state::TaskRef;
 
 /// The maximum time after which a worker still executes a command that got no response.
 const MAX_COMMAND_DELAY: Duration = Duration::from_secs(13);
 
-/// A start command of a released run.
-#[derive(Debug)]
-pub(super) struct DelayedStart {
-    task: TaskName,
-    run: u64,
-    /// When it can no longer be executed.
-    until: BootTime,
-}
-
 impl FleetScheduler {
-    /// Returns until when another incarnation of the worker may execute a placement's start command;
-    /// `None` if it never does.
-    pub(super) fn delayed_until(
+    /// Returns whether a placement's start command may be executed by another incarnation of its
+    /// worker after the given time.
+    pub(super) fn may_start_later(
         &self,
         task: TaskRef,
         placement: &TaskPlacement,
-    ) -> Option<BootTime> {
+        after: BootTime,
+    ) -> bool {
         let ticketed = self.jobs[task.job].record.rules.permission.is_some();
-        let unanswered_at = placement.unanswered_at.filter(|_| !ticketed)?;
-        Some(unanswered_at + MAX_COMMAND_DELAY)
+        let until = placement.unanswered_at.map(|at| at + MAX_COMMAND_DELAY);
+        !ticketed && until.is_some_and(|until| after < until)
     }
 
-    /// Returns whether another incarnation of the worker may still execute a placement's start
+    /// Returns whether another incarnation of a silent worker may still execute a placement's start
     /// command, or may be running the task because it has.
     pub(super) fn may_run_after_expiry(
         &self,
@@ -49,51 +38,9 @@
         placement: &TaskPlacement,
         now: BootTime,
     ) -> bool {
-        let Some(until) = self.delayed_until(task, placement) else { return false };
         // A worker that is not listed has not been restarted.
         let listed = self.workers[placement.worker].listed;
-        now < if listed { until + self.lease } else { until }
-    }
-
-    /// Remembers the start command of a released run while another incarnation of its worker may
-    /// execute it.
-    pub(super) fn remember_delayed_start(
-        &mut self,
-        task: TaskRef,
-        placement: &TaskPlacement,
-    ) {
-        let Some(until) = self.delayed_until(task, placement) else { return };
-        let name = self.jobs[task.job].task_name(task);
-        if let Some(worker) = self.workers.get_mut(placement.worker) {
-            let start = DelayedStart { task: name, run: placement.run, until };
-            worker.delayed_starts.push(start);
-        }
-    }
-
-    /// Forgets the start commands that can no longer be executed.
-    pub(super) fn forget_delayed_starts(&mut self, worker: WorkerKey, now: BootTime) {
-        self.workers[worker].delayed_starts.retain(|start| now < start.until);
-    }
-
-    /// Sends the stops again that exclude start commands in a worker's new incarnation.
-    pub(super) fn exclude_delayed_starts(&mut self, worker: WorkerKey, now: BootTime) {
-        self.forget_delayed_starts(worker, now);
-        let state = &self.workers[worker];
-        let released = state.delayed_starts.iter();
-        let stops = released.map(|start| RunStop {
-            worker,
-            task: start.task.clone(),
-            run: start.run,
-        });
-        self.stops.extend(stops);
-        let tasks: Vec<TaskRef> = state.tasks.iter().copied().collect();
-        for task in tasks {
-            let Some(&placement) = self.placement_of(task) else { continue };
-            let confirmed = matches!(placement.phase, RunPhase::Stopping(Some(_)));
-            let delayed = self.delayed_until(task, &placement);
-            if confirmed && delayed.is_some_and(|until| now < until) {
-                self.restart_stop(task, now);
-            }
-        }
+        let executed = if listed { now.saturating_sub(self.lease) } else { now };
+        self.may_start_later(task, placement, executed)
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
@@ -35,15 +35,8 @@
     ) {
         let Some(state) = self.workers.get_mut(worker) else { return };
         state.silent = false;
-        let restarted = state.incarnation != Some(report.incarnation);
-        if restarted {
-            let known = state.incarnation.is_some();
-            state.begin_incarnation(report.incarnation);
-            if known {
-                let worker = state.info.id.clone();
-                let incarnation = report.incarnation;
-                self.events.push(SchedulerEvent::Restarted { worker, incarnation });
-            }
+        if state.incarnation != Some(report.incarnation) {
+            self.begin_incarnation(worker, report.incarnation, now);
         }
         for ended in &report.ended {
             self.process_end(worker, ended, now);
@@ -60,15 +53,25 @@
                 RunMatch::Orphan(None) => unknown = true,
             }
         }
-        if restarted {
-            self.exclude_delayed_starts(worker, now);
-        }
         self.abandon_missing_runs(worker, &matched, sent, now);
         let state = &mut self.workers[worker];
         state.orphan_usage = orphans;
         state.orphan_size_unknown = unknown;
     }
 
+    /// Begins a new incarnation of a worker, and raises its fence if it has restarted.
+    fn begin_incarnation(&mut self, worker: WorkerKey, incarnation: u64, now: BootTime) {
+        let state = &mut self.workers[worker];
+        let restarted = state.incarnation.is_some();
+        state.begin_incarnation(incarnation, now);
+        if restarted {
+            self.last_fence += 1;
+            state.fence = self.last_fence;
+            let worker = state.info.id.clone();
+            self.events.push(SchedulerEvent::Restarted { worker, incarnation });
+        }
+    }
+
     /// Extends a worker's lease, after a command that extends it was sent.
     pub fn extend_lease(&mut self, worker: WorkerKey, now: BootTime) {
         if let Some(state) = self.workers.get_mut(worker) {
@@ -280,7 +283,7 @@
     /// ended with the worker's former incarnation.
     ///
     /// Runs with a command without a response are kept, since the worker may still execute the
-    /// command, even in its next incarnation, unless a stop excludes it.
+    /// command, even in its next incarnation.
     fn abandon_missing_runs(
         &mut self,
         worker: WorkerKey,
@@ -298,15 +301,10 @@
                     false
                 }
             };
-            if !expected || matched.contains(&task) {
-                continue;
-            }
-            let delayed = self.delayed_until(task, &placement);
-            if placement.phase == RunPhase::Running
-                && delayed.is_some_and(|until| now < until)
-            {
-                self.stop(task, now);
-            } else {
+            // A report in response to a call with an older fencing token excludes no start command.
+            let fenced = sent >= self.workers[worker].fenced_since;
+            let excluded = fenced || !self.may_start_later(task, &placement, now);
+            if expected && excluded && !matched.contains(&task) {
                 let name = self.jobs[task.job].task_name(task);
                 let id = self.workers[worker].info.id.clone();
                 let event = SchedulerEvent::Missing {
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
@@ -9,7 +9,6 @@
 use crate::PossibleRuns;
 use crate::WorkerInfo;
 
-use super::delayed_starts::DelayedStart;
 use super::job_state::JobKey;
 use super::job_state::TaskRef;
 
@@ -58,6 +57,11 @@
     pub(super) inherited_runs: Option<PossibleRuns>,
     /// The incarnation of the last report; `None` before the first report of this epoch.
     pub(super) incarnation: Option<u64>,
+    /// The number that commands carry in their fencing token.
+    pub(super) fence: u64,
+    /// When the first report of this incarnation was processed. Calls that were sent since carry
+    /// its fence.
+    pub(super) fenced_since: BootTime,
     /// Whether the worker has not responded to the last calls.
     pub(super) silent: bool,
     /// When all runs started there will have ended if the worker stays silent.
@@ -80,19 +84,19 @@
     pub(super) stored_end: u64,
     /// The ends between these two numbers.
     pub(super) unstored_ends: VecDeque<UnstoredEnd>,
-    /// The start commands of released runs that its next incarnation may execute.
-    pub(super) delayed_starts: Vec<DelayedStart>,
 }
 
 impl WorkerState {
     /// Creates the state of a worker that has not reported yet.
-    pub(super) fn new(info: WorkerInfo, expiry: BootTime) -> Self {
+    pub(super) fn new(info: WorkerInfo, fence: u64, expiry: BootTime) -> Self {
         WorkerState {
             info,
             listed: true,
             recorded_runs: RecordedRuns::NoJobs,
             inherited_runs: None,
             incarnation: None,
+            fence,
+            fenced_since: BootTime::ZERO,
             silent: false,
             expiry,
             used: ResourceVector::default(),
@@ -104,7 +108,6 @@
             processed_end: 0,
             stored_end: 0,
             unstored_ends: VecDeque::new(),
-            delayed_starts: Vec::new(),
         }
     }
 
@@ -169,7 +172,8 @@
     }
 
     /// Begins a new incarnation of the worker and discards what earlier incarnations reported.
-    pub(super) fn begin_incarnation(&mut self, incarnation: u64) {
+    pub(super) fn begin_incarnation(&mut self, incarnation: u64, now: BootTime) {
+        self.fenced_since = now;
         self.incarnation = Some(incarnation);
         self.processed_end = 0;
         self.stored_end = 0;
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
@@ -43,7 +43,7 @@
     /// Adds a worker whose lease expires at `expiry` unless it is extended.
     fn insert_worker(&mut self, info: WorkerInfo, expiry: BootTime) -> WorkerKey {
         let id = info.id.clone();
-        let key = self.workers.insert(WorkerState::new(info, expiry));
+        let key = self.workers.insert(WorkerState::new(info, self.last_fence, expiry));
         self.worker_ids.insert(id, key);
         key
     }
@@ -148,7 +148,6 @@
     pub fn remove_if_gone(&mut self, worker: WorkerKey, now: BootTime) -> bool {
         let Some(state) = self.workers.get(worker) else { return true };
         let empty = state.idle() || (state.tasks.is_empty() && state.expiry <= now);
-        let empty = empty && state.delayed_starts.is_empty();
         if state.listed || !state.silent || !empty {
             return false;
         }
