--- a/crates/geraniumwinch-cell/src/command_sender.rs
+++ b/crates/geraniumwinch-cell/src/command_sender.rs
@@ -64,7 +64,7 @@
         let scheduler = self.scheduler.borrow();
         let info = scheduler.worker_info(worker)?;
         let (id, address) = (info.id.clone(), info.address.clone());
-        let token = fencing_token(self.authority.epoch, scheduler.fence(worker));
+        let token = command_token(self.authority.epoch, scheduler.fence(worker));
         Some(WorkerTarget { id, address, token })
     }
 
@@ -234,6 +234,6 @@
 
 /// Returns the fencing token of commands to a worker. A later epoch has a higher token than any
 /// fence of an earlier one.
-fn fencing_token(epoch: u64, fence: u64) -> u64 {
+fn command_token(epoch: u64, fence: u64) -> u64 {
     (epoch << FENCE_BITS) | fence.min((1 << FENCE_BITS) - 1)
 }
