Keep the fencing tokens of an epoch near it, so that versions can be mixed

An owner of the code before would have had tokens far below those of this one, so a rollback would have left no process that workers obey. Epochs are now 1,024 apart and a token is the epoch plus the restarts of its worker in that epoch: an owner of the former code that follows, whose epoch is one higher, is refused only by workers that have restarted twice, and the claims after that pass them. A worker that leaves no higher token gets no tasks. The first epoch is still 1, so that run numbers begin at 1.

--- a/crates/geraniumwinch-cell/src/command_sender.rs
+++ b/crates/geraniumwinch-cell/src/command_sender.rs
@@ -26,9 +26,6 @@
 /// The delay before a start command without a response is retried.
 const START_RETRY_DELAY: Duration = Duration::from_millis(60);
 
-/// The number of low bits of a fencing token that hold the worker's fence. The epoch is above them.
-const FENCE_BITS: u32 = 24;
-
 /// A reading of a worker's clock and the local time at which it was received.
 #[derive(Debug, Clone, Copy)]
 struct ClockReading {
@@ -64,7 +61,7 @@
         let scheduler = self.scheduler.borrow();
         let info = scheduler.worker_info(worker)?;
         let (id, address) = (info.id.clone(), info.address.clone());
-        let token = command_token(self.authority.epoch, scheduler.fence(worker));
+        let token = self.authority.epoch + scheduler.fence(worker);
         Some(WorkerTarget { id, address, token })
     }
 
@@ -231,9 +228,3 @@
         });
     }
 }
-
-/// Returns the fencing token of commands to a worker. A later epoch has a higher token than any
-/// fence of an earlier one.
-fn command_token(epoch: u64, fence: u64) -> u64 {
-    (epoch << FENCE_BITS) | fence.min((1 << FENCE_BITS) - 1)
-}
--- a/crates/geraniumwinch-cell/src/owner_authority.rs
+++ b/crates/geraniumwinch-cell/src/owner_authority.rs
@@ -12,7 +12,7 @@
 /// The authority of one epoch's owner to send commands, which expires unless it is renewed.
 #[derive(Debug)]
 pub(crate) struct OwnerAuthority {
-    /// The epoch, which is the fencing token of all commands.
+    /// The epoch, which is the lowest fencing token of its commands.
     pub(crate) epoch: u64,
     /// The lease in the store that the ownership record is attached to.
     pub(crate) lease: u64,
--- a/crates/geraniumwinch-cell/src/owner_election/claiming.rs
+++ b/crates/geraniumwinch-cell/src/owner_election/claiming.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use geraniumwinch_core::log_event;
+use geraniumwinch_fleet::FENCES_PER_EPOCH;
 use rand::Rng;
 
 use crate::CallError;
@@ -68,12 +69,12 @@
         let sent = self.ports.clock.now();
         let lease = store.grant_lease(OWNER_TTL).await?;
         let last = store.get(EPOCH_KEY).await?;
-        let (last_epoch, epoch_revision) = match &last {
-            Some(item) => (read_epoch(item)?, item.revision),
-            None => (0, 0),
+        let (epoch, epoch_revision) = match &last {
+            Some(item) => (read_epoch(item)? + FENCES_PER_EPOCH, item.revision),
+            None => (1, 0),
         };
         let record = OwnerRecord {
-            epoch: last_epoch + 1,
+            epoch,
             name: self.settings.name.clone(),
             process: self.process,
             address: self.settings.peer_address,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -59,6 +59,10 @@
 /// when the cell gets a new owner.
 const RUNS_PER_EPOCH: u64 = 1 << 16;
 
+/// The number of fencing tokens of an epoch: one for each incarnation of a worker. Epochs are so far
+/// apart that the tokens of a later epoch are higher.
+pub const FENCES_PER_EPOCH: u64 = 1 << 10;
+
 /// A summary of the scheduler's state for logs and metrics.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct FleetCounts {
@@ -85,8 +89,8 @@
     /// How long a worker's lease lasts after the last command that extends it.
     lease: Duration,
     workers: SlotMap<WorkerKey, WorkerState>,
-    /// The highest fence of any worker, also of those that were removed.
-    last_fence: u64,
+    /// The fences of workers that restarted and were removed, in case they return.
+    former_fences: HashMap<Name, u64>,
     worker_ids: HashMap<Name, WorkerKey>,
     jobs: SlotMap<JobKey, JobState>,
     job_ids: HashMap<Name, JobKey>,
@@ -116,7 +120,7 @@
             first_run: epoch.saturating_sub(1) * RUNS_PER_EPOCH,
             lease,
             workers: SlotMap::with_key(),
-            last_fence: 0,
+            former_fences: HashMap::new(),
             worker_ids: HashMap::new(),
             jobs: SlotMap::with_key(),
             job_ids: HashMap::new(),
@@ -143,8 +147,9 @@
         self.workers.get(worker).map(|state| &state.info)
     }
 
-    /// Returns the number that commands to a worker carry in their fencing token. It rises when the
-    /// worker restarts, so that an incarnation that was called once refuses commands for earlier ones.
+    /// Returns the number that is added to the epoch in the fencing token of commands to a worker; it
+    /// is below [`FENCES_PER_EPOCH`]. It rises when the worker restarts, so that an incarnation that
+    /// was called once refuses commands for earlier ones.
     pub fn fence(&self, worker: WorkerKey) -> u64 {
         self.workers.get(worker).map_or(0, |state| state.fence)
     }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
@@ -12,6 +12,7 @@
 use crate::SchedulerEvent;
 use crate::WorkerReport;
 
+use super::FENCES_PER_EPOCH;
 use super::FleetScheduler;
 use super::WorkerKey;
 use super::job_state::RunPhase;
@@ -65,8 +66,7 @@
         let restarted = state.incarnation.is_some();
         state.begin_incarnation(incarnation, now);
         if restarted {
-            self.last_fence += 1;
-            state.fence = self.last_fence;
+            state.fence = (state.fence + 1).min(FENCES_PER_EPOCH - 1);
             let worker = state.info.id.clone();
             self.events.push(SchedulerEvent::Restarted { worker, incarnation });
         }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
@@ -9,6 +9,7 @@
 use crate::PossibleRuns;
 use crate::WorkerInfo;
 
+use super::FENCES_PER_EPOCH;
 use super::job_state::JobKey;
 use super::job_state::TaskRef;
 
@@ -57,7 +58,7 @@
     pub(super) inherited_runs: Option<PossibleRuns>,
     /// The incarnation of the last report; `None` before the first report of this epoch.
     pub(super) incarnation: Option<u64>,
-    /// The number that commands carry in their fencing token.
+    /// The number of its restarts in this epoch, which commands carry in their fencing token.
     pub(super) fence: u64,
     /// When the first report of this incarnation was processed. Calls that were sent since carry
     /// its fence.
@@ -120,6 +121,8 @@
             && self.incarnation.is_some()
             && !self.orphan_size_unknown
             && self.quarantine <= now
+            // No higher token is left to tell its next incarnation apart.
+            && self.fence < FENCES_PER_EPOCH - 1
     }
 
     /// Returns what the store should record of the worker's runs.
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
@@ -43,7 +43,8 @@
     /// Adds a worker whose lease expires at `expiry` unless it is extended.
     fn insert_worker(&mut self, info: WorkerInfo, expiry: BootTime) -> WorkerKey {
         let id = info.id.clone();
-        let key = self.workers.insert(WorkerState::new(info, self.last_fence, expiry));
+        let fence = self.former_fences.remove(&id).unwrap_or_default();
+        let key = self.workers.insert(WorkerState::new(info, fence, expiry));
         self.worker_ids.insert(id, key);
         key
     }
@@ -153,6 +154,9 @@
         }
         if let Some(state) = self.workers.remove(worker) {
             self.worker_ids.remove(&state.info.id);
+            if state.fence > 0 {
+                self.former_fences.insert(state.info.id.clone(), state.fence);
+            }
             self.records_outdated |= state.recorded_runs != RecordedRuns::NoJobs;
         }
         true
