Report a job as unknown when a later owner may have hidden its commit

Callers would see 503, which promises that the job never runs, and the job would run. Cause: a transaction whose first copy got no response is repeated, and the copy gets a conflict. RecordJournal::resolve_conflict took any fence other than its own for proof that no copy was committed. If the first copy was committed, another process took over and wrote to the same lane before the repetition arrived, the fence is that of the later owner and proves nothing. The same held for a repetition that was told that a lease had ended. Change: an unchanged fence still proves that no copy was committed, since the owner's revision never returns. With any other fence the outcome is unknown once a copy went without a response, and the client gets 504. Result: the new test got StoreUnavailable before the change and gets StoreUnknown now.

--- a/crates/geraniumwinch-cell/src/record_journal.rs
+++ b/crates/geraniumwinch-cell/src/record_journal.rs
@@ -293,11 +293,7 @@
         let mut timeout = INITIAL_TIMEOUT;
         loop {
             if self.authority.is_lost() {
-                return if maybe_committed {
-                    BatchOutcome::Unknown
-                } else {
-                    BatchOutcome::NotCommitted
-                };
+                return BatchOutcome::uncommitted(maybe_committed);
             }
             let outcome = self.ports.store.commit(&transaction, timeout).await;
             timeout = (timeout * 2).min(MAX_TIMEOUT);
@@ -308,11 +304,17 @@
                     return BatchOutcome::Committed;
                 }
                 Ok(CommitOutcome::Conflict(items)) => {
-                    return self.resolve_conflict(lane, &items, fence, began);
+                    return if self.find_committed(lane, &items, fence) {
+                        self.record_success(began);
+                        BatchOutcome::Committed
+                    } else {
+                        self.mark_ownership_lost();
+                        self.conflict_outcome(lane, &items, maybe_committed)
+                    };
                 }
                 Ok(CommitOutcome::LeaseEnded) => {
-                    self.authority.mark_lost();
-                    return BatchOutcome::NotCommitted;
+                    self.mark_ownership_lost();
+                    return BatchOutcome::uncommitted(maybe_committed);
                 }
                 Err(error) => {
                     maybe_committed |= !error.had_no_effect();
@@ -328,32 +330,42 @@
         }
     }
 
-    /// Determines whether an earlier attempt of a transaction was committed.
-    fn resolve_conflict(
+    /// Returns whether the fence in a conflict shows that an earlier attempt of a transaction was
+    /// committed, and if so records the fence's revision.
+    fn find_committed(
         &self,
         lane: &CommitLane,
         items: &[StoreItem],
         fence: FenceRecord,
-        began: BootTime,
-    ) -> BatchOutcome {
-        let key = fence_key(lane.number);
-        match items.iter().find(|item| item.key == key) {
-            Some(item) if FenceRecord::decode(&item.value) == Some(fence) => {
-                lane.revision.set(item.revision);
-                self.record_success(began);
-                BatchOutcome::Committed
-            }
-            _ => {
-                log_event!(
-                    Warn,
-                    "ownership-lost",
-                    epoch = self.authority.epoch,
-                    by = "store"
-                );
-                self.authority.mark_lost();
-                BatchOutcome::NotCommitted
-            }
+    ) -> bool {
+        let item = lane.find_fence(items);
+        let item = item.filter(|item| FenceRecord::decode(&item.value) == Some(fence));
+        if let Some(item) = item {
+            lane.revision.set(item.revision);
         }
+        item.is_some()
+    }
+
+    /// Returns the outcome of a transaction whose fence is not in the store when the ownership has
+    /// ended.
+    ///
+    /// If a later owner has rewritten the lane's fence, it may have replaced that of an earlier
+    /// attempt. An unchanged fence shows that no attempt was committed.
+    fn conflict_outcome(
+        &self,
+        lane: &CommitLane,
+        items: &[StoreItem],
+        maybe_committed: bool,
+    ) -> BatchOutcome {
+        let revision = lane.find_fence(items).map_or(0, |item| item.revision);
+        let unchanged = revision == lane.revision.get();
+        BatchOutcome::uncommitted(maybe_committed && !unchanged)
+    }
+
+    /// Records that the store has shown that the ownership has ended.
+    fn mark_ownership_lost(&self) {
+        log_event!(Warn, "ownership-lost", epoch = self.authority.epoch, by = "store");
+        self.authority.mark_lost();
     }
 
     /// Records that a transaction was committed.
--- a/crates/geraniumwinch-cell/src/record_journal/commit_lane.rs
+++ b/crates/geraniumwinch-cell/src/record_journal/commit_lane.rs
@@ -2,7 +2,9 @@
 
 use std::cell::Cell;
 
+use crate::StoreItem;
 use crate::owner_record::FenceRecord;
+use crate::owner_record::fence_key;
 
 /// A sequence of transactions that are committed one at a time.
 ///
@@ -32,6 +34,12 @@
         }
     }
 
+    /// Finds the lane's fence record among the items of a conflict.
+    pub(super) fn find_fence<'a>(&self, items: &'a [StoreItem]) -> Option<&'a StoreItem> {
+        let key = fence_key(self.number);
+        items.iter().find(|item| item.key == key)
+    }
+
     /// Returns the fence record of the next transaction.
     pub(super) fn next_fence(&self, epoch: u64) -> FenceRecord {
         let sequence = self.sequence.get() + 1;
--- a/crates/geraniumwinch-cell/src/record_journal/journal_batch.rs
+++ b/crates/geraniumwinch-cell/src/record_journal/journal_batch.rs
@@ -52,6 +52,12 @@
 }
 
 impl BatchOutcome {
+    /// Returns the outcome of a transaction whose last attempt was not committed.
+    /// `maybe_committed` tells whether an earlier attempt may have been.
+    pub(super) fn uncommitted(maybe_committed: bool) -> BatchOutcome {
+        if maybe_committed { BatchOutcome::Unknown } else { BatchOutcome::NotCommitted }
+    }
+
     /// Returns the result for submissions that wait for a job of the transaction.
     pub(super) fn result(self) -> Result<(), ErrorKind> {
         match self {
--- /dev/null
+++ b/crates/geraniumwinch-cell/tests/repeated_calls/main.rs
@@ -0,0 +1,65 @@
+//! What clients are told about calls that the store or an owner may have executed although their
+//! responses were lost.
+
+mod memory_store;
+mod test_node;
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use geraniumwinch_cell::StoreTransaction;
+use geraniumwinch_core::ErrorKind;
+
+use self::memory_store::MemoryStore;
+use self::test_node::TestNode;
+
+const JOB: &str = "0000000000000001";
+/// The key of the owner record.
+const OWNER_KEY: &str = "cell/owner";
+/// The prefix of the fence records.
+const FENCE_PREFIX: &str = "cell/seal/";
+
+/// Runs a test on a single thread.
+fn run_test(test: impl Future<Output = ()>) {
+    actix_rt::System::new().block_on(test);
+}
+
+/// Returns whether a transaction writes a job.
+fn writes_job(transaction: &StoreTransaction) -> bool {
+    transaction.writes.iter().any(|write| write.key.starts_with("job/"))
+}
+
+/// Guards against reporting a job as not stored after its transaction was committed without a
+/// response and a later owner has rewritten the fence.
+#[test]
+fn a_job_stored_before_a_takeover_is_not_reported_as_refused() {
+    run_test(async {
+        let node = TestNode::start().await;
+        let taken_over = Rc::new(Cell::new(false));
+        node.store.on_commit(move |store, transaction| {
+            let lost = writes_job(transaction) && !taken_over.replace(true);
+            if lost {
+                take_over(store, transaction);
+            }
+            lost
+        });
+        assert_eq!(node.submit(JOB).await, Err(ErrorKind::StoreUnknown));
+        assert!(node.store.contains(&format!("job/{JOB}")));
+    });
+}
+
+/// Replaces the owner record and the fences of a transaction like a later owner, and leaves the
+/// renewals of the former one without a response.
+fn take_over(store: &MemoryStore, transaction: &StoreTransaction) {
+    store.lose_renewals(true);
+    store.remove_leases();
+    store.put(OWNER_KEY, b"another owner".to_vec());
+    let fences =
+        transaction.writes.iter().filter(|write| write.key.starts_with(FENCE_PREFIX));
+    for fence in fences {
+        let (epoch, sequence) = (9_u64, 1_u64);
+        let value =
+            postcard::to_stdvec(&(epoch, sequence)).expect("a fence is encodable");
+        store.put(&fence.key, value);
+    }
+}
--- /dev/null
+++ b/crates/geraniumwinch-cell/tests/repeated_calls/test_node.rs
@@ -0,0 +1,201 @@
+//! A cell process in the test's own process, on a store in memory and without workers.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+use geraniumwinch_cell::BootClock;
+use geraniumwinch_cell::CallClient;
+use geraniumwinch_cell::CallError;
+use geraniumwinch_cell::CatalogReader;
+use geraniumwinch_cell::CellNode;
+use geraniumwinch_cell::CellPorts;
+use geraniumwinch_cell::CellSettings;
+use geraniumwinch_cell::CommandError;
+use geraniumwinch_cell::CommandResult;
+use geraniumwinch_cell::HttpResponse;
+use geraniumwinch_cell::JobCatalog;
+use geraniumwinch_cell::JobSubmission;
+use geraniumwinch_cell::PermissionService;
+use geraniumwinch_cell::PollCommand;
+use geraniumwinch_cell::Result;
+use geraniumwinch_cell::StartCommand;
+use geraniumwinch_cell::WorkerDirectory;
+use geraniumwinch_cell::WorkerGateway;
+use geraniumwinch_cell::WorkerTarget;
+use geraniumwinch_core::ErrorKind;
+use geraniumwinch_core::Name;
+use geraniumwinch_fleet::JobRequest;
+use geraniumwinch_fleet::PermissionRequest;
+use geraniumwinch_fleet::QueueRules;
+use geraniumwinch_fleet::RunStop;
+use geraniumwinch_fleet::WorkerInfo;
+use geraniumwinch_fleet::WorkerReport;
+
+use crate::memory_store::MemoryStore;
+use crate::memory_store::SharedStore;
+
+/// How long a client waits for a response.
+pub const CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
+/// The interval at which a condition is checked.
+const CHECK_INTERVAL: Duration = Duration::from_millis(5);
+/// The maximum wait for a condition.
+const MAX_WAIT: Duration = Duration::from_secs(10);
+
+/// A platform without workers and configuration.
+struct NoPlatform;
+
+fn not_sent() -> CallError {
+    CallError::NotSent { message: "there is no such service".to_owned() }
+}
+
+impl WorkerGateway for NoPlatform {
+    fn start(
+        &self,
+        _: WorkerTarget,
+        _: StartCommand,
+    ) -> LocalBoxFuture<'static, CommandResult<()>> {
+        async { Err(CommandError::Call(not_sent())) }.boxed_local()
+    }
+
+    fn stop(
+        &self,
+        _: WorkerTarget,
+        _: RunStop,
+    ) -> LocalBoxFuture<'static, CommandResult<()>> {
+        async { Err(CommandError::Call(not_sent())) }.boxed_local()
+    }
+
+    fn poll(
+        &self,
+        _: WorkerTarget,
+        _: PollCommand,
+    ) -> LocalBoxFuture<'static, CommandResult<WorkerReport>> {
+        async { Err(CommandError::Call(not_sent())) }.boxed_local()
+    }
+}
+
+impl PermissionService for NoPlatform {
+    fn request(
+        &self,
+        _: PermissionRequest,
+    ) -> LocalBoxFuture<'static, Result<Vec<(Name, Name)>>> {
+        async { Err(not_sent()) }.boxed_local()
+    }
+}
+
+impl WorkerDirectory for NoPlatform {
+    fn list(&self) -> LocalBoxFuture<'static, Result<Vec<WorkerInfo>>> {
+        async { Ok(Vec::new()) }.boxed_local()
+    }
+}
+
+impl CatalogReader for NoPlatform {
+    fn key(&self) -> &'static str {
+        "configuration"
+    }
+
+    fn decode(&self, _: &[u8]) -> Result<JobCatalog> {
+        Err(not_sent())
+    }
+}
+
+/// A cell process in the test's own process, on a store in memory and without workers.
+pub struct TestNode {
+    /// The store.
+    pub store: Rc<MemoryStore>,
+    node: Rc<CellNode>,
+}
+
+impl TestNode {
+    /// Starts a process and waits until it owns the cell.
+    pub async fn start() -> TestNode {
+        let node = TestNode::start_without_owner().await;
+        node.await_owner().await;
+        node
+    }
+
+    /// Starts a process.
+    pub async fn start_without_owner() -> TestNode {
+        let store = Rc::new(MemoryStore::default());
+        let ports = CellPorts {
+            clock: Rc::new(BootClock),
+            store: Rc::new(SharedStore(Rc::clone(&store))),
+            workers: Rc::new(NoPlatform),
+            directory: Rc::new(NoPlatform),
+            permissions: Rc::new(NoPlatform),
+            catalogs: Rc::new(NoPlatform),
+        };
+        let node = CellNode::new(settings(), ports, CallClient::new());
+        let handler = Rc::new(|_| async { HttpResponse::empty(404) }.boxed_local());
+        actix_rt::spawn(Rc::clone(&node).run(handler, PathBuf::new()));
+        TestNode { store, node }
+    }
+
+    /// Waits until the process serves requests as the owner.
+    pub async fn await_owner(&self) {
+        wait_until(async || {
+            self.node.forwarder().waiting("queue".into(), CLIENT_TIMEOUT).await.is_ok()
+        })
+        .await;
+    }
+
+    /// Submits a job.
+    pub async fn submit(&self, id: &str) -> std::result::Result<(), ErrorKind> {
+        let submission = JobSubmission {
+            id: id.into(),
+            rules: rules(),
+            account: "account".into(),
+            request: request(),
+        };
+        self.node.forwarder().submit(submission, CLIENT_TIMEOUT).await
+    }
+}
+
+/// Waits until a condition holds.
+pub async fn wait_until(condition: impl AsyncFn() -> bool) {
+    let end = tokio::time::Instant::now() + MAX_WAIT;
+    while !condition().await {
+        assert!(tokio::time::Instant::now() < end, "the condition does not hold");
+        tokio::time::sleep(CHECK_INTERVAL).await;
+    }
+}
+
+fn rules() -> QueueRules {
+    QueueRules {
+        queue: "queue".into(),
+        service: "service".into(),
+        priority: 0,
+        max_attempts: 1,
+        stretch: 1.0,
+        objective: Duration::from_secs(1),
+        permission: None,
+    }
+}
+
+fn request() -> JobRequest {
+    JobRequest { spec: "".into(), steps: Vec::new(), schedule: None }
+}
+
+fn settings() -> CellSettings {
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    CellSettings {
+        name: "process".into(),
+        domain: "domain".into(),
+        log_level: "info".to_owned(),
+        client_address: address,
+        readiness_address: address,
+        peer_address: address,
+        metrics_address: address,
+        store_address: address,
+        permission_address: None,
+        cpu_share: 1.0,
+        worker_lease: Duration::from_secs(6),
+        worker_heartbeat: Duration::from_millis(1500),
+        stop_grace: Duration::from_secs(4),
+        job_retention: Duration::from_secs(120),
+    }
+}
