Confirm the ownership before a job is said not to exist

Callers would see 410 for a job that runs: a client that cancels such a job takes 410 for the acknowledgement, and the job goes on. Cause: an owner that does not know a job answered from memory alone. A process that was frozen or partitioned is replaced after about a second, earlier than its own lease of 3 s ends by its clock, and it learns of it with its next renewal. A cancellation that waited in its socket was answered before that. Change: before the owner denies a job, it has the store renew its lease, and answers only after a renewal that was sent after the request arrived. Requests that come together share a renewal. If the renewal shows that the ownership has ended, the request goes on to the new owner; if the store does not respond within 500 ms, the client gets 503. Queries and cancellations have a file of their own. Result: the three new tests got `Ok(false)` before the change. Now a cancellation and a query at a replaced owner find the job, and an owner that cannot renew its lease denies nothing.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -1,6 +1,7 @@
 //! The dispatcher that the owner of the cell runs.
 
 mod admission;
+mod job_lookup;
 mod loading;
 mod permission_calls;
 mod scheduler_log;
@@ -310,10 +311,7 @@
         match request {
             PeerRequest::Heartbeat(member) => self.register_member(member, now),
             PeerRequest::Submit(message) => self.submit(message).await,
-            PeerRequest::Query(job) => {
-                let state = self.scheduler.borrow().stored_state(&job);
-                PeerReply::State(state)
-            }
+            PeerRequest::Query(job) => self.query(&job, now).await,
             PeerRequest::Cancel(job) => self.cancel(&job, now).await,
             PeerRequest::Waiting(queue) => {
                 PeerReply::Waiting(self.scheduler.borrow().waiting_jobs(&queue) as u64)
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
@@ -1,9 +1,7 @@
-//! Admission and cancellation of jobs.
+//! Admission of jobs.
 
 use geraniumwinch_core::ErrorKind;
 use geraniumwinch_core::Name;
-use geraniumwinch_fleet::BootTime;
-use geraniumwinch_fleet::JobPhase;
 use geraniumwinch_fleet::JobRecord;
 
 use crate::peer_message::PeerReply;
@@ -67,25 +65,4 @@
         let now = self.ports.clock.now();
         self.shares.borrow_mut().try_take(account, weight, now)
     }
-
-    /// Cancels a job and replies when the cancellation is stored.
-    pub(super) async fn cancel(&self, job: &Name, now: BootTime) -> PeerReply {
-        if !self.scheduler.borrow_mut().cancel(job, now) {
-            return PeerReply::State(None);
-        }
-        self.pass_due.notify_one();
-        self.journal.wake();
-        loop {
-            let changed = self.commit_done.notified();
-            let state = self.scheduler.borrow().stored_state(job);
-            match state {
-                Some((JobPhase::Live, _)) => {}
-                state => return PeerReply::State(state),
-            }
-            if self.authority.is_lost() {
-                return PeerReply::Refused(ErrorKind::StoreUnknown);
-            }
-            changed.await;
-        }
-    }
 }
--- /dev/null
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/job_lookup.rs
@@ -0,0 +1,73 @@
+//! Queries and cancellations of jobs.
+
+use std::time::Duration;
+
+use geraniumwinch_core::ErrorKind;
+use geraniumwinch_core::Name;
+use geraniumwinch_fleet::BootTime;
+use geraniumwinch_fleet::JobPhase;
+
+use crate::peer_message::PeerReply;
+
+use super::CellDispatcher;
+
+/// The maximum wait for the store to confirm the ownership before a job is denied.
+const CONFIRM_TIMEOUT: Duration = Duration::from_millis(500);
+
+impl CellDispatcher {
+    /// Returns the state of a job.
+    pub(super) async fn query(&self, job: &Name, now: BootTime) -> PeerReply {
+        let state = || self.scheduler.borrow().stored_state(job);
+        if state().is_none()
+            && let Err(reply) = self.confirm_ownership(now).await
+        {
+            return reply;
+        }
+        PeerReply::State(state())
+    }
+
+    /// Cancels a job and replies when the cancellation is stored.
+    pub(super) async fn cancel(&self, job: &Name, now: BootTime) -> PeerReply {
+        let cancel = || self.scheduler.borrow_mut().cancel(job, now);
+        if !cancel() {
+            if let Err(reply) = self.confirm_ownership(now).await {
+                return reply;
+            }
+            if !cancel() {
+                return PeerReply::State(None);
+            }
+        }
+        self.pass_due.notify_one();
+        self.journal.wake();
+        self.await_end(job).await
+    }
+
+    /// Waits until the end of a job is stored.
+    async fn await_end(&self, job: &Name) -> PeerReply {
+        loop {
+            let changed = self.commit_done.notified();
+            let state = self.scheduler.borrow().stored_state(job);
+            match state {
+                Some((JobPhase::Live, _)) => {}
+                state => return PeerReply::State(state),
+            }
+            if self.authority.is_lost() {
+                return PeerReply::Refused(ErrorKind::StoreUnknown);
+            }
+            changed.await;
+        }
+    }
+
+    /// Confirms that this process owned the cell at `since`, so that a job that it does not know
+    /// is not stored. If it can't, returns the reply to the request: another process may have
+    /// become the owner and accepted the job.
+    async fn confirm_ownership(&self, since: BootTime) -> Result<(), PeerReply> {
+        if self.authority.confirm(since, CONFIRM_TIMEOUT).await {
+            Ok(())
+        } else if self.authority.is_lost() {
+            Err(PeerReply::NotOwner)
+        } else {
+            Err(PeerReply::Refused(ErrorKind::DomainUnowned))
+        }
+    }
+}
--- a/crates/geraniumwinch-cell/src/owner_authority.rs
+++ b/crates/geraniumwinch-cell/src/owner_authority.rs
@@ -20,6 +20,8 @@
     renewed_at: Cell<BootTime>,
     lost: Cell<bool>,
     renewal_requested: Notify,
+    /// Notified after each renewal and when the ownership is known to have ended.
+    changed: Notify,
 }
 
 impl OwnerAuthority {
@@ -31,16 +33,18 @@
         renewed_at: BootTime,
     ) -> Self {
         let renewed_at = Cell::new(renewed_at);
-        let (lost, renewal_requested) = (Cell::new(false), Notify::new());
-        OwnerAuthority { epoch, lease, ttl, renewed_at, lost, renewal_requested }
+        let lost = Cell::new(false);
+        let (renewal_requested, changed) = (Notify::new(), Notify::new());
+        OwnerAuthority { epoch, lease, ttl, renewed_at, lost, renewal_requested, changed }
     }
 
     /// Records that the lease was renewed by a call sent at `sent`.
     pub(crate) fn renew(&self, sent: BootTime) {
         self.renewed_at.set(self.renewed_at.get().max(sent));
+        self.changed.notify_waiters();
     }
 
-    /// Requests an immediate renewal, because a call to the store was refused or timed out.
+    /// Requests an immediate renewal, because it is uncertain whether the ownership has ended.
     pub(crate) fn request_renewal(&self) {
         self.renewal_requested.notify_one();
     }
@@ -54,6 +58,26 @@
     /// Records that another process may own the cell.
     pub(crate) fn mark_lost(&self) {
         self.lost.set(true);
+        self.changed.notify_waiters();
+    }
+
+    /// Requests a renewal, waits for it for at most `wait`, and returns whether a renewal that was
+    /// sent at `since` or later has succeeded. No other process owned the cell at `since` then.
+    pub(crate) async fn confirm(&self, since: BootTime, wait: Duration) -> bool {
+        self.request_renewal();
+        let renewed = || self.renewed_at.get() >= since;
+        let confirmed = async {
+            loop {
+                let changed = self.changed.notified();
+                if self.is_lost() || renewed() {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        // A timeout needs no handling: the time of the last renewal shows the result.
+        let _ = tokio::time::timeout(wait, confirmed).await;
+        !self.is_lost() && renewed()
     }
 
     /// Returns whether the ownership is known to have ended.
--- a/crates/geraniumwinch-cell/tests/repeated_calls/main.rs
+++ b/crates/geraniumwinch-cell/tests/repeated_calls/main.rs
@@ -9,9 +9,11 @@
 
 use geraniumwinch_cell::StoreTransaction;
 use geraniumwinch_core::ErrorKind;
+use test_case::test_case;
 
 use self::memory_store::MemoryStore;
 use self::test_node::TestNode;
+use self::test_node::stored_job;
 
 const JOB: &str = "0000000000000001";
 /// The key of the owner record.
@@ -48,6 +50,31 @@
     });
 }
 
+/// Guards against a process that does not know a job because it no longer owns the cell, and
+/// confirms that the job does not exist.
+#[test_case(async |node| node.cancel(JOB).await; "cancelled")]
+#[test_case(async |node| node.exists(JOB).await; "queried")]
+fn a_former_owner_does_not_deny_a_job(
+    call: impl AsyncFn(&TestNode) -> Result<bool, ErrorKind>,
+) {
+    run_test(async {
+        let node = TestNode::start().await;
+        node.store.remove_leases();
+        node.store.put(&format!("job/{JOB}"), stored_job());
+        assert_eq!(call(&node).await, Ok(true));
+    });
+}
+
+/// Guards against an owner that cannot reach the store and confirms that a job does not exist.
+#[test]
+fn an_owner_without_the_store_does_not_deny_a_job() {
+    run_test(async {
+        let node = TestNode::start().await;
+        node.store.lose_renewals(true);
+        assert_eq!(node.exists(JOB).await, Err(ErrorKind::DomainUnowned));
+    });
+}
+
 /// Replaces the owner record and the fences of a transaction like a later owner, and leaves the
 /// renewals of the former one without a response.
 fn take_over(store: &MemoryStore, transaction: &StoreTransaction) {
--- a/crates/geraniumwinch-cell/tests/repeated_calls/test_node.rs
+++ b/crates/geraniumwinch-cell/tests/repeated_calls/test_node.rs
@@ -28,6 +28,7 @@
 use geraniumwinch_cell::WorkerTarget;
 use geraniumwinch_core::ErrorKind;
 use geraniumwinch_core::Name;
+use geraniumwinch_fleet::JobRecord;
 use geraniumwinch_fleet::JobRequest;
 use geraniumwinch_fleet::PermissionRequest;
 use geraniumwinch_fleet::QueueRules;
@@ -153,6 +154,17 @@
         };
         self.node.forwarder().submit(submission, CLIENT_TIMEOUT).await
     }
+
+    /// Cancels a job and returns whether it exists.
+    pub async fn cancel(&self, id: &str) -> std::result::Result<bool, ErrorKind> {
+        self.node.forwarder().cancel(id.into(), CLIENT_TIMEOUT).await
+    }
+
+    /// Returns whether a job exists.
+    pub async fn exists(&self, id: &str) -> std::result::Result<bool, ErrorKind> {
+        let status = self.node.forwarder().query(id.into(), CLIENT_TIMEOUT).await;
+        status.map(|status| status.is_some())
+    }
 }
 
 /// Waits until a condition holds.
@@ -164,6 +176,13 @@
     }
 }
 
+/// Returns the encoded record of a job that another process has stored.
+pub fn stored_job() -> Vec<u8> {
+    let accepted = Duration::from_secs(1);
+    let record = JobRecord::new(rules(), "account".into(), accepted, request());
+    record.encode().expect("the record is encodable")
+}
+
 fn rules() -> QueueRules {
     QueueRules {
         queue: "queue".into(),
