Cancel a job that is being stored once it is stored

Callers would see 410 for a job that runs: a client that got no response to its submission in time and cancels the job takes 410 for the acknowledgement, and the job goes on as soon as the store has it. Cause: a job is unknown to the scheduler until its transaction has a result. While the store is slow, or a transaction without a response is repeated, a cancellation overtakes the submission. Change: a cancellation waits until the result of a submission is known. Submissions that are refused before they are part of a transaction end that wait too. Result: the new test, with a store that takes 0.3 s, got `Ok(false)` for the cancellation of a job that was accepted, and now gets `Ok(true)`.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher/job_lookup.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/job_lookup.rs
@@ -28,6 +28,7 @@
 
     /// Cancels a job and replies when the cancellation is stored.
     pub(super) async fn cancel(&self, job: &Name, now: BootTime) -> PeerReply {
+        self.await_submission(job).await;
         let cancel = || self.scheduler.borrow_mut().cancel(job, now);
         if !cancel() {
             if let Err(reply) = self.confirm_ownership(now).await {
@@ -42,6 +43,17 @@
         self.await_end(job).await
     }
 
+    /// Waits until a submitted job is stored or refused.
+    async fn await_submission(&self, job: &Name) {
+        loop {
+            let changed = self.commit_done.notified();
+            if !self.journal.is_pending(job) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Waits until the end of a job is stored.
     async fn await_end(&self, job: &Name) -> PeerReply {
         loop {
--- a/crates/geraniumwinch-cell/src/record_journal.rs
+++ b/crates/geraniumwinch-cell/src/record_journal.rs
@@ -402,6 +402,7 @@
         for job in queued {
             self.complete_waiters(&job.id, Err(ErrorKind::StoreUnavailable));
         }
+        self.commit_done.notify_waiters();
     }
 
     /// Reports the outcome of a transaction to the scheduler and to the waiting submissions.
--- a/crates/geraniumwinch-cell/tests/repeated_calls/main.rs
+++ b/crates/geraniumwinch-cell/tests/repeated_calls/main.rs
@@ -6,7 +6,9 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
+use futures_util::future::join;
 use geraniumwinch_cell::StoreTransaction;
 use geraniumwinch_core::ErrorKind;
 use test_case::test_case;
@@ -75,6 +77,21 @@
     });
 }
 
+/// Guards against denying a job to the client that cancels it while it is being stored.
+#[test]
+fn a_job_is_cancelled_while_it_is_being_stored() {
+    run_test(async {
+        let node = TestNode::start().await;
+        node.store.delay_commits(Duration::from_millis(300));
+        let cancellation = async {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            node.cancel(JOB).await
+        };
+        let results = join(node.submit(JOB), cancellation).await;
+        assert_eq!(results, (Ok(()), Ok(true)));
+    });
+}
+
 /// Replaces the owner record and the fences of a transaction like a later owner, and leaves the
 /// renewals of the former one without a response.
 fn take_over(store: &MemoryStore, transaction: &StoreTransaction) {
--- a/crates/geraniumwinch-cell/tests/repeated_calls/memory_store.rs
+++ b/crates/geraniumwinch-cell/tests/repeated_calls/memory_store.rs
@@ -40,6 +40,8 @@
     revision: Cell<u64>,
     leases: RefCell<Vec<u64>>,
     commit_hook: RefCell<Option<CommitHook>>,
+    /// The delay before a transaction is executed.
+    commit_delay: Cell<Duration>,
     /// Whether renewals get no response.
     renewals_lost: Cell<bool>,
 }
@@ -53,6 +55,11 @@
         *self.commit_hook.borrow_mut() = Some(Box::new(hook));
     }
 
+    /// Delays the execution of transactions.
+    pub fn delay_commits(&self, delay: Duration) {
+        self.commit_delay.set(delay);
+    }
+
     /// Leaves renewals without a response.
     pub fn lose_renewals(&self, lost: bool) {
         self.renewals_lost.set(lost);
@@ -214,7 +221,11 @@
         _: Duration,
     ) -> LocalBoxFuture<'static, Result<CommitOutcome>> {
         let (store, transaction) = (Rc::clone(&self.0), transaction.clone());
-        async move { store.commit_now(&transaction) }.boxed_local()
+        async move {
+            tokio::time::sleep(store.commit_delay.get()).await;
+            store.commit_now(&transaction)
+        }
+        .boxed_local()
     }
 
     fn grant_lease(&self, _: Duration) -> LocalBoxFuture<'static, Result<u64>> {
