Give up a claim that was committed without a response

Callers would see 503 for the 3 s until the claim's lease ends. Cause: if the store commits a claim without responding, the claimant reads the owner record. If that read fails too, or the claim is committed after it, the record names a process that runs no dispatcher. That process waited for the record to change, and the others for the owner to be silent, which it was not. Change: a process that sees its own record, served by no dispatcher, revokes the record's lease. After a regular end of the ownership the record is gone before that, so no call is added.

--- a/crates/geraniumwinch-cell/src/owner_election.rs
+++ b/crates/geraniumwinch-cell/src/owner_election.rs
@@ -136,7 +136,7 @@
         loop {
             match self.watch.current() {
                 Some(owner) if owner.process == self.process => {
-                    self.watch.await_change(HEARTBEAT_INTERVAL).await;
+                    self.give_up_claim(&owner).await;
                 }
                 Some(owner) => self.send_heartbeat(&owner).await,
                 None if self.may_claim() => self.claim().await,
@@ -205,6 +205,15 @@
         }
     }
 
+    /// Revokes the lease of this process's own record, which no dispatcher serves: the ownership has
+    /// ended, or the claim was committed without a response.
+    async fn give_up_claim(&self, owner: &OwnerRecord) {
+        self.watch.await_change(HEARTBEAT_RETRY_DELAY).await;
+        if self.watch.current().as_ref() == Some(owner) {
+            self.revoke_owner(owner, "unserved").await;
+        }
+    }
+
     /// Revokes the lease of an owner that is down.
     async fn revoke_owner(&self, owner: &OwnerRecord, reason: &str) {
         self.revoke_owner_lease(owner.epoch, owner.lease, reason).await;
--- a/crates/geraniumwinch-cell/tests/repeated_calls/main.rs
+++ b/crates/geraniumwinch-cell/tests/repeated_calls/main.rs
@@ -92,6 +92,28 @@
     });
 }
 
+/// Guards against a cell without an owner until the lease of a claim ends that was committed
+/// without a response and could not be read back.
+#[test]
+fn a_claim_without_a_response_is_given_up_once_it_is_seen() {
+    run_test(async {
+        let node = TestNode::start_without_owner().await;
+        let claimed = Rc::new(Cell::new(false));
+        node.store.on_commit(move |store, transaction| {
+            let claims = transaction.writes.iter().any(|write| write.key == OWNER_KEY);
+            let lost = claims && !claimed.replace(true);
+            if lost {
+                store.lose_reads(true);
+            }
+            lost
+        });
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        node.store.lose_reads(false);
+        let owned = tokio::time::timeout(Duration::from_secs(2), node.await_owner());
+        assert!(owned.await.is_ok(), "no process owns the cell");
+    });
+}
+
 /// Replaces the owner record and the fences of a transaction like a later owner, and leaves the
 /// renewals of the former one without a response.
 fn take_over(store: &MemoryStore, transaction: &StoreTransaction) {
--- a/crates/geraniumwinch-cell/tests/repeated_calls/memory_store.rs
+++ b/crates/geraniumwinch-cell/tests/repeated_calls/memory_store.rs
@@ -42,6 +42,8 @@
     commit_hook: RefCell<Option<CommitHook>>,
     /// The delay before a transaction is executed.
     commit_delay: Cell<Duration>,
+    /// Whether reads of single items get no response.
+    reads_lost: Cell<bool>,
     /// Whether renewals get no response.
     renewals_lost: Cell<bool>,
 }
@@ -60,6 +62,11 @@
         self.commit_delay.set(delay);
     }
 
+    /// Leaves reads of single items without a response.
+    pub fn lose_reads(&self, lost: bool) {
+        self.reads_lost.set(lost);
+    }
+
     /// Leaves renewals without a response.
     pub fn lose_renewals(&self, lost: bool) {
         self.renewals_lost.set(lost);
@@ -173,8 +180,9 @@
 
 impl RecordStore for SharedStore {
     fn get(&self, key: &str) -> LocalBoxFuture<'static, Result<Option<StoreItem>>> {
-        let item = self.0.item(key);
-        async move { Ok(item) }.boxed_local()
+        let lost = self.0.reads_lost.get();
+        let item = if lost { Err(no_response()) } else { Ok(self.0.item(key)) };
+        async move { item }.boxed_local()
     }
 
     fn list(
