Try a job from time to time while the store is stalled

Callers would see 503 for every new job, without end, after the store had refused transactions for 0.8 s. With no running job and no change of the workers there was nothing else to write, so the stall never ended. Change: while no transaction is in flight, a job is tried once 250 ms have passed since the last failed attempt. If the attempt fails, the job is refused at once; others are refused at once in the meantime as before.

--- a/crates/geraniumwinch-cell/src/record_journal.rs
+++ b/crates/geraniumwinch-cell/src/record_journal.rs
@@ -55,6 +55,8 @@
 const MAX_TIMEOUT: Duration = Duration::from_millis(1400);
 /// The time without a successful transaction after which new jobs are refused.
 const STALL_TIMEOUT: Duration = Duration::from_millis(800);
+/// The delay after a failed attempt before a new job is tried, if no transaction is in flight.
+const PROBE_DELAY: Duration = Duration::from_millis(250);
 /// The maximum number of concurrent transactions while the store responds.
 pub(crate) const LANE_COUNT: usize = 8;
 /// The maximum number of concurrent transactions while attempts fail. More transactions would only
@@ -85,6 +87,8 @@
     workers_in_flight: Cell<bool>,
     /// Since when transactions have been attempted without success.
     failing_since: Cell<Option<BootTime>>,
+    /// The time of the last failed attempt.
+    last_failure: Cell<BootTime>,
     /// Whether the loss of the store has been logged.
     loss_logged: Cell<bool>,
     /// The time of the last successful transaction.
@@ -116,6 +120,7 @@
             removals: RefCell::default(),
             workers_in_flight: Cell::new(false),
             failing_since: Cell::new(None),
+            last_failure: Cell::new(BootTime::ZERO),
             loss_logged: Cell::new(false),
             last_success: Cell::new(BootTime::ZERO),
             wake: Notify::new(),
@@ -136,7 +141,7 @@
                 waiting.push(sender);
                 receiver
             } else {
-                if self.is_stalled() {
+                if self.is_stalled() && !self.is_probe_due() {
                     return Err(ErrorKind::StoreUnavailable);
                 }
                 let Ok(bytes) = record.encode() else {
@@ -174,6 +179,13 @@
         self.failing_since.get().is_some_and(|since| now > since + STALL_TIMEOUT)
     }
 
+    /// Returns whether a new job is tried although the store is stalled. If no transaction is in
+    /// flight, only a new one can show that the store responds again.
+    fn is_probe_due(&self) -> bool {
+        let now = self.ports.clock.now();
+        self.in_flight_lanes() == 0 && now >= self.last_failure.get() + PROBE_DELAY
+    }
+
     /// Commits transactions until the ownership ends.
     pub(crate) async fn run(self: Rc<Self>) {
         while !self.authority.is_lost() {
@@ -382,6 +394,7 @@
     /// Records a failed attempt and returns whether the store is stalled.
     fn record_failure(&self, error: &CallError, began: BootTime) -> bool {
         cell_metrics::count_retry("commit");
+        self.last_failure.set(self.ports.clock.now());
         if self.failing_since.get().is_none() {
             self.failing_since.set(Some(began.max(self.last_success.get())));
             self.authority.request_renewal();
--- a/crates/geraniumwinch-cell/tests/repeated_calls/main.rs
+++ b/crates/geraniumwinch-cell/tests/repeated_calls/main.rs
@@ -16,6 +16,7 @@
 use self::memory_store::MemoryStore;
 use self::test_node::TestNode;
 use self::test_node::stored_job;
+use self::test_node::wait_until;
 
 const JOB: &str = "0000000000000001";
 /// The key of the owner record.
@@ -114,6 +115,18 @@
     });
 }
 
+/// Guards against an idle owner that refuses all jobs after the store has refused one.
+#[test]
+fn an_idle_owner_accepts_jobs_again_after_the_store_has_refused_one() {
+    run_test(async {
+        let node = TestNode::start().await;
+        node.store.refuse_commits(true);
+        assert_eq!(node.submit(JOB).await, Err(ErrorKind::StoreUnavailable));
+        node.store.refuse_commits(false);
+        wait_until(async || node.submit(JOB).await.is_ok()).await;
+    });
+}
+
 /// Replaces the owner record and the fences of a transaction like a later owner, and leaves the
 /// renewals of the former one without a response.
 fn take_over(store: &MemoryStore, transaction: &StoreTransaction) {
--- a/crates/geraniumwinch-cell/tests/repeated_calls/memory_store.rs
+++ b/crates/geraniumwinch-cell/tests/repeated_calls/memory_store.rs
@@ -42,6 +42,8 @@
     commit_hook: RefCell<Option<CommitHook>>,
     /// The delay before a transaction is executed.
     commit_delay: Cell<Duration>,
+    /// Whether transactions are refused.
+    commits_refused: Cell<bool>,
     /// Whether reads of single items get no response.
     reads_lost: Cell<bool>,
     /// Whether renewals get no response.
@@ -62,6 +64,11 @@
         self.commit_delay.set(delay);
     }
 
+    /// Refuses transactions.
+    pub fn refuse_commits(&self, refused: bool) {
+        self.commits_refused.set(refused);
+    }
+
     /// Leaves reads of single items without a response.
     pub fn lose_reads(&self, lost: bool) {
         self.reads_lost.set(lost);
@@ -144,8 +151,12 @@
         CommitOutcome::Committed(revision)
     }
 
-    /// Executes a transaction and loses its response if the hook says so.
+    /// Executes a transaction unless transactions are refused, and loses its response if the hook
+    /// says so.
     fn commit_now(&self, transaction: &StoreTransaction) -> Result<CommitOutcome> {
+        if self.commits_refused.get() {
+            return Err(CallError::Refused { status: 503 });
+        }
         let outcome = self.execute(transaction);
         if matches!(outcome, CommitOutcome::Committed(_)) {
             let mut hook = self.commit_hook.borrow_mut();
