Do not store a job by a delayed copy after the client was told that it never runs

Callers would see 503, or 410 for a cancellation, and the job would run. Cause: a forwarded submission that has timed out may still arrive, on another connection than the client's next attempt. If the owner had refused that attempt, or confirmed a cancellation of the unknown job, it stored the delayed copy like a new submission. Only denied jobs are affected: other submissions are accepted however late they arrive. Limit: a later owner does not know which jobs the former one denied.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher/job_lookup.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/job_lookup.rs
@@ -35,6 +35,7 @@
                 return reply;
             }
             if !cancel() {
+                self.deny(job);
                 return PeerReply::State(None);
             }
         }
