Test that the loss of a reused connection counts as an unknown effect

No logic is changed: a connection that closes after a second request was sent was already classified as a call without a response. The test shows it, since every repeated call relies on it.

--- a/crates/geraniumwinch-cell/tests/call_client.rs
+++ b/crates/geraniumwinch-cell/tests/call_client.rs
@@ -20,6 +20,18 @@
     Ignore,
 }
 
+/// The request that the client sends.
+fn request(address: SocketAddr) -> CallRequest {
+    CallRequest {
+        method: Method::POST,
+        url: format!("http://{address}/x"),
+        headers: Vec::new(),
+        content_type: "text/plain",
+        body: "x".into(),
+        timeout: Duration::from_millis(400),
+    }
+}
+
 /// Starts a server that handles one connection.
 fn serve(behaviour: Behaviour) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
@@ -44,15 +56,8 @@
 /// Sends a request to an address.
 fn call(address: SocketAddr) -> Result<u16, CallError> {
     actix_rt::System::new().block_on(async move {
-        let request = CallRequest {
-            method: Method::POST,
-            url: format!("http://{address}/x"),
-            headers: Vec::new(),
-            content_type: "text/plain",
-            body: "x".into(),
-            timeout: Duration::from_millis(400),
-        };
-        CallClient::new().call(request).await.map(|response| response.status)
+        let response = CallClient::new().call(request(address)).await;
+        response.map(|response| response.status)
     })
 }
 
@@ -83,3 +88,26 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
     listener.local_addr().expect("it listens")
 }
+
+/// Guards against taking the loss of a reused connection for a connection that was not opened.
+#[test]
+fn a_reused_connection_that_closes_has_an_unknown_effect() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    let address = listener.local_addr().expect("it listens");
+    let requests = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("the client connects");
+        let mut bytes = [0; 4096];
+        assert!(stream.read(&mut bytes).expect("the first request arrives") > 0);
+        let response = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+        stream.write_all(response).expect("the client reads");
+        assert!(stream.read(&mut bytes).expect("the second request arrives") > 0);
+    });
+    actix_rt::System::new().block_on(async move {
+        let client = CallClient::new();
+        let first = client.call(request(address)).await;
+        assert_eq!(first.expect("the server responds").status, 200);
+        let second = client.call(request(address)).await;
+        assert!(matches!(second, Err(CallError::NoResponse { .. })), "{second:?}");
+    });
+    requests.join().expect("both requests arrive on one connection");
+}
