--- a/crates/geraniumwinch-cell/src/owner_authority.rs
+++ b/crates/geraniumwinch-cell/src/owner_authority.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+use geraniumwinch_core::log_event;
 use geraniumwinch_fleet::BootTime;
 use tokio::sync::Notify;
 
@@ -80,6 +81,14 @@
         !self.is_lost() && renewed()
     }
 
+    /// Records that another process may own the cell, and logs what has shown it.
+    pub(crate) fn report_lost(&self, by: &str) {
+        if !self.is_lost() {
+            log_event!(Warn, "ownership-lost", epoch = self.epoch, by = by);
+        }
+        self.mark_lost();
+    }
+
     /// Returns whether the ownership is known to have ended.
     pub(crate) fn is_lost(&self) -> bool {
         self.lost.get()
--- a/crates/geraniumwinch-cell/src/owner_election.rs
+++ b/crates/geraniumwinch-cell/src/owner_election.rs
@@ -302,13 +302,7 @@
                     RENEWAL_INTERVAL
                 }
                 Ok(false) => {
-                    log_event!(
-                        Warn,
-                        "ownership-lost",
-                        epoch = authority.epoch,
-                        by = "lease"
-                    );
-                    authority.mark_lost();
+                    authority.report_lost("lease");
                     return;
                 }
                 Err(error) => {
--- a/crates/geraniumwinch-cell/src/record_journal.rs
+++ b/crates/geraniumwinch-cell/src/record_journal.rs
@@ -320,12 +320,12 @@
                         self.record_success(began);
                         BatchOutcome::Committed
                     } else {
-                        self.mark_ownership_lost();
+                        self.authority.report_lost("store");
                         self.conflict_outcome(lane, &items, maybe_committed)
                     };
                 }
                 Ok(CommitOutcome::LeaseEnded) => {
-                    self.mark_ownership_lost();
+                    self.authority.report_lost("store");
                     return BatchOutcome::uncommitted(maybe_committed);
                 }
                 Err(error) => {
@@ -374,12 +374,6 @@
         BatchOutcome::uncommitted(maybe_committed && !unchanged)
     }
 
-    /// Records that the store has shown that the ownership has ended.
-    fn mark_ownership_lost(&self) {
-        log_event!(Warn, "ownership-lost", epoch = self.authority.epoch, by = "store");
-        self.authority.mark_lost();
-    }
-
     /// Records that a transaction was committed.
     fn record_success(&self, began: BootTime) {
         let now = self.ports.clock.now();
