--- a/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
@@ -1,9 +1,8 @@
-//! Admission and cancellation of jobs.
+//! Admission of jobs.
 
 use geraniumwinch_core::ErrorKind;
 use geraniumwinch_core::Name;
-use geraniumwinch_fleet::BootTime;
-use geraniumwinch_fleet::JobPhase;
+use geraniumwinch_core::RunState;
 use geraniumwinch_fleet::JobRecord;
 
 use crate::peer_message::PeerReply;
@@ -21,21 +20,49 @@
         if self.scheduler.borrow().stored_state(&message.id).is_some() {
             return PeerReply::Accepted;
         }
-        let SubmitMessage { id, rules, account, request } = message;
-        let unix_time = self.ports.clock.unix_time();
-        let record = JobRecord::new(rules, account, unix_time, request);
-        if !self.journal.is_pending(&id)
-            && let Some(kind) = self.refusal_reason(&record)
-        {
-            return PeerReply::Refused(kind);
+        if self.may_precede_denial(&message) {
+            return PeerReply::Refused(ErrorKind::DeadlineUnmeetable);
         }
-        match self.journal.create(id, record).await {
+        let id = message.id.clone();
+        match self.store(message).await {
             Ok(()) => {
                 self.pass_due.notify_one();
                 PeerReply::Accepted
             }
-            Err(kind) => PeerReply::Refused(kind),
+            Err(kind) => {
+                if kind.response().run == RunState::NotRun {
+                    self.deny(&id);
+                }
+                PeerReply::Refused(kind)
+            }
+        }
+    }
+
+    /// Returns whether a submission may have been sent before its job was denied, so that it may
+    /// be a delayed copy.
+    fn may_precede_denial(&self, message: &SubmitMessage) -> bool {
+        let sent = message.sent.filter(|sent| sent.epoch == self.authority.epoch);
+        let sent = sent.map(|sent| sent.time);
+        !self.journal.is_pending(&message.id)
+            && self.denied_jobs.borrow().precedes_denial(&message.id, sent)
+    }
+
+    /// Records that a client is told that a job does not run.
+    pub(super) fn deny(&self, job: &Name) {
+        self.denied_jobs.borrow_mut().deny(job, self.ports.clock.now());
+    }
+
+    /// Stores a job, or returns why it is refused.
+    async fn store(&self, message: SubmitMessage) -> Result<(), ErrorKind> {
+        let SubmitMessage { id, rules, account, request, .. } = message;
+        let unix_time = self.ports.clock.unix_time();
+        let record = JobRecord::new(rules, account, unix_time, request);
+        if !self.journal.is_pending(&id)
+            && let Some(kind) = self.refusal_reason(&record)
+        {
+            return Err(kind);
         }
+        self.journal.create(id, record).await
     }
 
     /// Returns why a new job is refused, or `None` if it is admitted.
@@ -67,25 +94,4 @@
         let now = self.ports.clock.now();
         self.shares.borrow_mut().try_take(account, weight, now)
     }
-
-    /// Cancels a job and replies when the cancellation is stored.
-    pub(super) async fn cancel(&self, job: &Name, now: BootTime) -> PeerReply {
-        if !self.scheduler.borrow_mut().cancel(job, now) {
-            return PeerReply::State(None);
-        }
-        self.pass_due.notify_one();
-        self.journal.wake();
-        loop {
-            let changed = self.commit_done.notified();
-            let state = self.scheduler.borrow().stored_state(job);
-            match state {
-                Some((JobPhase::Live, _)) => {}
-                state => return PeerReply::State(state),
-            }
-            if self.authority.is_lost() {
-                return PeerReply::Refused(ErrorKind::StoreUnknown);
-            }
-            changed.await;
-        }
-    }
 }
--- /dev/null
+++ b/crates/geraniumwinch-cell/tests/repeated_calls/main.rs
@@ -0,0 +1,177 @@
+//! What clients are told about calls that the store or an owner may have executed although their
+//! responses were lost.
+
+mod memory_store;
+mod test_node;
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::join;
+use geraniumwinch_cell::BootClock;
+use geraniumwinch_cell::CellClock;
+use geraniumwinch_cell::StoreTransaction;
+use geraniumwinch_core::ErrorKind;
+use test_case::test_case;
+
+use self::memory_store::MemoryStore;
+use self::test_node::TestNode;
+use self::test_node::stored_job;
+use self::test_node::wait_until;
+
+const JOB: &str = "0000000000000001";
+const OTHER_JOB: &str = "0000000000000002";
+/// The key of the owner record.
+const OWNER_KEY: &str = "cell/owner";
+/// The prefix of the fence records.
+const FENCE_PREFIX: &str = "cell/seal/";
+
+/// Runs a test on a single thread.
+fn run_test(test: impl Future<Output = ()>) {
+    actix_rt::System::new().block_on(test);
+}
+
+/// Returns whether a transaction writes a job.
+fn writes_job(transaction: &StoreTransaction) -> bool {
+    transaction.writes.iter().any(|write| write.key.starts_with("job/"))
+}
+
+/// Guards against reporting a job as not stored after its transaction was committed without a
+/// response and a later owner has rewritten the fence.
+#[test]
+fn a_job_stored_before_a_takeover_is_not_reported_as_refused() {
+    run_test(async {
+        let node = TestNode::start().await;
+        let taken_over = Rc::new(Cell::new(false));
+        node.store.on_commit(move |store, transaction| {
+            let lost = writes_job(transaction) && !taken_over.replace(true);
+            if lost {
+                take_over(store, transaction);
+            }
+            lost
+        });
+        assert_eq!(node.submit(JOB).await, Err(ErrorKind::StoreUnknown));
+        assert!(node.store.contains(&format!("job/{JOB}")));
+    });
+}
+
+/// Guards against a process that does not know a job because it no longer owns the cell, and
+/// confirms that the job does not exist.
+#[test_case(async |node| node.cancel(JOB).await; "cancelled")]
+#[test_case(async |node| node.exists(JOB).await; "queried")]
+fn a_former_owner_does_not_deny_a_job(
+    call: impl AsyncFn(&TestNode) -> Result<bool, ErrorKind>,
+) {
+    run_test(async {
+        let node = TestNode::start().await;
+        node.store.remove_leases();
+        node.store.put(&format!("job/{JOB}"), stored_job());
+        assert_eq!(call(&node).await, Ok(true));
+    });
+}
+
+/// Guards against an owner that cannot reach the store and confirms that a job does not exist.
+#[test]
+fn an_owner_without_the_store_does_not_deny_a_job() {
+    run_test(async {
+        let node = TestNode::start().await;
+        node.store.lose_renewals(true);
+        assert_eq!(node.exists(JOB).await, Err(ErrorKind::DomainUnowned));
+    });
+}
+
+/// Guards against denying a job to the client that cancels it while it is being stored.
+#[test]
+fn a_job_is_cancelled_while_it_is_being_stored() {
+    run_test(async {
+        let node = TestNode::start().await;
+        node.store.delay_commits(Duration::from_millis(300));
+        let cancellation = async {
+            tokio::time::sleep(Duration::from_millis(100)).await;
+            node.cancel(JOB).await
+        };
+        let results = join(node.submit(JOB), cancellation).await;
+        assert_eq!(results, (Ok(()), Ok(true)));
+    });
+}
+
+/// Guards against a cell without an owner until the lease of a claim ends that was committed
+/// without a response and could not be read back.
+#[test]
+fn a_claim_without_a_response_is_given_up_once_it_is_seen() {
+    run_test(async {
+        let node = TestNode::start_without_owner().await;
+        let claimed = Rc::new(Cell::new(false));
+        node.store.on_commit(move |store, transaction| {
+            let claims = transaction.writes.iter().any(|write| write.key == OWNER_KEY);
+            let lost = claims && !claimed.replace(true);
+            if lost {
+                store.lose_reads(true);
+            }
+            lost
+        });
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        node.store.lose_reads(false);
+        let owned = tokio::time::timeout(Duration::from_secs(2), node.await_owner());
+        assert!(owned.await.is_ok(), "no process owns the cell");
+    });
+}
+
+/// Guards against an idle owner that refuses all jobs after the store has refused one.
+#[test]
+fn an_idle_owner_accepts_jobs_again_after_the_store_has_refused_one() {
+    run_test(async {
+        let node = TestNode::start().await;
+        node.store.refuse_commits(true);
+        assert_eq!(node.submit(JOB).await, Err(ErrorKind::StoreUnavailable));
+        node.store.refuse_commits(false);
+        wait_until(async || node.submit(JOB).await.is_ok()).await;
+    });
+}
+
+/// Guards against running a job whose client was told that it never runs, because a delayed copy of
+/// an earlier submission arrives.
+#[test_case(async |node| refuse(node).await; "refused")]
+#[test_case(async |node| cancel_unknown(node).await; "cancelled")]
+fn a_denied_job_is_not_stored_by_a_delayed_copy(deny: impl AsyncFn(&TestNode)) {
+    run_test(async {
+        let node = TestNode::start().await;
+        let sent = BootClock.now();
+        deny(&node).await;
+        node.send_copy(JOB, sent).await;
+        assert_eq!(node.exists(JOB).await, Ok(false));
+        node.send_copy(JOB, BootClock.now()).await;
+        assert_eq!(node.exists(JOB).await, Ok(true));
+    });
+}
+
+/// Submits a job that is refused because the store refuses transactions, and waits until the store
+/// is no longer considered stalled.
+async fn refuse(node: &TestNode) {
+    node.store.refuse_commits(true);
+    assert_eq!(node.submit(JOB).await, Err(ErrorKind::StoreUnavailable));
+    node.store.refuse_commits(false);
+    wait_until(async || node.submit(OTHER_JOB).await.is_ok()).await;
+}
+
+/// Cancels a job that does not exist.
+async fn cancel_unknown(node: &TestNode) {
+    assert_eq!(node.cancel(JOB).await, Ok(false));
+}
+
+/// Replaces the owner record and the fences of a transaction like a later owner, and leaves the
+/// renewals of the former one without a response.
+fn take_over(store: &MemoryStore, transaction: &StoreTransaction) {
+    store.lose_renewals(true);
+    store.remove_leases();
+    store.put(OWNER_KEY, b"another owner".to_vec());
+    let fences =
+        transaction.writes.iter().filter(|write| write.key.starts_with(FENCE_PREFIX));
+    for fence in fences {
+        let (epoch, sequence) = (9_u64, 1_u64);
+        let value =
+            postcard::to_stdvec(&(epoch, sequence)).expect("a fence is encodable");
+        store.put(&fence.key, value);
+    }
+}
