Revert "Do not store a job by a delayed copy after the client was told that it never runs"

The fault that it mended stays open: a delayed copy of a submission that was refused meanwhile may be stored.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -23,13 +23,10 @@
 use crate::catalog_watch::CatalogWatch;
 use crate::cell_metrics;
 use crate::command_sender::CommandSender;
-use crate::denied_jobs::DeniedJobs;
 use crate::member_table::MemberTable;
 use crate::owner_authority::OwnerAuthority;
 use crate::owner_election::OWNER_TTL;
 use crate::peer_message::MemberInfo;
-use crate::peer_message::OwnerStatus;
-use crate::peer_message::OwnerTime;
 use crate::peer_message::PeerReply;
 use crate::peer_message::PeerRequest;
 use crate::peer_service::PeerClient;
@@ -84,7 +81,6 @@
     limits_version: Cell<Option<u64>>,
     resigned: Cell<bool>,
     shares: RefCell<ShareLimiter>,
-    denied_jobs: RefCell<DeniedJobs>,
 }
 
 impl CellDispatcher {
@@ -154,7 +150,6 @@
             limits_version: Cell::new(None),
             resigned: Cell::new(false),
             shares: RefCell::default(),
-            denied_jobs: RefCell::default(),
         });
         workers.into_iter().for_each(|worker| dispatcher.run_worker(worker));
         Some(dispatcher)
@@ -182,7 +177,6 @@
             if now >= expired + EXPIRE_INTERVAL {
                 expired = now;
                 self.expire_records();
-                self.denied_jobs.borrow_mut().remove_old(now);
             }
         }
         listing.abort();
@@ -335,11 +329,7 @@
         let mut members = self.members.borrow_mut();
         members.record_heartbeat(member, now);
         members.remove_silent(now, MEMBER_RETENTION);
-        PeerReply::Heartbeat(OwnerStatus {
-            time: OwnerTime { epoch: self.authority.epoch, time: now },
-            version: self.catalog.version(),
-            members: members.all(),
-        })
+        PeerReply::Heartbeat(self.authority.epoch, self.catalog.version(), members.all())
     }
 
     /// Gives up the ownership so that another process can take over immediately.
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
@@ -2,7 +2,6 @@
 
 use geraniumwinch_core::ErrorKind;
 use geraniumwinch_core::Name;
-use geraniumwinch_core::RunState;
 use geraniumwinch_fleet::JobRecord;
 
 use crate::peer_message::PeerReply;
@@ -20,49 +19,21 @@
         if self.scheduler.borrow().stored_state(&message.id).is_some() {
             return PeerReply::Accepted;
         }
-        if self.may_precede_denial(&message) {
-            return PeerReply::Refused(ErrorKind::DeadlineUnmeetable);
-        }
-        let id = message.id.clone();
-        match self.store(message).await {
-            Ok(()) => {
-                self.pass_due.notify_one();
-                PeerReply::Accepted
-            }
-            Err(kind) => {
-                if kind.response().run == RunState::NotRun {
-                    self.deny(&id);
-                }
-                PeerReply::Refused(kind)
-            }
-        }
-    }
-
-    /// Returns whether a submission may have been sent before its job was denied, so that it may
-    /// be a delayed copy.
-    fn may_precede_denial(&self, message: &SubmitMessage) -> bool {
-        let sent = message.sent.filter(|sent| sent.epoch == self.authority.epoch);
-        let sent = sent.map(|sent| sent.time);
-        !self.journal.is_pending(&message.id)
-            && self.denied_jobs.borrow().precedes_denial(&message.id, sent)
-    }
-
-    /// Records that a client is told that a job does not run.
-    pub(super) fn deny(&self, job: &Name) {
-        self.denied_jobs.borrow_mut().deny(job, self.ports.clock.now());
-    }
-
-    /// Stores a job, or returns why it is refused.
-    async fn store(&self, message: SubmitMessage) -> Result<(), ErrorKind> {
-        let SubmitMessage { id, rules, account, request, .. } = message;
+        let SubmitMessage { id, rules, account, request } = message;
         let unix_time = self.ports.clock.unix_time();
         let record = JobRecord::new(rules, account, unix_time, request);
         if !self.journal.is_pending(&id)
             && let Some(kind) = self.refusal_reason(&record)
         {
-            return Err(kind);
+            return PeerReply::Refused(kind);
+        }
+        match self.journal.create(id, record).await {
+            Ok(()) => {
+                self.pass_due.notify_one();
+                PeerReply::Accepted
+            }
+            Err(kind) => PeerReply::Refused(kind),
         }
-        self.journal.create(id, record).await
     }
 
     /// Returns why a new job is refused, or `None` if it is admitted.
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/job_lookup.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/job_lookup.rs
@@ -35,7 +35,6 @@
                 return reply;
             }
             if !cancel() {
-                self.deny(job);
                 return PeerReply::State(None);
             }
         }
--- a/crates/geraniumwinch-cell/src/owner_election.rs
+++ b/crates/geraniumwinch-cell/src/owner_election.rs
@@ -24,12 +24,10 @@
 use crate::cell_metrics;
 use crate::member_table::MemberTable;
 use crate::owner_authority::OwnerAuthority;
-use crate::owner_contact::OwnerContact;
 use crate::owner_record::EPOCH_KEY;
 use crate::owner_record::OwnerRecord;
 use crate::owner_watch::OwnerWatch;
 use crate::peer_message::MemberInfo;
-use crate::peer_message::OwnerTime;
 use crate::peer_message::PeerReply;
 use crate::peer_message::PeerRequest;
 use crate::peer_service::PeerClient;
@@ -72,8 +70,8 @@
     pub(crate) process: u64,
     dispatcher: RefCell<Option<Rc<CellDispatcher>>>,
     members: RefCell<MemberTable>,
-    /// The last response of an owner.
-    last_owner_contact: Cell<Option<OwnerContact>>,
+    /// The epoch of the owner that responded last, and the time at which that heartbeat was sent.
+    last_owner_contact: Cell<(u64, BootTime)>,
     claim_not_before: Cell<BootTime>,
     stopping: Cell<bool>,
 }
@@ -98,7 +96,7 @@
             process: rand::rng().random(),
             dispatcher: RefCell::new(None),
             members: RefCell::default(),
-            last_owner_contact: Cell::new(None),
+            last_owner_contact: Cell::new((0, BootTime::ZERO)),
             claim_not_before: Cell::new(BootTime::ZERO),
             stopping: Cell::new(false),
         })
@@ -112,26 +110,13 @@
     /// Returns whether this process is the owner or the owner has responded within `age`.
     pub(crate) fn has_recent_contact(&self, age: Duration) -> bool {
         let now = self.ports.clock.now();
-        let contact = self.last_owner_contact.get();
-        self.dispatcher.borrow().is_some()
-            || contact.is_some_and(|contact| contact.is_recent(now, age))
+        self.dispatcher.borrow().is_some() || now < self.last_owner_contact.get().1 + age
     }
 
     /// Returns whether the owner of an epoch, or of a later one, has responded recently.
     pub(crate) fn owner_seen(&self, epoch: u64) -> bool {
-        let now = self.ports.clock.now();
-        self.last_owner_contact.get().is_some_and(|contact| {
-            contact.responded.epoch >= epoch && contact.is_recent(now, OWNER_SEEN_MAX_AGE)
-        })
-    }
-
-    /// Returns the earliest time that the owner's clock may show now, if it is known.
-    pub(crate) fn owner_time(&self) -> Option<OwnerTime> {
-        let now = self.ports.clock.now();
-        match self.dispatcher() {
-            Some(owner) => Some(OwnerTime { epoch: owner.authority.epoch, time: now }),
-            None => self.last_owner_contact.get().map(|owner| owner.earliest_time(now)),
-        }
+        let (seen_epoch, at) = self.last_owner_contact.get();
+        seen_epoch >= epoch && self.ports.clock.now() < at + OWNER_SEEN_MAX_AGE
     }
 
     /// Hands the ownership over and stops claiming it.
@@ -190,12 +175,10 @@
         let heartbeat = PeerRequest::Heartbeat(self.member_info());
         let sent = self.ports.clock.now();
         match self.peers.call(owner.address, &heartbeat, HEARTBEAT_TIMEOUT).await {
-            Ok(PeerReply::Heartbeat(status)) => {
-                let (responded, received) = (status.time, self.ports.clock.now());
-                let contact = OwnerContact { responded, sent, received };
-                self.last_owner_contact.set(Some(contact));
-                self.members.borrow_mut().replace(status.members, sent);
-                if status.version > self.catalog.version() {
+            Ok(PeerReply::Heartbeat(epoch, version, members)) => {
+                self.last_owner_contact.set((epoch, sent));
+                self.members.borrow_mut().replace(members, sent);
+                if version > self.catalog.version() {
                     self.fetch_catalog(owner.address).await;
                 }
                 self.watch.await_change(HEARTBEAT_INTERVAL).await;
--- a/crates/geraniumwinch-cell/src/owner_election/quorum_check.rs
+++ b/crates/geraniumwinch-cell/src/owner_election/quorum_check.rs
@@ -32,9 +32,9 @@
     /// Returns whether neither this process nor its peers have recently received a response from
     /// the owner.
     pub(super) async fn is_owner_silent(&self, owner: &OwnerRecord) -> bool {
-        let contact = self.last_owner_contact.get();
-        contact.is_some_and(|contact| contact.responded.epoch == owner.epoch)
-            && !self.owner_seen(owner.epoch)
+        let (epoch, _) = self.last_owner_contact.get();
+        epoch == owner.epoch
+            && !self.owner_seen(epoch)
             && self.confirm_owner_down(owner).await
     }
 
--- a/crates/geraniumwinch-cell/src/peer_message.rs
+++ b/crates/geraniumwinch-cell/src/peer_message.rs
@@ -7,7 +7,6 @@
 
 use geraniumwinch_core::ErrorKind;
 use geraniumwinch_core::Name;
-use geraniumwinch_fleet::BootTime;
 use geraniumwinch_fleet::JobPhase;
 use geraniumwinch_fleet::JobRequest;
 use geraniumwinch_fleet::QueueRules;
@@ -27,29 +26,6 @@
     pub(crate) account: Name,
     /// The job's description.
     pub(crate) request: JobRequest,
-    /// The earliest time on the owner's clock at which the client's request may have arrived, if
-    /// known.
-    pub(crate) sent: Option<OwnerTime>,
-}
-
-/// A time on the clock of an epoch's owner.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct OwnerTime {
-    /// The epoch.
-    pub(crate) epoch: u64,
-    /// The time.
-    pub(crate) time: BootTime,
-}
-
-/// The owner's response to a heartbeat.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct OwnerStatus {
-    /// The owner's epoch and the time of the response.
-    pub(crate) time: OwnerTime,
-    /// The version of the owner's configuration.
-    pub(crate) version: u64,
-    /// The processes known to the owner.
-    pub(crate) members: Vec<MemberInfo>,
 }
 
 /// The information that a process reports to the owner.
@@ -116,8 +92,8 @@
 pub(crate) enum PeerReply {
     /// The peer doesn't own the cell and has done nothing.
     NotOwner,
-    /// The owner's response to a heartbeat.
-    Heartbeat(OwnerStatus),
+    /// The owner's epoch, the version of its configuration and the processes known to it.
+    Heartbeat(u64, u64, Vec<MemberInfo>),
     /// Whether the peer has recently received a response from the owner.
     OwnerSeen(bool),
     /// Whether the store has responded.
--- a/crates/geraniumwinch-cell/src/request_forwarder.rs
+++ b/crates/geraniumwinch-cell/src/request_forwarder.rs
@@ -90,8 +90,7 @@
         let JobSubmission { id, rules, account, request } = submission;
         let began = self.ports.clock.now();
         let queue = rules.queue.clone();
-        let sent = self.election.owner_time();
-        let message = SubmitMessage { id: id.clone(), rules, account, request, sent };
+        let message = SubmitMessage { id: id.clone(), rules, account, request };
         let reply = self.forward(PeerRequest::Submit(message), client_timeout).await;
         let result = match reply {
             Ok(PeerReply::Accepted) => Ok(()),
