Keep an unlocated task until its leases end, whatever an earlier attempt came to

Callers would see: after a takeover a task runs in two places. A worker that still reports an old attempt as stopped or failed let the new owner start the task at once, while a later attempt ran on a worker that had not reported yet. Cause: the end of any attempt was taken for the end of the task; the new owner doesn't know which attempt was the last. Evidence: the_end_of_an_earlier_attempt_does_not_release_an_unlocated_task (stopped, failed) failed before: the scheduler issued a start on the worker that reported. Change: only a success ends an unlocated task. Any other end is acknowledged, a failure counts against its worker, and the task waits for a report or for the end of all leases under which it may run. So a task that has indeed stopped in the moment of a takeover starts again some seconds later than before.

--- a/crates/geraniumwinch-core/src/job_scheduler/inventory.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/inventory.rs
@@ -150,13 +150,12 @@
         ledger: &mut TeamLedger,
         now: Instant,
     ) {
-        let task = match self.find_placed(&report.task) {
-            Some((task, placement)) if placement.worker == worker => Some(task),
-            Some(_) => None,
-            None => self.find_unlocated(&report.task),
-        };
-        if let Some(task) = task {
-            self.finish_attempt(task, worker, report.state, ledger, now);
+        match self.find_placed(&report.task) {
+            Some((task, placement)) if placement.worker == worker => {
+                self.finish_attempt(task, worker, report.state, ledger, now);
+            }
+            Some(_) => {}
+            None => self.finish_unlocated(worker, report, now),
         }
         let Some(state) = self.workers.get(worker) else { return };
         let name = state.spec.name.clone();
@@ -166,15 +165,28 @@
         });
     }
 
-    /// Returns a task that has not been located since the takeover, and no longer waits for its leases
-    /// to expire.
-    fn find_unlocated(&mut self, id: &TaskId) -> Option<TaskRef> {
+    /// Handles the end of an attempt of a task that has not been located since the takeover.
+    ///
+    /// Only a success ends the wait for the task's leases: after any other end, the former owner may
+    /// have started a later attempt on a worker that has not reported yet.
+    fn finish_unlocated(&mut self, worker: WorkerKey, report: &TaskReport, now: Instant) {
+        let Some((task, until)) = self.find_unlocated(&report.task) else { return };
+        match report.state {
+            ReportedState::Succeeded => {
+                self.unlocated.remove(&(until, task));
+                quarantine::observe_start(&mut self.workers, worker, false, now);
+                self.end_task(task, TaskOutcome::Succeeded);
+            }
+            ReportedState::Failed => self.record_failure(task, worker, true, now),
+            ReportedState::Stopped | ReportedState::Running => {}
+        }
+    }
+
+    /// Returns a task that has not been located since the takeover, and when its leases have expired.
+    fn find_unlocated(&self, id: &TaskId) -> Option<(TaskRef, Instant)> {
         let &key = self.by_id.get(&id.job)?;
         match *self.jobs[key].tasks.get(id.index as usize)? {
-            TaskState::Unlocated { until } => {
-                self.unlocated.remove(&(until, (key, id.index)));
-                Some((key, id.index))
-            }
+            TaskState::Unlocated { until } => Some(((key, id.index), until)),
             _ => None,
         }
     }
@@ -211,12 +223,8 @@
         let (key, index) = task;
         let since = placement.map(|placement| placement.since);
         let early = since.is_none_or(|since| now - since < quarantine::EARLY_FAILURE);
-        let job = &mut self.jobs[key];
-        let first_here = job.failed_on.insert(worker);
-        let job_blamed = job.failed_on.len() >= MAX_FAILED_WORKERS;
-        if early && first_here {
-            quarantine::observe_start(&mut self.workers, worker, true, now);
-        }
+        self.record_failure(task, worker, early, now);
+        let job_blamed = self.jobs[key].failed_on.len() >= MAX_FAILED_WORKERS;
         if job_blamed {
             self.end_task(task, TaskOutcome::Failed);
             return;
@@ -226,6 +234,20 @@
         self.delayed.insert((until, task));
     }
 
+    /// Records that a task failed on a worker; an early failure counts against the worker, once a job.
+    fn record_failure(
+        &mut self,
+        task: TaskRef,
+        worker: WorkerKey,
+        early: bool,
+        now: Instant,
+    ) {
+        let first_here = self.jobs[task.0].failed_on.insert(worker);
+        if early && first_here {
+            quarantine::observe_start(&mut self.workers, worker, true, now);
+        }
+    }
+
     /// Queues tasks again that are missing from the inventory although their start was confirmed before
     /// the heartbeat was sent.
     fn requeue_missing(
