Keep a task after a confirmed stop until its unanswered start has expired

Callers would see: a task runs in two places, or a worker gets more than it has room for. The response to a start is lost, the worker confirms the stop that follows, restarts, forgets the stop, and then carries out the start that had been held up; meanwhile the task was placed elsewhere and its capacity given away. Cause: the confirmation of a stop by one incarnation of a worker was taken for a promise of the next. Change: a placement knows until when its start may be carried out. The worker's answer to the start, or a report of the attempt, ends that; until then, only a stop that was sent after the expiry releases the task. So a task whose start got no response and was never seen starts elsewhere after about 3 s.

--- a/crates/geraniumwinch-bench/src/placement_policy.rs
+++ b/crates/geraniumwinch-bench/src/placement_policy.rs
@@ -130,7 +130,7 @@
                         let index = task.job.serial as usize;
                         self.placements.remove(&index);
                         stopped.push(index);
-                        self.scheduler.stop_confirmed(&task, &mut self.ledger, now);
+                        self.scheduler.stop_confirmed(&task, now, &mut self.ledger, now);
                     }
                     SchedulerCommand::RecordJobEnd { job } => self.scheduler.remove(&job),
                     SchedulerCommand::RecordEnd { .. }
--- a/crates/geraniumwinch-core/src/job_scheduler/inventory.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/inventory.rs
@@ -110,6 +110,7 @@
             TaskState::Placed(placement)
                 if placement.attempt == id.attempt && placement.worker == worker =>
             {
+                placement.start_expires = None;
                 if placement.phase == TaskPhase::Starting {
                     placement.phase = TaskPhase::Running(now);
                 }
@@ -118,8 +119,13 @@
             &mut TaskState::Unlocated { until } => {
                 self.unlocated.remove(&(until, task));
                 let phase = TaskPhase::Running(now);
-                let placement =
-                    TaskPlacement { worker, attempt: id.attempt, since: now, phase };
+                let placement = TaskPlacement {
+                    worker,
+                    attempt: id.attempt,
+                    since: now,
+                    phase,
+                    start_expires: None,
+                };
                 let cancelled = job.cancelled;
                 self.book_attempt(task, placement, ledger);
                 if cancelled {
@@ -273,17 +279,27 @@
 
     /// Handles the confirmation of a start.
     pub fn start_confirmed(&mut self, id: &TaskId, now: Instant) {
-        let Some(((key, index), placement)) = self.find_placed(id) else { return };
-        if placement.phase != TaskPhase::Starting {
-            return;
-        }
-        if let TaskState::Placed(placement) = &mut self.jobs[key].tasks[index as usize] {
+        let Some(placement) = self.answer_start(id) else { return };
+        if placement.phase == TaskPhase::Starting {
             placement.phase = TaskPhase::Running(now);
         }
     }
 
+    /// Records that the worker has answered a start, which it will not carry out any more.
+    fn answer_start(&mut self, id: &TaskId) -> Option<&mut TaskPlacement> {
+        let ((key, index), _) = self.find_placed(id)?;
+        match &mut self.jobs[key].tasks[index as usize] {
+            TaskState::Placed(placement) => {
+                placement.start_expires = None;
+                Some(placement)
+            }
+            _ => None,
+        }
+    }
+
     /// Handles a start that the worker refused, or whose command was never sent.
     pub fn start_refused(&mut self, id: &TaskId, ledger: &mut TeamLedger, now: Instant) {
+        self.answer_start(id);
         let Some((task, placement)) = self.find_placed(id) else { return };
         if placement.phase == TaskPhase::Starting {
             self.finish_attempt(
@@ -306,9 +322,22 @@
         }
     }
 
-    /// Handles a worker's confirmation that an attempt is not running and never will.
-    pub fn stop_confirmed(&mut self, id: &TaskId, ledger: &mut TeamLedger, now: Instant) {
+    /// Handles a worker's confirmation of a stop that was sent at `sent`.
+    ///
+    /// A start that the worker has neither answered nor reported may still be carried out by its next
+    /// incarnation, which does not know of the stop. Until the start has expired, the confirmation
+    /// has no effect, and the stop is repeated.
+    pub fn stop_confirmed(
+        &mut self,
+        id: &TaskId,
+        sent: Instant,
+        ledger: &mut TeamLedger,
+        now: Instant,
+    ) {
         let Some((task, placement)) = self.find_placed(id) else { return };
+        if placement.start_expires.is_some_and(|expires| sent < expires) {
+            return;
+        }
         self.finish_attempt(task, placement.worker, ReportedState::Stopped, ledger, now);
     }
 
--- a/crates/geraniumwinch-core/src/job_scheduler/job_state.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/job_state.rs
@@ -31,6 +31,9 @@
     pub(super) since: Instant,
     /// The phase of the attempt.
     pub(super) phase: TaskPhase,
+    /// Until when the start command may still be carried out; `None` once the worker has answered it or
+    /// has reported the attempt.
+    pub(super) start_expires: Option<Instant>,
 }
 
 /// The phase of a placed task.
--- a/crates/geraniumwinch-core/src/job_scheduler/placement.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/placement.rs
@@ -15,6 +15,7 @@
 use crate::WorkerKey;
 
 use super::JobScheduler;
+use super::LEASE_MARGIN;
 use super::START_EXPIRY;
 use super::SchedulerCommand;
 use super::job_state::JobKey;
@@ -275,7 +276,7 @@
         let attempt = (self.epoch << 32) | self.attempts;
         self.book_attempt(
             task,
-            TaskPlacement { worker, attempt, since: now, phase },
+            TaskPlacement { worker, attempt, since: now, phase, start_expires: None },
             ledger,
         );
     }
@@ -298,9 +299,10 @@
     /// Queues the start command of a placed task, which also grants the task's first lease.
     pub(super) fn send_start(&mut self, task: TaskRef, now: Instant) {
         let (key, index) = task;
-        let job = &self.jobs[key];
-        let TaskState::Placed(placement) = job.tasks[index as usize] else { return };
+        let job = &mut self.jobs[key];
+        let TaskState::Placed(placement) = &mut job.tasks[index as usize] else { return };
         let Some(worker) = self.workers.get_mut(placement.worker) else { return };
+        placement.start_expires = Some(now + START_EXPIRY + LEASE_MARGIN);
         worker.lease_sent = Some(now);
         self.commands.push(SchedulerCommand::Start {
             worker: worker.spec.name.clone(),
--- a/crates/geraniumwinch-core/src/job_scheduler/recovery.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/recovery.rs
@@ -100,8 +100,13 @@
             let Some(&TaskState::Unlocated { until }) = state else { continue };
             self.unlocated.remove(&(until, (key, id.index)));
             let phase = TaskPhase::Running(now + START_EXPIRY);
-            let placement =
-                TaskPlacement { worker, attempt: id.attempt, since: now, phase };
+            let placement = TaskPlacement {
+                worker,
+                attempt: id.attempt,
+                since: now,
+                phase,
+                start_expires: Some(now + START_EXPIRY + LEASE_MARGIN),
+            };
             self.book_attempt((key, id.index), placement, ledger);
             if let Some(state) = self.workers.get_mut(worker) {
                 state.lease_sent = Some(now);
--- a/crates/geraniumwinch-core/tests/job_releases.rs
+++ b/crates/geraniumwinch-core/tests/job_releases.rs
@@ -23,6 +23,8 @@
 
 /// How long a task runs without a lease renewal.
 const LEASE: Duration = Duration::from_secs(3);
+/// How long after it was sent a start may be carried out, with the difference of clocks.
+const START_LIFETIME: Duration = Duration::from_millis(2500);
 /// The CPU capacity of each worker in thousandths of a core.
 const CPU: u64 = 4000;
 /// The workers, in the order of their names.
@@ -74,6 +76,27 @@
         job
     }
 
+    /// Submits a job with one task.
+    fn submit(&mut self, spec: JobSpec) -> JobId {
+        let job = self.next_job();
+        self.scheduler.submit(job.clone(), spec, self.team, "queue".into(), self.now);
+        job
+    }
+
+    /// Submits a job with one task to workers that run nothing, and returns where it is started.
+    fn start(&mut self, spec: JobSpec) -> (Name, TaskId) {
+        for worker in WORKERS {
+            self.report(worker, &[]);
+        }
+        self.submit(spec);
+        self.starts().pop().expect("the task fits")
+    }
+
+    /// Confirms a stop that was sent at the given time.
+    fn confirm_stop(&mut self, task: &TaskId, sent: Instant) {
+        self.scheduler.stop_confirmed(task, sent, &mut self.ledger, self.now);
+    }
+
     /// Returns the identifier of a further job.
     fn next_job(&mut self) -> JobId {
         self.jobs += 1;
@@ -167,3 +190,45 @@
     domain.wait(LEASE * 3);
     assert_eq!(domain.starts(), []);
 }
+
+// Guards against a task in two places: a worker that confirmed a stop restarted, forgot it, and then
+// carried out the start that had been held up.
+#[test]
+fn a_confirmed_stop_does_not_release_a_task_whose_start_may_still_arrive() {
+    let mut domain = ScheduledDomain::new();
+    let (worker, task) = domain.start(batch(CPU));
+    domain.scheduler.start_unknown(&task, domain.now);
+    domain.confirm_stop(&task, domain.now);
+    domain.wait(Duration::from_secs(1));
+    assert_eq!(domain.starts(), [], "the start may still be carried out");
+    domain.wait(START_LIFETIME);
+    domain.confirm_stop(&task, domain.now - START_LIFETIME);
+    assert_eq!(domain.starts(), [], "the stop was sent before the start had expired");
+    assert!(domain.report(&worker, &[(&task, ReportedState::Running)]));
+    assert_eq!(domain.starts(), []);
+}
+
+// Guards against a task that is never started again after the response to its start was lost.
+#[test]
+fn a_stop_confirmed_after_the_start_expired_releases_the_task() {
+    let mut domain = ScheduledDomain::new();
+    let (_, task) = domain.start(batch(CPU));
+    domain.scheduler.start_unknown(&task, domain.now);
+    domain.confirm_stop(&task, domain.now);
+    domain.wait(START_LIFETIME);
+    let stops = |command: &SchedulerCommand| matches!(command, SchedulerCommand::Stop { task: stopped, .. } if *stopped == task);
+    assert!(domain.commands().iter().any(stops), "the stop is repeated");
+    domain.confirm_stop(&task, domain.now);
+    assert_eq!(domain.starts().len(), 1);
+}
+
+// Guards against a wait for a start that the worker has already carried out.
+#[test]
+fn a_stop_of_a_reported_task_releases_it_at_once() {
+    let mut domain = ScheduledDomain::new();
+    let (worker, task) = domain.start(batch(CPU));
+    domain.scheduler.start_unknown(&task, domain.now);
+    assert!(domain.report(&worker, &[(&task, ReportedState::Running)]));
+    domain.confirm_stop(&task, domain.now);
+    assert_eq!(domain.starts().len(), 1);
+}
--- a/crates/geraniumwinch-core/tests/job_scheduler.rs
+++ b/crates/geraniumwinch-core/tests/job_scheduler.rs
@@ -49,7 +49,9 @@
     Silence(usize),
     Deliver(usize),
     LoseResponse(usize),
+    TimeOut(usize),
     Finish(usize, bool),
+    Restart(usize),
     Wait(u64),
 }
 
@@ -65,7 +67,9 @@
         1 => (0..3_usize).prop_map(SchedulerStep::Silence),
         6 => any::<usize>().prop_map(SchedulerStep::Deliver),
         1 => any::<usize>().prop_map(SchedulerStep::LoseResponse),
+        1 => any::<usize>().prop_map(SchedulerStep::TimeOut),
         4 => (any::<usize>(), any::<bool>()).prop_map(|(index, succeeded)| SchedulerStep::Finish(index, succeeded)),
+        1 => (0..3_usize).prop_map(SchedulerStep::Restart),
         2 => (1..3000_u64).prop_map(SchedulerStep::Wait),
     ]
 }
@@ -85,6 +89,8 @@
     workers: BTreeMap<Name, SimulatedWorker>,
     silent: BTreeSet<Name>,
     in_flight: Vec<(SchedulerCommand, Instant)>,
+    /// The starts whose calls have ended without a response, and which may still arrive.
+    timed_out: BTreeSet<TaskId>,
     ended: BTreeSet<(JobId, u32)>,
     now: Instant,
 }
@@ -117,6 +123,7 @@
             workers: workers.collect(),
             silent: BTreeSet::new(),
             in_flight: Vec::new(),
+            timed_out: BTreeSet::new(),
             ended: BTreeSet::new(),
             now,
         };
@@ -164,7 +171,7 @@
                         .running
                         .insert(task.clone(), (spec.size.cpu_millis, self.now + LEASE));
                 }
-                match (lost, accepted) {
+                match (lost || self.timed_out.contains(&task), accepted) {
                     (true, _) => self.scheduler.start_unknown(&task, self.now),
                     (false, true) => self.scheduler.start_confirmed(&task, self.now),
                     (false, false) => {
@@ -178,7 +185,12 @@
                 state.ended.remove(&task);
                 state.stopped.insert(task.clone());
                 if !lost {
-                    self.scheduler.stop_confirmed(&task, &mut self.ledger, self.now);
+                    self.scheduler.stop_confirmed(
+                        &task,
+                        self.now,
+                        &mut self.ledger,
+                        self.now,
+                    );
                 }
             }
             SchedulerCommand::RecordEnd { job, index, .. } => {
@@ -229,6 +241,24 @@
         worker.ended.insert(task, state);
     }
 
+    /// Ends the call of a start that is in flight without a response.
+    fn time_out(&mut self, index: usize) {
+        if self.in_flight.is_empty() {
+            return;
+        }
+        let (command, _) = &self.in_flight[index % self.in_flight.len()];
+        if let SchedulerCommand::Start { task, .. } = command {
+            self.timed_out.insert(task.clone());
+            self.scheduler.start_unknown(task, self.now);
+        }
+    }
+
+    /// Restarts a worker, which then runs nothing and knows of no earlier command.
+    fn restart(&mut self, index: usize) {
+        let name: Name = format!("worker-{index}").into();
+        self.workers.insert(name, SimulatedWorker::default());
+    }
+
     /// Runs the scheduler, and checks that no worker is overcommitted and that no task runs twice.
     fn run_scheduler(&mut self) {
         self.scheduler.tick(&mut self.ledger, self.now);
@@ -292,7 +322,9 @@
                 }
                 SchedulerStep::Deliver(index) => fleet.deliver(index, false),
                 SchedulerStep::LoseResponse(index) => fleet.deliver(index, true),
+                SchedulerStep::TimeOut(index) => fleet.time_out(index),
                 SchedulerStep::Finish(index, succeeded) => fleet.finish(index, succeeded),
+                SchedulerStep::Restart(index) => fleet.restart(index),
                 SchedulerStep::Wait(millis) => fleet.wait(millis),
             }
             fleet.run_scheduler();
--- a/crates/geraniumwinch-node/src/dispatcher/dispatch_workers.rs
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatch_workers.rs
@@ -47,8 +47,8 @@
             WorkerEvent::StartUnknown { task } => {
                 self.scheduler.start_unknown(&task, now)
             }
-            WorkerEvent::Stopped { task } => {
-                self.scheduler.stop_confirmed(&task, &mut self.ledger, now);
+            WorkerEvent::Stopped { task, sent } => {
+                self.scheduler.stop_confirmed(&task, sent, &mut self.ledger, now);
             }
         }
     }
--- a/crates/geraniumwinch-node/src/dispatcher/dispatcher_messages.rs
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatcher_messages.rs
@@ -73,6 +73,8 @@
     Stopped {
         /// The attempt.
         task: TaskId,
+        /// When the stop was sent.
+        sent: Instant,
     },
 }
 
--- a/crates/geraniumwinch-node/src/worker_client.rs
+++ b/crates/geraniumwinch-node/src/worker_client.rs
@@ -258,11 +258,12 @@
             return;
         }
         node_metrics::count_stop();
+        let sent = self.shared.now();
         let call = self.port.stop(address, &task, checkpoint, self.epoch);
         let dispatcher = self.dispatcher.clone();
         actix_rt::spawn(async move {
             if call.await.is_ok() {
-                dispatcher.do_send(WorkerEvent::Stopped { task });
+                dispatcher.do_send(WorkerEvent::Stopped { task, sent });
             }
         });
     }
