Count a worker's leases from the last message sent to it, in whatever order they are known

Callers would see: a task of a silent worker starts elsewhere while its lease there still runs. Cause: the report that a heartbeat is being sent reaches the scheduler later than a start that it queues itself. The heartbeat's earlier time replaced that of the start, from which a silent worker's leases are counted. Evidence: a_heartbeat_reported_late_does_not_shorten_a_lease failed before: the task was placed on the other worker 400 ms before the lease could have ended. Change: the later of the two times is kept.

--- a/crates/geraniumwinch-core/src/job_scheduler/inventory.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/inventory.rs
@@ -33,7 +33,8 @@
     pub fn heartbeat_sent(&mut self, worker: &Name, now: Instant) {
         let Some(key) = self.workers.find(worker) else { return };
         if let Some(state) = self.workers.get_mut(key) {
-            state.lease_sent = Some(now);
+            // A start may have been sent since, and is known before the heartbeat is.
+            state.lease_sent = state.lease_sent.max(Some(now));
         }
     }
 
--- a/crates/geraniumwinch-core/tests/job_releases.rs
+++ b/crates/geraniumwinch-core/tests/job_releases.rs
@@ -232,3 +232,18 @@
     domain.confirm_stop(&task, domain.now);
     assert_eq!(domain.starts().len(), 1);
 }
+
+// Guards against a task in two places: a heartbeat that was reported after a later start shortened the
+// time for which a silent worker keeps its tasks.
+#[test]
+fn a_heartbeat_reported_late_does_not_shorten_a_lease() {
+    let mut domain = ScheduledDomain::new();
+    let (worker, _) = domain.start(batch(CPU));
+    let delay = Duration::from_millis(400);
+    domain.scheduler.heartbeat_sent(&worker, domain.now - delay);
+    domain.scheduler.heartbeat_failed(&worker);
+    domain.wait(LEASE + START_LIFETIME - delay);
+    assert_eq!(domain.starts(), [], "the lease of the start may not have ended");
+    domain.wait(delay);
+    assert_eq!(domain.starts().len(), 1);
+}
