Keep a task that was handed over until its start has expired on every worker's clock

Callers would see: after a planned stop of the owner, a task runs in two places. A start of the former owner that was held up was carried out by a worker whose clock is up to 1 s slow, after the new owner had released the task since the worker's inventory lacked it. Cause: the new owner counted the expiry of the start without the difference of clocks, which all other waits have. Besides, it read an inventory that lacked the task once: if nothing changed at the worker, the task was never released. Change: the wait has the margin for clocks, and an inventory that lacks such a task is read again until the wait ends.

--- a/crates/geraniumwinch-core/src/job_scheduler/inventory.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/inventory.rs
@@ -59,8 +59,8 @@
 
     /// Handles the full inventory of a worker, in response to a heartbeat sent at `sent`.
     ///
-    /// Returns whether all running tasks are booked on the worker. Otherwise the worker gets no new
-    /// tasks.
+    /// Returns whether the inventory settles what runs on the worker. Otherwise it has to be read again in
+    /// full; while it contains a task that is not booked on the worker, the worker gets no new tasks.
     pub fn inventory(
         &mut self,
         worker: &Name,
@@ -87,12 +87,12 @@
                 self.reconcile_ended(key, report, ledger, now);
             }
         }
-        self.requeue_missing(key, &running, sent, ledger, now);
+        let undecided = self.requeue_missing(key, &running, sent, ledger, now);
         if let Some(state) = self.workers.get_mut(key) {
             self.dirty |= !state.reachable;
             state.reachable = !unexpected;
         }
-        !unexpected
+        !unexpected && !undecided
     }
 
     /// Handles the report of a running attempt, and returns its task if the attempt is expected to run
@@ -111,8 +111,9 @@
             TaskState::Placed(placement)
                 if placement.attempt == id.attempt && placement.worker == worker =>
             {
-                placement.start_expires = None;
-                if placement.phase == TaskPhase::Starting {
+                let unanswered = placement.start_expires.take().is_some();
+                let stopping = matches!(placement.phase, TaskPhase::Stopping { .. });
+                if unanswered && !stopping {
                     placement.phase = TaskPhase::Running(now);
                 }
                 Some(task)
@@ -255,8 +256,10 @@
         }
     }
 
-    /// Queues tasks again that are missing from the inventory although their start was confirmed before
-    /// the heartbeat was sent.
+    /// Queues tasks again that are missing from the inventory although their start was confirmed, or had
+    /// expired, before the heartbeat was sent.
+    ///
+    /// Returns whether a task is missing whose start by the former owner may still be carried out.
     fn requeue_missing(
         &mut self,
         worker: WorkerKey,
@@ -264,18 +267,23 @@
         sent: Instant,
         ledger: &mut TeamLedger,
         now: Instant,
-    ) {
-        let Some(tasks) = self.on_worker.get(&worker) else { return };
+    ) -> bool {
+        let Some(tasks) = self.on_worker.get(&worker) else { return false };
         let missing: Vec<TaskRef> = tasks.difference(running).copied().collect();
+        let mut undecided = false;
         for task in missing {
             let TaskState::Placed(placement) = self.jobs[task.0].tasks[task.1 as usize]
             else {
                 continue;
             };
-            if matches!(placement.phase, TaskPhase::Running(since) if since <= sent) {
+            let TaskPhase::Running(since) = placement.phase else { continue };
+            if since <= sent {
                 self.finish_attempt(task, worker, ReportedState::Stopped, ledger, now);
+            } else {
+                undecided |= placement.start_expires.is_some();
             }
         }
+        undecided
     }
 
     /// Handles the confirmation of a start.
--- a/crates/geraniumwinch-core/src/job_scheduler/recovery.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/recovery.rs
@@ -99,13 +99,14 @@
             let state = self.jobs[key].tasks.get(id.index as usize);
             let Some(&TaskState::Unlocated { until }) = state else { continue };
             self.unlocated.remove(&(until, (key, id.index)));
-            let phase = TaskPhase::Running(now + START_EXPIRY);
+            let start_expires = now + START_EXPIRY + LEASE_MARGIN;
+            let phase = TaskPhase::Running(start_expires);
             let placement = TaskPlacement {
                 worker,
                 attempt: id.attempt,
                 since: now,
                 phase,
-                start_expires: Some(now + START_EXPIRY + LEASE_MARGIN),
+                start_expires: Some(start_expires),
             };
             self.book_attempt((key, id.index), placement, ledger);
             if let Some(state) = self.workers.get_mut(worker) {
--- a/crates/geraniumwinch-core/tests/job_releases.rs
+++ b/crates/geraniumwinch-core/tests/job_releases.rs
@@ -247,3 +247,20 @@
     domain.wait(delay);
     assert_eq!(domain.starts().len(), 1);
 }
+
+// Guards against a task in two places after a handover: a start of the former owner was carried out
+// after the new owner had released its task, by a worker whose clock is slow.
+#[test]
+fn a_task_handed_over_is_kept_until_its_start_has_expired_on_every_clock() {
+    let mut domain = ScheduledDomain::new();
+    let job = domain.restore();
+    let task = former_attempt(&job, 1);
+    let placements = [(task, WORKERS[0].into())];
+    domain.scheduler.restore_placements(&placements, &mut domain.ledger, domain.now);
+    domain.wait(START_LIFETIME - Duration::from_millis(100));
+    assert!(!domain.report(WORKERS[0], &[]), "the inventory has to be read again");
+    assert_eq!(domain.starts(), [], "the start may still be carried out");
+    domain.wait(Duration::from_millis(200));
+    domain.report(WORKERS[0], &[]);
+    assert_eq!(domain.starts().len(), 1);
+}
