Start reserved tasks only on workers that run nothing uncounted

Callers would see: a worker gets more than it has room for. A worker reported that a preempted task had ended and, in the same inventory, a running task that the scheduler had not counted there, such as a late start of a former owner. The reserved task started in the room that the uncounted one still took. Cause: an uncounted task kept new placements away, but not the tasks that were already reserved; a worker was marked only after its ended tasks had been handled, and a heartbeat without changes ended the mark. Evidence: a_reserved_task_waits_until_an_unexpected_task_has_left failed before: the start was issued in the same pass. Change: contact with a worker and whether its last inventory is all booked are kept apart. Both are needed for any start, running tasks are handled before ended ones, and a reserved task starts once both hold.

--- a/crates/geraniumwinch-core/src/job_scheduler/inventory.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/inventory.rs
@@ -49,12 +49,21 @@
     }
 
     /// Records that a worker has responded to a heartbeat without any change to its inventory.
-    pub fn heartbeat_unchanged(&mut self, worker: &Name) {
+    pub fn heartbeat_unchanged(&mut self, worker: &Name, now: Instant) {
         let Some(key) = self.workers.find(worker) else { return };
-        if let Some(state) = self.workers.get_mut(key) {
-            self.dirty |= !state.reachable;
-            state.reachable = true;
-        }
+        let Some(state) = self.workers.get(key) else { return };
+        let all_booked = state.all_booked;
+        self.record_response(key, all_booked);
+        self.start_reserved(key, now);
+    }
+
+    /// Records that a worker has responded, and whether all tasks that it runs are booked on it.
+    fn record_response(&mut self, worker: WorkerKey, all_booked: bool) {
+        let Some(state) = self.workers.get_mut(worker) else { return };
+        let could_start = state.may_start();
+        state.reachable = true;
+        state.all_booked = all_booked;
+        self.dirty |= !could_start && state.may_start();
     }
 
     /// Handles the full inventory of a worker, in response to a heartbeat sent at `sent`.
@@ -70,29 +79,28 @@
         now: Instant,
     ) -> bool {
         let Some(key) = self.workers.find(worker) else { return false };
-        let mut unexpected = false;
+        let is_running = |report: &&TaskReport| report.state == ReportedState::Running;
+        let mut all_booked = true;
         let mut running = BTreeSet::new();
-        for report in reports {
-            if report.state == ReportedState::Running {
-                match self.reconcile_running(key, &report.task, ledger, now) {
-                    Some(task) => {
-                        running.insert(task);
-                    }
-                    None => {
-                        unexpected = true;
-                        self.stop_unexpected(key, &report.task);
-                    }
+        for report in reports.iter().filter(is_running) {
+            match self.reconcile_running(key, &report.task, ledger, now) {
+                Some(task) => {
+                    running.insert(task);
+                }
+                None => {
+                    all_booked = false;
+                    self.stop_unexpected(key, &report.task);
                 }
-            } else {
-                self.reconcile_ended(key, report, ledger, now);
             }
         }
-        let undecided = self.requeue_missing(key, &running, sent, ledger, now);
-        if let Some(state) = self.workers.get_mut(key) {
-            self.dirty |= !state.reachable;
-            state.reachable = !unexpected;
+        // What has ended makes room for reserved tasks, which depends on what is running.
+        self.record_response(key, all_booked);
+        for report in reports.iter().filter(|report| !is_running(report)) {
+            self.reconcile_ended(key, report, ledger, now);
         }
-        !unexpected && !undecided
+        let undecided = self.requeue_missing(key, &running, sent, ledger, now);
+        self.start_reserved(key, now);
+        all_booked && !undecided
     }
 
     /// Handles the report of a running attempt, and returns its task if the attempt is expected to run
--- a/crates/geraniumwinch-core/src/job_scheduler/preemption.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/preemption.rs
@@ -97,8 +97,11 @@
         Some(if job.spec.checkpointable { work * CHECKPOINT_LOSS } else { work })
     }
 
-    /// Starts the reserved tasks of a worker that fit into its unoccupied resources.
+    /// Starts the reserved tasks of a worker that fit into its unoccupied resources, if these are known.
     pub(super) fn start_reserved(&mut self, worker: WorkerKey, now: Instant) {
+        if !self.workers.get(worker).is_some_and(|state| state.may_start()) {
+            return;
+        }
         let Some(tasks) = self.on_worker.get(&worker) else { return };
         let mut occupied = ResourceVector::default();
         let mut reserved = Vec::new();
--- a/crates/geraniumwinch-core/src/worker_table.rs
+++ b/crates/geraniumwinch-core/src/worker_table.rs
@@ -37,9 +37,10 @@
     pub spec: WorkerSpec,
     /// The resources booked for tasks that may be running on the worker.
     pub booked: ResourceVector,
-    /// Whether the worker responded to its last heartbeat and its last inventory contained no
-    /// unexpected task.
+    /// Whether the worker responded to its last heartbeat.
     pub reachable: bool,
+    /// Whether every task that its last inventory reported as running is booked on the worker.
+    pub all_booked: bool,
     /// When a message that grants or renews task leases was last sent to the worker.
     pub lease_sent: Option<Instant>,
     /// Whether the VM list contains the worker.
@@ -96,6 +97,7 @@
             spec,
             booked: ResourceVector::default(),
             reachable: false,
+            all_booked: false,
             lease_sent: None,
             listed: true,
             tasks: 0,
@@ -199,12 +201,18 @@
 impl WorkerState {
     /// Returns whether new tasks may be placed on the worker.
     pub fn takes_work(&self, now: Instant) -> bool {
-        self.reachable
+        self.may_start()
             && self.listed
             && !self.spec.leaving
             && self.quarantined_until.is_none_or(|until| until <= now)
     }
 
+    /// Returns whether a task that is booked on the worker may be started there: the worker is in contact
+    /// and runs nothing that is not booked.
+    pub fn may_start(&self) -> bool {
+        self.reachable && self.all_booked
+    }
+
     /// Returns the largest fraction of any resource that a task of this size leaves free, or `None` if
     /// the task does not fit.
     fn remainder_after(&self, size: &ResourceVector) -> Option<f64> {
--- a/crates/geraniumwinch-core/tests/job_releases.rs
+++ b/crates/geraniumwinch-core/tests/job_releases.rs
@@ -264,3 +264,22 @@
     domain.report(WORKERS[0], &[]);
     assert_eq!(domain.starts().len(), 1);
 }
+
+// Guards against a worker with more than it has room for: a reserved task started in the place of a
+// preempted one although the worker reported another task that had not been counted there.
+#[test]
+fn a_reserved_task_waits_until_an_unexpected_task_has_left() {
+    let mut domain = ScheduledDomain::new();
+    domain.list_workers(&WORKERS[..1]);
+    let (worker, preempted) = domain.start(batch(CPU));
+    assert!(domain.report(&worker, &[(&preempted, ReportedState::Running)]));
+    domain.submit(JobSpec { urgent: true, ..batch(CPU) });
+    assert_eq!(domain.starts(), [], "the preempted task has not left");
+    let unknown = former_attempt(&domain.next_job(), 1);
+    let reports =
+        [(&preempted, ReportedState::Stopped), (&unknown, ReportedState::Running)];
+    assert!(!domain.report(&worker, &reports));
+    assert_eq!(domain.starts(), [], "the unexpected task has not left");
+    assert!(domain.report(&worker, &[]));
+    assert_eq!(domain.starts().len(), 1);
+}
--- a/crates/geraniumwinch-node/src/dispatcher/dispatch_workers.rs
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatch_workers.rs
@@ -35,7 +35,7 @@
                 }
             }
             WorkerEvent::Heartbeat { worker, tasks: None, .. } => {
-                self.scheduler.heartbeat_unchanged(&worker);
+                self.scheduler.heartbeat_unchanged(&worker, now);
             }
             WorkerEvent::HeartbeatFailed { worker } => {
                 self.scheduler.heartbeat_failed(&worker)
