Give a worker no task after a takeover until the former owner's starts have expired

Callers would see: after a takeover, a worker gets more than it has room for. It reported an empty inventory, the new owner filled it, and then it carried out a start of the former owner that had been held up. Cause: the first inventory after a takeover was taken for proof that nothing more would start there. The tasks themselves were kept (they wait for their leases), the capacity was not. Evidence: a_worker_gets_no_task_while_a_start_of_the_former_owner_may_arrive failed before: a start was issued at once. Change: the scheduler is told since when the former owner has been silent, which is a lease at a takeover, and starts nothing on a worker before it has responded to a heartbeat sent after the last start can have expired.

--- a/crates/geraniumwinch-core/src/job_scheduler.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler.rs
@@ -61,6 +61,8 @@
     /// The number of attempts of all tasks so far, from which attempt numbers are derived.
     attempts: u64,
     task_lease: Duration,
+    /// When all starts of the former owner have expired, if they may still be carried out.
+    former_starts_expire: Option<Instant>,
     workers: WorkerTable,
     jobs: SlotMap<JobKey, JobState>,
     by_id: HashMap<JobId, JobKey>,
@@ -87,6 +89,7 @@
             epoch,
             attempts: 0,
             task_lease,
+            former_starts_expire: None,
             workers: WorkerTable::default(),
             jobs: SlotMap::with_key(),
             by_id: HashMap::new(),
--- a/crates/geraniumwinch-core/src/job_scheduler/inventory.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/inventory.rs
@@ -48,21 +48,25 @@
         }
     }
 
-    /// Records that a worker has responded to a heartbeat without any change to its inventory.
-    pub fn heartbeat_unchanged(&mut self, worker: &Name, now: Instant) {
+    /// Records that a worker has responded to a heartbeat sent at `sent` without any change to its
+    /// inventory.
+    pub fn heartbeat_unchanged(&mut self, worker: &Name, sent: Instant, now: Instant) {
         let Some(key) = self.workers.find(worker) else { return };
         let Some(state) = self.workers.get(key) else { return };
         let all_booked = state.all_booked;
-        self.record_response(key, all_booked);
+        self.record_response(key, sent, all_booked);
         self.start_reserved(key, now);
     }
 
-    /// Records that a worker has responded, and whether all tasks that it runs are booked on it.
-    fn record_response(&mut self, worker: WorkerKey, all_booked: bool) {
+    /// Records that a worker has responded to a heartbeat sent at `sent`, and whether all tasks that it
+    /// runs are booked on it.
+    fn record_response(&mut self, worker: WorkerKey, sent: Instant, all_booked: bool) {
+        let settled = self.former_starts_expire.is_none_or(|expire| sent >= expire);
         let Some(state) = self.workers.get_mut(worker) else { return };
         let could_start = state.may_start();
         state.reachable = true;
         state.all_booked = all_booked;
+        state.settled |= settled;
         self.dirty |= !could_start && state.may_start();
     }
 
@@ -94,7 +98,7 @@
             }
         }
         // What has ended makes room for reserved tasks, which depends on what is running.
-        self.record_response(key, all_booked);
+        self.record_response(key, sent, all_booked);
         for report in reports.iter().filter(|report| !is_running(report)) {
             self.reconcile_ended(key, report, ledger, now);
         }
--- a/crates/geraniumwinch-core/src/job_scheduler/recovery.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/recovery.rs
@@ -44,6 +44,14 @@
         self.unlocated.extend((0..count).map(|index| (until, (key, index))));
     }
 
+    /// Records since when the former owner has sent nothing, if it has not handed over its placements.
+    ///
+    /// A worker gets no tasks until it has responded to a heartbeat that is sent after all starts of the
+    /// former owner have expired, since one may still take its capacity.
+    pub fn set_former_owner_silent(&mut self, since: Instant) {
+        self.former_starts_expire = Some(since + START_EXPIRY + LEASE_MARGIN);
+    }
+
     /// Restores the outcome of a task of a restored job.
     pub fn restore_end(&mut self, id: &JobId, index: u32, end: TaskOutcome) {
         let Some(&key) = self.by_id.get(id) else { return };
--- a/crates/geraniumwinch-core/src/worker_table.rs
+++ b/crates/geraniumwinch-core/src/worker_table.rs
@@ -41,6 +41,8 @@
     pub reachable: bool,
     /// Whether every task that its last inventory reported as running is booked on the worker.
     pub all_booked: bool,
+    /// Whether it responded to a heartbeat that was sent after all starts of former owners had expired.
+    pub settled: bool,
     /// When a message that grants or renews task leases was last sent to the worker.
     pub lease_sent: Option<Instant>,
     /// Whether the VM list contains the worker.
@@ -98,6 +100,7 @@
             booked: ResourceVector::default(),
             reachable: false,
             all_booked: false,
+            settled: false,
             lease_sent: None,
             listed: true,
             tasks: 0,
@@ -207,10 +210,10 @@
             && self.quarantined_until.is_none_or(|until| until <= now)
     }
 
-    /// Returns whether a task that is booked on the worker may be started there: the worker is in contact
-    /// and runs nothing that is not booked.
+    /// Returns whether a task that is booked on the worker may be started there: the worker is in contact,
+    /// and runs and will run nothing that is not booked.
     pub fn may_start(&self) -> bool {
-        self.reachable && self.all_booked
+        self.reachable && self.all_booked && self.settled
     }
 
     /// Returns the largest fraction of any resource that a task of this size leaves free, or `None` if
--- a/crates/geraniumwinch-core/tests/job_releases.rs
+++ b/crates/geraniumwinch-core/tests/job_releases.rs
@@ -283,3 +283,18 @@
     assert!(domain.report(&worker, &[]));
     assert_eq!(domain.starts().len(), 1);
 }
+
+// Guards against a worker with more than it has room for after a takeover: a start of the former owner
+// was carried out after the worker had reported.
+#[test]
+fn a_worker_gets_no_task_while_a_start_of_the_former_owner_may_arrive() {
+    let mut domain = ScheduledDomain::new();
+    domain.restore();
+    domain.scheduler.set_former_owner_silent(domain.now);
+    domain.submit(batch(CPU));
+    domain.report(WORKERS[0], &[]);
+    assert_eq!(domain.starts(), [], "the restored task may still start there");
+    domain.wait(START_LIFETIME);
+    domain.report(WORKERS[0], &[]);
+    assert_eq!(domain.starts().len(), 1);
+}
--- a/crates/geraniumwinch-node/src/dispatcher/dispatch_workers.rs
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatch_workers.rs
@@ -34,8 +34,8 @@
                         self.worker_client.send(WorkerRequest::RereadInventory(worker));
                 }
             }
-            WorkerEvent::Heartbeat { worker, tasks: None, .. } => {
-                self.scheduler.heartbeat_unchanged(&worker, now);
+            WorkerEvent::Heartbeat { worker, sent, tasks: None } => {
+                self.scheduler.heartbeat_unchanged(&worker, sent, now);
             }
             WorkerEvent::HeartbeatFailed { worker } => {
                 self.scheduler.heartbeat_failed(&worker)
--- a/crates/geraniumwinch-node/src/dispatcher/dispatcher_restore.rs
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatcher_restore.rs
@@ -104,12 +104,22 @@
         }
         match init.kind {
             TakeoverKind::First => {}
-            TakeoverKind::LeaseExpired(_) => dispatcher.records.abandon_intents(),
+            TakeoverKind::LeaseExpired(_) => {
+                dispatcher.records.abandon_intents();
+                dispatcher.await_former_starts(now);
+            }
             TakeoverKind::Handover(state) => dispatcher.apply_handover(*state, now),
         }
         dispatcher
     }
 
+    /// Lets the scheduler await the starts of an owner that had been silent for a lease at the takeover.
+    fn await_former_starts(&mut self, now: Instant) {
+        let lease = self.shared.settings.owner_lease;
+        let silent_since = now.checked_sub(lease).unwrap_or(now);
+        self.scheduler.set_former_owner_silent(silent_since);
+    }
+
     /// Replays a journal entry.
     fn apply_entry(&mut self, entry: JournalEntry, now: Instant) {
         match entry {
