Let the new owner's own renewals keep unlocated tasks too

Callers would see: after a takeover a task runs in two places. The new owner's first heartbeat to a worker renewed the leases of all that ran there, its response was lost and the worker stayed silent; the task was started elsewhere when the leases of the former owner had ended. Cause: the wait for an unlocated task was counted from the takeover alone, though the first heartbeat to a worker may be sent much later: the VM list could not be read at the takeover, lists the worker later, or the new owner was paused. Evidence: a_lease_renewed_by_the_new_owner_keeps_an_unlocated_task failed before: the task started 2.5 s after the renewal, with a lease of 3 s. Change: a renewal that a worker has not answered, sent before the worker showed what runs there after the last start of the former owner, keeps all unlocated tasks until the lease that it may have granted ends. Workers that respond delay nothing.

--- a/crates/geraniumwinch-core/src/job_scheduler.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler.rs
@@ -68,8 +68,11 @@
     by_id: HashMap<JobId, JobKey>,
     queues: SecondaryMap<TeamKey, TeamQueue>,
     on_worker: HashMap<WorkerKey, BTreeSet<TaskRef>>,
-    /// Unlocated tasks, ordered by when all their leases have expired.
+    /// Unlocated tasks, ordered by when all their leases that the former owner granted have expired.
     unlocated: BTreeSet<(Instant, TaskRef)>,
+    /// When this owner last renewed the leases of unsettled workers that have not responded since, any of
+    /// which may run an unlocated task.
+    unsettled_renewals: HashMap<Name, Instant>,
     /// Failed tasks, ordered by the end of their backoff.
     delayed: BTreeSet<(Instant, TaskRef)>,
     /// Tasks being stopped, ordered by when their stop command is retried.
@@ -96,6 +99,7 @@
             queues: SecondaryMap::new(),
             on_worker: HashMap::new(),
             unlocated: BTreeSet::new(),
+            unsettled_renewals: HashMap::new(),
             delayed: BTreeSet::new(),
             stopping: BTreeSet::new(),
             commands: Vec::new(),
@@ -192,13 +196,7 @@
     /// whose leases have expired and failed tasks whose backoff has ended, and retries stop commands.
     pub fn tick(&mut self, ledger: &mut TeamLedger, now: Instant) {
         self.expire_silent_workers(ledger, now);
-        while let Some(&(due, task)) = self.unlocated.first() {
-            if due > now {
-                break;
-            }
-            self.unlocated.pop_first();
-            self.requeue(task);
-        }
+        self.requeue_unlocated(now);
         while let Some(&(due, task)) = self.delayed.first() {
             if due > now {
                 break;
--- a/crates/geraniumwinch-core/src/job_scheduler/inventory.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/inventory.rs
@@ -35,6 +35,9 @@
         if let Some(state) = self.workers.get_mut(key) {
             // A start may have been sent since, and is known before the heartbeat is.
             state.lease_sent = state.lease_sent.max(Some(now));
+            if !state.settled && !self.unlocated.is_empty() {
+                self.unsettled_renewals.insert(worker.clone(), now);
+            }
         }
     }
 
@@ -67,6 +70,9 @@
         state.reachable = true;
         state.all_booked = all_booked;
         state.settled |= settled;
+        if self.unsettled_renewals.get(&state.spec.name).is_some_and(|at| *at <= sent) {
+            self.unsettled_renewals.remove(&state.spec.name);
+        }
         self.dirty |= !could_start && state.may_start();
     }
 
--- a/crates/geraniumwinch-core/src/job_scheduler/recovery.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/recovery.rs
@@ -71,6 +71,22 @@
         }
     }
 
+    /// Queues unlocated tasks again once all leases under which they may be running have expired.
+    pub(super) fn requeue_unlocated(&mut self, now: Instant) {
+        let longest = self.task_lease + START_EXPIRY + LEASE_MARGIN;
+        self.unsettled_renewals.retain(|_, sent| *sent + longest > now);
+        if !self.unsettled_renewals.is_empty() {
+            return;
+        }
+        while let Some(&(due, task)) = self.unlocated.first() {
+            if due > now {
+                return;
+            }
+            self.unlocated.pop_first();
+            self.requeue(task);
+        }
+    }
+
     /// Returns the placements of all tasks that may be running, for a planned handover.
     pub fn placements(&self) -> Vec<(TaskId, Name)> {
         let mut placements = Vec::new();
--- a/crates/geraniumwinch-core/tests/job_releases.rs
+++ b/crates/geraniumwinch-core/tests/job_releases.rs
@@ -298,3 +298,22 @@
     domain.report(WORKERS[0], &[]);
     assert_eq!(domain.starts().len(), 1);
 }
+
+// Guards against a task in two places after a takeover: the new owner's own heartbeat, to a worker that
+// fell silent before it reported, had renewed the lease of a task there.
+#[test]
+fn a_lease_renewed_by_the_new_owner_keeps_an_unlocated_task() {
+    let mut domain = ScheduledDomain::new();
+    let job = domain.restore();
+    domain.report(WORKERS[1], &[]);
+    domain.wait(LEASE);
+    let worker = Name::from(WORKERS[0]);
+    domain.scheduler.heartbeat_sent(&worker, domain.now);
+    domain.scheduler.heartbeat_failed(&worker);
+    domain.wait(START_LIFETIME);
+    domain.report(WORKERS[1], &[]);
+    assert_eq!(domain.starts(), [], "{job} may run on the silent worker");
+    domain.wait(LEASE);
+    domain.report(WORKERS[1], &[]);
+    assert_eq!(domain.starts().len(), 1);
+}
