Start the tasks of a worker that left the VM list again once their leases have ended

Callers would see: a job that never ends. Its worker left the VM list before a heartbeat to it had failed. Cause: heartbeats stop when a worker leaves the list, so no failure was reported afterwards, and only workers that are known to be silent lose their tasks. Evidence: the_tasks_of_a_worker_that_left_the_list_start_again_after_their_leases failed before: nothing was started at the end of the lease, nor is there any later event that would. Change: a worker that is not listed counts as silent. Its tasks are kept until all leases that it was sent have ended.

--- a/crates/geraniumwinch-core/src/job_scheduler/inventory.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/inventory.rs
@@ -369,6 +369,8 @@
     }
 
     /// Queues the tasks of workers again that have not responded until all their task leases expired.
+    ///
+    /// A worker that has left the list gets no heartbeats, so it counts as silent.
     pub(super) fn expire_silent_workers(
         &mut self,
         ledger: &mut TeamLedger,
@@ -378,7 +380,7 @@
         let silent: Vec<WorkerKey> = self
             .workers
             .iter()
-            .filter(|(_, state)| !state.reachable && state.tasks > 0)
+            .filter(|(_, state)| !(state.reachable && state.listed) && state.tasks > 0)
             .filter(|(_, state)| {
                 state.lease_sent.is_some_and(|sent| sent + silence_limit <= now)
             })
--- a/crates/geraniumwinch-core/tests/job_releases.rs
+++ b/crates/geraniumwinch-core/tests/job_releases.rs
@@ -317,3 +317,16 @@
     domain.report(WORKERS[1], &[]);
     assert_eq!(domain.starts().len(), 1);
 }
+
+// Guards against a task that never ends: its worker left the list without a failed heartbeat.
+#[test]
+fn the_tasks_of_a_worker_that_left_the_list_start_again_after_their_leases() {
+    let mut domain = ScheduledDomain::new();
+    let (worker, _) = domain.start(batch(CPU));
+    let other = if *worker == *WORKERS[0] { WORKERS[1] } else { WORKERS[0] };
+    domain.list_workers(&[other]);
+    domain.wait(LEASE + START_LIFETIME - Duration::from_millis(1));
+    assert_eq!(domain.starts(), [], "the worker may still run the task");
+    domain.wait(Duration::from_millis(1));
+    assert_eq!(domain.starts().len(), 1);
+}
