Don't let a repeated outcome of one grant remove the record of a later one

Callers would see: a request with an idempotency key runs twice. An entry sends the outcome of a grant again until it is confirmed. "Not sent" removes the record, so the entry's retry or the client's gets a new grant; if the confirmation was lost, the repetition then removed the record of that grant, and a further request with the key ran once more. Cause: an outcome was applied to the record by its key alone, also when its grant was no longer outstanding. Change: a record knows its grant. The outcome of a grant that isn't outstanding changes only its own record; one that an earlier owner granted, whose ticket isn't known, is never removed. So a request that was granted by an owner that was lost, and not sent, may be answered with an unknown outcome where it was allowed again before.

--- a/crates/geraniumwinch-core/src/record_table.rs
+++ b/crates/geraniumwinch-core/src/record_table.rs
@@ -10,6 +10,8 @@
 use sha2::Digest;
 use sha2::Sha256;
 
+use crate::GrantTicket;
+
 /// A SHA-256 digest, truncated to 128 bits, of the values that identify a record or a request.
 ///
 /// A record is identified by the team, the queue and the idempotency key. The fingerprint of its
@@ -77,6 +79,8 @@
 struct RequestRecord {
     fingerprint: RecordDigest,
     state: RecordState,
+    /// The grant for the request, or `None` if another owner issued it.
+    ticket: Option<GrantTicket>,
     expires: Instant,
 }
 
@@ -120,15 +124,34 @@
         &mut self,
         digest: RecordDigest,
         fingerprint: RecordDigest,
+        ticket: GrantTicket,
         now: Instant,
     ) -> RecordLookup {
         let lookup = self.peek(&digest, &fingerprint);
         if lookup == RecordLookup::New {
-            self.restore(digest, fingerprint, RecordState::Intent, now);
+            let state = RecordState::Intent;
+            self.insert(digest, fingerprint, state, Some(ticket), now);
         }
         lookup
     }
 
+    /// Returns whether the outcome of a grant that is no longer outstanding may change a record.
+    ///
+    /// Outcomes are sent again until they are confirmed, so one may arrive after its request was found not
+    /// to have run, and was granted a slot once more. The record then belongs to the later grant. A
+    /// record whose grant is unknown is never removed.
+    pub fn accepts_outcome(
+        &self,
+        digest: &RecordDigest,
+        ticket: GrantTicket,
+        removes: bool,
+    ) -> bool {
+        match self.records.get(digest).map(|record| record.ticket) {
+            Some(Some(latest)) => latest == ticket,
+            Some(None) | None => !removes,
+        }
+    }
+
     /// Adds or replaces a record, for example one that is read back from the store.
     pub fn restore(
         &mut self,
@@ -136,11 +159,24 @@
         fingerprint: RecordDigest,
         state: RecordState,
         now: Instant,
+    ) {
+        self.insert(digest, fingerprint, state, None, now);
+    }
+
+    /// Adds or replaces a record of a grant.
+    fn insert(
+        &mut self,
+        digest: RecordDigest,
+        fingerprint: RecordDigest,
+        state: RecordState,
+        ticket: Option<GrantTicket>,
+        now: Instant,
     ) {
         self.remove(&digest);
         let expires = now + self.retention;
         self.by_expiry.insert((expires, digest), ());
-        self.records.insert(digest, RequestRecord { fingerprint, state, expires });
+        let record = RequestRecord { fingerprint, state, ticket, expires };
+        self.records.insert(digest, record);
     }
 
     /// Changes the state of a record; returns whether the record exists.
@@ -151,8 +187,8 @@
         now: Instant,
     ) -> bool {
         let Some(record) = self.records.get(digest) else { return false };
-        let fingerprint = record.fingerprint;
-        self.restore(*digest, fingerprint, state, now);
+        let (fingerprint, ticket) = (record.fingerprint, record.ticket);
+        self.insert(*digest, fingerprint, state, ticket, now);
         true
     }
 
--- a/crates/geraniumwinch-core/tests/tables.rs
+++ b/crates/geraniumwinch-core/tests/tables.rs
@@ -8,6 +8,7 @@
 use geraniumwinch_core::AllowanceTable;
 use geraniumwinch_core::AllowanceTransfer;
 use geraniumwinch_core::ErrorKind;
+use geraniumwinch_core::GrantTicket;
 use geraniumwinch_core::JobId;
 use geraniumwinch_core::Name;
 use geraniumwinch_core::RecordDigest;
@@ -46,7 +47,7 @@
         let mut new_counts: HashMap<u8, u32> = HashMap::new();
         for key in keys {
             let digest = RecordDigest::of(&[&[key]]);
-            let is_new = table.begin(digest, digest, now) == RecordLookup::New;
+            let is_new = table.begin(digest, digest, GrantTicket(1), now) == RecordLookup::New;
             *new_counts.entry(key).or_default() += u32::from(is_new);
             table.expire(now + Duration::from_secs(59));
         }
@@ -93,10 +94,42 @@
     let mut table = RecordTable::new(1, Duration::from_secs(60));
     let first = RecordDigest::of(&[b"first"]);
     let second = RecordDigest::of(&[b"second"]);
-    assert_eq!(table.begin(first, first, now), RecordLookup::New);
-    assert_eq!(table.begin(second, second, now), RecordLookup::Full);
-    assert_eq!(table.begin(first, first, now), RecordLookup::Known(RecordState::Intent));
-    assert_eq!(table.begin(first, second, now), RecordLookup::Reused);
+    assert_eq!(table.begin(first, first, GrantTicket(1), now), RecordLookup::New);
+    assert_eq!(table.begin(second, second, GrantTicket(2), now), RecordLookup::Full);
+    assert_eq!(
+        table.begin(first, first, GrantTicket(1), now),
+        RecordLookup::Known(RecordState::Intent)
+    );
+    assert_eq!(table.begin(first, second, GrantTicket(2), now), RecordLookup::Reused);
+}
+
+// Guards against a request that runs twice: the outcome of its first grant, which was not used, was sent
+// again and removed the record while the request ran with its second grant.
+#[test]
+fn a_repeated_outcome_does_not_remove_the_record_of_a_later_grant() {
+    let now = Instant::now();
+    let mut table = RecordTable::new(10, Duration::from_secs(60));
+    let digest = RecordDigest::of(&[b"key"]);
+    let (first, second) = (GrantTicket(1), GrantTicket(2));
+    table.begin(digest, digest, first, now);
+    assert!(table.accepts_outcome(&digest, first, true));
+    table.remove(&digest);
+    table.begin(digest, digest, second, now);
+    assert!(!table.accepts_outcome(&digest, first, true));
+    assert!(table.accepts_outcome(&digest, second, true));
+    table.set_state(&digest, RecordState::Unknown, now);
+    assert!(!table.accepts_outcome(&digest, first, true));
+}
+
+// Guards against a request that runs twice after a takeover: its record doesn't show which grant it has.
+#[test]
+fn a_restored_record_is_changed_but_not_removed_by_an_outcome() {
+    let now = Instant::now();
+    let mut table = RecordTable::new(10, Duration::from_secs(60));
+    let digest = RecordDigest::of(&[b"key"]);
+    table.restore(digest, digest, RecordState::Unknown, now);
+    assert!(!table.accepts_outcome(&digest, GrantTicket(1), true));
+    assert!(table.accepts_outcome(&digest, GrantTicket(1), false));
 }
 
 #[test]
@@ -104,7 +137,7 @@
     let now = Instant::now();
     let mut table = RecordTable::new(10, Duration::from_secs(1));
     let digest = RecordDigest::of(&[b"open"]);
-    table.begin(digest, digest, now);
+    table.begin(digest, digest, GrantTicket(1), now);
     table.expire(now + Duration::from_secs(5));
     assert_eq!(table.len(), 1);
     table.set_state(&digest, RecordState::Unknown, now + Duration::from_secs(5));
--- a/crates/geraniumwinch-node/src/dispatcher/dispatch_slots.rs
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatch_slots.rs
@@ -169,7 +169,7 @@
             return;
         };
         self.in_flight_keys.remove(&record.digest);
-        match self.records.begin(record.digest, record.fingerprint, now) {
+        match self.records.begin(record.digest, record.fingerprint, offer.ticket, now) {
             RecordLookup::New => {
                 let entry = record_entry(&record, Some(RecordState::Intent));
                 self.write_journal(
@@ -247,6 +247,7 @@
     pub(super) fn handle_release(&mut self, release: &SlotRelease, now: Instant) {
         self.allocator.release(release.ticket, &mut self.ledger, now);
         let grant = self.outstanding_grants.remove(&release.ticket);
+        let outstanding = grant.is_some();
         let record = grant.and_then(|grant| grant.record).or(release.record);
         let Some(record) = record else { return };
         let state = match &release.outcome {
@@ -256,7 +257,10 @@
             }
             ReleaseOutcome::Unknown => Some(RecordState::Unknown),
         };
-        self.update_record(&record, state, now);
+        let (digest, removes) = (&record.digest, state.is_none());
+        if outstanding || self.records.accepts_outcome(digest, release.ticket, removes) {
+            self.update_record(&record, state, now);
+        }
     }
 
     /// Sets the record of an expired grant to unknown, since its entry process reported no outcome.
@@ -277,12 +281,10 @@
         match &state {
             None => self.records.remove(&record.digest),
             Some(state) => {
-                self.records.restore(
-                    record.digest,
-                    record.fingerprint,
-                    state.clone(),
-                    now,
-                );
+                if !self.records.set_state(&record.digest, state.clone(), now) {
+                    let RecordKey { digest, fingerprint } = *record;
+                    self.records.restore(digest, fingerprint, state.clone(), now);
+                }
             }
         }
         self.write_journal(vec![record_entry(record, state)], FollowUp::None);
