Let a start expire by the time of the decision, not of its sending

Callers would see: a task runs in two places. A start that waited in the owner's queue before it was sent was valid for 1.5 s from then, while the scheduler counts its expiry and its lease from the moment of the decision. Cause: the start named a duration, which the worker client added to the clock when it sent the start. Evidence: found by reading; no run shows it, since the queue between the two is short unless the process is paused for less than the fence notices. Change: the start names its end. One that has expired in the queue is not sent and counts as unanswered.

--- a/crates/geraniumwinch-core/src/job_scheduler/placement.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/placement.rs
@@ -309,7 +309,7 @@
             address: worker.spec.address.clone(),
             task: TaskId { job: job.id.clone(), index, attempt: placement.attempt },
             spec: job.spec.clone(),
-            expires_in: START_EXPIRY,
+            expires: now + START_EXPIRY,
         });
     }
 }
--- a/crates/geraniumwinch-core/src/job_scheduler/scheduler_command.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/scheduler_command.rs
@@ -1,6 +1,6 @@
 //! The commands that the scheduler issues, and the reports that it receives.
 
-use std::time::Duration;
+use std::time::Instant;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -59,8 +59,8 @@
         task: TaskId,
         /// The description of the job.
         spec: JobSpec,
-        /// How long the command may be executed; the worker ignores it afterwards.
-        expires_in: Duration,
+        /// Until when the command may be carried out; the worker ignores it afterwards.
+        expires: Instant,
     },
     /// Stop a task attempt, and never start this attempt again.
     Stop {
--- a/crates/geraniumwinch-node/src/worker_client.rs
+++ b/crates/geraniumwinch-node/src/worker_client.rs
@@ -214,8 +214,8 @@
     /// Sends a command of the scheduler.
     fn command(&self, command: SchedulerCommand) {
         match command {
-            SchedulerCommand::Start { address, task, spec, expires_in, .. } => {
-                self.start(&address, task, spec, expires_in);
+            SchedulerCommand::Start { address, task, spec, expires, .. } => {
+                self.start(&address, task, spec, expires);
             }
             SchedulerCommand::Stop { address, task, checkpoint, .. } => {
                 self.stop(&address, task, checkpoint);
@@ -226,10 +226,11 @@
         }
     }
 
-    /// Sends a start command, unless the fence no longer allows it.
-    fn start(&self, address: &str, task: TaskId, spec: JobSpec, expires_in: Duration) {
+    /// Sends a start command, unless it has expired or the fence no longer allows it.
+    fn start(&self, address: &str, task: TaskId, spec: JobSpec, expires: Instant) {
         let dispatcher = self.dispatcher.clone();
-        if !self.shared.fence.allows(self.epoch, self.shared.now()) {
+        let now = self.shared.now();
+        if now >= expires || !self.shared.fence.allows(self.epoch, now) {
             dispatcher.do_send(WorkerEvent::StartUnknown { task });
             return;
         }
@@ -238,7 +239,7 @@
             spec,
             epoch: self.epoch,
             lease: self.shared.settings.task_lease,
-            expires: self.shared.clock.wall() + expires_in,
+            expires: self.shared.clock.wall() + (expires - now),
         };
         let call = self.port.start(address, &start);
         actix_rt::spawn(async move {
