Take only an explicit answer of a worker for a refusal or for an unchanged inventory

Callers would see: a task runs in two places and a worker gets more than it has room for. A response to a start that lacked its result, from a proxy or a worker of another version, counted as a refusal: the task and its capacity were released at once though it ran. Cause: a missing field was read as "no", and an inventory without tasks as "unchanged", also where the owner had seen none and by any version. Evidence: every_task_runs_in_one_place_while "responses to start commands are blank" failed before: 15 starts beyond the capacity of workers. It passes now; the worker's stand-in has the fault `blank_answers` for it. For inventories there is no test of their own. Change: such a response is an error, so the start counts as unanswered and is stopped, and the heartbeat as failed.

--- a/crates/geraniumwinch-node/src/worker_port.rs
+++ b/crates/geraniumwinch-node/src/worker_port.rs
@@ -124,7 +124,8 @@
             "ack": acknowledged,
         });
         let call = self.post(address, "/v1/heartbeat", body);
-        async move { decode_inventory(&call.await?) }.boxed_local()
+        let seen = heartbeat.seen;
+        async move { decode_inventory(&call.await?, seen) }.boxed_local()
     }
 
     fn start(
@@ -144,8 +145,7 @@
             "service": start.spec.kind == geraniumwinch_core::JobKind::Service,
         });
         let call = self.post(address, "/v1/tasks/start", body);
-        async move { Ok(call.await?["accepted"].as_bool().unwrap_or(false)) }
-            .boxed_local()
+        async move { decode_acceptance(&call.await?) }.boxed_local()
     }
 
     fn stop(
@@ -162,18 +162,32 @@
     }
 }
 
-/// Decodes an inventory.
-fn decode_inventory(response: &Value) -> Result<WorkerInventory> {
-    let version = response["version"].as_u64().unwrap_or(0);
+/// Decodes the response to a start; one that says neither yes nor no leaves the outcome open.
+fn decode_acceptance(response: &Value) -> Result<bool> {
+    let accepted = response["accepted"].as_bool();
+    accepted.ok_or_else(|| malformed("response to a start"))
+}
+
+/// Decodes an inventory, which may lack the tasks only if the owner has seen its version.
+fn decode_inventory(response: &Value, seen: u64) -> Result<WorkerInventory> {
+    let version = response["version"].as_u64();
+    let version = version.ok_or_else(|| malformed("version of the inventory"))?;
     let Some(rows) = response["tasks"].as_array() else {
+        if seen == 0 || version != seen {
+            return Err(malformed("inventory without tasks"));
+        }
         return Ok(WorkerInventory { version, tasks: None });
     };
     let tasks: Option<Vec<TaskReport>> = rows.iter().map(decode_report).collect();
-    let message = "malformed row in the worker's inventory".to_owned();
-    let tasks = tasks.ok_or(NodeError::Platform { service: "worker", message })?;
+    let tasks = tasks.ok_or_else(|| malformed("row in the inventory"))?;
     Ok(WorkerInventory { version, tasks: Some(tasks) })
 }
 
+/// Builds the error for a part of a worker's response that is malformed.
+fn malformed(part: &str) -> NodeError {
+    NodeError::Platform { service: "worker", message: format!("malformed {part}") }
+}
+
 /// Decodes a row of an inventory; returns `None` if it is malformed.
 fn decode_report(row: &Value) -> Option<TaskReport> {
     let task = row["task"].as_str()?.parse().ok()?;
--- a/crates/geraniumwinch-standins/src/worker.rs
+++ b/crates/geraniumwinch-standins/src/worker.rs
@@ -30,6 +30,8 @@
     slow_ms: u64,
     /// The number of further start commands that are executed but reported as failed.
     lose_answers: u64,
+    /// The number of further start commands that are executed but whose answer says neither yes nor no.
+    blank_answers: u64,
 }
 
 /// A task on the worker; times are Unix times in milliseconds.
@@ -188,6 +190,10 @@
         state.faults.lose_answers -= 1;
         return HttpResponse::ServiceUnavailable().finish();
     }
+    if state.faults.blank_answers > 0 {
+        state.faults.blank_answers -= 1;
+        return HttpResponse::Ok().json(json!({}));
+    }
     HttpResponse::Ok().json(json!({ "accepted": true }))
 }
 
--- a/crates/geraniumwinch-tests/tests/one_owner.rs
+++ b/crates/geraniumwinch-tests/tests/one_owner.rs
@@ -30,6 +30,7 @@
     FrozenWorkers,
     CutWorkers,
     LostStartResponses,
+    BlankStartResponses,
 }
 
 /// Returns an idempotency key whose home domain is the first one.
@@ -103,14 +104,22 @@
             cell.set_rules(json!([])).await;
         }
         OwnerFault::LostStartResponses => {
-            for url in cell.worker_urls() {
-                let faults = json!({ "lose_answers": 5 });
-                TestClient::default().post_json(&format!("{url}/faults"), &faults).await;
-            }
+            inject_worker_faults(cell, json!({ "lose_answers": 5 })).await;
         }
+        OwnerFault::BlankStartResponses => {
+            inject_worker_faults(cell, json!({ "blank_answers": 5 })).await;
+        }
+    }
+}
+
+/// Injects faults into every worker.
+async fn inject_worker_faults(cell: &TestCell, faults: serde_json::Value) {
+    for url in cell.worker_urls() {
+        TestClient::default().post_json(&format!("{url}/faults"), &faults).await;
     }
 }
 
+// The last case guards against a task in two places: a response without a result was taken for a refusal.
 #[test_case(OwnerFault::Kill; "the owner is killed")]
 #[test_case(OwnerFault::FreezePastLease; "the owner is frozen past its lease and resumed")]
 #[test_case(OwnerFault::StoreOutage; "the store is out for longer than every lease")]
@@ -119,6 +128,7 @@
 #[test_case(OwnerFault::FrozenWorkers; "every worker is frozen past the task leases")]
 #[test_case(OwnerFault::CutWorkers; "every worker is cut off past the task leases")]
 #[test_case(OwnerFault::LostStartResponses; "responses to start commands are lost")]
+#[test_case(OwnerFault::BlankStartResponses; "responses to start commands are blank")]
 fn every_task_runs_in_one_place_while(fault: OwnerFault) {
     run_test(async {
         let plan = CellPlan::new(2, 3, 1, 4).proxied().setting(
