Send the workers nothing more once a dispatcher is frozen for a handover

Callers would see: after a planned stop of the owner, a task runs in two places. Until the successor confirmed, which may take 3 s, the former owner's client went on sending queued starts and renewing leases, after the successor had counted both from its own takeover. Cause: the freeze stopped the dispatcher, but neither the client of the workers nor the fence. Evidence: found by reading; no run shows it, since the successor's own heartbeats nearly always follow at once. Change: the client stops between the freeze and the handover. Commands in its queue are dropped: the successor has the placements of their tasks, waits for their starts to expire, and sends stops and acknowledgements itself.

--- a/crates/geraniumwinch-node/src/ownership/owned_domain.rs
+++ b/crates/geraniumwinch-node/src/ownership/owned_domain.rs
@@ -63,6 +63,7 @@
     arbiter: Arbiter,
     journal: JournalSender,
     lost: Rc<Cell<bool>>,
+    client_loop: JoinHandle<()>,
     loops: Vec<JoinHandle<()>>,
     members: Vec<Name>,
 }
@@ -138,7 +139,8 @@
             arbiter,
             journal,
             lost,
-            loops: vec![journal_loop, client_loop, allowance_loop, vm_loop],
+            client_loop,
+            loops: vec![journal_loop, allowance_loop, vm_loop],
             members: Vec::new(),
         }
     }
@@ -311,6 +313,12 @@
         }
     }
 
+    /// Sends the workers nothing more, so that no lease is renewed and no task is started after a
+    /// successor has taken over the state of the frozen dispatcher.
+    pub(super) fn stop_worker_client(&self) {
+        self.client_loop.abort();
+    }
+
     /// Closes the fence and stops all tasks that serve the domain.
     pub(super) fn close(self) {
         self.shared.fence.close();
@@ -318,6 +326,7 @@
         let own = &self.shared.own_digest;
         *lock(own) = None;
         self.shared.members.clear();
+        self.stop_worker_client();
         self.loops.iter().for_each(JoinHandle::abort);
         self.arbiter.stop();
         node_metrics::set_owner_epoch(0);
--- a/crates/geraniumwinch-node/src/ownership/take_over.rs
+++ b/crates/geraniumwinch-node/src/ownership/take_over.rs
@@ -290,6 +290,7 @@
             self.step_down(owned);
             return;
         };
+        owned.stop_worker_client();
         owned.flush().await;
         let message = PeerMessage::Handover(Box::new(state));
         let response =
