Match the answer to a heartbeat with the session that sent it

Callers would see: no job of a domain ends any more, and its tasks end with their leases, until the owner changes. The client of the workers had panicked. Cause: the answer to a heartbeat was counted for whatever session its worker had. If the worker left the VM list and returned meanwhile, the new session was taken to have sent the acknowledgements of the old one. Evidence: workers_that_leave_the_list_and_return_are_still_sent_heartbeats failed before: "range end index 5 out of range for slice of length 0" in the owner's log, and a job that did not end within 60 s. It passes now. Change: heartbeats are numbered, and a session handles only the answer to the one that it has in flight. So an older inventory can't follow a newer one either.

--- a/crates/geraniumwinch-node/src/worker_client.rs
+++ b/crates/geraniumwinch-node/src/worker_client.rs
@@ -48,7 +48,8 @@
 struct WorkerSession {
     address: Name,
     next_heartbeat: Instant,
-    in_flight: bool,
+    /// The number of the heartbeat in flight.
+    in_flight: Option<u64>,
     /// Whether the worker responded to the last heartbeat.
     responded: bool,
     /// The version of the last inventory that was received, or 0 to request it in full.
@@ -64,12 +65,15 @@
     dispatcher: Addr<Dispatcher>,
     epoch: u64,
     sessions: HashMap<Name, WorkerSession>,
+    /// The number of heartbeats sent so far.
+    heartbeats: u64,
     results: mpsc::UnboundedSender<HeartbeatResult>,
 }
 
 /// The result of a heartbeat; `inventory` is `None` if the call failed.
 struct HeartbeatResult {
     worker: Name,
+    number: u64,
     sent: Instant,
     acknowledged: usize,
     inventory: Option<(u64, Option<Vec<TaskReport>>)>,
@@ -85,9 +89,15 @@
         mut requests: mpsc::UnboundedReceiver<WorkerRequest>,
     ) {
         let (results, mut received) = mpsc::unbounded_channel();
-        let sessions = HashMap::new();
-        let mut client =
-            WorkerClient { shared, port, dispatcher, epoch, sessions, results };
+        let mut client = WorkerClient {
+            shared,
+            port,
+            dispatcher,
+            epoch,
+            sessions: HashMap::new(),
+            heartbeats: 0,
+            results,
+        };
         let tick =
             (client.shared.settings.worker_heartbeat / 20).max(Duration::from_millis(5));
         let mut ticker = tokio::time::interval(tick);
@@ -135,7 +145,7 @@
                 self.sessions.entry(spec.name.clone()).or_insert_with(|| WorkerSession {
                     address: spec.address.clone(),
                     next_heartbeat: now,
-                    in_flight: false,
+                    in_flight: None,
                     responded: true,
                     inventory_version: 0,
                     acknowledged: Vec::new(),
@@ -153,19 +163,20 @@
         let period = self.shared.settings.worker_heartbeat;
         let mut due = Vec::new();
         for (name, session) in &mut self.sessions {
-            if session.in_flight || session.next_heartbeat > now {
+            if session.in_flight.is_some() || session.next_heartbeat > now {
                 continue;
             }
-            session.in_flight = true;
+            self.heartbeats += 1;
+            session.in_flight = Some(self.heartbeats);
             session.next_heartbeat =
                 now + period.mul_f64(0.9 + 0.2 * rand::rng().random::<f64>());
-            due.push(name.clone());
+            due.push((name.clone(), self.heartbeats));
         }
-        due.into_iter().for_each(|name| self.send_heartbeat(name, now));
+        due.into_iter().for_each(|(name, number)| self.send_heartbeat(name, number, now));
     }
 
     /// Sends a heartbeat, which renews leases only if the worker responded to the last one.
-    fn send_heartbeat(&self, worker: Name, now: Instant) {
+    fn send_heartbeat(&self, worker: Name, number: u64, now: Instant) {
         let session = &self.sessions[&worker];
         let renew = session.responded.then_some(self.shared.settings.task_lease);
         let heartbeat = WorkerHeartbeat {
@@ -187,6 +198,7 @@
             let acknowledged = heartbeat.acknowledged.len();
             let _ = results.send(HeartbeatResult {
                 worker,
+                number,
                 sent: now,
                 acknowledged,
                 inventory,
@@ -194,11 +206,15 @@
         });
     }
 
-    /// Handles the result of a heartbeat.
+    /// Handles the result of a heartbeat, unless its worker has left the list since; if the worker is
+    /// back, the result says nothing about its present session.
     fn handle_result(&mut self, result: HeartbeatResult) {
-        let HeartbeatResult { worker, sent, acknowledged, inventory } = result;
+        let HeartbeatResult { worker, number, sent, acknowledged, inventory } = result;
         let Some(session) = self.sessions.get_mut(&worker) else { return };
-        session.in_flight = false;
+        if session.in_flight != Some(number) {
+            return;
+        }
+        session.in_flight = None;
         session.responded = inventory.is_some();
         let event = match inventory {
             Some((version, tasks)) => {
--- a/crates/geraniumwinch-tests/tests/one_owner.rs
+++ b/crates/geraniumwinch-tests/tests/one_owner.rs
@@ -245,3 +245,34 @@
         );
     });
 }
+
+// Guards against an owner that sends no heartbeats any more: the answer to a heartbeat with
+// acknowledgements arrived after its worker had left the VM list and returned.
+#[test]
+fn workers_that_leave_the_list_and_return_are_still_sent_heartbeats() {
+    run_test(async {
+        let plan = CellPlan::new(2, 2, 1, 4)
+            .setting("workers", "heartbeat-ms", "50")
+            .setting("workers", "task-lease-ms", "3000")
+            .setting("vm-list", "poll-ms", "50");
+        let cell = TestCell::start(plan).await;
+        submit(&cell, 0, 200, 100).await;
+        inject_worker_faults(&cell, json!({ "slow_ms": 400 })).await;
+        let client = TestClient::default();
+        let url = cell.vm_list_url("/vms");
+        let list = client.get_json(&url).await;
+        for _ in 0..20 {
+            client.post_json(&url, &json!({ "vms": [] })).await;
+            tokio::time::sleep(Duration::from_millis(120)).await;
+            client.post_json(&url, &list).await;
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+        inject_worker_faults(&cell, json!({})).await;
+        let job = submit(&cell, 0, 10, 100).await;
+        let url = format!("{}/v1/jobs/{job}", cell.entry_url(0, 0));
+        wait_until("a job ends", async || {
+            client.send(Method::GET, &url, &[KEY], "").await.field("state") == "ended"
+        })
+        .await;
+    });
+}
