End a waiting task when a silent worker reports its success

Callers would see: work is done again. A worker was silent past its leases and its task was queued again; the worker came back and reported that the task had succeeded, which was acknowledged and forgotten, and the task ran once more. Cause: the end of an attempt counted only for a task that was placed with that attempt, or unlocated. Evidence: the_success_of_a_silent_worker_ends_a_task_that_waits failed before: a start in place of the recorded end. Change: a success ends a task in every state but that of a later attempt that is already placed, which runs on as before.

--- a/crates/geraniumwinch-core/src/job_scheduler/inventory.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/inventory.rs
@@ -181,7 +181,7 @@
                 self.finish_attempt(task, worker, report.state, ledger, now);
             }
             Some(_) => {}
-            None => self.finish_unlocated(worker, report, now),
+            None => self.finish_unplaced(worker, report, now),
         }
         let Some(state) = self.workers.get(worker) else { return };
         let name = state.spec.name.clone();
@@ -191,29 +191,49 @@
         });
     }
 
-    /// Handles the end of an attempt of a task that has not been located since the takeover.
+    /// Handles the end of an attempt of a task that is not placed.
     ///
-    /// Only a success ends the wait for the task's leases: after any other end, the former owner may
-    /// have started a later attempt on a worker that has not reported yet.
-    fn finish_unlocated(&mut self, worker: WorkerKey, report: &TaskReport, now: Instant) {
-        let Some((task, until)) = self.find_unlocated(&report.task) else { return };
+    /// A success ends the task. After any other end, an unlocated task still waits for its leases, since
+    /// the former owner may have started a later attempt on a worker that has not reported yet.
+    fn finish_unplaced(&mut self, worker: WorkerKey, report: &TaskReport, now: Instant) {
+        let Some((task, state)) = self.find_unplaced(&report.task) else { return };
+        let unlocated = matches!(state, TaskState::Unlocated { .. });
         match report.state {
             ReportedState::Succeeded => {
-                self.unlocated.remove(&(until, task));
+                self.discard_wait(task, state);
                 quarantine::observe_start(&mut self.workers, worker, false, now);
                 self.end_task(task, TaskOutcome::Succeeded);
             }
-            ReportedState::Failed => self.record_failure(task, worker, true, now),
-            ReportedState::Stopped | ReportedState::Running => {}
+            ReportedState::Failed if unlocated => {
+                self.record_failure(task, worker, true, now);
+            }
+            _ => {}
         }
     }
 
-    /// Returns a task that has not been located since the takeover, and when its leases have expired.
-    fn find_unlocated(&self, id: &TaskId) -> Option<(TaskRef, Instant)> {
+    /// Returns a task that is neither placed nor ended, with its state.
+    fn find_unplaced(&self, id: &TaskId) -> Option<(TaskRef, TaskState)> {
         let &key = self.by_id.get(&id.job)?;
-        match *self.jobs[key].tasks.get(id.index as usize)? {
-            TaskState::Unlocated { until } => Some(((key, id.index), until)),
-            _ => None,
+        let state = *self.jobs[key].tasks.get(id.index as usize)?;
+        match state {
+            TaskState::Placed(_) | TaskState::Ended(_) => None,
+            _ => Some(((key, id.index), state)),
+        }
+    }
+
+    /// Removes a task that is not placed from what waits.
+    fn discard_wait(&mut self, task: TaskRef, state: TaskState) {
+        match state {
+            TaskState::Unlocated { until } => {
+                self.unlocated.remove(&(until, task));
+            }
+            TaskState::Delayed { until } => {
+                self.delayed.remove(&(until, task));
+            }
+            TaskState::Pending => {
+                self.jobs[task.0].pending.retain(|index| *index != task.1);
+            }
+            TaskState::Placed(_) | TaskState::Ended(_) => {}
         }
     }
 
--- a/crates/geraniumwinch-core/tests/job_releases.rs
+++ b/crates/geraniumwinch-core/tests/job_releases.rs
@@ -330,3 +330,23 @@
     domain.wait(Duration::from_millis(1));
     assert_eq!(domain.starts().len(), 1);
 }
+
+// Guards against work that is done again: a worker that had been silent reported a success after its
+// task had been queued again.
+#[test]
+fn the_success_of_a_silent_worker_ends_a_task_that_waits() {
+    let mut domain = ScheduledDomain::new();
+    domain.list_workers(&WORKERS[..1]);
+    let (worker, task) = domain.start(batch(CPU));
+    domain.scheduler.heartbeat_failed(&worker);
+    domain.wait(LEASE + START_LIFETIME);
+    assert_eq!(domain.starts(), [], "there is no other worker");
+    domain.report(&worker, &[(&task, ReportedState::Succeeded)]);
+    let end = TaskOutcome::Succeeded;
+    let recorded = SchedulerCommand::RecordEnd { job: task.job, index: 0, end };
+    let commands = domain.commands();
+    assert!(commands.contains(&recorded), "{commands:?}");
+    let is_start =
+        |command: &SchedulerCommand| matches!(command, SchedulerCommand::Start { .. });
+    assert!(!commands.iter().any(is_start), "{commands:?}");
+}
