Test takeovers and lost heartbeats with the job scheduler's random steps

The property test now also replaces the owner, whose commands stay in flight, by one that knows the recorded state, and loses the responses of heartbeats. A silent worker's next heartbeat renews no lease, as the node's client does it.

--- a/crates/geraniumwinch-core/tests/job_scheduler.rs
+++ b/crates/geraniumwinch-core/tests/job_scheduler.rs
@@ -15,6 +15,7 @@
 use geraniumwinch_core::ResourceVector;
 use geraniumwinch_core::SchedulerCommand;
 use geraniumwinch_core::TaskId;
+use geraniumwinch_core::TaskOutcome;
 use geraniumwinch_core::TaskReport;
 use geraniumwinch_core::TeamKey;
 use geraniumwinch_core::TeamLedger;
@@ -46,12 +47,14 @@
     Submit { team: usize, tasks: u32, cpu: u64, urgent: bool, gang: bool },
     Cancel(usize),
     Heartbeat(usize),
+    LoseHeartbeat(usize),
     Silence(usize),
     Deliver(usize),
     LoseResponse(usize),
     TimeOut(usize),
     Finish(usize, bool),
     Restart(usize),
+    TakeOver,
     Wait(u64),
 }
 
@@ -64,12 +67,14 @@
         }),
         1 => any::<usize>().prop_map(SchedulerStep::Cancel),
         4 => (0..3_usize).prop_map(SchedulerStep::Heartbeat),
+        1 => (0..3_usize).prop_map(SchedulerStep::LoseHeartbeat),
         1 => (0..3_usize).prop_map(SchedulerStep::Silence),
         6 => any::<usize>().prop_map(SchedulerStep::Deliver),
         1 => any::<usize>().prop_map(SchedulerStep::LoseResponse),
         1 => any::<usize>().prop_map(SchedulerStep::TimeOut),
         4 => (any::<usize>(), any::<bool>()).prop_map(|(index, succeeded)| SchedulerStep::Finish(index, succeeded)),
         1 => (0..3_usize).prop_map(SchedulerStep::Restart),
+        1 => any::<bool>().prop_map(|_| SchedulerStep::TakeOver),
         2 => (1..3000_u64).prop_map(SchedulerStep::Wait),
     ]
 }
@@ -89,9 +94,14 @@
     workers: BTreeMap<Name, SimulatedWorker>,
     silent: BTreeSet<Name>,
     in_flight: Vec<(SchedulerCommand, Instant)>,
+    /// The commands of former owners in flight, whose responses reach nobody.
+    former_commands: Vec<SchedulerCommand>,
     /// The starts whose calls have ended without a response, and which may still arrive.
     timed_out: BTreeSet<TaskId>,
-    ended: BTreeSet<(JobId, u32)>,
+    ended: BTreeMap<(JobId, u32), TaskOutcome>,
+    /// The jobs with their teams, and whether they were cancelled.
+    jobs: BTreeMap<JobId, (JobSpec, TeamKey, bool)>,
+    epoch: u64,
     now: Instant,
 }
 
@@ -99,11 +109,7 @@
     /// Creates a fleet of three workers that have reported their inventory.
     fn new() -> (Self, Vec<TeamKey>) {
         let now = Instant::now();
-        let mut ledger = TeamLedger::default();
-        let policy = TeamPolicy { weight: 1.0, allowance: ALLOWANCE };
-        let names: Vec<Name> = (0..2).map(|team| format!("team-{team}").into()).collect();
-        ledger.set_policies(&names.iter().map(|name| (name.clone(), policy)).collect());
-        let teams = names.iter().map(|name| ledger.key_of(name)).collect();
+        let (ledger, teams) = team_ledger();
         let mut scheduler = JobScheduler::new(1, LEASE);
         let specs: Vec<WorkerSpec> = (0..3)
             .map(|index| WorkerSpec {
@@ -123,8 +129,11 @@
             workers: workers.collect(),
             silent: BTreeSet::new(),
             in_flight: Vec::new(),
+            former_commands: Vec::new(),
             timed_out: BTreeSet::new(),
-            ended: BTreeSet::new(),
+            ended: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            epoch: 1,
             now,
         };
         for index in 0..3 {
@@ -136,16 +145,11 @@
     /// Exchanges a heartbeat with a worker, which renews the task leases and returns the inventory.
     fn heartbeat(&mut self, index: usize) {
         let name: Name = format!("worker-{index}").into();
-        if self.silent.remove(&name) {
-            // The first heartbeat after a silence is not reported as sent, so the scheduler assumes
-            // that it renewed no lease.
-        } else {
-            self.scheduler.heartbeat_sent(&name, self.now);
+        // The first heartbeat after a silence renews no lease.
+        if !self.silent.remove(&name) {
+            self.renew_leases(&name);
         }
         let worker = self.workers.get_mut(&name).expect("a worker");
-        for (_, lease) in worker.running.values_mut() {
-            *lease = self.now + LEASE;
-        }
         let running = worker.running.keys().map(|task| (task, ReportedState::Running));
         let ended = worker.ended.iter().map(|(task, state)| (task, *state));
         let reports: Vec<TaskReport> = running
@@ -155,6 +159,92 @@
         self.scheduler.inventory(&name, &reports, self.now, &mut self.ledger, self.now);
     }
 
+    /// Sends a heartbeat that renews the leases of a worker.
+    fn renew_leases(&mut self, name: &Name) {
+        self.scheduler.heartbeat_sent(name, self.now);
+        let worker = self.workers.get_mut(name).expect("a worker");
+        for (_, lease) in worker.running.values_mut() {
+            *lease = self.now + LEASE;
+        }
+    }
+
+    /// Sends a heartbeat whose response is lost.
+    fn lose_heartbeat(&mut self, index: usize) {
+        let name: Name = format!("worker-{index}").into();
+        if self.silent.insert(name.clone()) {
+            self.renew_leases(&name);
+        }
+        self.scheduler.heartbeat_failed(&name);
+    }
+
+    /// Replaces the owner, whose commands to workers stay in flight, by one that knows the recorded state.
+    fn take_over(&mut self) {
+        self.epoch += 1;
+        let specs: Vec<WorkerSpec> = self
+            .scheduler
+            .workers()
+            .iter()
+            .map(|(_, state)| state.spec.clone())
+            .collect();
+        self.scheduler = JobScheduler::new(self.epoch, LEASE);
+        self.scheduler.set_workers(&specs);
+        self.scheduler.set_former_owner_silent(self.now);
+        self.ledger = team_ledger().0;
+        self.silent.clear();
+        let commands = self.in_flight.drain(..).map(|(command, _)| command);
+        self.former_commands.extend(commands);
+        for (job, (spec, team, cancelled)) in &self.jobs {
+            let (id, queue) = (job.clone(), "queue".into());
+            self.scheduler.restore(id, spec.clone(), *team, queue, self.now);
+            if *cancelled {
+                self.scheduler.restore_cancel(job);
+            }
+        }
+        for ((job, index), end) in &self.ended {
+            self.scheduler.restore_end(job, *index, *end);
+        }
+    }
+
+    /// Delivers a command of a former owner to its worker.
+    fn deliver_former(&mut self, index: usize) {
+        if self.former_commands.is_empty() {
+            return;
+        }
+        let command = self.former_commands.remove(index % self.former_commands.len());
+        match command {
+            SchedulerCommand::Start { worker, task, spec, expires, .. } => {
+                self.begin(&worker, &task, &spec, expires);
+            }
+            SchedulerCommand::Stop { worker, task, .. } => self.stop(&worker, &task),
+            _ => {}
+        }
+    }
+
+    /// Carries out a start, unless it has expired or the task was stopped; returns whether it did.
+    fn begin(
+        &mut self,
+        worker: &Name,
+        task: &TaskId,
+        spec: &JobSpec,
+        expires: Instant,
+    ) -> bool {
+        let state = self.workers.get_mut(worker).expect("a worker");
+        let accepted = self.now <= expires && !state.stopped.contains(task);
+        if accepted {
+            let run = (spec.size.cpu_millis, self.now + LEASE);
+            state.running.insert(task.clone(), run);
+        }
+        accepted
+    }
+
+    /// Carries out a stop.
+    fn stop(&mut self, worker: &Name, task: &TaskId) {
+        let state = self.workers.get_mut(worker).expect("a worker");
+        state.running.remove(task);
+        state.ended.remove(task);
+        state.stopped.insert(task.clone());
+    }
+
     /// Delivers a command to its worker; the response may be lost.
     fn deliver(&mut self, index: usize, lost: bool) {
         if self.in_flight.is_empty() {
@@ -163,13 +253,7 @@
         let (command, sent) = self.in_flight.remove(index % self.in_flight.len());
         match command {
             SchedulerCommand::Start { worker, task, spec, expires, .. } => {
-                let state = self.workers.get_mut(&worker).expect("a worker");
-                let accepted = self.now <= expires && !state.stopped.contains(&task);
-                if accepted {
-                    state
-                        .running
-                        .insert(task.clone(), (spec.size.cpu_millis, self.now + LEASE));
-                }
+                let accepted = self.begin(&worker, &task, &spec, expires);
                 match (lost || self.timed_out.contains(&task), accepted) {
                     (true, _) => self.scheduler.start_unknown(&task, self.now),
                     (false, true) => self.scheduler.start_confirmed(&task, self.now),
@@ -179,10 +263,7 @@
                 }
             }
             SchedulerCommand::Stop { worker, task, .. } => {
-                let state = self.workers.get_mut(&worker).expect("a worker");
-                state.running.remove(&task);
-                state.ended.remove(&task);
-                state.stopped.insert(task.clone());
+                self.stop(&worker, &task);
                 if !lost {
                     self.scheduler.stop_confirmed(
                         &task,
@@ -192,8 +273,9 @@
                     );
                 }
             }
-            SchedulerCommand::RecordEnd { job, index, .. } => {
-                assert!(self.ended.insert((job, index)), "a task ended twice");
+            SchedulerCommand::RecordEnd { job, index, end } => {
+                let earlier = self.ended.insert((job, index), end);
+                assert!(earlier.is_none(), "a task ended twice");
             }
             SchedulerCommand::Acknowledge { worker, task } => {
                 self.workers.get_mut(&worker).expect("a worker").ended.remove(&task);
@@ -277,6 +359,16 @@
     }
 }
 
+/// Creates a ledger of two teams, and returns their keys.
+fn team_ledger() -> (TeamLedger, Vec<TeamKey>) {
+    let mut ledger = TeamLedger::default();
+    let policy = TeamPolicy { weight: 1.0, allowance: ALLOWANCE };
+    let names: Vec<Name> = (0..2).map(|team| format!("team-{team}").into()).collect();
+    ledger.set_policies(&names.iter().map(|name| (name.clone(), policy)).collect());
+    let teams = names.iter().map(|name| ledger.key_of(name)).collect();
+    (ledger, teams)
+}
+
 /// Returns a task size with the given CPU requirement.
 fn size(cpu_millis: u64) -> ResourceVector {
     ResourceVector { cpu_millis, memory_bytes: 1000, accelerators: 0 }
@@ -306,24 +398,31 @@
                         kind, tasks, size: size(cpu), run_time_ms: 0, urgent, checkpointable: false,
                     };
                     jobs.push(id.clone());
+                    fleet.jobs.insert(id.clone(), (spec.clone(), teams[team], false));
                     fleet.scheduler.submit(id, spec, teams[team], "queue".into(), fleet.now);
                 }
                 SchedulerStep::Cancel(index) if !jobs.is_empty() => {
                     let id = &jobs[index % jobs.len()];
+                    fleet.jobs.entry(id.clone()).and_modify(|job| job.2 = true);
                     fleet.scheduler.cancel(id, &mut fleet.ledger, fleet.now);
                 }
                 SchedulerStep::Cancel(_) => {}
                 SchedulerStep::Heartbeat(index) => fleet.heartbeat(index),
+                SchedulerStep::LoseHeartbeat(index) => fleet.lose_heartbeat(index),
                 SchedulerStep::Silence(index) => {
                     let name: Name = format!("worker-{index}").into();
                     fleet.scheduler.heartbeat_failed(&name);
                     fleet.silent.insert(name);
                 }
-                SchedulerStep::Deliver(index) => fleet.deliver(index, false),
+                SchedulerStep::Deliver(index) => {
+                    fleet.deliver(index, false);
+                    fleet.deliver_former(index);
+                }
                 SchedulerStep::LoseResponse(index) => fleet.deliver(index, true),
                 SchedulerStep::TimeOut(index) => fleet.time_out(index),
                 SchedulerStep::Finish(index, succeeded) => fleet.finish(index, succeeded),
                 SchedulerStep::Restart(index) => fleet.restart(index),
+                SchedulerStep::TakeOver => fleet.take_over(),
                 SchedulerStep::Wait(millis) => fleet.wait(millis),
             }
             fleet.run_scheduler();
