Split the ends of attempts and the outcomes of commands from the inventories

What becomes of a task when an attempt ends, and what an answered or unanswered command means, have a file each.

--- a/crates/geraniumwinch-core/src/job_scheduler.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler.rs
@@ -1,5 +1,7 @@
 //! The jobs of one failure domain, and the placement of their tasks on workers.
 
+mod attempt_ends;
+mod command_outcomes;
 mod inventory;
 mod job_state;
 mod job_view;
--- /dev/null
+++ b/crates/geraniumwinch-core/src/job_scheduler/attempt_ends.rs
@@ -0,0 +1,133 @@
+//! The ends of task attempts, and what becomes of their tasks.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::TaskId;
+use crate::TeamLedger;
+use crate::WorkerKey;
+
+use super::JobScheduler;
+use super::ReportedState;
+use super::TaskOutcome;
+use super::TaskReport;
+use super::job_state::TaskPlacement;
+use super::job_state::TaskRef;
+use super::job_state::TaskState;
+use super::quarantine;
+
+/// The number of different workers on which tasks of a job must fail for the failure to be blamed on
+/// the job.
+const MAX_FAILED_WORKERS: usize = 3;
+/// The delay before a failed task is retried.
+const FAILURE_BACKOFF: Duration = Duration::from_millis(500);
+
+impl JobScheduler {
+    /// Handles the end of an attempt of a task that is not placed.
+    ///
+    /// A success ends the task. After any other end, an unlocated task still waits for its leases, since
+    /// the former owner may have started a later attempt on a worker that has not reported yet.
+    pub(super) fn finish_unplaced(
+        &mut self,
+        worker: WorkerKey,
+        report: &TaskReport,
+        now: Instant,
+    ) {
+        let Some((task, state)) = self.find_unplaced(&report.task) else { return };
+        let unlocated = matches!(state, TaskState::Unlocated { .. });
+        match report.state {
+            ReportedState::Succeeded => {
+                self.discard_wait(task, state);
+                quarantine::observe_start(&mut self.workers, worker, false, now);
+                self.end_task(task, TaskOutcome::Succeeded);
+            }
+            ReportedState::Failed if unlocated => {
+                self.record_failure(task, worker, true, now);
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns a task that is neither placed nor ended, with its state.
+    fn find_unplaced(&self, id: &TaskId) -> Option<(TaskRef, TaskState)> {
+        let &key = self.by_id.get(&id.job)?;
+        let state = *self.jobs[key].tasks.get(id.index as usize)?;
+        match state {
+            TaskState::Placed(_) | TaskState::Ended(_) => None,
+            _ => Some(((key, id.index), state)),
+        }
+    }
+
+    /// Removes a task that is not placed from what waits.
+    fn discard_wait(&mut self, task: TaskRef, state: TaskState) {
+        match state {
+            TaskState::Unlocated { until } => {
+                self.unlocated.remove(&(until, task));
+            }
+            TaskState::Delayed { until } => {
+                self.delayed.remove(&(until, task));
+            }
+            TaskState::Pending => {
+                self.jobs[task.0].pending.retain(|index| *index != task.1);
+            }
+            TaskState::Placed(_) | TaskState::Ended(_) => {}
+        }
+    }
+
+    /// Ends an attempt, and then either ends its task or queues the task again.
+    pub(super) fn finish_attempt(
+        &mut self,
+        task: TaskRef,
+        worker: WorkerKey,
+        state: ReportedState,
+        ledger: &mut TeamLedger,
+        now: Instant,
+    ) {
+        let placement = self.unplace(task, ledger);
+        match state {
+            ReportedState::Succeeded => {
+                quarantine::observe_start(&mut self.workers, worker, false, now);
+                self.end_task(task, TaskOutcome::Succeeded);
+            }
+            ReportedState::Failed => self.retry_failed(task, worker, placement, now),
+            ReportedState::Stopped | ReportedState::Running => self.requeue(task),
+        }
+        self.start_reserved(worker, now);
+    }
+
+    /// Retries a failed task after a backoff, or ends the task if its job has failed on too many workers.
+    fn retry_failed(
+        &mut self,
+        task: TaskRef,
+        worker: WorkerKey,
+        placement: Option<TaskPlacement>,
+        now: Instant,
+    ) {
+        let (key, index) = task;
+        let since = placement.map(|placement| placement.since);
+        let early = since.is_none_or(|since| now - since < quarantine::EARLY_FAILURE);
+        self.record_failure(task, worker, early, now);
+        let job_blamed = self.jobs[key].failed_on.len() >= MAX_FAILED_WORKERS;
+        if job_blamed {
+            self.end_task(task, TaskOutcome::Failed);
+            return;
+        }
+        let until = now + FAILURE_BACKOFF;
+        self.jobs[key].tasks[index as usize] = TaskState::Delayed { until };
+        self.delayed.insert((until, task));
+    }
+
+    /// Records that a task failed on a worker; an early failure counts against the worker, once a job.
+    fn record_failure(
+        &mut self,
+        task: TaskRef,
+        worker: WorkerKey,
+        early: bool,
+        now: Instant,
+    ) {
+        let first_here = self.jobs[task.0].failed_on.insert(worker);
+        if early && first_here {
+            quarantine::observe_start(&mut self.workers, worker, true, now);
+        }
+    }
+}
