--- a/crates/geraniumwinch-core/src/job_scheduler.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler.rs
@@ -1,5 +1,7 @@
 //! The jobs of one failure domain, and the placement of their tasks on workers.
 
+mod attempt_ends;
+mod command_outcomes;
 mod inventory;
 mod job_state;
 mod job_view;
@@ -61,13 +63,18 @@
     /// The number of attempts of all tasks so far, from which attempt numbers are derived.
     attempts: u64,
     task_lease: Duration,
+    /// When all starts of the former owner have expired, if they may still be carried out.
+    former_starts_expire: Option<Instant>,
     workers: WorkerTable,
     jobs: SlotMap<JobKey, JobState>,
     by_id: HashMap<JobId, JobKey>,
     queues: SecondaryMap<TeamKey, TeamQueue>,
     on_worker: HashMap<WorkerKey, BTreeSet<TaskRef>>,
-    /// Unlocated tasks, ordered by when all their leases have expired.
+    /// Unlocated tasks, ordered by when all their leases that the former owner granted have expired.
     unlocated: BTreeSet<(Instant, TaskRef)>,
+    /// When this owner last renewed the leases of unsettled workers that have not responded since, any of
+    /// which may run an unlocated task.
+    unsettled_renewals: HashMap<Name, Instant>,
     /// Failed tasks, ordered by the end of their backoff.
     delayed: BTreeSet<(Instant, TaskRef)>,
     /// Tasks being stopped, ordered by when their stop command is retried.
@@ -87,12 +94,14 @@
             epoch,
             attempts: 0,
             task_lease,
+            former_starts_expire: None,
             workers: WorkerTable::default(),
             jobs: SlotMap::with_key(),
             by_id: HashMap::new(),
             queues: SecondaryMap::new(),
             on_worker: HashMap::new(),
             unlocated: BTreeSet::new(),
+            unsettled_renewals: HashMap::new(),
             delayed: BTreeSet::new(),
             stopping: BTreeSet::new(),
             commands: Vec::new(),
@@ -189,13 +198,7 @@
     /// whose leases have expired and failed tasks whose backoff has ended, and retries stop commands.
     pub fn tick(&mut self, ledger: &mut TeamLedger, now: Instant) {
         self.expire_silent_workers(ledger, now);
-        while let Some(&(due, task)) = self.unlocated.first() {
-            if due > now {
-                break;
-            }
-            self.unlocated.pop_first();
-            self.requeue(task);
-        }
+        self.requeue_unlocated(now);
         while let Some(&(due, task)) = self.delayed.first() {
             if due > now {
                 break;
--- a/crates/geraniumwinch-core/src/job_scheduler/inventory.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/inventory.rs
@@ -1,7 +1,6 @@
 //! The processing of heartbeats and inventories of workers, and of their absence.
 
 use std::collections::BTreeSet;
-use std::time::Duration;
 use std::time::Instant;
 
 use crate::Name;
@@ -14,26 +13,22 @@
 use super::ReportedState;
 use super::START_EXPIRY;
 use super::SchedulerCommand;
-use super::TaskOutcome;
 use super::TaskReport;
 use super::job_state::TaskPhase;
 use super::job_state::TaskPlacement;
 use super::job_state::TaskRef;
 use super::job_state::TaskState;
-use super::quarantine;
-
-/// The number of different workers on which tasks of a job must fail for the failure to be blamed on
-/// the job.
-const MAX_FAILED_WORKERS: usize = 3;
-/// The delay before a failed task is retried.
-const FAILURE_BACKOFF: Duration = Duration::from_millis(500);
 
 impl JobScheduler {
     /// Records that a heartbeat, which renews the task leases of a worker, is about to be sent.
     pub fn heartbeat_sent(&mut self, worker: &Name, now: Instant) {
         let Some(key) = self.workers.find(worker) else { return };
         if let Some(state) = self.workers.get_mut(key) {
-            state.lease_sent = Some(now);
+            // A start may have been sent since, and is known before the heartbeat is.
+            state.lease_sent = state.lease_sent.max(Some(now));
+            if !state.settled && !self.unlocated.is_empty() {
+                self.unsettled_renewals.insert(worker.clone(), now);
+            }
         }
     }
 
@@ -47,19 +42,35 @@
         }
     }
 
-    /// Records that a worker has responded to a heartbeat without any change to its inventory.
-    pub fn heartbeat_unchanged(&mut self, worker: &Name) {
+    /// Records that a worker has responded to a heartbeat sent at `sent` without any change to its
+    /// inventory.
+    pub fn heartbeat_unchanged(&mut self, worker: &Name, sent: Instant, now: Instant) {
         let Some(key) = self.workers.find(worker) else { return };
-        if let Some(state) = self.workers.get_mut(key) {
-            self.dirty |= !state.reachable;
-            state.reachable = true;
+        let Some(state) = self.workers.get(key) else { return };
+        let all_booked = state.all_booked;
+        self.record_response(key, sent, all_booked);
+        self.start_reserved(key, now);
+    }
+
+    /// Records that a worker has responded to a heartbeat sent at `sent`, and whether all tasks that it
+    /// runs are booked on it.
+    fn record_response(&mut self, worker: WorkerKey, sent: Instant, all_booked: bool) {
+        let settled = self.former_starts_expire.is_none_or(|expire| sent >= expire);
+        let Some(state) = self.workers.get_mut(worker) else { return };
+        let could_start = state.may_start();
+        state.reachable = true;
+        state.all_booked = all_booked;
+        state.settled |= settled;
+        if self.unsettled_renewals.get(&state.spec.name).is_some_and(|at| *at <= sent) {
+            self.unsettled_renewals.remove(&state.spec.name);
         }
+        self.dirty |= !could_start && state.may_start();
     }
 
     /// Handles the full inventory of a worker, in response to a heartbeat sent at `sent`.
     ///
-    /// Returns whether all running tasks are booked on the worker. Otherwise the worker gets no new
-    /// tasks.
+    /// Returns whether the inventory settles what runs on the worker. Otherwise it has to be read again in
+    /// full; while it contains a task that is not booked on the worker, the worker gets no new tasks.
     pub fn inventory(
         &mut self,
         worker: &Name,
@@ -69,29 +80,28 @@
         now: Instant,
     ) -> bool {
         let Some(key) = self.workers.find(worker) else { return false };
-        let mut unexpected = false;
+        let is_running = |report: &&TaskReport| report.state == ReportedState::Running;
+        let mut all_booked = true;
         let mut running = BTreeSet::new();
-        for report in reports {
-            if report.state == ReportedState::Running {
-                match self.reconcile_running(key, &report.task, ledger, now) {
-                    Some(task) => {
-                        running.insert(task);
-                    }
-                    None => {
-                        unexpected = true;
-                        self.stop_unexpected(key, &report.task);
-                    }
+        for report in reports.iter().filter(is_running) {
+            match self.reconcile_running(key, &report.task, ledger, now) {
+                Some(task) => {
+                    running.insert(task);
+                }
+                None => {
+                    all_booked = false;
+                    self.stop_unexpected(key, &report.task);
                 }
-            } else {
-                self.reconcile_ended(key, report, ledger, now);
             }
         }
-        self.requeue_missing(key, &running, sent, ledger, now);
-        if let Some(state) = self.workers.get_mut(key) {
-            self.dirty |= !state.reachable;
-            state.reachable = !unexpected;
+        // What has ended makes room for reserved tasks, which depends on what is running.
+        self.record_response(key, sent, all_booked);
+        for report in reports.iter().filter(|report| !is_running(report)) {
+            self.reconcile_ended(key, report, ledger, now);
         }
-        !unexpected
+        let undecided = self.requeue_missing(key, &running, sent, ledger, now);
+        self.start_reserved(key, now);
+        all_booked && !undecided
     }
 
     /// Handles the report of a running attempt, and returns its task if the attempt is expected to run
@@ -110,7 +120,9 @@
             TaskState::Placed(placement)
                 if placement.attempt == id.attempt && placement.worker == worker =>
             {
-                if placement.phase == TaskPhase::Starting {
+                let unanswered = placement.start_expires.take().is_some();
+                let stopping = matches!(placement.phase, TaskPhase::Stopping { .. });
+                if unanswered && !stopping {
                     placement.phase = TaskPhase::Running(now);
                 }
                 Some(task)
@@ -118,8 +130,13 @@
             &mut TaskState::Unlocated { until } => {
                 self.unlocated.remove(&(until, task));
                 let phase = TaskPhase::Running(now);
-                let placement =
-                    TaskPlacement { worker, attempt: id.attempt, since: now, phase };
+                let placement = TaskPlacement {
+                    worker,
+                    attempt: id.attempt,
+                    since: now,
+                    phase,
+                    start_expires: None,
+                };
                 let cancelled = job.cancelled;
                 self.book_attempt(task, placement, ledger);
                 if cancelled {
@@ -150,13 +167,12 @@
         ledger: &mut TeamLedger,
         now: Instant,
     ) {
-        let task = match self.find_placed(&report.task) {
-            Some((task, placement)) if placement.worker == worker => Some(task),
-            Some(_) => None,
-            None => self.find_unlocated(&report.task),
-        };
-        if let Some(task) = task {
-            self.finish_attempt(task, worker, report.state, ledger, now);
+        match self.find_placed(&report.task) {
+            Some((task, placement)) if placement.worker == worker => {
+                self.finish_attempt(task, worker, report.state, ledger, now);
+            }
+            Some(_) => {}
+            None => self.finish_unplaced(worker, report, now),
         }
         let Some(state) = self.workers.get(worker) else { return };
         let name = state.spec.name.clone();
@@ -166,68 +182,10 @@
         });
     }
 
-    /// Returns a task that has not been located since the takeover, and no longer waits for its leases
-    /// to expire.
-    fn find_unlocated(&mut self, id: &TaskId) -> Option<TaskRef> {
-        let &key = self.by_id.get(&id.job)?;
-        match *self.jobs[key].tasks.get(id.index as usize)? {
-            TaskState::Unlocated { until } => {
-                self.unlocated.remove(&(until, (key, id.index)));
-                Some((key, id.index))
-            }
-            _ => None,
-        }
-    }
-
-    /// Ends an attempt, and then either ends its task or queues the task again.
-    fn finish_attempt(
-        &mut self,
-        task: TaskRef,
-        worker: WorkerKey,
-        state: ReportedState,
-        ledger: &mut TeamLedger,
-        now: Instant,
-    ) {
-        let placement = self.unplace(task, ledger);
-        match state {
-            ReportedState::Succeeded => {
-                quarantine::observe_start(&mut self.workers, worker, false, now);
-                self.end_task(task, TaskOutcome::Succeeded);
-            }
-            ReportedState::Failed => self.retry_failed(task, worker, placement, now),
-            ReportedState::Stopped | ReportedState::Running => self.requeue(task),
-        }
-        self.start_reserved(worker, now);
-    }
-
-    /// Retries a failed task after a backoff, or ends the task if its job has failed on too many workers.
-    fn retry_failed(
-        &mut self,
-        task: TaskRef,
-        worker: WorkerKey,
-        placement: Option<TaskPlacement>,
-        now: Instant,
-    ) {
-        let (key, index) = task;
-        let since = placement.map(|placement| placement.since);
-        let early = since.is_none_or(|since| now - since < quarantine::EARLY_FAILURE);
-        let job = &mut self.jobs[key];
-        let first_here = job.failed_on.insert(worker);
-        let job_blamed = job.failed_on.len() >= MAX_FAILED_WORKERS;
-        if early && first_here {
-            quarantine::observe_start(&mut self.workers, worker, true, now);
-        }
-        if job_blamed {
-            self.end_task(task, TaskOutcome::Failed);
-            return;
-        }
-        let until = now + FAILURE_BACKOFF;
-        self.jobs[key].tasks[index as usize] = TaskState::Delayed { until };
-        self.delayed.insert((until, task));
-    }
-
-    /// Queues tasks again that are missing from the inventory although their start was confirmed before
-    /// the heartbeat was sent.
+    /// Queues tasks again that are missing from the inventory although their start was confirmed, or had
+    /// expired, before the heartbeat was sent.
+    ///
+    /// Returns whether a task is missing whose start by the former owner may still be carried out.
     fn requeue_missing(
         &mut self,
         worker: WorkerKey,
@@ -235,62 +193,28 @@
         sent: Instant,
         ledger: &mut TeamLedger,
         now: Instant,
-    ) {
-        let Some(tasks) = self.on_worker.get(&worker) else { return };
+    ) -> bool {
+        let Some(tasks) = self.on_worker.get(&worker) else { return false };
         let missing: Vec<TaskRef> = tasks.difference(running).copied().collect();
+        let mut undecided = false;
         for task in missing {
             let TaskState::Placed(placement) = self.jobs[task.0].tasks[task.1 as usize]
             else {
                 continue;
             };
-            if matches!(placement.phase, TaskPhase::Running(since) if since <= sent) {
+            let TaskPhase::Running(since) = placement.phase else { continue };
+            if since <= sent {
                 self.finish_attempt(task, worker, ReportedState::Stopped, ledger, now);
+            } else {
+                undecided |= placement.start_expires.is_some();
             }
         }
-    }
-
-    /// Handles the confirmation of a start.
-    pub fn start_confirmed(&mut self, id: &TaskId, now: Instant) {
-        let Some(((key, index), placement)) = self.find_placed(id) else { return };
-        if placement.phase != TaskPhase::Starting {
-            return;
-        }
-        if let TaskState::Placed(placement) = &mut self.jobs[key].tasks[index as usize] {
-            placement.phase = TaskPhase::Running(now);
-        }
-    }
-
-    /// Handles a start that the worker refused, or whose command was never sent.
-    pub fn start_refused(&mut self, id: &TaskId, ledger: &mut TeamLedger, now: Instant) {
-        let Some((task, placement)) = self.find_placed(id) else { return };
-        if placement.phase == TaskPhase::Starting {
-            self.finish_attempt(
-                task,
-                placement.worker,
-                ReportedState::Failed,
-                ledger,
-                now,
-            );
-        }
-    }
-
-    /// Handles the loss of the response to a start command.
-    ///
-    /// The attempt may be running, so it is stopped.
-    pub fn start_unknown(&mut self, id: &TaskId, now: Instant) {
-        let Some((task, placement)) = self.find_placed(id) else { return };
-        if placement.phase == TaskPhase::Starting {
-            self.stop_task(task, false, now);
-        }
-    }
-
-    /// Handles a worker's confirmation that an attempt is not running and never will.
-    pub fn stop_confirmed(&mut self, id: &TaskId, ledger: &mut TeamLedger, now: Instant) {
-        let Some((task, placement)) = self.find_placed(id) else { return };
-        self.finish_attempt(task, placement.worker, ReportedState::Stopped, ledger, now);
+        undecided
     }
 
     /// Queues the tasks of workers again that have not responded until all their task leases expired.
+    ///
+    /// A worker that has left the list gets no heartbeats, so it counts as silent.
     pub(super) fn expire_silent_workers(
         &mut self,
         ledger: &mut TeamLedger,
@@ -300,7 +224,7 @@
         let silent: Vec<WorkerKey> = self
             .workers
             .iter()
-            .filter(|(_, state)| !state.reachable && state.tasks > 0)
+            .filter(|(_, state)| !(state.reachable && state.listed) && state.tasks > 0)
             .filter(|(_, state)| {
                 state.lease_sent.is_some_and(|sent| sent + silence_limit <= now)
             })
--- a/crates/geraniumwinch-core/src/job_scheduler/recovery.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/recovery.rs
@@ -44,6 +44,14 @@
         self.unlocated.extend((0..count).map(|index| (until, (key, index))));
     }
 
+    /// Records since when the former owner has sent nothing, if it has not handed over its placements.
+    ///
+    /// A worker gets no tasks until it has responded to a heartbeat that is sent after all starts of the
+    /// former owner have expired, since one may still take its capacity.
+    pub fn set_former_owner_silent(&mut self, since: Instant) {
+        self.former_starts_expire = Some(since + START_EXPIRY + LEASE_MARGIN);
+    }
+
     /// Restores the outcome of a task of a restored job.
     pub fn restore_end(&mut self, id: &JobId, index: u32, end: TaskOutcome) {
         let Some(&key) = self.by_id.get(id) else { return };
@@ -63,6 +71,22 @@
         }
     }
 
+    /// Queues unlocated tasks again once all leases under which they may be running have expired.
+    pub(super) fn requeue_unlocated(&mut self, now: Instant) {
+        let longest = self.task_lease + START_EXPIRY + LEASE_MARGIN;
+        self.unsettled_renewals.retain(|_, sent| *sent + longest > now);
+        if !self.unsettled_renewals.is_empty() {
+            return;
+        }
+        while let Some(&(due, task)) = self.unlocated.first() {
+            if due > now {
+                return;
+            }
+            self.unlocated.pop_first();
+            self.requeue(task);
+        }
+    }
+
     /// Returns the placements of all tasks that may be running, for a planned handover.
     pub fn placements(&self) -> Vec<(TaskId, Name)> {
         let mut placements = Vec::new();
@@ -99,9 +123,15 @@
             let state = self.jobs[key].tasks.get(id.index as usize);
             let Some(&TaskState::Unlocated { until }) = state else { continue };
             self.unlocated.remove(&(until, (key, id.index)));
-            let phase = TaskPhase::Running(now + START_EXPIRY);
-            let placement =
-                TaskPlacement { worker, attempt: id.attempt, since: now, phase };
+            let start_expires = now + START_EXPIRY + LEASE_MARGIN;
+            let phase = TaskPhase::Running(start_expires);
+            let placement = TaskPlacement {
+                worker,
+                attempt: id.attempt,
+                since: now,
+                phase,
+                start_expires: Some(start_expires),
+            };
             self.book_attempt((key, id.index), placement, ledger);
             if let Some(state) = self.workers.get_mut(worker) {
                 state.lease_sent = Some(now);
--- a/crates/geraniumwinch-node/src/dispatcher/dispatch_workers.rs
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatch_workers.rs
@@ -34,8 +34,8 @@
                         self.worker_client.send(WorkerRequest::RereadInventory(worker));
                 }
             }
-            WorkerEvent::Heartbeat { worker, tasks: None, .. } => {
-                self.scheduler.heartbeat_unchanged(&worker);
+            WorkerEvent::Heartbeat { worker, sent, tasks: None } => {
+                self.scheduler.heartbeat_unchanged(&worker, sent, now);
             }
             WorkerEvent::HeartbeatFailed { worker } => {
                 self.scheduler.heartbeat_failed(&worker)
@@ -47,8 +47,8 @@
             WorkerEvent::StartUnknown { task } => {
                 self.scheduler.start_unknown(&task, now)
             }
-            WorkerEvent::Stopped { task } => {
-                self.scheduler.stop_confirmed(&task, &mut self.ledger, now);
+            WorkerEvent::Stopped { task, sent } => {
+                self.scheduler.stop_confirmed(&task, sent, &mut self.ledger, now);
             }
         }
     }
--- a/crates/geraniumwinch-tests/tests/one_owner.rs
+++ b/crates/geraniumwinch-tests/tests/one_owner.rs
@@ -30,6 +30,7 @@
     FrozenWorkers,
     CutWorkers,
     LostStartResponses,
+    BlankStartResponses,
 }
 
 /// Returns an idempotency key whose home domain is the first one.
@@ -103,14 +104,22 @@
             cell.set_rules(json!([])).await;
         }
         OwnerFault::LostStartResponses => {
-            for url in cell.worker_urls() {
-                let faults = json!({ "lose_answers": 5 });
-                TestClient::default().post_json(&format!("{url}/faults"), &faults).await;
-            }
+            inject_worker_faults(cell, json!({ "lose_answers": 5 })).await;
         }
+        OwnerFault::BlankStartResponses => {
+            inject_worker_faults(cell, json!({ "blank_answers": 5 })).await;
+        }
+    }
+}
+
+/// Injects faults into every worker.
+async fn inject_worker_faults(cell: &TestCell, faults: serde_json::Value) {
+    for url in cell.worker_urls() {
+        TestClient::default().post_json(&format!("{url}/faults"), &faults).await;
     }
 }
 
+// The last case guards against a task in two places: a response without a result was taken for a refusal.
 #[test_case(OwnerFault::Kill; "the owner is killed")]
 #[test_case(OwnerFault::FreezePastLease; "the owner is frozen past its lease and resumed")]
 #[test_case(OwnerFault::StoreOutage; "the store is out for longer than every lease")]
@@ -119,6 +128,7 @@
 #[test_case(OwnerFault::FrozenWorkers; "every worker is frozen past the task leases")]
 #[test_case(OwnerFault::CutWorkers; "every worker is cut off past the task leases")]
 #[test_case(OwnerFault::LostStartResponses; "responses to start commands are lost")]
+#[test_case(OwnerFault::BlankStartResponses; "responses to start commands are blank")]
 fn every_task_runs_in_one_place_while(fault: OwnerFault) {
     run_test(async {
         let plan = CellPlan::new(2, 3, 1, 4).proxied().setting(
@@ -235,3 +245,34 @@
         );
     });
 }
+
+// Guards against an owner that sends no heartbeats any more: the answer to a heartbeat with
+// acknowledgements arrived after its worker had left the VM list and returned.
+#[test]
+fn workers_that_leave_the_list_and_return_are_still_sent_heartbeats() {
+    run_test(async {
+        let plan = CellPlan::new(2, 2, 1, 4)
+            .setting("workers", "heartbeat-ms", "50")
+            .setting("workers", "task-lease-ms", "3000")
+            .setting("vm-list", "poll-ms", "50");
+        let cell = TestCell::start(plan).await;
+        submit(&cell, 0, 200, 100).await;
+        inject_worker_faults(&cell, json!({ "slow_ms": 400 })).await;
+        let client = TestClient::default();
+        let url = cell.vm_list_url("/vms");
+        let list = client.get_json(&url).await;
+        for _ in 0..20 {
+            client.post_json(&url, &json!({ "vms": [] })).await;
+            tokio::time::sleep(Duration::from_millis(120)).await;
+            client.post_json(&url, &list).await;
+            tokio::time::sleep(Duration::from_millis(500)).await;
+        }
+        inject_worker_faults(&cell, json!({})).await;
+        let job = submit(&cell, 0, 10, 100).await;
+        let url = format!("{}/v1/jobs/{job}", cell.entry_url(0, 0));
+        wait_until("a job ends", async || {
+            client.send(Method::GET, &url, &[KEY], "").await.field("state") == "ended"
+        })
+        .await;
+    });
+}
