Let 1024 connections wait to be accepted

Callers got domain-unowned from a process that does not own the cell while the owner was busy: of 210 connections opened to the owner at once, some were not open within 0.8 s. The listener used the library's default backlog of 128. The system drops the opening of a connection beyond it, and the client's system retries only after 1 s, later than the connection timeout.

Ruled out for now: kept connections with a queue, 16 or 64 opened at a time.

--- a/crates/geraniumwinch-cell/src/http_listener.rs
+++ b/crates/geraniumwinch-cell/src/http_listener.rs
@@ -28,6 +28,7 @@
 use geraniumwinch_core::log_event;
 use snafu::ResultExt;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 
 use crate::CellError;
 use crate::cell_error::ListenSnafu;
@@ -38,6 +39,9 @@
 const HEADER_TIMEOUT: Duration = Duration::from_secs(3);
 /// The delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// The maximum number of connections that wait to be accepted. The client's system retries a
+/// connection beyond it only after 1 s.
+const LISTEN_BACKLOG: u32 = 1024;
 
 /// A completely received request.
 #[derive(Debug)]
@@ -113,8 +117,7 @@
     /// Fails if the address can't be listened on.
     pub async fn start(self) -> Result<(), CellError> {
         let address = self.address;
-        let listener =
-            TcpListener::bind(address).await.context(ListenSnafu { address })?;
+        let listener = listen(address).context(ListenSnafu { address })?;
         actix_rt::spawn(self.serve(listener));
         Ok(())
     }
@@ -155,6 +158,15 @@
     }
 }
 
+/// Binds an address and listens on it.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket =
+        if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(LISTEN_BACKLOG)
+}
+
 /// Reads a request and returns the handler's response.
 async fn exchange(
     mut request: Request,
--- a/crates/geraniumwinch-tests/src/fleet_cell.rs
+++ b/crates/geraniumwinch-tests/src/fleet_cell.rs
@@ -343,6 +343,18 @@
         }
     }
 
+    /// Freezes a process for some time.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process is not running.
+    pub async fn pause(&self, index: usize, time: Duration) {
+        let process = self.processes[index].as_ref().expect("the process is running");
+        process.freeze();
+        tokio::time::sleep(time).await;
+        process.resume();
+    }
+
     /// Returns a running process.
     pub fn process(&mut self, index: usize) -> &mut CellProcess {
         self.processes[index].as_mut().expect("a running process")
--- a/crates/geraniumwinch-tests/tests/platform_end_to_end.rs
+++ b/crates/geraniumwinch-tests/tests/platform_end_to_end.rs
@@ -219,6 +219,24 @@
     });
 }
 
+/// Guards against refusals while the owner is busy: a peer opened a connection for each of 210 jobs at
+/// once, and those beyond the backlog of 128 were not open in time.
+#[test]
+fn a_paused_owner_takes_many_jobs_at_once() {
+    run_test(async {
+        let cell = FleetCell::start(2, 16).await;
+        let owner = cell.await_owner().await;
+        let ids: Vec<String> = (0..300).map(id).collect();
+        let pause = cell.pause(owner, Duration::from_millis(500));
+        let tries = ids.iter().map(|id| cell.submit(1 - owner, id, "1 done", 1));
+        let tries = futures_util::future::join_all(tries);
+        let ((), statuses) = futures_util::future::join(pause, tries).await;
+        let refused = statuses.iter().filter(|&&status| status != 200).count();
+        assert_eq!(refused, 0, "{statuses:?}");
+        cell.check_runs().await;
+    });
+}
+
 /// A new configuration version reaches each process.
 #[test]
 fn a_new_configuration_is_in_force_at_each_process() {
