Check tickets in the stand-in of the users' platform

What the tests could not see: the stand-in granted one constant word as the ticket of every step and looked at none, so a start with an expired ticket, with one of a former incarnation, or without any was executed.

A ticket now names the worker, its incarnation, the step and its expiry, 2 s after the response. A start with another ticket gets 409 with reason ticket and extends no lease; a run that is already there still gets 200. The stand-in knows a task by its name and specification alone, so a start without a ticket is executed only if the specification ends with the name of the queue without permission.

The account of a run names the incarnation that ran it and when its command arrived, for tracing.

--- a/crates/geraniumwinch-standins/src/fleet.rs
+++ b/crates/geraniumwinch-standins/src/fleet.rs
@@ -20,6 +20,7 @@
 use crate::stand_in::lock;
 
 use self::job_worker::JobWorker;
+use self::job_worker::TICKET_VALIDITY_MS;
 use self::kv_store::KvStore;
 
 /// The first port is a multiple of this, so that a worker's index follows from its port.
@@ -80,7 +81,7 @@
             options.cores,
             options.memory_gb,
         );
-        Mutex::new(JobWorker::new(clock_rate(address.port())))
+        Mutex::new(JobWorker::new(id.clone(), clock_rate(address.port())))
     });
     let workers: SharedWorkers = web::Data::new(workers.collect());
     let mut server = HttpServer::new(move || {
@@ -112,11 +113,18 @@
 }
 
 /// Grants permission for every worker of the request.
-async fn advise(body: web::Json<Value>) -> HttpResponse {
-    let workers = body["workers"].as_array().cloned().unwrap_or_default();
-    let allowed: Vec<Value> =
-        workers.into_iter().map(|worker| json!([worker, "ticket"])).collect();
-    HttpResponse::Ok().json(json!({ "allowed": allowed, "validity_ms": 2000 }))
+async fn advise(workers: SharedWorkers, body: web::Json<Value>) -> HttpResponse {
+    let step = body["step"].as_str().unwrap_or_default();
+    let requested = body["workers"].as_array().cloned().unwrap_or_default();
+    let mut allowed = Vec::new();
+    for worker in workers.iter() {
+        let worker = lock(worker);
+        if requested.iter().any(|id| id == worker.id()) {
+            allowed.push(json!([worker.id(), worker.create_ticket(step)]));
+        }
+    }
+    HttpResponse::Ok()
+        .json(json!({ "allowed": allowed, "validity_ms": TICKET_VALIDITY_MS }))
 }
 
 /// Replaces the injected faults.
--- a/crates/geraniumwinch-standins/src/fleet/job_worker.rs
+++ b/crates/geraniumwinch-standins/src/fleet/job_worker.rs
@@ -26,12 +26,20 @@
 const MAX_LEASE_MS: u64 = 6000;
 /// How long a response is withheld that should not arrive in time.
 const WITHHELD_RESPONSE: Duration = Duration::from_secs(2);
+/// How long a ticket is valid.
+pub const TICKET_VALIDITY_MS: u64 = 2000;
+/// The last word of the specification of a task whose queue requires no permission.
+const UNRESTRICTED: &str = "unrestricted";
 
 /// A run of a task.
 #[derive(Debug, Clone)]
 struct JobRun {
     task: String,
     run: u64,
+    /// The number of restarts before the worker's incarnation that ran it.
+    incarnation: u64,
+    /// When the start command arrived.
+    received_ms: u64,
     started_ms: u64,
     /// The time at which the run ends unless it is stopped.
     ends_at: Instant,
@@ -46,6 +54,7 @@
 /// A worker of the platform.
 #[derive(Debug)]
 pub struct JobWorker {
+    id: String,
     started_unix_ms: u64,
     clock_start: Instant,
     /// The rate of the worker's clock.
@@ -73,18 +82,21 @@
 struct WireCommand {
     task: String,
     run: u64,
-    /// `MILLISECONDS OUTCOME`: the run time of the task, and its outcome `done` or `failed`.
+    /// `MILLISECONDS OUTCOME`: the run time of the task, and its outcome `done` or `failed`; the word
+    /// [`UNRESTRICTED`] follows if the queue requires no permission.
     spec: String,
     deadline_ms: u64,
     fencing_token: u64,
+    ticket: Option<String>,
     last_seen: u64,
     wait_ms: u64,
 }
 
 impl JobWorker {
     /// Creates an idle worker.
-    pub(super) fn new(clock_rate: f64) -> Self {
+    pub(super) fn new(id: String, clock_rate: f64) -> Self {
         JobWorker {
+            id,
             started_unix_ms: unix_millis(),
             clock_start: Instant::now(),
             clock_rate,
@@ -109,8 +121,9 @@
             self.runs[index].end_lost = true;
         }
         let runs = std::mem::take(&mut self.runs);
+        let id = std::mem::take(&mut self.id);
         let incarnation = self.incarnation + 1;
-        *self = JobWorker { runs, incarnation, ..JobWorker::new(self.clock_rate) };
+        *self = JobWorker { runs, incarnation, ..JobWorker::new(id, self.clock_rate) };
     }
 
     /// Returns the time of the worker's clock, which begins at 1.
@@ -144,39 +157,90 @@
         self.unacknowledged.push((self.last_end_number, index));
     }
 
+    /// Returns the worker's id.
+    pub(super) fn id(&self) -> &str {
+        &self.id
+    }
+
+    /// Creates a ticket for the tasks of a step.
+    pub(super) fn create_ticket(&self, step: &str) -> String {
+        let expiry_ms = unix_millis() + TICKET_VALIDITY_MS;
+        format!("{}/{}/{step}/{expiry_ms}", self.id, self.incarnation)
+    }
+
+    /// Checks that a start command is permitted: it needs a ticket for its step and this incarnation
+    /// that has not expired, unless the queue requires no permission.
+    fn check_ticket(&self, command: &WireCommand) -> Result<(), &'static str> {
+        let Some(ticket) = &command.ticket else {
+            let unrestricted = command.spec.ends_with(UNRESTRICTED);
+            return if unrestricted { Ok(()) } else { Err("ticket") };
+        };
+        let step = command.task.rsplit_once('.').map_or("", |(step, _)| step);
+        let prefix = format!("{}/{}/{step}/", self.id, self.incarnation);
+        let expiry = ticket.strip_prefix(&prefix).and_then(|text| text.parse().ok());
+        if expiry.is_some_and(|expiry_ms| unix_millis() < expiry_ms) {
+            Ok(())
+        } else {
+            Err("ticket")
+        }
+    }
+
     /// Checks the fencing token of a command and extends the lease.
     fn accept_command(&mut self, command: &WireCommand) -> Result<(), &'static str> {
+        self.check_token(command)?;
+        self.extend_lease(command);
+        Ok(())
+    }
+
+    /// Checks and keeps the fencing token of a command.
+    fn check_token(&mut self, command: &WireCommand) -> Result<(), &'static str> {
         self.end_due_runs();
         if command.fencing_token < self.fencing_token {
             return Err("fence");
         }
         self.fencing_token = command.fencing_token;
+        Ok(())
+    }
+
+    /// Extends the lease to the end that a command states.
+    fn extend_lease(&mut self, command: &WireCommand) {
         let latest_expiry_ms = self.clock_ms() + MAX_LEASE_MS;
         self.lease_expires_ms =
             self.lease_expires_ms.max(command.deadline_ms.min(latest_expiry_ms));
-        Ok(())
     }
 
-    /// Starts a run, unless it already runs or is too late.
-    fn start(&mut self, command: WireCommand) -> Result<(), &'static str> {
+    /// Starts a run, unless it already runs, is too late or is not permitted.
+    fn start(
+        &mut self,
+        command: WireCommand,
+        received_ms: u64,
+    ) -> Result<(), &'static str> {
         if command.deadline_ms <= self.clock_ms() {
             return Err("late");
         }
-        self.accept_command(&command)?;
-        let same_run = |run: &&JobRun| run.task == command.task && run.run == command.run;
-        if self.runs.iter().find(same_run).is_some_and(|run| run.ended.is_none()) {
+        self.check_token(&command)?;
+        let running = |run: &JobRun| {
+            run.task == command.task && run.run == command.run && run.ended.is_none()
+        };
+        if self.runs.iter().any(running) {
+            self.extend_lease(&command);
             return Ok(());
         }
         if self.closed.get(&command.task).is_some_and(|&closed| command.run <= closed) {
+            self.extend_lease(&command);
             return Err("old");
         }
+        self.check_ticket(&command)?;
+        self.extend_lease(&command);
         let (millis, outcome) =
             command.spec.split_once(' ').unwrap_or((&command.spec, "done"));
-        let outcome = if outcome == "failed" { "failed" } else { "done" };
+        let outcome = if outcome.starts_with("failed") { "failed" } else { "done" };
         let run_time = Duration::from_millis(millis.parse().unwrap_or(100));
         self.runs.push(JobRun {
             task: command.task,
             run: command.run,
+            incarnation: self.incarnation,
+            received_ms,
             started_ms: unix_millis(),
             ends_at: Instant::now() + run_time,
             outcome,
@@ -224,6 +288,7 @@
             json!({
                 "worker": worker, "task": run.task, "run": run.run, "started_ms": run.started_ms,
                 "ended_ms": ended_ms, "how": outcome, "forgotten": run.end_lost,
+                "incarnation": run.incarnation, "received_ms": run.received_ms,
             })
         };
         self.runs.iter().map(run_json).collect()
@@ -296,6 +361,7 @@
 ) -> HttpResponse {
     let worker = worker_index(&request);
     let command = command.into_inner();
+    let received_ms = unix_millis();
     let started = actix_rt::spawn(async move {
         if !delay_start(&store, &workers[worker]).await {
             return HttpResponse::ServiceUnavailable().finish();
@@ -305,7 +371,7 @@
         let response = {
             let mut worker = lock(&workers[worker]);
             let result = match refusal {
-                None => worker.start(command),
+                None => worker.start(command, received_ms),
                 Some(CommandRefusal::Ticket) => Err("ticket"),
                 Some(CommandRefusal::Unhealthy) => {
                     return HttpResponse::ServiceUnavailable().finish();
