Let the soak lose, refuse and hold back start commands

It never had a start executed without a response and its retry refused, no start reached the next incarnation of a worker, and each queue required permission.

The published configuration has a queue without permission now, which takes every third job. A second plan of faults draws, half of the time, start commands without a response, a worker that refuses commands as unhealthy or for their tickets, commands held back for up to 12 s, and workers that restart twice within seconds; the other half comes from the former plan, and the faults overlap as they do. The seeds that failed before keep their plan, their draw and their load. The long run uses the new plan, from seed 300.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	done
 
 # The same on the users' platform, four seeds at a time; SEEDS names them.
-SEEDS ?= $$(seq 100 149)
+SEEDS ?= $$(seq 300 349)
 platform-soak: build
 	echo $(SEEDS) | tr ' ' '\n' | xargs -P 4 -I{} sh -c \
 		'SOAK_SEED={} cargo nextest run -p geraniumwinch-tests --test platform_soak \
--- a/crates/geraniumwinch-tests/src/fault_injector.rs
+++ b/crates/geraniumwinch-tests/src/fault_injector.rs
@@ -16,9 +16,24 @@
     ["cut", "freeze", "freeze-requests", "freeze-answers", "drop-answers", "delay"];
 /// The delay in mode `delay`, in milliseconds.
 const DELAY_MS: u64 = 150;
+/// The maximum delay of a command, in milliseconds.
+const MAX_COMMAND_DELAY_MS: u64 = 12_000;
 /// The maximum number of faults that are active at a time.
 const MAX_ACTIVE: usize = 4;
 
+/// The ways in which a worker refuses commands.
+const REFUSALS: [&str; 2] = ["unhealthy", "ticket"];
+
+/// From which faults an injector draws.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FaultPlan {
+    /// The faults of processes, the store, links and workers.
+    General,
+    /// The same, and as often faults of commands to workers: start commands without a response,
+    /// refused commands, and long delays across restarts.
+    Commands,
+}
+
 /// A fault to inject.
 #[derive(Debug, Clone, PartialEq)]
 enum FleetFault {
@@ -38,6 +53,8 @@
     StandIn(&'static str, Value),
     /// A worker restarts with a new incarnation.
     RestartWorker(u16),
+    /// A worker restarts, and again when the fault is cleared.
+    RestartWorkerTwice(u16),
     /// The store compacts its history.
     CompactStore,
     /// A new configuration version is published.
@@ -47,6 +64,7 @@
 /// Draws faults from a random number generator, injects them and clears them.
 pub struct FaultInjector {
     rng: SmallRng,
+    plan: FaultPlan,
     processes: usize,
     workers: u16,
     active: Vec<(FleetFault, Instant)>,
@@ -56,8 +74,8 @@
 
 impl FaultInjector {
     /// Creates an injector for a cell whose published configuration has version 1.
-    pub fn new(rng: SmallRng, processes: usize, workers: u16) -> Self {
-        FaultInjector { rng, processes, workers, active: Vec::new(), version: 1 }
+    pub fn new(rng: SmallRng, plan: FaultPlan, processes: usize, workers: u16) -> Self {
+        FaultInjector { rng, plan, processes, workers, active: Vec::new(), version: 1 }
     }
 
     /// Returns the last published configuration version.
@@ -88,6 +106,32 @@
     }
 
     fn draw_fault(&mut self) -> FleetFault {
+        if self.plan == FaultPlan::Commands && self.rng.random_bool(0.5) {
+            self.draw_command_fault()
+        } else {
+            self.draw_general_fault()
+        }
+    }
+
+    fn draw_command_fault(&mut self) -> FleetFault {
+        let rng = &mut self.rng;
+        let worker = rng.random_range(0..self.workers);
+        match rng.random_range(0..8) {
+            0..=1 => FleetFault::StandIn("starts_unanswered", json!(true)),
+            2..=3 => {
+                let refusal = REFUSALS.choose(rng).copied().unwrap_or(REFUSALS[0]);
+                FleetFault::StandIn("refusing_worker", json!([worker, refusal]))
+            }
+            4..=5 => {
+                let late_ms = rng.random_range(700..MAX_COMMAND_DELAY_MS);
+                FleetFault::StandIn("orders_late_ms", json!(late_ms))
+            }
+            6 => FleetFault::RestartWorker(worker),
+            _ => FleetFault::RestartWorkerTwice(worker),
+        }
+    }
+
+    fn draw_general_fault(&mut self) -> FleetFault {
         let rng = &mut self.rng;
         let process = rng.random_range(0..self.processes);
         let worker = rng.random_range(0..self.workers);
@@ -126,6 +170,7 @@
             FleetFault::Freeze(index) => cell.process(*index).freeze(),
             FleetFault::Terminate(index) => cell.process(*index).terminate(),
             FleetFault::RestartWorker(index) => return cell.restart_worker(*index).await,
+            FleetFault::RestartWorkerTwice(index) => cell.restart_worker(*index).await,
             FleetFault::CompactStore => return cell.compact_store().await,
             FleetFault::PublishConfiguration => {
                 self.version += 1;
@@ -155,6 +200,7 @@
                     cell.kill(index);
                     cell.start_process(index);
                 }
+                FleetFault::RestartWorkerTwice(index) => cell.restart_worker(index).await,
                 _ => {}
             }
         }
--- a/crates/geraniumwinch-tests/src/fleet_cell.rs
+++ b/crates/geraniumwinch-tests/src/fleet_cell.rs
@@ -23,6 +23,8 @@
 pub const FLEET_KEY: &str = "Token key-a";
 /// A second API key of the client account, which configurations with even versions lack.
 pub const ROTATED_KEY: &str = "Token key-b";
+/// The name of the queue that requires no permission; the specification of its tasks ends with it.
+pub const UNRESTRICTED_QUEUE: &str = "unrestricted";
 /// The port of the proxy's control interface.
 const PROXY_PORT: u16 = 3000;
 /// The offset from a worker's port to the proxy port in front of it.
@@ -210,10 +212,11 @@
         .await;
     }
 
-    /// Publishes a configuration with the queues `/jobs/` and `/open/`; even versions lack
-    /// [`ROTATED_KEY`].
+    /// Publishes a configuration with the queues `/jobs/`, `/open/` and `/unrestricted/`, which alone
+    /// requires no permission; even versions lack [`ROTATED_KEY`].
     pub async fn publish(&self, version: u64) {
-        let route = |name: &str, prefix: &str, public: bool| {
+        let route = |name: &str, public: bool| {
+            let prefix = format!("/{name}/");
             json!({
                 "name": name, "hostname": HOST, "prefix": prefix, "kind": "unsafe",
                 "target_duration_ms": 1000, "priority": 1, "service": "service",
@@ -221,11 +224,13 @@
                 "advice": { "decide_ms": 1.0, "per_item_ms": 0.1, "validity_ms": 2000 },
             })
         };
+        let mut unrestricted = route(UNRESTRICTED_QUEUE, false);
+        unrestricted["advice"] = Value::Null;
         let keys: &[&str] =
             if version.is_multiple_of(2) { &["key-a"] } else { &["key-a", "key-b"] };
         let configuration = json!({
             "version": version,
-            "routes": [route("jobs", "/jobs/", false), route("open", "/open/", true)],
+            "routes": [route("jobs", false), route("open", true), unrestricted],
             "services": [{ "name": "service" }],
             "limits": {
                 "max_header_bytes": 16384, "max_body_bytes": 262_144,
@@ -282,16 +287,21 @@
         jobs: u64,
         interval: Duration,
         task_millis: u64,
+        unrestricted: bool,
     ) -> FleetLoad {
         let url = |index| format!("http://{}", self.addresses.entry(0, index, PORTS[0]));
         let urls = (0..self.processes.len()).map(url).collect();
-        FleetLoad { seed, jobs, interval, task_millis, urls, host: HOST }
+        FleetLoad { seed, jobs, interval, task_millis, unrestricted, urls, host: HOST }
     }
 
-    /// Returns the state of a job, or `None` if the process does not report it.
+    /// Returns the state of a job in the queue `/jobs/`, or `None` if the process does not report it.
     pub async fn state(&self, index: usize, id: &str) -> Option<String> {
-        let path = format!("/jobs/{id}");
-        let response = self.call(index, Method::GET, &path, Some(FLEET_KEY), "").await;
+        self.state_at(index, &format!("/jobs/{id}")).await
+    }
+
+    /// Returns the state of the job at a path, or `None` if the process does not report it.
+    pub async fn state_at(&self, index: usize, path: &str) -> Option<String> {
+        let response = self.call(index, Method::GET, path, Some(FLEET_KEY), "").await;
         (response.status == 200).then(|| response.field("state"))
     }
 
--- a/crates/geraniumwinch-tests/src/fleet_load.rs
+++ b/crates/geraniumwinch-tests/src/fleet_load.rs
@@ -11,6 +11,7 @@
 use crate::FLEET_KEY;
 use crate::ROTATED_KEY;
 use crate::TestClient;
+use crate::UNRESTRICTED_QUEUE;
 
 /// The maximum number of attempts to submit or cancel a job.
 const MAX_ATTEMPTS: usize = 8;
@@ -22,6 +23,8 @@
 pub struct SubmissionOutcome {
     /// The identifier of the job.
     pub id: String,
+    /// The name of the job's queue.
+    pub queue: &'static str,
     /// The HTTP status of each attempt to submit the job; 0 means no response.
     pub statuses: Vec<u16>,
     /// Whether a cancellation was acknowledged.
@@ -29,6 +32,11 @@
 }
 
 impl SubmissionOutcome {
+    /// Returns the path of the job.
+    pub fn path(&self) -> String {
+        format!("/{}/{}", self.queue, self.id)
+    }
+
     /// Returns whether the job was accepted.
     pub fn accepted(&self) -> bool {
         self.statuses.contains(&200)
@@ -51,6 +59,8 @@
     pub interval: Duration,
     /// The CPU demand of each task in thousandths of a core.
     pub task_millis: u64,
+    /// Whether every third job goes to the queue that requires no permission.
+    pub unrestricted: bool,
     /// The base URLs of the processes.
     pub urls: Vec<String>,
     /// The host name of the queues.
@@ -69,13 +79,16 @@
         tokio::time::sleep(self.interval * number as u32).await;
         let mut rng = SmallRng::seed_from_u64(self.seed << 20 | number);
         let id = format!("{:08x}{number:08x}", self.seed);
-        let body = self.body(&mut rng);
+        let unrestricted = self.unrestricted && number % 3 == 1;
+        let queue = if unrestricted { UNRESTRICTED_QUEUE } else { "jobs" };
+        let body = self.body(unrestricted, &mut rng);
         let key = if number.is_multiple_of(5) { ROTATED_KEY } else { FLEET_KEY };
         let mut outcome =
-            SubmissionOutcome { id, statuses: Vec::new(), cancelled: false };
+            SubmissionOutcome { id, queue, statuses: Vec::new(), cancelled: false };
+        let path = outcome.path();
         for _ in 0..MAX_ATTEMPTS {
             let status =
-                self.send(client, Method::POST, &outcome.id, key, &body, &mut rng).await;
+                self.send(client, Method::POST, &path, key, &body, &mut rng).await;
             outcome.statuses.push(status);
             if matches!(status, 200 | 401) {
                 break;
@@ -83,16 +96,17 @@
             tokio::time::sleep(RETRY_DELAY).await;
         }
         if outcome.accepted() && number % 8 == 3 {
-            outcome.cancelled = self.cancel(client, &outcome.id, &mut rng).await;
+            outcome.cancelled = self.cancel(client, &path, &mut rng).await;
         }
         outcome
     }
 
     /// Cancels a job, with retries until it is acknowledged.
-    async fn cancel(&self, client: &TestClient, id: &str, rng: &mut SmallRng) -> bool {
+    async fn cancel(&self, client: &TestClient, path: &str, rng: &mut SmallRng) -> bool {
         for _ in 0..MAX_ATTEMPTS {
             tokio::time::sleep(RETRY_DELAY).await;
-            let status = self.send(client, Method::DELETE, id, FLEET_KEY, "", rng).await;
+            let status =
+                self.send(client, Method::DELETE, path, FLEET_KEY, "", rng).await;
             if status == 200 {
                 return true;
             }
@@ -105,13 +119,12 @@
         &self,
         client: &TestClient,
         method: Method,
-        id: &str,
+        path: &str,
         key: &str,
         body: &str,
         rng: &mut SmallRng,
     ) -> u16 {
-        let url =
-            format!("{}/jobs/{id}", self.urls[rng.random_range(0..self.urls.len())]);
+        let url = format!("{}{path}", self.urls[rng.random_range(0..self.urls.len())]);
         let headers = [
             ("Host", self.host),
             ("Geraniumwinch-Deadline-Ms", "3000"),
@@ -121,7 +134,7 @@
     }
 
     /// Creates the body of a job with one or two steps, some of which are gangs.
-    fn body(&self, rng: &mut SmallRng) -> String {
+    fn body(&self, unrestricted: bool, rng: &mut SmallRng) -> String {
         let steps: Vec<String> = (0..rng.random_range(1..3))
             .map(|step| {
                 let count = rng.random_range(1..5);
@@ -135,6 +148,8 @@
             })
             .collect();
         let millis = rng.random_range(20..700);
-        format!(r#"{{"spec":"{millis} done","steps":[{}]}}"#, steps.join(","))
+        let suffix =
+            if unrestricted { format!(" {UNRESTRICTED_QUEUE}") } else { String::new() };
+        format!(r#"{{"spec":"{millis} done{suffix}","steps":[{}]}}"#, steps.join(","))
     }
 }
--- a/crates/geraniumwinch-tests/tests/platform_soak.rs
+++ b/crates/geraniumwinch-tests/tests/platform_soak.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use geraniumwinch_tests::FaultInjector;
+use geraniumwinch_tests::FaultPlan;
 use geraniumwinch_tests::FleetCell;
 use geraniumwinch_tests::ROTATED_KEY;
 use geraniumwinch_tests::SubmissionOutcome;
@@ -44,24 +45,32 @@
 #[test_case(214; "seed 214, where the owner had no configuration after a stop")]
 #[test_case(240; "seed 240, where the owner had no configuration after kills")]
 fn no_job_is_lost_or_run_twice_under(seed: u64) {
-    run_seed(seed);
+    run_seed(seed, FaultPlan::General);
+}
+
+#[test_case(300; "seed 300")]
+#[test_case(301; "seed 301")]
+fn no_job_is_lost_or_run_twice_when_commands_fail_under(seed: u64) {
+    run_seed(seed, FaultPlan::Commands);
 }
 
 #[test]
 #[ignore = "a longer run for `make platform-soak`, which names the seed"]
 fn soak() {
     let seed = std::env::var("SOAK_SEED").ok().and_then(|text| text.parse().ok());
-    run_seed(seed.expect("SOAK_SEED holds a number"));
+    run_seed(seed.expect("SOAK_SEED holds a number"), FaultPlan::Commands);
 }
 
 /// Submits jobs while the faults of a seed are injected, and checks the results.
-fn run_seed(seed: u64) {
+fn run_seed(seed: u64, plan: FaultPlan) {
     run_test(async {
         let mut cell = FleetCell::start_proxied(PROCESSES, WORKERS, LIMIT_MILLIS).await;
-        let load = cell.load(seed, JOBS, FAULT_PERIOD / JOBS as u32, TASK_MILLIS);
+        let interval = FAULT_PERIOD / JOBS as u32;
+        let unrestricted = plan == FaultPlan::Commands;
+        let load = cell.load(seed, JOBS, interval, TASK_MILLIS, unrestricted);
         let load = actix_rt::spawn(async move { load.run().await });
         let rng = SmallRng::seed_from_u64(seed);
-        let mut injector = FaultInjector::new(rng, PROCESSES, WORKERS);
+        let mut injector = FaultInjector::new(rng, plan, PROCESSES, WORKERS);
         injector.inject_for(&mut cell, FAULT_PERIOD).await;
         injector.clear_all(&mut cell).await;
         println!("logs in {}", cell.log_dir().display());
@@ -86,7 +95,7 @@
             if outcome.cancelled { &["cancelled", "completed"] } else { &["completed"] };
         let cancel_sent = number % 8 == 3;
         wait_until(&format!("a final state of {outcome:?}"), async || {
-            let state = cell.state(number % PROCESSES, &outcome.id).await;
+            let state = cell.state_at(number % PROCESSES, &outcome.path()).await;
             let state = state.unwrap_or_default();
             final_states.contains(&state.as_str())
                 || (cancel_sent && state == "cancelled")
