Do not retry the start of a released run, and exclude it in later incarnations

What callers would see: a task running again after it was done, on queues without permission. A start was executed, but its response was lost. The worker reported the end of the run before the command had timed out; the retry was sent all the same, up to a second later, and a worker that had restarted meanwhile executed it.

Cause: the sender retried without asking whether the run was still placed, and the scheduler dropped the record of a copy without a response if the run had been released by then, so no stop excluded the copy in the next incarnation.

Fix: a start command is retried only while its run is placed and not being stopped. A copy that times out after the release is excluded as those before it: the worker is told to stop the run, at once and in its next incarnation.

The new test failed without the exclusion. Not covered: a retry that waits for one of the worker's command slots while the run's end is reported.

--- a/crates/geraniumwinch-cell/src/command_sender.rs
+++ b/crates/geraniumwinch-cell/src/command_sender.rs
@@ -92,7 +92,8 @@
         });
     }
 
-    /// Starts a task. A command without a response is retried once.
+    /// Starts a task. A command without a response is retried once, unless its run has been released
+    /// or is being stopped.
     async fn try_start(&self, start: RunStart) -> StartOutcome {
         let worker = start.worker;
         let mut retried = false;
@@ -126,14 +127,23 @@
                         return StartOutcome::Unknown;
                     }
                     retried = true;
-                    cell_metrics::count_retry("start");
                     tokio::time::sleep(START_RETRY_DELAY).await;
+                    if !self.wants_start(&start) {
+                        return StartOutcome::Unknown;
+                    }
+                    cell_metrics::count_retry("start");
                 }
                 Err(error) => return self.handle_refusal(worker, &error),
             }
         }
     }
 
+    /// Returns whether the run of a start command is still to be started.
+    fn wants_start(&self, start: &RunStart) -> bool {
+        let scheduler = self.scheduler.borrow();
+        scheduler.wants_start(start.worker, &start.task, start.run)
+    }
+
     /// Records that a copy of a start command got no response.
     fn record_unanswered(&self, start: &RunStart) {
         let now = self.ports.clock.now();
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/command_responses.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/command_responses.rs
@@ -13,7 +13,7 @@
     /// Records that a copy of a start command got no response.
     ///
     /// The worker may have executed it, or may still execute it, so no refusal of another copy
-    /// releases the run.
+    /// releases the run. If the run has been released meanwhile, the worker is told to stop it.
     pub fn start_unanswered(
         &mut self,
         worker: WorkerKey,
@@ -21,12 +21,23 @@
         run: u64,
         now: BootTime,
     ) {
-        let Some(task) = self.find_run(worker, name, run) else { return };
+        let Some(task) = self.find_run(worker, name, run) else {
+            self.exclude_released_start(worker, name, run, now);
+            return;
+        };
         if let Some(placement) = self.placement_of_mut(task) {
             placement.unanswered_at = Some(now);
         }
     }
 
+    /// Returns whether the start command of a run is still wanted: the run has neither been released
+    /// nor is it being stopped.
+    pub fn wants_start(&self, worker: WorkerKey, name: &TaskName, run: u64) -> bool {
+        let placement =
+            self.find_run(worker, name, run).and_then(|task| self.placement_of(task));
+        placement.is_some_and(|p| !matches!(p.phase, RunPhase::Stopping(_)))
+    }
+
     /// Handles the outcome of a command to start a task: the response to its last copy.
     pub fn start_outcome(
         &mut self,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/delayed_starts.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/delayed_starts.rs
@@ -36,7 +36,7 @@
         task: TaskRef,
         placement: &TaskPlacement,
     ) -> Option<BootTime> {
-        let ticketed = self.jobs[task.job].record.rules.permission.is_some();
+        let ticketed = self.is_ticketed(task);
         let unanswered_at = placement.unanswered_at.filter(|_| !ticketed)?;
         Some(unanswered_at + MAX_COMMAND_DELAY)
     }
@@ -70,6 +70,29 @@
         }
     }
 
+    /// Excludes a start command without a response whose run was released before the response was
+    /// due: another incarnation of the worker may execute it, and may already be there.
+    pub(super) fn exclude_released_start(
+        &mut self,
+        worker: WorkerKey,
+        name: &TaskName,
+        run: u64,
+        now: BootTime,
+    ) {
+        let ticketed = self.find_task(name).is_some_and(|task| self.is_ticketed(task));
+        let Some(state) = self.workers.get_mut(worker).filter(|_| !ticketed) else {
+            return;
+        };
+        let (task, until) = (name.clone(), now + MAX_COMMAND_DELAY);
+        state.delayed_starts.push(DelayedStart { task: task.clone(), run, until });
+        self.stops.push(RunStop { worker, task, run });
+    }
+
+    /// Returns whether the start commands of a task carry a ticket.
+    fn is_ticketed(&self, task: TaskRef) -> bool {
+        self.jobs[task.job].record.rules.permission.is_some()
+    }
+
     /// Forgets the start commands that can no longer be executed.
     pub(super) fn forget_delayed_starts(&mut self, worker: WorkerKey, now: BootTime) {
         self.workers[worker].delayed_starts.retain(|start| now < start.until);
--- a/crates/geraniumwinch-fleet/tests/delayed_starts.rs
+++ b/crates/geraniumwinch-fleet/tests/delayed_starts.rs
@@ -7,6 +7,7 @@
 use geraniumwinch_core::Name;
 use geraniumwinch_fleet::PermissionCost;
 use geraniumwinch_fleet::PermissionGrant;
+use geraniumwinch_fleet::RunOutcome;
 use geraniumwinch_fleet::RunStart;
 use geraniumwinch_fleet::RunningRun;
 use geraniumwinch_fleet::StartOutcome;
@@ -16,6 +17,7 @@
 use self::common::LONG_REQUESTS;
 use self::common::TestCell;
 use self::common::UNIX_TIME;
+use self::common::ended;
 use self::common::record;
 use self::common::rules;
 use self::common::running;
@@ -134,6 +136,21 @@
         assert_eq!((stops[0].worker, stops[0].run), (start.worker, start.run));
     }
 
+    /// Guards against running a task again after it was done: its end was reported before the start
+    /// command had timed out, and its worker restarted (platform soak, seeds 306 and 309).
+    a_start_that_times_out_after_the_end_of_its_run_is_excluded(cell) {
+        cell.add_workers(&["w", "v"]);
+        cell.accept("job", record(rules(1), vec![step(1, 4_000)]));
+        let start = cell.place().remove(0);
+        let done = ended(1, start.task.clone(), start.run, RunOutcome::Done);
+        cell.report(start.worker, Vec::new(), vec![done]);
+        assert!(!cell.scheduler.wants_start(start.worker, &start.task, start.run));
+        cell.scheduler.start_unanswered(start.worker, &start.task, start.run, cell.now);
+        assert_eq!(cell.scheduler.take_stops().len(), 1, "it may have restarted already");
+        restart(&mut cell, &start, Vec::new());
+        assert_eq!(cell.scheduler.take_stops().len(), 1);
+    }
+
     a_start_with_a_ticket_is_not_executed_by_the_next_incarnation(cell) {
         let workers = cell.add_workers(&["w", "v"]);
         let mut permitted = rules(1);
