--- a/crates/geraniumwinch-cell/src/command_sender.rs
+++ b/crates/geraniumwinch-cell/src/command_sender.rs
@@ -134,7 +134,17 @@
                     }
                     cell_metrics::count_retry("start");
                 }
-                Err(error) => return self.handle_refusal(worker, &error),
+                Err(error) => {
+                    log_event!(
+                        Warn,
+                        "start-refused",
+                        task = start.task,
+                        run = start.run,
+                        copy = if retried { 2 } else { 1 },
+                        outcome = error.as_str()
+                    );
+                    return self.handle_refusal(worker, &error);
+                }
             }
         }
     }
