--- a/crates/geraniumwinch-cell/src/command_sender.rs
+++ b/crates/geraniumwinch-cell/src/command_sender.rs
@@ -96,33 +96,13 @@
     /// Starts a task. A command without a response is retried once, unless its run has been released
     /// or is being stopped.
     async fn try_start(&self, start: RunStart) -> StartOutcome {
-        let worker = start.worker;
         let mut retried = false;
         loop {
             let result = self.send_start(start.clone()).await;
-            let outcome =
-                result.as_ref().map_or_else(CommandError::as_str, |()| "started");
-            cell_metrics::count_start(outcome);
-            log_event!(
-                Info,
-                "start",
-                task = start.task,
-                run = start.run,
-                copy = if retried { 2 } else { 1 },
-                worker =
-                    self.target(worker).map_or_else(String::new, |t| t.id.to_string()),
-                resumed = start.checkpoint.is_some(),
-                outcome = outcome
-            );
+            self.log_start(&start, retried, &result);
             match result {
                 Ok(()) => return StartOutcome::Started,
                 Err(CommandError::Call(error)) if !error.had_no_effect() => {
-                    log_event!(
-                        Warn,
-                        "start-unanswered",
-                        task = start.task,
-                        error = error
-                    );
                     self.record_unanswered(&start);
                     if retried {
                         return StartOutcome::Unknown;
@@ -134,17 +114,51 @@
                     }
                     cell_metrics::count_retry("start");
                 }
-                Err(error) => {
-                    log_event!(
-                        Warn,
-                        "start-refused",
-                        task = start.task,
-                        run = start.run,
-                        copy = if retried { 2 } else { 1 },
-                        outcome = error.as_str()
-                    );
-                    return self.handle_refusal(worker, &error);
-                }
+                Err(error) => return self.handle_refusal(start.worker, &error),
+            }
+        }
+    }
+
+    /// Logs and counts the result of a copy of a start command.
+    ///
+    /// Refused and unanswered copies also have lines of their own, since the many successful starts
+    /// may use up the lines of a second.
+    fn log_start(&self, start: &RunStart, retried: bool, result: &CommandResult<()>) {
+        let outcome = result.as_ref().map_or_else(CommandError::as_str, |()| "started");
+        let worker = self.target(start.worker).map(|target| target.id);
+        let copy = if retried { 2 } else { 1 };
+        cell_metrics::count_start(outcome);
+        log_event!(
+            Info,
+            "start",
+            task = start.task,
+            run = start.run,
+            copy = copy,
+            worker = worker.as_deref().unwrap_or_default(),
+            resumed = start.checkpoint.is_some(),
+            outcome = outcome
+        );
+        let (task, run) = (&start.task, start.run);
+        match result {
+            Ok(()) => {}
+            Err(CommandError::Call(error)) if !error.had_no_effect() => {
+                log_event!(
+                    Warn,
+                    "start-unanswered",
+                    task = task,
+                    run = run,
+                    error = error
+                );
+            }
+            Err(_) => {
+                log_event!(
+                    Warn,
+                    "start-refused",
+                    task = task,
+                    run = run,
+                    copy = copy,
+                    outcome = outcome
+                );
             }
         }
     }
@@ -215,15 +229,7 @@
 
     /// Records that a worker accepts commands of a later owner.
     pub(crate) fn mark_ownership_lost(&self) {
-        if !self.authority.is_lost() {
-            log_event!(
-                Warn,
-                "ownership-lost",
-                epoch = self.authority.epoch,
-                by = "worker"
-            );
-        }
-        self.authority.mark_lost();
+        self.authority.report_lost("worker");
     }
 
     /// Sends a command to stop a run.
