Raise the fence of a worker that is listed again

What callers would see: a task running twice. A worker that fell off the list while it was silent is forgotten; if it returned under its id after a restart, its fence was the former one, so it executed starts and polls that were meant for its former incarnation.

Fix: the fence of a worker that returns is above its former one. The test of this asserted before only that it is not lower, and failed on that code when it asserts more.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -89,7 +89,7 @@
     /// How long a worker's lease lasts after the last command that extends it.
     lease: Duration,
     workers: SlotMap<WorkerKey, WorkerState>,
-    /// The fences of workers that restarted and were removed, in case they return.
+    /// The fences of workers that were removed, in case they return.
     former_fences: HashMap<Name, u64>,
     worker_ids: HashMap<Name, WorkerKey>,
     jobs: SlotMap<JobKey, JobState>,
@@ -148,8 +148,8 @@
     }
 
     /// Returns the number that is added to the epoch in the fencing token of commands to a worker; it
-    /// is below [`FENCES_PER_EPOCH`]. It rises when the worker restarts, so that an incarnation that
-    /// was called once refuses commands for earlier ones.
+    /// is below [`FENCES_PER_EPOCH`]. It rises when the worker restarts or is listed again, so that an
+    /// incarnation that was called once refuses commands for earlier ones.
     pub fn fence(&self, worker: WorkerKey) -> u64 {
         self.workers.get(worker).map_or(0, |state| state.fence)
     }
@@ -351,3 +351,8 @@
         placed
     }
 }
+
+/// Returns the fence after the given one; the last one of an epoch has no successor.
+fn next_fence(fence: u64) -> u64 {
+    (fence + 1).min(FENCES_PER_EPOCH - 1)
+}
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
@@ -12,12 +12,12 @@
 use crate::SchedulerEvent;
 use crate::WorkerReport;
 
-use super::FENCES_PER_EPOCH;
 use super::FleetScheduler;
 use super::WorkerKey;
 use super::job_state::RunPhase;
 use super::job_state::TaskPlacement;
 use super::job_state::TaskRef;
+use super::next_fence;
 use super::worker_state::UnstoredEnd;
 
 /// The number of failures in a row after which a worker is quarantined.
@@ -66,7 +66,7 @@
         let restarted = state.incarnation.is_some();
         state.begin_incarnation(incarnation, now);
         if restarted {
-            state.fence = (state.fence + 1).min(FENCES_PER_EPOCH - 1);
+            state.fence = next_fence(state.fence);
             let worker = state.info.id.clone();
             self.events.push(SchedulerEvent::Restarted { worker, incarnation });
         }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
@@ -58,7 +58,7 @@
     pub(super) inherited_runs: Option<PossibleRuns>,
     /// The incarnation of the last report; `None` before the first report of this epoch.
     pub(super) incarnation: Option<u64>,
-    /// The number of its restarts in this epoch, which commands carry in their fencing token.
+    /// The number that commands carry in their fencing token above the epoch.
     pub(super) fence: u64,
     /// When the first report of this incarnation was processed. Calls that were sent since carry
     /// its fence.
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
@@ -13,6 +13,7 @@
 
 use super::FleetScheduler;
 use super::WorkerKey;
+use super::next_fence;
 use super::worker_state::RecordedRuns;
 use super::worker_state::WorkerState;
 
@@ -43,7 +44,8 @@
     /// Adds a worker whose lease expires at `expiry` unless it is extended.
     fn insert_worker(&mut self, info: WorkerInfo, expiry: BootTime) -> WorkerKey {
         let id = info.id.clone();
-        let fence = self.former_fences.remove(&id).unwrap_or_default();
+        // A worker that was forgotten may have restarted meanwhile.
+        let fence = self.former_fences.remove(&id).map_or(0, next_fence);
         let key = self.workers.insert(WorkerState::new(info, fence, expiry));
         self.worker_ids.insert(id, key);
         key
@@ -154,9 +156,7 @@
         }
         if let Some(state) = self.workers.remove(worker) {
             self.worker_ids.remove(&state.info.id);
-            if state.fence > 0 {
-                self.former_fences.insert(state.info.id.clone(), state.fence);
-            }
+            self.former_fences.insert(state.info.id.clone(), state.fence);
             self.records_outdated |= state.recorded_runs != RecordedRuns::NoJobs;
         }
         true
--- a/crates/geraniumwinch-fleet/tests/delayed_starts.rs
+++ b/crates/geraniumwinch-fleet/tests/delayed_starts.rs
@@ -149,9 +149,9 @@
         assert_eq!(cell.place().len(), 0);
     }
 
-    /// Guards against an owner that takes its own fence for that of a later owner: a worker was
-    /// forgotten while it was cut off, and listed again in the same incarnation.
-    the_fence_of_a_worker_that_returns_is_not_lower(cell) {
+    /// Guards against commands for a former incarnation that the next one executes: a worker was
+    /// forgotten, and listed again after a restart (found in the review of issue 19).
+    the_fence_of_a_worker_that_returns_is_higher(cell) {
         let worker = cell.add_workers(&["w"])[0];
         let incarnation = INCARNATION + 1;
         let report = WorkerReport { incarnation, ..WorkerReport::default() };
@@ -161,7 +161,7 @@
         cell.scheduler.mark_silent(worker);
         assert!(cell.scheduler.remove_if_gone(worker, cell.now));
         let worker = cell.scheduler.set_workers(vec![worker_info("w")], cell.now)[0];
-        assert!(before > 0 && cell.scheduler.fence(worker) >= before);
+        assert!(cell.scheduler.fence(worker) > before, "it may have restarted meanwhile");
     }
 
     /// Guards against running a task again after it was done: its end was reported before the start
