Do not take a forgotten worker's refusal for the loss of the ownership

A command that a worker fenced off after it had been forgotten ended the ownership, since there was no present token to compare with. The polls of the other workers tell a real loss.

--- a/crates/geraniumwinch-cell/src/command_sender.rs
+++ b/crates/geraniumwinch-cell/src/command_sender.rs
@@ -202,7 +202,7 @@
         target: &WorkerTarget,
         result: CommandResult<()>,
     ) -> CommandResult<()> {
-        let raised = self.target(worker).is_some_and(|now| now.token > target.token);
+        let raised = self.target(worker).is_none_or(|now| now.token > target.token);
         match result {
             Err(CommandError::Fenced) if raised => Err(CommandError::OtherIncarnation),
             result => result,
