Do not retry the start of a run that its worker has reported

What callers would see: a task running twice. The retry carried the raised token of a restarted worker, for a run that the former incarnation had reported, and could be executed after a report without the run had released it.

Fix: a start is retried only while nothing is known of its run.

--- a/crates/geraniumwinch-cell/src/command_sender.rs
+++ b/crates/geraniumwinch-cell/src/command_sender.rs
@@ -93,8 +93,8 @@
         });
     }
 
-    /// Starts a task. A command without a response is retried once, unless its run has been released
-    /// or is being stopped.
+    /// Starts a task. A command without a response is retried once, unless its run has been reported,
+    /// released or stopped meanwhile.
     async fn try_start(&self, start: RunStart) -> StartOutcome {
         let mut retried = false;
         loop {
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/command_responses.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/command_responses.rs
@@ -27,12 +27,12 @@
         }
     }
 
-    /// Returns whether the start command of a run is still wanted: the run has neither been released
-    /// nor is it being stopped.
+    /// Returns whether the start command of a run is still wanted: the run has not been reported,
+    /// released or stopped.
     pub fn wants_start(&self, worker: WorkerKey, name: &TaskName, run: u64) -> bool {
         let task = self.find_run(worker, name, run);
         let placement = task.and_then(|task| self.placement_of(task));
-        placement.is_some_and(|p| !matches!(p.phase, RunPhase::Stopping(_)))
+        placement.is_some_and(|p| p.phase == RunPhase::Starting)
     }
 
     /// Handles the outcome of a command to start a task: the response to its last copy.
