Hold a task while a start with a ticket, or one on its way, may still be executed

What callers would see: a task running twice. A start without an outcome yet was not counted as delayed: if it was stopped and its worker restarted, a report under the former fence released the task. And a start with a ticket was not held at all, though the owner may get a ticket for an incarnation of which it has not heard; the start can be executed there until the ticket expires, with a lease counted from then. Found in the review of the trace.

Fix: a start counts as delayed until its outcome is known, and one with a ticket for as long as the ticket is valid.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/command_responses.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/command_responses.rs
@@ -45,6 +45,9 @@
         now: BootTime,
     ) {
         let Some(task) = self.find_run(worker, name, run) else { return };
+        if let Some(placement) = self.placement_of_mut(task) {
+            placement.starting = false;
+        }
         match outcome {
             StartOutcome::Started => self.confirm_start(task, now),
             StartOutcome::Unknown => self.start_unknown(worker, task, now),
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/delayed_starts.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/delayed_starts.rs
@@ -2,8 +2,8 @@
 //!
 //! Within an incarnation, a stop, a report or the end of the lease excludes such a command. The next
 //! incarnation knows of none of these, and its clock starts anew. Until it is called with a raised
-//! fencing token, only a ticket, which is valid in one incarnation, keeps it from executing the
-//! command.
+//! fencing token, only a ticket, which is valid in one incarnation and for a short time, keeps it from
+//! executing the command.
 
 use std::time::Duration;
 
@@ -25,9 +25,10 @@
         placement: &TaskPlacement,
         after: BootTime,
     ) -> bool {
-        let ticketed = self.jobs[task.job].record.rules.permission.is_some();
-        let until = placement.unanswered_at.map(|at| at + MAX_COMMAND_DELAY);
-        !ticketed && until.is_some_and(|until| after < until)
+        let permission = self.jobs[task.job].record.rules.permission;
+        let validity = permission.map_or(MAX_COMMAND_DELAY, |cost| cost.validity);
+        let delay = validity.min(MAX_COMMAND_DELAY);
+        placement.starting || placement.unanswered_at.is_some_and(|at| after < at + delay)
     }
 
     /// Returns whether another incarnation of a silent worker may still execute a placement's start
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
@@ -79,6 +79,8 @@
     pub(super) percent: u32,
     /// When the progress last changed.
     pub(super) progressed: BootTime,
+    /// Whether the outcome of the start command is not known yet.
+    pub(super) starting: bool,
     /// When the last copy of the start command remained without a response, if any did. The worker
     /// may execute that copy later.
     pub(super) unanswered_at: Option<BootTime>,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -315,6 +315,7 @@
             since: now,
             percent: 0,
             progressed: now,
+            starting: true,
             unanswered_at: None,
         };
         self.assign(task, placement);
