--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/command_responses.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/command_responses.rs
@@ -46,7 +46,7 @@
     ) {
         let Some(task) = self.find_run(worker, name, run) else { return };
         if let Some(placement) = self.placement_of_mut(task) {
-            placement.starting = false;
+            placement.awaiting_outcome = false;
         }
         match outcome {
             StartOutcome::Started => self.confirm_start(task, now),
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/delayed_starts.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/delayed_starts.rs
@@ -28,7 +28,8 @@
         let permission = self.jobs[task.job].record.rules.permission;
         let validity = permission.map_or(MAX_COMMAND_DELAY, |cost| cost.validity);
         let delay = validity.min(MAX_COMMAND_DELAY);
-        placement.starting || placement.unanswered_at.is_some_and(|at| after < at + delay)
+        placement.awaiting_outcome
+            || placement.unanswered_at.is_some_and(|at| after < at + delay)
     }
 
     /// Returns whether another incarnation of a silent worker may still execute a placement's start
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
@@ -80,7 +80,7 @@
     /// When the progress last changed.
     pub(super) progressed: BootTime,
     /// Whether the outcome of the start command is not known yet.
-    pub(super) starting: bool,
+    pub(super) awaiting_outcome: bool,
     /// When the last copy of the start command remained without a response, if any did. The worker
     /// may execute that copy later.
     pub(super) unanswered_at: Option<BootTime>,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -315,7 +315,7 @@
             since: now,
             percent: 0,
             progressed: now,
-            starting: true,
+            awaiting_outcome: true,
             unanswered_at: None,
         };
         self.assign(task, placement);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
@@ -249,7 +249,7 @@
             since: now,
             percent: running.percent,
             progressed: now,
-            starting: false,
+            awaiting_outcome: false,
             unanswered_at: None,
         };
         self.assign(task, placement);
