--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/delayed_starts.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/delayed_starts.rs
@@ -40,7 +40,7 @@
         placement: &TaskPlacement,
         now: BootTime,
     ) -> bool {
-        // A worker that is not listed has not been restarted.
+        // A restarted worker lists itself, so one that is still missing is taken to be gone.
         let listed = self.workers[placement.worker].listed;
         let executed = if listed { now.saturating_sub(self.lease) } else { now };
         self.may_start_later(task, placement, executed)
