Postpone the end of a run while a delayed copy of its start may still be executed

Cause: on a queue without permission, a worker that restarts executes a delayed copy of a start before its first contact with the owner. Nothing that the start carries tells incarnations apart.

Change: the end of a run with such a copy is neither processed nor acknowledged until the copy can't be executed any more (13 s); its place stays reserved. A restart meanwhile forgets the end, so the run counts as lost and may run again. Queues whose starts need a ticket are not affected: the ticket names the incarnation.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -7,6 +7,7 @@
 mod delayed_starts;
 mod gang_fit;
 mod gang_reservation;
+mod held_ends;
 mod job_state;
 mod permissions;
 mod persistence;
@@ -315,10 +316,10 @@
         Some(placement)
     }
 
-    /// Stops a placed task, unless it is already being stopped.
+    /// Stops a placed task, unless it is already being stopped or its run has ended.
     fn stop(&mut self, task: TaskRef, now: BootTime) {
         let Some(placement) = self.placement_of_mut(task) else { return };
-        if matches!(placement.phase, RunPhase::Stopping(_)) {
+        if matches!(placement.phase, RunPhase::Stopping(_) | RunPhase::Held) {
             return;
         }
         placement.phase = RunPhase::Stopping(None);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
@@ -67,8 +67,9 @@
         state.begin_incarnation(incarnation, now);
         if restarted {
             state.fence = next_fence(state.fence);
-            let worker = state.info.id.clone();
-            self.events.push(SchedulerEvent::Restarted { worker, incarnation });
+            let id = state.info.id.clone();
+            self.events.push(SchedulerEvent::Restarted { worker: id, incarnation });
+            self.forget_held_ends(worker);
         }
     }
 
@@ -100,17 +101,24 @@
         }
         self.workers[worker].processed_end = ended.number;
         let task = self.find_task(&ended.task);
-        if let Some(task) = task {
-            self.process_task_end(worker, task, ended, now);
+        let mut end = UnstoredEnd { number: ended.number, job: None, held: None };
+        match task {
+            Some(task) if self.must_hold(worker, task, ended, now) => {
+                self.hold_run(task, now);
+                end.held = Some(ended.clone());
+            }
+            Some(task) => {
+                self.process_task_end(worker, task, ended, now);
+                end.job = Some((task.job, self.jobs[task.job].version));
+            }
+            None => {}
         }
-        let job = task.map(|task| (task.job, self.jobs[task.job].version));
-        let end = UnstoredEnd { number: ended.number, job };
         self.workers[worker].unstored_ends.push_back(end);
         self.advance_ends(worker);
     }
 
     /// Processes an ended run of a known task.
-    fn process_task_end(
+    pub(super) fn process_task_end(
         &mut self,
         worker: WorkerKey,
         task: TaskRef,
@@ -298,6 +306,8 @@
             let expected = match placement.phase {
                 RunPhase::Running => placement.since < sent,
                 RunPhase::Stopping(Some(responded)) => responded < sent,
+                // Only the run's own worker can end it, and it has.
+                RunPhase::Held => false,
                 RunPhase::Starting | RunPhase::Unknown | RunPhase::Stopping(None) => {
                     false
                 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/timeouts.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/timeouts.rs
@@ -29,6 +29,7 @@
     pub fn sweep(&mut self, now: BootTime) {
         let workers: Vec<WorkerKey> = self.workers.keys().collect();
         for worker in workers {
+            self.release_held_ends(worker, now);
             let state = &self.workers[worker];
             let expired = state.silent && state.expiry <= now;
             let tasks: Vec<TaskRef> = state.tasks.iter().copied().collect();
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
@@ -6,6 +6,7 @@
 use geraniumwinch_core::ResourceVector;
 
 use crate::BootTime;
+use crate::EndedRun;
 use crate::PossibleRuns;
 use crate::WorkerInfo;
 
@@ -14,13 +15,15 @@
 use super::job_state::TaskRef;
 
 /// The end of a run that was processed but may not be in the store yet.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub(super) struct UnstoredEnd {
     /// The worker's sequence number of the end.
     pub(super) number: u64,
     /// The job whose record covers the end, with the version from which on it does; `None` if the
     /// task is unknown.
     pub(super) job: Option<(JobKey, u64)>,
+    /// The end itself while its processing is postponed.
+    pub(super) held: Option<EndedRun>,
 }
 
 /// The jobs whose tasks may be running on a worker according to the store.
@@ -188,7 +191,7 @@
     /// Advances `stored_end` past the ends that the store holds according to `is_stored`.
     pub(super) fn advance_stored(&mut self, is_stored: impl Fn(&UnstoredEnd) -> bool) {
         while let Some(end) = self.unstored_ends.front() {
-            if !is_stored(end) {
+            if end.held.is_some() || !is_stored(end) {
                 return;
             }
             self.stored_end = end.number;
--- a/crates/geraniumwinch-fleet/tests/delayed_starts.rs
+++ b/crates/geraniumwinch-fleet/tests/delayed_starts.rs
@@ -7,8 +7,10 @@
 use geraniumwinch_core::Name;
 use geraniumwinch_fleet::BootTime;
 use geraniumwinch_fleet::FENCES_PER_EPOCH;
+use geraniumwinch_fleet::JobPhase;
 use geraniumwinch_fleet::PermissionCost;
 use geraniumwinch_fleet::PermissionGrant;
+use geraniumwinch_fleet::QueueRules;
 use geraniumwinch_fleet::RunOutcome;
 use geraniumwinch_fleet::RunStart;
 use geraniumwinch_fleet::StartOutcome;
@@ -51,6 +53,16 @@
     cell.scheduler.report(start.worker, &report, sent, cell.now);
 }
 
+/// Returns the rules of a queue whose starts need a ticket.
+fn permitted_rules() -> QueueRules {
+    let permission = PermissionCost {
+        base: Duration::ZERO,
+        per_worker: Duration::ZERO,
+        validity: TICKET_VALIDITY,
+    };
+    QueueRules { permission: Some(permission), ..rules(1) }
+}
+
 /// Places tasks, has all requested permissions granted, and returns the start commands.
 fn place_permitted(cell: &mut TestCell) -> Vec<RunStart> {
     let round = cell.scheduler.place(UNIX_TIME, cell.now, LONG_REQUESTS);
@@ -142,6 +154,54 @@
         assert_eq!(cell.place().len(), 1, "it was called with the raised fence");
     }
 
+    /// Guards against running a task again after it was done: its worker restarted after the end was
+    /// acknowledged, and executed a delayed copy of the start (soak seeds 306, 406 and 414).
+    an_end_is_not_acknowledged_while_a_copy_of_the_start_may_be_executed(cell) {
+        let start = start_unanswered(&mut cell);
+        cell.outcome(&start, StartOutcome::Started);
+        let done = vec![ended(1, start.task.clone(), start.run, RunOutcome::Done)];
+        cell.report(start.worker, vec![], done);
+        cell.store_all();
+        cell.wait(DELAY_OVER_MS - 1);
+        assert_eq!(cell.scheduler.stored_ends(start.worker), 0);
+        assert_eq!(cell.phase("job"), Some(JobPhase::Live));
+        assert_eq!(cell.place().len(), 0, "the run is done");
+        cell.wait(1);
+        cell.store_all();
+        assert_eq!(cell.scheduler.stored_ends(start.worker), 1);
+        assert_eq!(cell.phase("job"), Some(JobPhase::Completed));
+    }
+
+    /// Guards against a job that never ends: the end of its run was postponed when its worker
+    /// restarted.
+    a_postponed_end_is_forgotten_when_its_worker_restarts(cell) {
+        let start = start_unanswered(&mut cell);
+        cell.outcome(&start, StartOutcome::Started);
+        let done = vec![ended(1, start.task.clone(), start.run, RunOutcome::Done)];
+        cell.report(start.worker, vec![], done);
+        cell.wait(5);
+        let sent = cell.now;
+        cell.wait(5);
+        restart(&mut cell, &start, sent);
+        assert_eq!(cell.place().len(), 0, "the new incarnation may execute a copy");
+        let sent = cell.now;
+        restart(&mut cell, &start, sent);
+        assert_eq!(cell.place().len(), 1, "it was called with the raised fence");
+    }
+
+    /// Guards against holding up ends on queues where a ticket excludes delayed starts.
+    an_end_is_acknowledged_at_once_where_tickets_exclude_delayed_starts(cell) {
+        cell.add_workers(&["w"]);
+        cell.accept("job", record(permitted_rules(), vec![step(1, 4_000)]));
+        let start = place_permitted(&mut cell).remove(0);
+        cell.scheduler.start_unanswered(start.worker, &start.task, start.run, cell.now);
+        cell.outcome(&start, StartOutcome::Started);
+        let done = vec![ended(1, start.task.clone(), start.run, RunOutcome::Done)];
+        cell.report(start.worker, vec![], done);
+        cell.store_all();
+        assert_eq!(cell.phase("job"), Some(JobPhase::Completed));
+    }
+
     /// Guards against commands for a former incarnation that the next one executes, such as a delayed
     /// start of a released run, or a poll that extends its lease (found while analysing issue 19).
     each_restart_raises_the_fence(cell) {
@@ -230,13 +290,7 @@
     /// the owner had not heard of, shortly before the ticket expired (found in the review of issue 19).
     a_start_with_a_ticket_is_delayed_no_longer_than_the_ticket_is_valid(cell) {
         cell.add_workers(&["w", "v"]);
-        let mut permitted = rules(1);
-        permitted.permission = Some(PermissionCost {
-            base: Duration::ZERO,
-            per_worker: Duration::ZERO,
-            validity: TICKET_VALIDITY,
-        });
-        cell.accept("job", record(permitted, vec![step(1, 4_000)]));
+        cell.accept("job", record(permitted_rules(), vec![step(1, 4_000)]));
         let start = place_permitted(&mut cell).remove(0);
         cell.scheduler.extend_lease(start.worker, cell.now);
         cell.scheduler.start_unanswered(start.worker, &start.task, start.run, cell.now);
