Report a process healthy only once it is in contact with its owner

Cause: a restarted process reported itself healthy with its first configuration, but found its owner a heartbeat period later and made contact another period later (250 ms each). Requests wait 500 ms for an owner, so the first ones were refused as domain-unowned now and then. The logs of two failed runs show hand-overs of 3 to 35 ms, which rules these out.

--- a/crates/geraniumwinch-node/src/entry_server.rs
+++ b/crates/geraniumwinch-node/src/entry_server.rs
@@ -130,11 +130,14 @@
 }
 
 /// Responds to the health check of the platform's load balancer.
+///
+/// A process that has just started can serve requests only once it has both a configuration and
+/// contact with the owner of its domain.
 async fn health(state: web::Data<EntryState>) -> HttpResponse {
     if state.shared.stopping() {
         return RefusalResponse::new(ErrorKind::ProcessStopping, "").into_response();
     }
-    if !state.shared.catalog.is_known() {
+    if !state.shared.catalog.is_known() || !state.shared.joined() {
         return RefusalResponse::new(ErrorKind::ProcessStarting, "").into_response();
     }
     HttpResponse::Ok().body("ok\n")
--- a/crates/geraniumwinch-node/src/node_shared.rs
+++ b/crates/geraniumwinch-node/src/node_shared.rs
@@ -67,6 +67,8 @@
     pub(crate) store_down: AtomicBool,
     /// Whether the process is shutting down.
     pub(crate) stopping: AtomicBool,
+    /// Whether the process has ever been in contact with an owner of its domain.
+    pub(crate) joined: AtomicBool,
     /// Renders the metrics.
     pub(crate) metrics: PrometheusHandle,
 }
@@ -108,6 +110,14 @@
             *owner = Some(KnownOwner { view, last_response });
             changed
         });
+        if self.live_owner().is_some() {
+            self.joined.store(true, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns whether the process has ever been in contact with an owner of its domain.
+    pub(crate) fn joined(&self) -> bool {
+        self.joined.load(Ordering::Relaxed)
     }
 
     /// Returns whether the process is shutting down.
--- a/crates/geraniumwinch-node/src/node_supervisor.rs
+++ b/crates/geraniumwinch-node/src/node_supervisor.rs
@@ -102,6 +102,7 @@
         announced_revision: AtomicU64::new(0),
         store_down: AtomicBool::new(false),
         stopping: AtomicBool::new(false),
+        joined: AtomicBool::new(false),
         metrics: node_metrics::install(),
         clock,
         settings,
--- a/crates/geraniumwinch-node/src/ownership.rs
+++ b/crates/geraniumwinch-node/src/ownership.rs
@@ -123,11 +123,17 @@
             self.maintain().await;
             return;
         }
-        let owner = self.shared.owner.borrow().clone();
-        match owner {
-            Some(owner) => self.send_heartbeat(owner.view).await,
-            None => self.discover().await,
+        if self.known_owner().is_none() {
+            self.discover().await;
         }
+        if let Some(owner) = self.known_owner().filter(|_| !self.owns()) {
+            self.send_heartbeat(owner).await;
+        }
+    }
+
+    /// Returns the owner that this process follows.
+    fn known_owner(&self) -> Option<OwnerView> {
+        self.shared.owner.borrow().as_ref().map(|owner| owner.view.clone())
     }
 
     /// Returns whether this process owns the domain.
@@ -169,8 +175,7 @@
         match record {
             Ok(None) => self.claim(None).await,
             Ok(Some(record)) => {
-                let known =
-                    self.shared.owner.borrow().as_ref().map(|owner| owner.view.epoch);
+                let known = self.known_owner().map(|owner| owner.epoch);
                 if let Some(found) = OwnerRecord::decode(&record)
                     && known.is_none_or(|epoch| found.view.epoch > epoch)
                 {
--- a/crates/geraniumwinch-tests/tests/graceful_stops.rs
+++ b/crates/geraniumwinch-tests/tests/graceful_stops.rs
@@ -101,6 +101,34 @@
     });
 }
 
+/// Guards against a process that attracted requests before it knew the owner of its domain, and
+/// refused them as `domain-unowned`.
+#[test]
+fn a_restarted_process_is_healthy_only_once_it_can_serve() {
+    run_test(async {
+        let plan = CellPlan::new(1, 2, 1, 1).setting("ownership", "heartbeat-ms", "600");
+        let mut cell = TestCell::start(plan).await;
+        let client = TestClient::default();
+        for index in [0, 1] {
+            cell.entries[&(0, index)].terminate();
+            wait_until("the process has exited", async || {
+                cell.entries.get_mut(&(0, index)).unwrap().exit_code().is_some()
+            })
+            .await;
+            cell.start_entry(0, index);
+            let entry = cell.entry_url(0, index);
+            let health = format!("{entry}/healthz");
+            wait_until("the process is healthy", async || {
+                client.send(Method::GET, &health, &[], "").await.status == 200
+            })
+            .await;
+            let url = format!("{entry}/v1/queues/exchange/requests/price");
+            let response = client.send(Method::GET, &url, &[KEY], "").await;
+            assert_eq!(response.status, 200, "{:?}", response.body);
+        }
+    });
+}
+
 #[test]
 fn a_leaving_endpoint_gets_no_new_work_although_the_vm_list_lags() {
     run_test(async {
