Place overdue jobs behind all others, and leave room beside them

Cause: after a burst of gangs that could not be served in time, the overdue gangs (priority 1) took each capacity that became free before the in-time jobs of priority 2, and gangs that could still be in time found no room beside them.

Change: overdue jobs of all priorities come last and take free capacity up to three quarters of the usable processors only; a gang that needs more than that by itself may take any.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -9,6 +9,7 @@
 mod gang_reservation;
 mod held_ends;
 mod job_state;
+mod overdue_jobs;
 mod permissions;
 mod persistence;
 mod placement;
--- /dev/null
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/overdue_jobs.rs
@@ -0,0 +1,64 @@
+//! Room for overdue jobs.
+//!
+//! A burst that could not be served in time leaves jobs whose results are of little use by now. They
+//! are still done, but only in capacity that the jobs after them do not need: if they took all that
+//! is free, each later job would have to wait for them and be late as well.
+
+use geraniumwinch_core::ResourceVector;
+
+use crate::BootTime;
+use crate::StepPlan;
+
+use super::FleetScheduler;
+use super::placement::PlacementRound;
+
+/// The share of the usable workers' processors beyond which no overdue job is placed.
+const MAX_USED_SHARE: f64 = 0.75;
+
+/// The processors that overdue jobs may take in a placement pass, in thousandths of a core.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct OverdueRoom {
+    /// What they may take at most, on idle workers.
+    limit: u64,
+    /// What is left of it.
+    left: u64,
+}
+
+impl OverdueRoom {
+    /// Returns how many of `wanted` tasks of a size may start. A gang that exceeds the limit by
+    /// itself may take any capacity, since it could never start otherwise.
+    fn copies(&self, size: &ResourceVector, wanted: usize, gang: bool) -> usize {
+        if size.cpu_millis == 0 || (gang && size.cpu_millis * wanted as u64 > self.limit) {
+            return wanted;
+        }
+        wanted.min((self.left / size.cpu_millis) as usize)
+    }
+
+    /// Counts a task that starts.
+    pub(super) fn take(&mut self, size: &ResourceVector) {
+        self.left = self.left.saturating_sub(size.cpu_millis);
+    }
+}
+
+impl FleetScheduler {
+    /// Returns how many of `wanted` tasks of a step an overdue job may start in this pass.
+    pub(super) fn overdue_copies(
+        &self,
+        plan: &StepPlan,
+        wanted: usize,
+        now: BootTime,
+        round: &mut PlacementRound,
+    ) -> usize {
+        let room = round.overdue_room.get_or_insert_with(|| self.overdue_room(now));
+        room.copies(&plan.reserved(), wanted, plan.gang)
+    }
+
+    /// Returns the processors that overdue jobs may take now.
+    fn overdue_room(&self, now: BootTime) -> OverdueRoom {
+        let usable = || self.workers.values().filter(|state| state.usable(now));
+        let total: u64 = usable().map(|state| state.info.capacity.cpu_millis).sum();
+        let used: u64 = usable().map(|state| state.used.cpu_millis).sum();
+        let limit = (total as f64 * MAX_USED_SHARE) as u64;
+        OverdueRoom { limit, left: limit.saturating_sub(used) }
+    }
+}
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -17,6 +17,7 @@
 use super::job_state::RunPhase;
 use super::job_state::TaskPlacement;
 use super::job_state::TaskRef;
+use super::overdue_jobs::OverdueRoom;
 use super::permissions::PermissionState;
 use super::worker_state::WorkerState;
 
@@ -29,6 +30,8 @@
     pub requests: Vec<PermissionRequest>,
     /// The number of long requests that may still be sent.
     long_requests: usize,
+    /// What overdue jobs may still take; `None` before the first of them.
+    pub(super) overdue_room: Option<OverdueRoom>,
 }
 
 /// A worker with free capacity for tasks of a step.
@@ -73,18 +76,19 @@
         round
     }
 
-    /// Returns the live jobs by priority. Within a priority, those that can still meet their
-    /// objective come first.
+    /// Returns the live jobs by priority, and the overdue jobs of all priorities at the end. Within
+    /// a priority, those that can still meet their objective come first.
     fn jobs_by_priority(&self, unix_time: Duration) -> Vec<JobKey> {
-        let mut open: Vec<(u32, JobLateness, u64, JobKey)> = self
+        let mut open: Vec<(bool, u32, JobLateness, u64, JobKey)> = self
             .open_jobs
             .iter()
             .map(|&(priority, serial, key)| {
-                (priority, self.jobs[key].lateness(unix_time), serial, key)
+                let lateness = self.jobs[key].lateness(unix_time);
+                (lateness == JobLateness::Overdue, priority, lateness, serial, key)
             })
             .collect();
         open.sort_unstable();
-        open.into_iter().map(|(_, _, _, key)| key).collect()
+        open.into_iter().map(|(.., key)| key).collect()
     }
 
     /// Returns whether a unit has waiting tasks, is due by its schedule, and has all of its
@@ -112,7 +116,11 @@
         let plan = job.plan(unit).clone();
         let waiting = job.units[unit as usize].waiting as usize;
         let quota = self.accounts.allows(&job.record.account, &plan.reserved());
-        let needed = waiting.min(usize::try_from(quota).unwrap_or(usize::MAX));
+        let mut needed = waiting.min(usize::try_from(quota).unwrap_or(usize::MAX));
+        let overdue = job.lateness(unix_time) == JobLateness::Overdue;
+        if overdue {
+            needed = self.overdue_copies(&plan, needed, now, round);
+        }
         let partial = plan.gang && (waiting < plan.tasks as usize || needed < waiting);
         if needed == 0 || partial {
             return;
@@ -281,6 +289,9 @@
             let checkpoint = if gang { shared.clone() } else { state.checkpoint.clone() };
             let run = last.max(self.first_run) + 1;
             let task = TaskRef { job: key, unit, index };
+            if let Some(room) = &mut round.overdue_room {
+                room.take(&self.jobs[key].plan(unit).reserved());
+            }
             self.start_task(task, worker, run, checkpoint, now, round);
         }
     }
--- a/crates/geraniumwinch-fleet/tests/load.rs
+++ b/crates/geraniumwinch-fleet/tests/load.rs
@@ -67,6 +67,52 @@
         assert_eq!(cell.place()[0].task, task("fresh", 0, 0));
     }
 
+    /// Pattern: a burst of wide batch jobs. What it leaves behind must not make each later job late.
+    jobs_in_time_precede_overdue_jobs_of_a_higher_priority(cell) {
+        cell.add_workers(&["w"]);
+        let mut overdue = record(rules(1), vec![step(1, 12_000)]);
+        overdue.accepted = UNIX_TIME - Duration::from_secs(600);
+        cell.accept("overdue", overdue);
+        cell.accept("fresh", record(rules(2), vec![step(1, 12_000)]));
+        let starts = cell.place();
+        assert_eq!(starts.len(), 1);
+        assert_eq!(starts[0].task, task("fresh", 0, 0));
+    }
+
+    /// Pattern: a burst of wide batch jobs. Its overdue jobs leave room for urgent ones.
+    overdue_jobs_take_only_part_of_the_free_capacity(cell) {
+        cell.add_workers(&["w", "v"]);
+        let mut overdue = record(rules(2), vec![step(8, 4_000)]);
+        overdue.accepted = UNIX_TIME - Duration::from_secs(600);
+        cell.accept("overdue", overdue);
+        assert_eq!(cell.start_all().len(), 6, "32 cores, of which 24 are for overdue jobs");
+        cell.accept("urgent", record(rules(0), vec![step(2, 4_000)]));
+        assert_eq!(cell.start_all().len(), 2);
+    }
+
+    /// Pattern: a burst of wide batch jobs. An overdue gang waits until it fits beside the room that
+    /// is left for others.
+    an_overdue_gang_starts_as_a_whole_or_not_at_all(cell) {
+        cell.add_workers(&["w", "v"]);
+        cell.accept("fresh", record(rules(2), vec![step(2, 4_000)]));
+        cell.start_all();
+        let gang = StepPlan { gang: true, ..step(5, 4_000) };
+        let mut overdue = record(rules(1), vec![gang]);
+        overdue.accepted = UNIX_TIME - Duration::from_secs(600);
+        cell.accept("overdue", overdue);
+        assert_eq!(cell.place().len(), 0, "24 cores are for overdue jobs, of which 8 are taken");
+    }
+
+    /// Guards against an overdue gang that never starts since it needs more than its part.
+    an_overdue_gang_that_needs_most_of_the_cell_starts(cell) {
+        cell.add_workers(&["w", "v"]);
+        let gang = StepPlan { gang: true, ..step(7, 4_000) };
+        let mut overdue = record(rules(1), vec![gang]);
+        overdue.accepted = UNIX_TIME - Duration::from_secs(600);
+        cell.accept("overdue", overdue);
+        assert_eq!(cell.place().len(), 7);
+    }
+
     an_urgent_task_preempts_one_with_checkpoints(cell) {
         cell.add_workers(&["w"]);
         let bulk = StepPlan { saves_progress: true, ..step(4, 4_000) };
