Send a request to the successor of an owner that does not respond, and wait for one as long as a takeover takes

Cause: an entry waited up to 0.8 s for a connection to a lost owner, or 1.5 s for its response, while the new owner was known. A request that could not be sent was then refused as domain-unowned, since 0.6 s had passed, and its client came back 0.8 s later.

Change: a call to the owner is abandoned once a successor is known. The client knows whether a connection had taken the request's body, so one that was not sent is tried again with a true 'not run' still possible. A request waits 1.3 s for an owner, as long as the takeover from a silent one takes, instead of 0.6 s.

Also: examples of the rate engine, checked by geraniumwinch check in a test, which took settings of an entry process with a section [workers] for those of a cell process.

Measured: the tests fail before and pass.

--- a/crates/geraniumwinch-cell/src/call_client.rs
+++ b/crates/geraniumwinch-cell/src/call_client.rs
@@ -1,5 +1,7 @@
 //! The HTTP client of a cell process.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use awc::Client;
@@ -12,6 +14,7 @@
 
 use crate::CallError;
 use crate::Result;
+use crate::tracked_body::TrackedBody;
 
 /// The timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
@@ -80,17 +83,37 @@
     /// whether the request was sent.
     pub async fn call(&self, request: CallRequest) -> Result<CallResponse> {
         let timeout = request.timeout;
-        match tokio::time::timeout(timeout, self.exchange(request)).await {
-            Ok(result) => result,
-            Err(_) => {
-                let message = format!("timed out after {} ms", timeout.as_millis());
-                Err(CallError::NoResponse { message })
-            }
+        let (body, _) = TrackedBody::new(request.body.clone());
+        let result = tokio::time::timeout(timeout, self.exchange(request, body)).await;
+        result.unwrap_or_else(|_| Err(timeout_error(timeout)))
+    }
+
+    /// Sends a request and reads the complete response, unless `abandoned` completes before.
+    ///
+    /// # Errors
+    ///
+    /// Fails like [`call`](Self::call). An abandoned request counts as not sent if no connection had
+    /// taken its body.
+    pub async fn call_until(
+        &self,
+        request: CallRequest,
+        abandoned: impl Future<Output = ()>,
+    ) -> Result<CallResponse> {
+        let timeout = request.timeout;
+        let (body, taken) = TrackedBody::new(request.body.clone());
+        let call = tokio::time::timeout(timeout, self.exchange(request, body));
+        tokio::select! {
+            result = call => result.unwrap_or_else(|_| Err(timeout_error(timeout))),
+            () = abandoned => Err(abandonment_error(&taken)),
         }
     }
 
     /// Sends a request and reads the complete response without a timeout.
-    async fn exchange(&self, request: CallRequest) -> Result<CallResponse> {
+    async fn exchange(
+        &self,
+        request: CallRequest,
+        body: TrackedBody,
+    ) -> Result<CallResponse> {
         let mut call = self.client.request(request.method, request.url);
         for (name, value) in request.headers {
             call = call.insert_header((name, value));
@@ -98,7 +121,7 @@
         if !request.content_type.is_empty() {
             call = call.content_type(request.content_type);
         }
-        let mut response = call.send_body(request.body).await.map_err(classify)?;
+        let mut response = call.send_body(body).await.map_err(classify)?;
         let status = response.status().as_u16();
         let length = response.headers().get(CONTENT_LENGTH);
         let length =
@@ -113,6 +136,23 @@
     }
 }
 
+/// Returns the error of a call whose response did not arrive in time.
+fn timeout_error(timeout: Duration) -> CallError {
+    CallError::NoResponse {
+        message: format!("timed out after {} ms", timeout.as_millis()),
+    }
+}
+
+/// Returns the error of a call that was abandoned; `taken` tells whether its body was sent.
+fn abandonment_error(taken: &Rc<Cell<bool>>) -> CallError {
+    let message = "abandoned".to_owned();
+    if taken.get() {
+        CallError::NoResponse { message }
+    } else {
+        CallError::NotSent { message }
+    }
+}
+
 /// Converts a send error and classifies whether the request was sent.
 fn classify(error: SendRequestError) -> CallError {
     let message = error.to_string();
--- a/crates/geraniumwinch-cell/src/lib.rs
+++ b/crates/geraniumwinch-cell/src/lib.rs
@@ -27,6 +27,7 @@
 mod record_journal;
 mod record_store;
 mod request_forwarder;
+mod tracked_body;
 mod vm_size;
 mod worker_gateway;
 mod worker_loop;
--- a/crates/geraniumwinch-cell/src/owner_watch.rs
+++ b/crates/geraniumwinch-cell/src/owner_watch.rs
@@ -61,6 +61,17 @@
         let _ = tokio::time::timeout(wait, self.changed.notified()).await;
     }
 
+    /// Waits for an owner of a later epoch.
+    pub(crate) async fn await_successor(&self, epoch: u64) {
+        loop {
+            let changed = self.changed.notified();
+            if self.current.borrow().as_ref().is_some_and(|owner| owner.epoch > epoch) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Updates the owner to the item that the store holds at a revision. Older revisions are
     /// ignored.
     pub(crate) fn update(&self, item: Option<&StoreItem>, revision: u64) {
--- a/crates/geraniumwinch-cell/src/peer_service.rs
+++ b/crates/geraniumwinch-cell/src/peer_service.rs
@@ -9,6 +9,7 @@
 use crate::CallClient;
 use crate::CallError;
 use crate::CallRequest;
+use crate::CallResponse;
 use crate::HttpResponse;
 use crate::Result;
 use crate::peer_message::PeerReply;
@@ -37,25 +38,48 @@
         request: &PeerRequest,
         timeout: Duration,
     ) -> Result<PeerReply> {
-        let body = postcard::to_stdvec(request)
-            .map_err(|error| CallError::NotSent { message: error.to_string() })?;
-        let response = self
-            .client
-            .call(CallRequest {
-                method: Method::POST,
-                url: format!("http://{to}{PEER_PATH}"),
-                headers: Vec::new(),
-                content_type: CONTENT_TYPE,
-                body: body.into(),
-                timeout,
-            })
-            .await?;
-        if response.status != 200 {
-            return Err(CallError::Refused { status: response.status });
-        }
-        postcard::from_bytes(&response.body)
-            .map_err(|error| CallError::Malformed { message: error.to_string() })
+        let call = peer_call(to, request, timeout)?;
+        decode_reply(self.client.call(call).await?)
     }
+
+    /// Calls a peer and returns its reply, unless `abandoned` completes before.
+    pub(crate) async fn call_until(
+        &self,
+        to: SocketAddr,
+        request: &PeerRequest,
+        timeout: Duration,
+        abandoned: impl Future<Output = ()>,
+    ) -> Result<PeerReply> {
+        let call = peer_call(to, request, timeout)?;
+        decode_reply(self.client.call_until(call, abandoned).await?)
+    }
+}
+
+/// Creates the HTTP request for a call to a peer.
+fn peer_call(
+    to: SocketAddr,
+    request: &PeerRequest,
+    timeout: Duration,
+) -> Result<CallRequest> {
+    let body = postcard::to_stdvec(request)
+        .map_err(|error| CallError::NotSent { message: error.to_string() })?;
+    Ok(CallRequest {
+        method: Method::POST,
+        url: format!("http://{to}{PEER_PATH}"),
+        headers: Vec::new(),
+        content_type: CONTENT_TYPE,
+        body: body.into(),
+        timeout,
+    })
+}
+
+/// Decodes a peer's reply.
+fn decode_reply(response: CallResponse) -> Result<PeerReply> {
+    if response.status != 200 {
+        return Err(CallError::Refused { status: response.status });
+    }
+    postcard::from_bytes(&response.body)
+        .map_err(|error| CallError::Malformed { message: error.to_string() })
 }
 
 /// Decodes the request of a peer.
--- a/crates/geraniumwinch-cell/src/request_forwarder.rs
+++ b/crates/geraniumwinch-cell/src/request_forwarder.rs
@@ -21,8 +21,9 @@
 use crate::peer_message::SubmitMessage;
 use crate::peer_service::PeerClient;
 
-/// How long a request waits for an owner while it has not been sent to one.
-const MAX_OWNER_WAIT: Duration = Duration::from_millis(600);
+/// How long a request waits for an owner while it has not been sent to one: a silent owner is
+/// replaced within this time.
+const MAX_OWNER_WAIT: Duration = Duration::from_millis(1300);
 /// The timeout of a call to the owner.
 const OWNER_TIMEOUT: Duration = Duration::from_millis(1500);
 /// The delay before a request is forwarded again.
@@ -161,8 +162,9 @@
 
     /// Forwards a request to the owner, or to its successors, until there is a reply.
     ///
-    /// All requests are idempotent. A request that no owner can have received is abandoned early;
-    /// one that an owner may have received is retried until the client's timeout.
+    /// All requests are idempotent. A request that no owner can have received is refused early
+    /// unless there is a new owner to try; one that an owner may have received is retried until the
+    /// client's timeout.
     async fn forward(
         &self,
         request: PeerRequest,
@@ -172,10 +174,17 @@
         let end =
             began + client_timeout - DEADLINE_MARGIN.min(client_timeout / MARGIN_DIVISOR);
         let mut maybe_received = false;
+        let mut failed_epoch = None;
         loop {
             let now = self.ports.clock.now();
-            let limit =
-                if maybe_received { end } else { end.min(began + MAX_OWNER_WAIT) };
+            let owner = self.election.watch.current();
+            let untried =
+                owner.as_ref().is_some_and(|owner| Some(owner.epoch) != failed_epoch);
+            let limit = if maybe_received || untried {
+                end
+            } else {
+                end.min(began + MAX_OWNER_WAIT)
+            };
             if now >= limit {
                 let unknown = ErrorKind::StoreUnknown;
                 return Err(if maybe_received {
@@ -184,7 +193,7 @@
                     ErrorKind::DomainUnowned
                 });
             }
-            let Some(owner) = self.election.watch.current() else {
+            let Some(owner) = owner else {
                 self.election.watch.await_change(RETRY_DELAY.min(limit - now)).await;
                 continue;
             };
@@ -202,11 +211,14 @@
                     cell_metrics::count_retry("carry");
                 }
             }
-            self.election.watch.await_change(RETRY_DELAY).await;
+            failed_epoch = Some(owner.epoch);
+            if self.election.watch.current().as_ref() == Some(&owner) {
+                self.election.watch.await_change(RETRY_DELAY).await;
+            }
         }
     }
 
-    /// Calls the owner, which may be this process.
+    /// Calls the owner, which may be this process, until it has a successor.
     async fn call(
         &self,
         owner: &OwnerRecord,
@@ -214,7 +226,9 @@
         timeout: Duration,
     ) -> crate::Result<PeerReply> {
         if owner.address != self.settings.peer_address {
-            return self.peers.call(owner.address, request, timeout).await;
+            let succeeded = self.election.watch.await_successor(owner.epoch);
+            let call = self.peers.call_until(owner.address, request, timeout, succeeded);
+            return call.await;
         }
         let Some(dispatcher) = self.election.dispatcher() else {
             return Ok(PeerReply::NotOwner);
--- a/crates/geraniumwinch-cell/tests/call_client.rs
+++ b/crates/geraniumwinch-cell/tests/call_client.rs
@@ -4,6 +4,7 @@
 use std::io::Write;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::net::TcpStream;
 use std::time::Duration;
 
 use awc::http::Method;
@@ -111,3 +112,45 @@
     });
     requests.join().expect("both requests arrive on one connection");
 }
+
+/// Starts to listen on an address and fills the queue of connections that wait to be accepted, so
+/// that further ones are not opened.
+fn unreachable_port() -> (Vec<TcpStream>, SocketAddr) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build();
+    let listen = async {
+        let socket = tokio::net::TcpSocket::new_v4()?;
+        socket.bind("127.0.0.1:0".parse().expect("the address is valid"))?;
+        socket.listen(0)?.into_std()
+    };
+    let listener = runtime.expect("it starts").block_on(listen).expect("it listens");
+    let address = listener.local_addr().expect("it listens");
+    // The listener must outlive the test.
+    std::mem::forget(listener);
+    let wait = Duration::from_millis(100);
+    let queued = std::iter::from_fn(|| TcpStream::connect_timeout(&address, wait).ok());
+    (queued.take(10).collect(), address)
+}
+
+/// Sends a request and abandons it after 100 ms.
+fn abandon(address: SocketAddr) -> Result<u16, CallError> {
+    actix_rt::System::new().block_on(async move {
+        let abandoned = tokio::time::sleep(Duration::from_millis(100));
+        let response = CallClient::new().call_until(request(address), abandoned).await;
+        response.map(|response| response.status)
+    })
+}
+
+/// Guards against telling a client that the effect is unknown of a request that was never sent.
+#[test]
+fn a_request_that_is_abandoned_before_its_connection_opens_has_no_effect() {
+    let (_queued, address) = unreachable_port();
+    let result = abandon(address);
+    assert!(matches!(result, Err(CallError::NotSent { .. })), "{result:?}");
+}
+
+/// Guards against telling a client that a request had no effect that was sent and may be executed.
+#[test]
+fn a_request_that_is_abandoned_after_it_was_sent_has_an_unknown_effect() {
+    let result = abandon(serve(Behaviour::Ignore));
+    assert!(matches!(result, Err(CallError::NoResponse { .. })), "{result:?}");
+}
--- a/crates/geraniumwinch-cell/tests/repeated_calls/main.rs
+++ b/crates/geraniumwinch-cell/tests/repeated_calls/main.rs
@@ -5,13 +5,17 @@
 mod test_node;
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::future::join;
 use geraniumwinch_cell::StoreTransaction;
+use geraniumwinch_cell::VmSize;
 use geraniumwinch_core::ErrorKind;
 use test_case::test_case;
+use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
 
 use self::memory_store::MemoryStore;
 use self::test_node::TestNode;
@@ -21,6 +25,10 @@
 const JOB: &str = "0000000000000001";
 /// The key of the owner record.
 const OWNER_KEY: &str = "cell/owner";
+/// The time after which an owner that is cut off is replaced. Opening a connection takes longer.
+const REPLACEMENT_DELAY: Duration = Duration::from_millis(300);
+/// The time within which a waiting job is stored by a new owner.
+const MAX_TAKEOVER_TIME: Duration = Duration::from_millis(300);
 /// The prefix of the fence records.
 const FENCE_PREFIX: &str = "cell/seal/";
 
@@ -127,6 +135,54 @@
     });
 }
 
+/// Guards against a job that is refused after its owner was replaced: the entry still waited for a
+/// connection to the former owner, and then gave up.
+#[test]
+fn a_job_goes_to_the_successor_of_an_owner_that_is_cut_off() {
+    run_test(async {
+        let former = owner_record(unreachable_address().await);
+        let node = TestNode::start_without_owner().await;
+        node.store.put(OWNER_KEY, former);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let replacement = async {
+            tokio::time::sleep(REPLACEMENT_DELAY).await;
+            node.store.delete(OWNER_KEY);
+            tokio::time::Instant::now()
+        };
+        let submission = async {
+            let result = node.submit(JOB).await;
+            (result, tokio::time::Instant::now())
+        };
+        let (replaced, (result, accepted)) = join(replacement, submission).await;
+        assert_eq!(result, Ok(()));
+        assert!(accepted - replaced < MAX_TAKEOVER_TIME, "it waited too long");
+    });
+}
+
+/// Returns an address that opens no connections, and where they are not refused either.
+async fn unreachable_address() -> SocketAddr {
+    let socket = TcpSocket::new_v4().expect("a socket is available");
+    socket.bind("127.0.0.1:0".parse().expect("it is valid")).expect("a port is free");
+    let listener = socket.listen(0).expect("it listens");
+    let address = listener.local_addr().expect("it listens");
+    let wait = Duration::from_millis(100);
+    while let Ok(Ok(stream)) =
+        tokio::time::timeout(wait, TcpStream::connect(address)).await
+    {
+        std::mem::forget(stream);
+    }
+    std::mem::forget(listener);
+    address
+}
+
+/// Returns the encoded record of an owner, whose lease the store doesn't know.
+fn owner_record(address: SocketAddr) -> Vec<u8> {
+    let (epoch, process, lease) = (0_u64, 1_u64, 99_u64);
+    let size = VmSize::default();
+    let record = (epoch, "former owner", process, address, size, lease);
+    postcard::to_stdvec(&record).expect("the record is encodable")
+}
+
 /// Replaces the owner record and the fences of a transaction like a later owner, and leaves the
 /// renewals of the former one without a response.
 fn take_over(store: &MemoryStore, transaction: &StoreTransaction) {
--- a/crates/geraniumwinch-cell/tests/repeated_calls/memory_store.rs
+++ b/crates/geraniumwinch-cell/tests/repeated_calls/memory_store.rs
@@ -84,6 +84,11 @@
         self.write(key, value, 0, self.next_revision());
     }
 
+    /// Removes an item.
+    pub fn delete(&self, key: &str) {
+        self.remove(key, self.next_revision());
+    }
+
     /// Returns whether an item exists.
     pub fn contains(&self, key: &str) -> bool {
         self.items.borrow().contains_key(key)
--- a/crates/geraniumwinch-config/tests/configuration_sets.rs
+++ b/crates/geraniumwinch-config/tests/configuration_sets.rs
@@ -148,6 +148,7 @@
 
 #[test_case("examples/consortium.ini"; "the consortium")]
 #[test_case("examples/nilegear.ini"; "nilegear")]
+#[test_case("examples/rate-engine.ini"; "the rate engine")]
 fn the_example_settings_are_valid(path: &str) {
     let settings = NodeSettings::parse(path, &read_file(path)).expect("valid settings");
     assert!(settings.domains.len() >= 3);
@@ -155,6 +156,7 @@
 
 #[test_case("examples/consortium-set.ini"; "the consortium")]
 #[test_case("examples/nilegear-set.ini"; "nilegear")]
+#[test_case("examples/rate-engine-set.ini"; "the rate engine")]
 fn the_example_sets_are_valid(path: &str) {
     let set = ConfigurationSet::parse(path, &read_file(path)).expect("a valid set");
     assert!(TeamCatalog::of(&set).teams.len() >= 3);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/overdue_jobs.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/overdue_jobs.rs
@@ -28,7 +28,8 @@
     /// Returns how many of `wanted` tasks of a size may start. A gang that exceeds the limit by
     /// itself may take any capacity, since it could never start otherwise.
     fn copies(&self, size: &ResourceVector, wanted: usize, gang: bool) -> usize {
-        if size.cpu_millis == 0 || (gang && size.cpu_millis * wanted as u64 > self.limit) {
+        if size.cpu_millis == 0 || (gang && size.cpu_millis * wanted as u64 > self.limit)
+        {
             return wanted;
         }
         wanted.min((self.left / size.cpu_millis) as usize)
--- a/crates/geraniumwinch/src/commands/check.rs
+++ b/crates/geraniumwinch/src/commands/check.rs
@@ -11,13 +11,13 @@
 use crate::cli_error::Result;
 use crate::commands::argument;
 
-/// Validates a file: with a section `[workers]` as settings of a cell process, with a section
+/// Validates a file: with a section `[vm]` as settings of a cell process, with a section
 /// `[process]` as settings of an entry process, and otherwise as a configuration set.
 pub(crate) fn run(matches: &Matches) -> Result<()> {
     let file = argument(matches, 0, "FILE")?;
     let text = read_file(file)?;
     let has_section = |name: &str| text.lines().any(|line| line.trim() == name);
-    if has_section("[workers]") {
+    if has_section("[vm]") {
         let settings = CellSettings::parse(file, &text)
             .map_err(|problems| invalid_file(&problems))?;
         println!(
