Show for the rate engine that fleet changes, lost responses and slow VMs cost no job and no second run

The stand-in lists workers as leaving and removes them; the proxy stands before the processes' clients as well.

--- a/crates/geraniumwinch-standins/src/fleet.rs
+++ b/crates/geraniumwinch-standins/src/fleet.rs
@@ -96,6 +96,7 @@
             .route("/operator", web::post().to(publish_configuration))
             .route("/forget", web::post().to(compact_history))
             .route("/restart", web::post().to(restart_worker))
+            .route("/worker-state", web::post().to(set_worker_state))
             .route("/account", web::get().to(show_runs))
     })
     .workers(1)
@@ -145,6 +146,29 @@
     HttpResponse::Ok().json(json!({}))
 }
 
+/// A change of a worker's entry in the store.
+#[derive(Debug, Deserialize)]
+struct WorkerStateChange {
+    /// The index of the worker.
+    worker: usize,
+    /// The new state, or `None` to remove the worker, which ends everything that runs there.
+    state: Option<String>,
+}
+
+/// Changes the state of a worker, or removes the worker.
+async fn set_worker_state(
+    store: SharedStore,
+    workers: SharedWorkers,
+    change: web::Json<WorkerStateChange>,
+) -> HttpResponse {
+    let mut worker = lock(&workers[change.worker]);
+    if change.state.is_none() {
+        worker.restart();
+    }
+    lock(&store).set_worker_state(worker.id(), change.state.as_deref());
+    HttpResponse::Ok().json(json!({}))
+}
+
 /// Writes the operators' configuration to the store.
 async fn publish_configuration(store: SharedStore, body: web::Bytes) -> HttpResponse {
     lock(&store).put("op/config", &body);
--- a/crates/geraniumwinch-standins/src/fleet/kv_store.rs
+++ b/crates/geraniumwinch-standins/src/fleet/kv_store.rs
@@ -75,6 +75,23 @@
         self.put(&format!("servers/{id}-broken"), b"{");
     }
 
+    /// Changes the state in a worker's entry, or removes the entry if there is no new state.
+    pub(super) fn set_worker_state(&mut self, id: &str, state: Option<&str>) {
+        let key = format!("servers/{id}");
+        let Some(state) = state else {
+            self.revision += 1;
+            self.remove(&key);
+            return;
+        };
+        let value = self.items.get(&key).map(|item| item.value.clone());
+        let bytes = value.and_then(|value| STANDARD.decode(value).ok());
+        let entry = bytes.and_then(|bytes| serde_json::from_slice::<Value>(&bytes).ok());
+        if let Some(mut entry) = entry {
+            entry["state"] = json!(state);
+            self.put(&key, entry.to_string().as_bytes());
+        }
+    }
+
     /// Writes an item at the current revision.
     fn write(&mut self, key: &str, value: String, lease: u64) {
         let revision = self.revision;
--- a/crates/geraniumwinch-tests/src/fleet_cell.rs
+++ b/crates/geraniumwinch-tests/src/fleet_cell.rs
@@ -122,6 +122,9 @@
         for index in 0..processes {
             let target = address(PLATFORM_PORT);
             routes.push(json!({ "listen": self.store_address(index), "target": target }));
+            let target = self.addresses.entry(0, index, PORTS[0]);
+            routes
+                .push(json!({ "listen": self.client_address(index), "target": target }));
         }
         let url = format!("http://{}/routes", address(PROXY_PORT));
         self.client.post_json(&url, &Value::Array(routes)).await;
@@ -153,6 +156,16 @@
         self.post("/restart", &json!(index)).await;
     }
 
+    /// Changes the state that the store lists a worker with; `None` removes the worker.
+    pub async fn set_worker_state(&self, index: u16, state: Option<&str>) {
+        self.post("/worker-state", &json!({ "worker": index, "state": state })).await;
+    }
+
+    /// Returns the proxy address under which clients reach a process.
+    pub fn client_address(&self, index: usize) -> std::net::SocketAddr {
+        self.addresses.entry(0, index, PORTS[0] + PROXY_OFFSET)
+    }
+
     /// Compacts the store's history, so that watches from earlier revisions must start over.
     pub async fn compact_store(&self) {
         self.post("/forget", &json!({})).await;
@@ -280,6 +293,19 @@
         self.call(index, Method::POST, &path, Some(FLEET_KEY), &body).await.status
     }
 
+    /// Submits a job with one task through the proxy, and returns the status; 0 means no response.
+    pub async fn submit_through_proxy(&self, index: usize, id: &str, spec: &str) -> u16 {
+        let url = format!("http://{}/jobs/{id}", self.client_address(index));
+        let step = json!({ "count": 1, "cpu": 1000, "mem_mb": 64, "estimate_ms": 100 });
+        let body = json!({ "spec": spec, "steps": [step] }).to_string();
+        let headers = [
+            ("Host", HOST),
+            ("Geraniumwinch-Deadline-Ms", "3000"),
+            ("Authorization", FLEET_KEY),
+        ];
+        self.client.send(Method::POST, &url, &headers, body).await.status
+    }
+
     /// Creates a load of jobs that are submitted to all processes.
     pub fn load(
         &self,
