Start the delays of a claim anew when the owner has changed meanwhile

Cause: a process on a small VM leaves larger ones 1.5 s to claim a vacant ownership. Any change of the owner ended that wait, and if the cell was vacant again by the end of the probe, it claimed at once.

Change: a claim is given up if the owner changes while it waits or probes.

--- a/crates/geraniumwinch-cell/src/owner_election/claiming.rs
+++ b/crates/geraniumwinch-cell/src/owner_election/claiming.rs
@@ -33,14 +33,17 @@
 impl OwnerElection {
     /// Claims the ownership and, if the claim succeeds, runs the dispatcher until the ownership
     /// ends.
+    ///
+    /// If the owner changes meanwhile, the claim is given up: a later vacancy needs new delays.
     pub(super) async fn claim(self: &Rc<Self>) {
+        let changes = self.watch.changes();
         let jitter = CLAIM_JITTER.mul_f64(rand::rng().random());
         let wait = self.size_based_delay().await;
         self.watch.await_change(wait + jitter).await;
         if !self.probe_peers(0).await.domain_majority {
             self.watch.await_change(PARTITIONED_CLAIM_DELAY).await;
         }
-        if !self.may_claim() {
+        if !self.may_claim() || self.watch.changes() != changes {
             return;
         }
         match self.try_claim().await {
--- a/crates/geraniumwinch-cell/src/owner_watch.rs
+++ b/crates/geraniumwinch-cell/src/owner_watch.rs
@@ -27,6 +27,8 @@
     current: RefCell<Option<OwnerRecord>>,
     /// The revision of the newest change seen.
     revision: Cell<u64>,
+    /// The number of changes of the owner that this process has seen.
+    changes: Cell<u64>,
     /// The time of the store's last response.
     last_response: Cell<Option<BootTime>>,
     changed: Notify,
@@ -38,6 +40,7 @@
             ports,
             current: RefCell::new(None),
             revision: Cell::new(0),
+            changes: Cell::new(0),
             last_response: Cell::new(None),
             changed: Notify::new(),
         })
@@ -48,6 +51,11 @@
         self.current.borrow().clone()
     }
 
+    /// Returns the number of changes of the owner that this process has seen.
+    pub(crate) fn changes(&self) -> u64 {
+        self.changes.get()
+    }
+
     /// Returns whether the store has responded within `age` and there is no owner.
     pub(crate) fn is_vacant(&self, age: Duration) -> bool {
         let now = self.ports.clock.now();
@@ -97,6 +105,7 @@
             None => log_event!(Info, "owner-none", revision = revision),
         }
         *self.current.borrow_mut() = owner;
+        self.changes.set(self.changes.get() + 1);
         self.changed.notify_waiters();
     }
 
--- a/crates/geraniumwinch-cell/tests/repeated_calls/main.rs
+++ b/crates/geraniumwinch-cell/tests/repeated_calls/main.rs
@@ -29,6 +29,8 @@
 const REPLACEMENT_DELAY: Duration = Duration::from_millis(300);
 /// The time within which a waiting job is stored by a new owner.
 const MAX_TAKEOVER_TIME: Duration = Duration::from_millis(300);
+/// The key of the last epoch.
+const EPOCH_KEY: &str = "cell/epoch";
 /// The prefix of the fence records.
 const FENCE_PREFIX: &str = "cell/seal/";
 
@@ -159,6 +161,29 @@
     });
 }
 
+/// Guards against a takeover by a VM that is too small for the cell (butoan-sched-grown, recorded day
+/// 3f4e): it waited in a first vacancy, and claimed at once in a second one that followed.
+#[test]
+fn a_small_vm_waits_anew_in_each_vacancy() {
+    run_test(async {
+        let former = owner_record(unreachable_address().await);
+        let node = TestNode::start_without_owner().await;
+        node.store.put(EPOCH_KEY, epoch_record(VmSize::from_cpu_share(100.0)));
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        node.store.put(OWNER_KEY, former);
+        node.store.delete(OWNER_KEY);
+        tokio::time::sleep(Duration::from_millis(600)).await;
+        assert!(!node.store.contains(OWNER_KEY), "the small VM has claimed the cell");
+        let owned = tokio::time::timeout(Duration::from_secs(3), node.await_owner());
+        assert!(owned.await.is_ok(), "no process owns the cell");
+    });
+}
+
+/// Returns the encoded record of an epoch with the size of its owner's VM.
+fn epoch_record(size: VmSize) -> Vec<u8> {
+    postcard::to_stdvec(&(1_u64, size)).expect("the record is encodable")
+}
+
 /// Returns an address that opens no connections, and where they are not refused either.
 async fn unreachable_address() -> SocketAddr {
     let socket = TcpSocket::new_v4().expect("a socket is available");
