--- a/crates/geraniumwinch-cell/src/owner_election.rs
+++ b/crates/geraniumwinch-cell/src/owner_election.rs
@@ -244,7 +244,13 @@
     async fn run_dispatcher(self: &Rc<Self>, authority: OwnerAuthority, revision: u64) {
         let authority = Rc::new(authority);
         cell_metrics::count_ownership("taken", authority.epoch);
-        log_event!(Info, "ownership-taken", epoch = authority.epoch, revision = revision);
+        log_event!(
+            Info,
+            "ownership-taken",
+            epoch = authority.epoch,
+            revision = revision,
+            vm_cpu_millis = self.size.cpu_millis(),
+        );
         let renewal =
             actix_rt::spawn(Rc::clone(self).renew_until_lost(Rc::clone(&authority)));
         let dispatcher = CellDispatcher::take_over(
--- a/crates/geraniumwinch-cell/src/request_forwarder.rs
+++ b/crates/geraniumwinch-cell/src/request_forwarder.rs
@@ -205,9 +205,15 @@
                     return Err(ErrorKind::StoreUnknown);
                 }
                 Ok(reply) => return Ok(reply),
-                Err(CallError::NotSent { .. }) => {}
-                Err(_) => {
-                    maybe_received = true;
+                Err(error) => {
+                    log_event!(
+                        Info,
+                        "forward-failed",
+                        owner = owner.name,
+                        epoch = owner.epoch,
+                        error = error
+                    );
+                    maybe_received |= !matches!(error, CallError::NotSent { .. });
                     cell_metrics::count_retry("carry");
                 }
             }
--- a/crates/geraniumwinch-cell/src/vm_size.rs
+++ b/crates/geraniumwinch-cell/src/vm_size.rs
@@ -37,6 +37,11 @@
         VmSize { cpu_millis: (share * 1000.0) as u32 }
     }
 
+    /// Returns the CPU share in thousandths of a core.
+    pub fn cpu_millis(self) -> u32 {
+        self.cpu_millis
+    }
+
     /// Returns whether another VM is so much larger that it should own the cell instead.
     pub fn is_much_smaller_than(self, other: VmSize) -> bool {
         other.cpu_millis > self.cpu_millis.saturating_mul(MUCH_LARGER_FACTOR)
