--- a/crates/geraniumwinch-core/src/endpoint_table.rs
+++ b/crates/geraniumwinch-core/src/endpoint_table.rs
@@ -4,10 +4,11 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use slotmap::SlotMap;
 
 use crate::GrantHolder;
 use crate::Name;
+use crate::vm_table::VmState;
+use crate::vm_table::VmTable;
 
 slotmap::new_key_type! {
     /// The key of an endpoint in an [`EndpointTable`].
@@ -42,8 +43,7 @@
 /// The endpoints of a failure domain.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
-    states: SlotMap<EndpointKey, EndpointState>,
-    by_name: HashMap<Name, EndpointKey>,
+    vms: VmTable<EndpointKey, EndpointState>,
     by_service: HashMap<Name, Vec<EndpointKey>>,
     /// Whether slots are reserved for grants that no process reports.
     reserve_active: bool,
@@ -55,53 +55,21 @@
     /// Endpoints that are no longer listed get no new requests. They are removed by the first
     /// replacement at which all their slots are free.
     pub fn set_list(&mut self, specs: &[EndpointSpec]) {
-        for state in self.states.values_mut() {
-            state.listed = false;
-        }
-        for spec in specs {
-            self.insert(spec.clone());
-        }
-        let by_name = &mut self.by_name;
-        self.states.retain(|_, state| {
-            let keep = state.listed || state.busy > 0;
-            if !keep {
-                by_name.remove(&state.spec.name);
-            }
-            keep
-        });
+        self.vms.set_list(specs);
         self.by_service.clear();
-        for (key, state) in &self.states {
+        for (key, state) in &self.vms.states {
             self.by_service.entry(state.spec.service.clone()).or_default().push(key);
         }
     }
 
-    /// Adds an endpoint or updates the description of a known one.
-    fn insert(&mut self, spec: EndpointSpec) {
-        if let Some(&key) = self.by_name.get(&spec.name) {
-            let state = &mut self.states[key];
-            state.spec = spec;
-            state.listed = true;
-            return;
-        }
-        let name = spec.name.clone();
-        let key = self.states.insert(EndpointState {
-            spec,
-            busy: 0,
-            busy_owner: 0,
-            busy_remote: 0,
-            listed: true,
-        });
-        self.by_name.insert(name, key);
-    }
-
     /// Returns the key of the endpoint with the given name.
     pub fn find(&self, name: &str) -> Option<EndpointKey> {
-        self.by_name.get(name).copied()
+        self.vms.find(name)
     }
 
     /// Returns the description of an endpoint.
     pub fn spec(&self, key: EndpointKey) -> Option<&EndpointSpec> {
-        self.states.get(key).map(|state| &state.spec)
+        self.vms.states.get(key).map(|state| &state.spec)
     }
 
     /// Starts or ends reserving the slots that unreported grants may occupy.
@@ -120,24 +88,26 @@
     ) -> Option<EndpointKey> {
         let keys = self.by_service.get(service)?;
         let usable = |key: &&EndpointKey| {
-            let state = &self.states[**key];
+            let state = &self.vms.states[**key];
             state.listed && !state.spec.leaving
         };
         let all_excluded = keys
             .iter()
             .filter(usable)
-            .all(|&key| excluded.contains(&self.states[key].spec.name));
+            .all(|&key| excluded.contains(&self.vms.states[key].spec.name));
         let excluded = if all_excluded { &[] } else { excluded };
         keys.iter()
             .copied()
-            .filter(|&key| self.free_slots(key) > 0 && self.states[key].allows(holder))
-            .filter(|&key| !excluded.contains(&self.states[key].spec.name))
+            .filter(|&key| {
+                self.free_slots(key) > 0 && self.vms.states[key].allows(holder)
+            })
+            .filter(|&key| !excluded.contains(&self.vms.states[key].spec.name))
             .max_by_key(|&key| self.free_slots(key))
     }
 
     /// Returns the number of an endpoint's slots that are available to new requests.
     fn free_slots(&self, key: EndpointKey) -> u32 {
-        let state = &self.states[key];
+        let state = &self.vms.states[key];
         if state.spec.leaving || !state.listed {
             return 0;
         }
@@ -152,17 +122,17 @@
     pub fn service_slots(&self, service: &str) -> (u32, u32) {
         let keys = self.by_service.get(service).map(Vec::as_slice).unwrap_or_default();
         let usable = keys.iter().filter(|&&key| {
-            let state = &self.states[key];
+            let state = &self.vms.states[key];
             state.listed && !state.spec.leaving
         });
         usable.fold((0, 0), |(free, all), &key| {
-            (free + self.free_slots(key), all + self.states[key].spec.slots)
+            (free + self.free_slots(key), all + self.vms.states[key].spec.slots)
         })
     }
 
     /// Marks one slot of an endpoint as busy.
     pub fn occupy(&mut self, key: EndpointKey, holder: GrantHolder) {
-        if let Some(state) = self.states.get_mut(key) {
+        if let Some(state) = self.vms.states.get_mut(key) {
             state.busy += 1;
             if let Some(count) = state.limited_count_mut(holder) {
                 *count += 1;
@@ -172,7 +142,7 @@
 
     /// Marks one busy slot of an endpoint as free.
     pub fn vacate(&mut self, key: EndpointKey, holder: GrantHolder) {
-        if let Some(state) = self.states.get_mut(key) {
+        if let Some(state) = self.vms.states.get_mut(key) {
             state.busy = state.busy.saturating_sub(1);
             if let Some(count) = state.limited_count_mut(holder) {
                 *count = count.saturating_sub(1);
@@ -182,7 +152,34 @@
 
     /// Returns all endpoints with their number of busy slots.
     pub fn iter(&self) -> impl Iterator<Item = (&EndpointSpec, u32)> {
-        self.states.values().map(|state| (&state.spec, state.busy))
+        self.vms.states.values().map(|state| (&state.spec, state.busy))
+    }
+}
+
+impl VmState for EndpointState {
+    type Spec = EndpointSpec;
+
+    fn name(spec: &EndpointSpec) -> &Name {
+        &spec.name
+    }
+
+    fn new(spec: EndpointSpec) -> Self {
+        EndpointState { spec, busy: 0, busy_owner: 0, busy_remote: 0, listed: true }
+    }
+
+    fn spec(&self) -> &EndpointSpec {
+        &self.spec
+    }
+
+    fn set_listed(&mut self, spec: Option<EndpointSpec>) {
+        self.listed = spec.is_some();
+        if let Some(spec) = spec {
+            self.spec = spec;
+        }
+    }
+
+    fn is_needed(&self) -> bool {
+        self.listed || self.busy > 0
     }
 }
 
--- a/crates/geraniumwinch-core/src/lib.rs
+++ b/crates/geraniumwinch-core/src/lib.rs
@@ -24,6 +24,7 @@
 mod system_clock;
 mod task_id;
 mod team_ledger;
+mod vm_table;
 mod worker_table;
 
 pub use self::allowance_table::AllowanceTable;
--- a/crates/geraniumwinch-core/src/worker_table.rs
+++ b/crates/geraniumwinch-core/src/worker_table.rs
@@ -1,14 +1,14 @@
 //! The workers of a failure domain and their booked resources.
 
-use std::collections::HashMap;
 use std::time::Instant;
 
 use serde::Deserialize;
 use serde::Serialize;
-use slotmap::SlotMap;
 
 use crate::Name;
 use crate::ResourceVector;
+use crate::vm_table::VmState;
+use crate::vm_table::VmTable;
 
 slotmap::new_key_type! {
     /// The key of a worker in a [`WorkerTable`].
@@ -60,8 +60,7 @@
 /// The workers of a failure domain.
 #[derive(Debug, Default)]
 pub struct WorkerTable {
-    states: SlotMap<WorkerKey, WorkerState>,
-    by_name: HashMap<Name, WorkerKey>,
+    vms: VmTable<WorkerKey, WorkerState>,
 }
 
 impl WorkerTable {
@@ -70,70 +69,32 @@
     /// Workers that are no longer listed get no new tasks. They are removed by the first replacement at
     /// which they have no tasks left.
     pub fn set_list(&mut self, specs: &[WorkerSpec]) {
-        for state in self.states.values_mut() {
-            state.listed = false;
-        }
-        for spec in specs {
-            self.insert(spec.clone());
-        }
-        let by_name = &mut self.by_name;
-        self.states.retain(|_, state| {
-            let keep = state.listed || state.tasks > 0;
-            if !keep {
-                by_name.remove(&state.spec.name);
-            }
-            keep
-        });
-    }
-
-    /// Adds a worker or updates the description of a known one.
-    fn insert(&mut self, spec: WorkerSpec) {
-        if let Some(&key) = self.by_name.get(&spec.name) {
-            let state = &mut self.states[key];
-            state.spec = spec;
-            state.listed = true;
-            return;
-        }
-        let name = spec.name.clone();
-        let key = self.states.insert(WorkerState {
-            spec,
-            booked: ResourceVector::default(),
-            reachable: false,
-            all_booked: false,
-            settled: false,
-            lease_sent: None,
-            listed: true,
-            tasks: 0,
-            starts: 0.0,
-            failures: 0.0,
-            quarantined_until: None,
-        });
-        self.by_name.insert(name, key);
+        self.vms.set_list(specs);
     }
 
     /// Returns the key of the worker with the given name.
     pub fn find(&self, name: &str) -> Option<WorkerKey> {
-        self.by_name.get(name).copied()
+        self.vms.find(name)
     }
 
     /// Returns the state of a worker.
     pub fn get(&self, key: WorkerKey) -> Option<&WorkerState> {
-        self.states.get(key)
+        self.vms.states.get(key)
     }
 
     /// Returns the state of a worker for modification.
     pub fn get_mut(&mut self, key: WorkerKey) -> Option<&mut WorkerState> {
-        self.states.get_mut(key)
+        self.vms.states.get_mut(key)
     }
 
     /// Returns all workers.
     pub fn iter(&self) -> impl Iterator<Item = (WorkerKey, &WorkerState)> {
-        self.states.iter()
+        self.vms.states.iter()
     }
 
     /// Books the resources of one task.
     pub fn book(&mut self, key: WorkerKey, size: &ResourceVector) {
-        if let Some(state) = self.states.get_mut(key) {
+        if let Some(state) = self.vms.states.get_mut(key) {
             state.booked.add(size);
             state.tasks += 1;
         }
@@ -141,7 +102,7 @@
 
     /// Releases the resources of one task.
     pub fn release(&mut self, key: WorkerKey, size: &ResourceVector) {
-        if let Some(state) = self.states.get_mut(key) {
+        if let Some(state) = self.vms.states.get_mut(key) {
             state.booked.subtract(size);
             state.tasks = state.tasks.saturating_sub(1);
         }
@@ -150,7 +111,7 @@
     /// Returns the total resources of the listed workers.
     pub fn total(&self) -> ResourceVector {
         let mut total = ResourceVector::default();
-        for state in self.states.values().filter(|state| state.listed) {
+        for state in self.vms.states.values().filter(|state| state.listed) {
             total.add(&state.spec.capacity);
         }
         total
@@ -158,7 +119,10 @@
 
     /// Returns whether a task of this size fits on any listed worker that is empty.
     pub fn ever_fits(&self, size: &ResourceVector) -> bool {
-        self.states.values().any(|state| state.listed && size.fits(&state.spec.capacity))
+        self.vms
+            .states
+            .values()
+            .any(|state| state.listed && size.fits(&state.spec.capacity))
     }
 
     /// Selects the worker on which the fewest resources have to be freed until a task of this size fits.
@@ -172,7 +136,8 @@
             let free = state.spec.capacity.minus(&state.booked);
             size.minus(&free).dominant_share(&state.spec.capacity)
         };
-        self.states
+        self.vms
+            .states
             .iter()
             .filter(|(key, state)| state.takes_work(now) && !excluded.contains(key))
             .filter(|(_, state)| size.fits(&state.spec.capacity))
@@ -190,7 +155,8 @@
         excluded: &[WorkerKey],
         now: Instant,
     ) -> Option<WorkerKey> {
-        self.states
+        self.vms
+            .states
             .iter()
             .filter(|(key, state)| state.takes_work(now) && !excluded.contains(key))
             .filter_map(|(key, state)| {
@@ -201,6 +167,45 @@
     }
 }
 
+impl VmState for WorkerState {
+    type Spec = WorkerSpec;
+
+    fn name(spec: &WorkerSpec) -> &Name {
+        &spec.name
+    }
+
+    fn new(spec: WorkerSpec) -> Self {
+        WorkerState {
+            spec,
+            booked: ResourceVector::default(),
+            reachable: false,
+            all_booked: false,
+            settled: false,
+            lease_sent: None,
+            listed: true,
+            tasks: 0,
+            starts: 0.0,
+            failures: 0.0,
+            quarantined_until: None,
+        }
+    }
+
+    fn spec(&self) -> &WorkerSpec {
+        &self.spec
+    }
+
+    fn set_listed(&mut self, spec: Option<WorkerSpec>) {
+        self.listed = spec.is_some();
+        if let Some(spec) = spec {
+            self.spec = spec;
+        }
+    }
+
+    fn is_needed(&self) -> bool {
+        self.listed || self.tasks > 0
+    }
+}
+
 impl WorkerState {
     /// Returns whether new tasks may be placed on the worker.
     pub fn takes_work(&self, now: Instant) -> bool {
