--- a/crates/geraniumwinch-cell/src/cell_error.rs
+++ b/crates/geraniumwinch-cell/src/cell_error.rs
@@ -49,7 +49,7 @@
     /// An address can't be listened on.
     #[snafu(display("failed to listen on {address}: {source}"))]
     Listen {
-        /// The address.
+        /// The address from the settings, which may be in use or not be this VM's.
         address: SocketAddr,
         /// The underlying I/O error.
         source: std::io::Error,
--- a/crates/geraniumwinch-core/src/slot_allocator/grant_table.rs
+++ b/crates/geraniumwinch-core/src/slot_allocator/grant_table.rs
@@ -20,7 +20,7 @@
     pub(super) team: Option<TeamKey>,
     /// The relation of the process that holds the slot to the dispatcher.
     pub(super) holder: GrantHolder,
-    /// The queue.
+    /// The queue of the request that holds the slot.
     pub(super) queue: Name,
     /// When the slot was granted.
     pub(super) granted: Instant,
--- a/crates/geraniumwinch-core/src/slot_allocator/slot_request.rs
+++ b/crates/geraniumwinch-core/src/slot_allocator/slot_request.rs
@@ -16,7 +16,7 @@
 pub struct SlotRequest<C> {
     /// The identifier of the request, which is never reused.
     pub id: u128,
-    /// The queue.
+    /// The queue whose policy bounds the wait, and whose service the endpoint has to run.
     pub queue: Name,
     /// The team whose key was sent with the request, or `None` for a queue that requires no key.
     pub team: Option<TeamKey>,
@@ -53,7 +53,7 @@
 pub struct AdoptedGrant {
     /// The granted slot.
     pub offer: GrantOffer,
-    /// The queue.
+    /// The queue of the request that holds the slot.
     pub queue: Name,
     /// The team, or `None` for a queue that requires no key.
     pub team: Option<TeamKey>,
--- a/crates/geraniumwinch-fleet/src/queue_rules.rs
+++ b/crates/geraniumwinch-fleet/src/queue_rules.rs
@@ -27,7 +27,7 @@
 /// The rules by which the jobs of a queue are scheduled.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct QueueRules {
-    /// The queue.
+    /// The name of the queue in the configuration.
     pub queue: Name,
     /// The service whose workers run the tasks.
     pub service: Name,
--- a/crates/geraniumwinch-node/src/node_error.rs
+++ b/crates/geraniumwinch-node/src/node_error.rs
@@ -11,7 +11,7 @@
     /// Listening on the peer address failed.
     #[snafu(display("can't listen for peers on {address}: {source}"))]
     PeerListen {
-        /// The address.
+        /// The address from the settings, which may be in use or not be this VM's.
         address: SocketAddr,
         /// The error of the messaging library.
         source: nng::Error,
@@ -19,7 +19,7 @@
     /// Listening on the HTTP address failed.
     #[snafu(display("can't listen for clients on {address}: {source}"))]
     HttpListen {
-        /// The address.
+        /// The address from the settings, which may be in use or not be this VM's.
         address: SocketAddr,
         /// The error of the operating system.
         source: std::io::Error,
@@ -27,29 +27,29 @@
     /// A call to the store timed out or returned an error.
     #[snafu(display("the call to the store failed: {message}"))]
     Store {
-        /// The details.
+        /// What the client or the decoder reported.
         message: String,
     },
     /// A value in the store is invalid.
     #[snafu(display("the store's value at `{key}` is invalid: {message}"))]
     StoredValue {
-        /// The key.
+        /// The key in the store.
         key: String,
-        /// The details.
+        /// What the client or the decoder reported.
         message: String,
     },
     /// A call to a platform service timed out or returned an error.
     #[snafu(display("the call to {service} failed: {message}"))]
     Platform {
-        /// The service.
+        /// The name of the service, for logs.
         service: &'static str,
-        /// The details.
+        /// What the client or the decoder reported.
         message: String,
     },
     /// A peer did not respond in time.
     #[snafu(display("peer {address} did not respond in time"))]
     PeerTimeout {
-        /// The address.
+        /// The address that the call was sent to.
         address: SocketAddr,
     },
     /// The ownership of the failure domain has passed to another process.
--- a/crates/geraniumwinch-wire/src/domain_digest.rs
+++ b/crates/geraniumwinch-wire/src/domain_digest.rs
@@ -20,7 +20,7 @@
 /// The load of a queue in a failure domain.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QueueLoad {
-    /// The queue.
+    /// The name of the queue in the configuration.
     pub queue: Name,
     /// Free slots of the queue's service.
     pub free: u32,
