--- a/crates/geraniumwinch-standins/src/fault_proxy.rs
+++ b/crates/geraniumwinch-standins/src/fault_proxy.rs
@@ -33,6 +33,9 @@
     target: SocketAddr,
 }
 
+/// The average number of reads between two that a lossy link delays.
+const LOSS_INTERVAL: u32 = 8;
+
 /// The effect of a rule on the traffic that it matches.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -51,6 +54,8 @@
     DropResponses,
     /// Forward bytes after a delay.
     Delay,
+    /// Forward some bytes after a delay, like a link that loses packets and sends them again.
+    Lossy,
 }
 
 /// A rule for matching traffic; the first rule that matches a connection applies.
@@ -252,6 +257,12 @@
                 tokio::time::sleep(Duration::from_millis(rule.ms)).await;
                 return true;
             }
+            RuleMode::Lossy => {
+                if rand::random_ratio(1, LOSS_INTERVAL) {
+                    tokio::time::sleep(Duration::from_millis(rule.ms)).await;
+                }
+                return true;
+            }
             RuleMode::Freeze => true,
             RuleMode::FreezeRequests => !is_response,
             RuleMode::FreezeResponses => is_response,
--- a/crates/geraniumwinch-tests/src/cell_process.rs
+++ b/crates/geraniumwinch-tests/src/cell_process.rs
@@ -6,16 +6,20 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::time::Duration;
 
 use nix::sys::signal::Signal;
 use nix::sys::signal::kill;
 use nix::unistd::Pid;
+use tokio::task::JoinHandle;
 
 /// A child process, which is killed on drop.
 #[derive(Debug)]
 pub struct CellProcess {
     child: Child,
     log: PathBuf,
+    /// The task that suspends and resumes the process while it is slowed down.
+    pulses: Option<JoinHandle<()>>,
 }
 
 impl CellProcess {
@@ -34,7 +38,7 @@
             .stderr(errors)
             .spawn()
             .unwrap_or_else(|error| panic!("failed to start {program}: {error}"));
-        CellProcess { child, log: log.to_owned() }
+        CellProcess { child, log: log.to_owned(), pulses: None }
     }
 
     /// Starts a program whose standard output is a pipe that is never read.
@@ -52,7 +56,7 @@
             .stderr(Stdio::null())
             .spawn()
             .unwrap_or_else(|error| panic!("failed to start {program}: {error}"));
-        CellProcess { child, log: log.to_owned() }
+        CellProcess { child, log: log.to_owned(), pulses: None }
     }
 
     fn signal(&self, signal: Signal) {
@@ -70,6 +74,28 @@
         self.signal(Signal::SIGCONT);
     }
 
+    /// Lets the process run and suspends it by turns, for the given times.
+    pub fn slow_down(&mut self, (running, suspended): (Duration, Duration)) {
+        let pid = Pid::from_raw(self.child.id() as i32);
+        let pulses = actix_rt::spawn(async move {
+            loop {
+                let _ = kill(pid, Signal::SIGSTOP);
+                tokio::time::sleep(suspended).await;
+                let _ = kill(pid, Signal::SIGCONT);
+                tokio::time::sleep(running).await;
+            }
+        });
+        self.pulses = Some(pulses);
+    }
+
+    /// Lets a process run freely that was slowed down.
+    pub fn end_slow_down(&mut self) {
+        if let Some(pulses) = self.pulses.take() {
+            pulses.abort();
+        }
+        self.resume();
+    }
+
     /// Requests a graceful stop with SIGTERM.
     pub fn terminate(&self) {
         self.signal(Signal::SIGTERM);
@@ -77,6 +103,7 @@
 
     /// Kills the process and waits until it has exited.
     pub fn kill(&mut self) {
+        self.end_slow_down();
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
--- a/crates/geraniumwinch-tests/src/fault_injector.rs
+++ b/crates/geraniumwinch-tests/src/fault_injector.rs
@@ -21,6 +21,14 @@
 /// The maximum number of faults that are active at a time.
 const MAX_ACTIVE: usize = 4;
 
+/// The time for which connections are cut to reset them.
+const RESET_TIME: Duration = Duration::from_millis(60);
+/// The time that a slow process runs, and is suspended, by turns.
+const SLOW_DUTY: (Duration, Duration) =
+    (Duration::from_millis(20), Duration::from_millis(80));
+/// The delay of the packets that a lossy link loses, in milliseconds.
+const RETRANSMISSION_MS: u64 = 250;
+
 /// The ways in which a worker refuses commands.
 const REFUSALS: [&str; 2] = ["unhealthy", "ticket"];
 
@@ -32,6 +40,9 @@
     /// The same, and as often faults of commands to workers: start commands without a response,
     /// refused commands, and long delays across restarts.
     Commands,
+    /// The general faults, and as often those of large fleets: slow processes, connections that are
+    /// reset, links that lose packets, responses that are lost, and workers that leave and join.
+    Fleet,
 }
 
 /// A fault to inject.
@@ -43,10 +54,18 @@
     KillAll,
     /// A process is suspended with SIGSTOP.
     Freeze(usize),
+    /// A process runs for a fifth of the time.
+    Slow(usize),
+    /// All connections that pass the proxy are reset.
+    ResetConnections,
+    /// A worker is listed as leaving, and as ready when the fault is cleared.
+    DrainWorker(u16),
     /// A process is stopped gracefully, and restarted when the fault is cleared.
     Terminate(usize),
     /// The proxy disturbs the connections of a process to the store.
     DisturbStoreLink(usize, &'static str),
+    /// The proxy drops the responses of a process to its clients, or loses their packets.
+    DisturbClientLink(usize, &'static str),
     /// The proxy disturbs the connections of all processes to a worker.
     DisturbWorkerLink(u16, &'static str),
     /// A fault is injected into the stand-in: its name and value.
@@ -106,10 +125,25 @@
     }
 
     fn draw_fault(&mut self) -> FleetFault {
-        if self.plan == FaultPlan::Commands && self.rng.random_bool(0.5) {
-            self.draw_command_fault()
-        } else {
-            self.draw_general_fault()
+        match self.plan {
+            FaultPlan::Commands if self.rng.random_bool(0.5) => self.draw_command_fault(),
+            FaultPlan::Fleet if self.rng.random_bool(0.5) => self.draw_fleet_fault(),
+            _ => self.draw_general_fault(),
+        }
+    }
+
+    fn draw_fleet_fault(&mut self) -> FleetFault {
+        let rng = &mut self.rng;
+        let process = rng.random_range(0..self.processes);
+        let worker = rng.random_range(0..self.workers);
+        match rng.random_range(0..8) {
+            0..=1 => FleetFault::Slow(process),
+            2 => FleetFault::ResetConnections,
+            3 => FleetFault::DisturbStoreLink(process, "lossy"),
+            4 => FleetFault::DisturbWorkerLink(worker, "lossy"),
+            5 => FleetFault::DisturbClientLink(process, "drop-answers"),
+            6 => FleetFault::DisturbClientLink(process, "lossy"),
+            _ => FleetFault::DrainWorker(worker),
         }
     }
 
@@ -168,6 +202,15 @@
             FleetFault::Kill(index) => cell.kill(*index),
             FleetFault::KillAll => (0..self.processes).for_each(|index| cell.kill(index)),
             FleetFault::Freeze(index) => cell.process(*index).freeze(),
+            FleetFault::Slow(index) => cell.process(*index).slow_down(SLOW_DUTY),
+            FleetFault::DrainWorker(index) => {
+                cell.set_worker_state(*index, Some("draining")).await;
+            }
+            FleetFault::ResetConnections => {
+                cell.set_rules(&[json!({ "mode": "cut" })]).await;
+                tokio::time::sleep(RESET_TIME).await;
+                return self.apply_to_stand_ins(cell).await;
+            }
             FleetFault::Terminate(index) => cell.process(*index).terminate(),
             FleetFault::RestartWorker(index) => return cell.restart_worker(*index).await,
             FleetFault::RestartWorkerTwice(index) => cell.restart_worker(*index).await,
@@ -177,6 +220,7 @@
                 return cell.publish(self.version).await;
             }
             FleetFault::DisturbStoreLink(..)
+            | FleetFault::DisturbClientLink(..)
             | FleetFault::DisturbWorkerLink(..)
             | FleetFault::StandIn(..) => {}
         }
@@ -196,6 +240,10 @@
                     (0..self.processes).for_each(|index| cell.start_process(index));
                 }
                 FleetFault::Freeze(index) => cell.process(index).resume(),
+                FleetFault::Slow(index) => cell.process(index).end_slow_down(),
+                FleetFault::DrainWorker(index) => {
+                    cell.set_worker_state(index, Some("ready")).await;
+                }
                 FleetFault::Terminate(index) => {
                     cell.kill(index);
                     cell.start_process(index);
@@ -216,6 +264,9 @@
                 FleetFault::DisturbStoreLink(index, mode) => {
                     rules.push(rule(cell.store_address(*index), mode));
                 }
+                FleetFault::DisturbClientLink(index, mode) => {
+                    rules.push(rule(cell.client_address(*index), mode));
+                }
                 FleetFault::DisturbWorkerLink(index, mode) => {
                     rules.push(rule(cell.worker_address(*index), mode));
                 }
@@ -232,7 +283,8 @@
 
 /// Creates a rule for the connections that the proxy accepts at an address.
 fn rule(at: std::net::SocketAddr, mode: &str) -> Value {
-    json!({ "at": at.to_string(), "mode": mode, "ms": DELAY_MS })
+    let delay_ms = if mode == "lossy" { RETRANSMISSION_MS } else { DELAY_MS };
+    json!({ "at": at.to_string(), "mode": mode, "ms": delay_ms })
 }
 
 /// Returns whether a fault equals an active one or affects a process that it affects.
@@ -240,6 +292,7 @@
     let process = |fault: &FleetFault| match fault {
         FleetFault::Kill(index)
         | FleetFault::Freeze(index)
+        | FleetFault::Slow(index)
         | FleetFault::Terminate(index) => Some(Some(*index)),
         FleetFault::KillAll => Some(None),
         _ => None,
--- a/crates/geraniumwinch-tests/src/fleet_cell.rs
+++ b/crates/geraniumwinch-tests/src/fleet_cell.rs
@@ -166,6 +166,12 @@
         self.addresses.entry(0, index, PORTS[0] + PROXY_OFFSET)
     }
 
+    /// Returns the URLs under which clients reach the processes through the proxy.
+    pub fn proxied_urls(&self) -> Vec<String> {
+        let url = |index| format!("http://{}", self.client_address(index));
+        (0..self.processes.len()).map(url).collect()
+    }
+
     /// Compacts the store's history, so that watches from earlier revisions must start over.
     pub async fn compact_store(&self) {
         self.post("/forget", &json!({})).await;
--- a/crates/geraniumwinch-tests/tests/platform_soak.rs
+++ b/crates/geraniumwinch-tests/tests/platform_soak.rs
@@ -54,6 +54,11 @@
     run_seed(seed, FaultPlan::Commands, false);
 }
 
+#[test_case(600; "seed 600")]
+fn no_job_is_lost_or_run_twice_while_the_fleet_changes_under(seed: u64) {
+    run_seed(seed, FaultPlan::Fleet, false);
+}
+
 #[test]
 #[ignore = "a longer run for `make platform-soak`, which names the seed and may name the plan"]
 fn soak() {
@@ -61,6 +66,7 @@
     let (plan, unrestricted) = match std::env::var("SOAK_PLAN").as_deref() {
         Ok("general") => (FaultPlan::General, false),
         Ok("permitted") => (FaultPlan::Commands, false),
+        Ok("fleet") => (FaultPlan::Fleet, false),
         _ => (FaultPlan::Commands, true),
     };
     run_seed(seed.expect("SOAK_SEED holds a number"), plan, unrestricted);
@@ -72,7 +78,10 @@
     run_test(async {
         let mut cell = FleetCell::start_proxied(PROCESSES, WORKERS, LIMIT_MILLIS).await;
         let interval = FAULT_PERIOD / JOBS as u32;
-        let load = cell.load(seed, JOBS, interval, TASK_MILLIS, unrestricted);
+        let mut load = cell.load(seed, JOBS, interval, TASK_MILLIS, unrestricted);
+        if plan == FaultPlan::Fleet {
+            load.urls = cell.proxied_urls();
+        }
         let load = actix_rt::spawn(async move { load.run().await });
         let rng = SmallRng::seed_from_u64(seed);
         let mut injector = FaultInjector::new(rng, plan, PROCESSES, WORKERS);
