Do not hold back long-running tasks, or tasks that need most of a small cell, as overdue

Both tests fail without this. Also, a process counts as joined by a response of an owner only, and not by a record that names its own former instance.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/overdue_jobs.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/overdue_jobs.rs
@@ -4,12 +4,16 @@
 //! are still done, but only in capacity that the jobs after them do not need: if they took all that
 //! is free, each later job would have to wait for them and be late as well.
 
+use std::time::Duration;
+
 use geraniumwinch_core::ResourceVector;
 
 use crate::BootTime;
 use crate::StepPlan;
 
 use super::FleetScheduler;
+use super::job_state::JobKey;
+use super::job_state::JobLateness;
 use super::placement::PlacementRound;
 
 /// The share of the usable workers' processors beyond which no overdue job is placed.
@@ -25,11 +29,11 @@
 }
 
 impl OverdueRoom {
-    /// Returns how many of `wanted` tasks of a size may start. A gang that exceeds the limit by
-    /// itself may take any capacity, since it could never start otherwise.
+    /// Returns how many of `wanted` tasks of a size may start. A task or gang that exceeds the limit
+    /// by itself may take any capacity, since it could never start otherwise.
     fn copies(&self, size: &ResourceVector, wanted: usize, gang: bool) -> usize {
-        if size.cpu_millis == 0 || (gang && size.cpu_millis * wanted as u64 > self.limit)
-        {
+        let together = if gang { wanted as u64 } else { 1 };
+        if size.cpu_millis == 0 || size.cpu_millis * together > self.limit {
             return wanted;
         }
         wanted.min((self.left / size.cpu_millis) as usize)
@@ -42,6 +46,14 @@
 }
 
 impl FleetScheduler {
+    /// Returns whether a job waits behind all others since its result is of little use by now. Jobs
+    /// with long-running tasks never do: their tasks are of use whenever they run.
+    pub(super) fn is_overdue(&self, key: JobKey, unix_time: Duration) -> bool {
+        let job = &self.jobs[key];
+        let lasting = job.record.request.steps.iter().any(|plan| plan.long_running);
+        !lasting && job.lateness(unix_time) == JobLateness::Overdue
+    }
+
     /// Returns how many of `wanted` tasks of a step an overdue job may start in this pass.
     pub(super) fn overdue_copies(
         &self,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -84,7 +84,8 @@
             .iter()
             .map(|&(priority, serial, key)| {
                 let lateness = self.jobs[key].lateness(unix_time);
-                (lateness == JobLateness::Overdue, priority, lateness, serial, key)
+                let overdue = self.is_overdue(key, unix_time);
+                (overdue, priority, lateness, serial, key)
             })
             .collect();
         open.sort_unstable();
@@ -117,8 +118,7 @@
         let waiting = job.units[unit as usize].waiting as usize;
         let quota = self.accounts.allows(&job.record.account, &plan.reserved());
         let mut needed = waiting.min(usize::try_from(quota).unwrap_or(usize::MAX));
-        let overdue = job.lateness(unix_time) == JobLateness::Overdue;
-        if overdue {
+        if self.is_overdue(key, unix_time) {
             needed = self.overdue_copies(&plan, needed, now, round);
         }
         let partial = plan.gang && (waiting < plan.tasks as usize || needed < waiting);
--- a/crates/geraniumwinch-fleet/tests/load.rs
+++ b/crates/geraniumwinch-fleet/tests/load.rs
@@ -113,6 +113,28 @@
         assert_eq!(cell.place().len(), 7);
     }
 
+    /// Guards against an overdue task that never starts since it needs most of a small cell.
+    an_overdue_task_that_needs_most_of_the_cell_starts(cell) {
+        cell.add_workers(&["w"]);
+        let mut overdue = record(rules(1), vec![step(1, 14_000)]);
+        overdue.accepted = UNIX_TIME - Duration::from_secs(600);
+        cell.accept("overdue", overdue);
+        assert_eq!(cell.place().len(), 1);
+    }
+
+    /// Guards against a long-running task that is not restarted on a full cell since its job is old.
+    a_long_running_task_does_not_wait_for_later_jobs(cell) {
+        cell.add_workers(&["w"]);
+        let lasting = StepPlan { long_running: true, ..step(4, 4_000) };
+        let mut service = record(rules(1), vec![lasting]);
+        service.accepted = UNIX_TIME - Duration::from_secs(600);
+        cell.accept("service", service);
+        cell.accept("fresh", record(rules(2), vec![step(1, 4_000)]));
+        let starts = cell.place();
+        assert_eq!(starts.len(), 4);
+        assert!(starts.iter().all(|start| &*start.task.step.job == "service"));
+    }
+
     an_urgent_task_preempts_one_with_checkpoints(cell) {
         cell.add_workers(&["w"]);
         let bulk = StepPlan { saves_progress: true, ..step(4, 4_000) };
--- a/crates/geraniumwinch-node/src/node_shared.rs
+++ b/crates/geraniumwinch-node/src/node_shared.rs
@@ -29,6 +29,9 @@
 use crate::owner_fence::OwnerFence;
 use crate::peer_link::PeerLink;
 
+/// The number of heartbeat periods after its last response for which an owner counts as live.
+const LIVE_OWNER_HEARTBEATS: u32 = 4;
+
 /// The owner of the process's domain.
 #[derive(Debug, Clone)]
 pub(crate) struct KnownOwner {
@@ -83,14 +86,15 @@
         &self.settings.domain
     }
 
-    /// Returns the owner of the process's domain if it is this process or has responded within four
-    /// heartbeat periods.
+    /// Returns the owner of the process's domain if it is this process or has responded within
+    /// [`LIVE_OWNER_HEARTBEATS`] periods.
     pub(crate) fn live_owner(&self) -> Option<OwnerView> {
         let owner = self.owner.borrow();
         let owner = owner.as_ref()?;
         let silence = self.now().saturating_duration_since(owner.last_response);
         let own = owner.view.address == self.link.identity().address;
-        (own || silence <= self.settings.peer_heartbeat * 4).then(|| owner.view.clone())
+        let live = silence <= self.settings.peer_heartbeat * LIVE_OWNER_HEARTBEATS;
+        (own || live).then(|| owner.view.clone())
     }
 
     /// Returns the peer address of a domain's dispatcher if there is recent information about it.
@@ -105,14 +109,15 @@
 
     /// Sets the owner of the domain and notifies subscribers if it has changed.
     pub(crate) fn set_owner(&self, view: OwnerView, last_response: Instant) {
+        let silence = self.now().saturating_duration_since(last_response);
+        if silence <= self.settings.peer_heartbeat * LIVE_OWNER_HEARTBEATS {
+            self.joined.store(true, Ordering::Relaxed);
+        }
         self.owner.send_if_modified(|owner| {
             let changed = owner.as_ref().is_none_or(|known| known.view != view);
             *owner = Some(KnownOwner { view, last_response });
             changed
         });
-        if self.live_owner().is_some() {
-            self.joined.store(true, Ordering::Relaxed);
-        }
     }
 
     /// Returns whether the process has ever been in contact with an owner of its domain.
