--- a/crates/geraniumwinch-tests/tests/rate_engine.rs
+++ b/crates/geraniumwinch-tests/tests/rate_engine.rs
@@ -104,7 +104,8 @@
         let cell = FleetCell::start_proxied(PROCESSES, 4, LIMIT_MILLIS).await;
         for number in 0..6 {
             let process = number as usize % PROCESSES;
-            let rule = json!({ "at": cell.client_address(process).to_string(), "mode": "drop-answers" });
+            let at = cell.client_address(process).to_string();
+            let rule = json!({ "at": at, "mode": "drop-answers" });
             assert_eq!(cell.set_rules(&[rule]).await, 200);
             let status =
                 cell.submit_through_proxy(process, &id(number), "300 done").await;
