--- a/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
@@ -13,8 +13,16 @@
             let end = outcome.as_str();
             log_event!(Info, "ended", task = task, run = run, worker = worker, end = end);
         }
-        SchedulerEvent::Expired { task, run, worker } => {
-            log_event!(Warn, "run-expired", task = task, run = run, worker = worker);
+        SchedulerEvent::Expired { task, run, worker, age, beside } => {
+            log_event!(
+                Warn,
+                "run-expired",
+                task = task,
+                run = run,
+                worker = worker,
+                age_ms = age.as_millis(),
+                beside = beside
+            );
         }
         SchedulerEvent::Missing { task, run, worker } => {
             log_event!(Warn, "run-missing", task = task, run = run, worker = worker);
--- a/crates/geraniumwinch-cell/src/command_sender.rs
+++ b/crates/geraniumwinch-cell/src/command_sender.rs
@@ -220,7 +220,8 @@
             CommandError::NotPermitted => StartOutcome::NotPermitted,
             CommandError::Unhealthy => StartOutcome::Unhealthy,
             CommandError::Call(_) => {
-                self.scheduler.borrow_mut().mark_silent(worker);
+                let now = self.ports.clock.now();
+                self.scheduler.borrow_mut().mark_silent(worker, now);
                 StartOutcome::Refused
             }
             _ => StartOutcome::Refused,
--- a/crates/geraniumwinch-cell/src/worker_loop.rs
+++ b/crates/geraniumwinch-cell/src/worker_loop.rs
@@ -42,6 +42,7 @@
     /// Runs until the ownership ends or the worker is gone.
     pub(crate) async fn run(self) {
         let mut silent = true;
+        let mut replaced = false;
         while !self.authority.is_lost() {
             let pause = match self.poll(silent).await {
                 Ok(()) => {
@@ -61,7 +62,12 @@
                         self.log_contact(false, error.as_str());
                     }
                     silent = true;
-                    self.scheduler.borrow_mut().mark_silent(self.worker);
+                    if matches!(error, CommandError::OtherIncarnation) && !replaced {
+                        self.log_replaced();
+                        replaced = true;
+                    }
+                    let now = self.ports.clock.now();
+                    self.scheduler.borrow_mut().mark_silent(self.worker, now);
                     RETRY_DELAY
                 }
             };
@@ -117,6 +123,13 @@
         self.pass_due.notify_one();
     }
 
+    /// Logs that another incarnation responds at the worker's address.
+    fn log_replaced(&self) {
+        let Some(target) = self.sender.target(self.worker) else { return };
+        let (worker, address) = (target.id, target.address);
+        log_event!(Warn, "worker-replaced", worker = worker, address = address);
+    }
+
     /// Logs that a worker responds again or has stopped responding.
     fn log_contact(&self, found: bool, reason: &str) {
         let worker = self.sender.target(self.worker).map(|target| target.id);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
@@ -76,6 +76,8 @@
     pub(super) run: u64,
     /// The phase of the run.
     pub(super) phase: RunPhase,
+    /// When the start command was sent, or the run of a former owner was adopted.
+    pub(super) started_at: BootTime,
     /// When the phase began or, for a stop without a response, when the command was last sent.
     pub(super) since: BootTime,
     /// The last known progress in percent.
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -323,6 +323,7 @@
             worker,
             run,
             phase,
+            started_at: now,
             since: now,
             percent: 0,
             progressed: now,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
@@ -35,7 +35,7 @@
         now: BootTime,
     ) {
         let Some(state) = self.workers.get_mut(worker) else { return };
-        state.silent = false;
+        state.silent_since = None;
         if state.incarnation != Some(report.incarnation) {
             self.begin_incarnation(worker, report.incarnation, now);
         }
@@ -81,9 +81,9 @@
     }
 
     /// Marks a worker as silent, after it did not respond to calls.
-    pub fn mark_silent(&mut self, worker: WorkerKey) {
+    pub fn mark_silent(&mut self, worker: WorkerKey, now: BootTime) {
         if let Some(state) = self.workers.get_mut(worker) {
-            state.silent = true;
+            state.silent_since.get_or_insert(now);
         }
     }
 
@@ -254,6 +254,7 @@
             worker,
             run: running.run,
             phase: RunPhase::Running,
+            started_at: now,
             since: now,
             percent: running.percent,
             progressed: now,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/timeouts.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/timeouts.rs
@@ -31,7 +31,7 @@
         for worker in workers {
             self.release_held_ends(worker, now);
             let state = &self.workers[worker];
-            let expired = state.silent && state.expiry <= now;
+            let expired = state.is_silent() && state.expiry <= now;
             let tasks: Vec<TaskRef> = state.tasks.iter().copied().collect();
             for task in tasks {
                 let Some(&placement) = self.placement_of(task) else { continue };
@@ -46,10 +46,14 @@
 
     /// Abandons a run whose worker was silent until its lease expired.
     fn expire_run(&mut self, task: TaskRef, placement: TaskPlacement, now: BootTime) {
+        let worker = &self.workers[placement.worker];
+        let lost = worker.silent_since.unwrap_or(now);
         self.events.push(SchedulerEvent::Expired {
             task: self.jobs[task.job].task_name(task),
             run: placement.run,
-            worker: self.workers[placement.worker].info.id.clone(),
+            worker: worker.info.id.clone(),
+            age: lost.saturating_sub(placement.started_at),
+            beside: worker.tasks.len() - 1,
         });
         self.abandon_run(task, now);
     }
@@ -82,7 +86,8 @@
         let plan = job.plan(task.unit);
         let done = job.units[task.unit as usize].tasks[task.index as usize].done;
         let limit = STALL_MIN.max(plan.estimate / STALL_ESTIMATE_DIVISOR);
-        let exempt = plan.long_running || done || self.workers[placement.worker].silent;
+        let exempt =
+            plan.long_running || done || self.workers[placement.worker].is_silent();
         if exempt || now < placement.progressed + limit {
             return;
         }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
@@ -66,8 +66,8 @@
     /// When the first report of this incarnation was processed. Calls that were sent since carry
     /// its fence.
     pub(super) fenced_since: BootTime,
-    /// Whether the worker has not responded to the last calls.
-    pub(super) silent: bool,
+    /// Since when the worker has not responded to calls; `None` if it has responded to the last one.
+    pub(super) silent_since: Option<BootTime>,
     /// When all runs started there will have ended if the worker stays silent.
     pub(super) expiry: BootTime,
     /// The resources reserved by its tasks and by gang reservations.
@@ -101,7 +101,7 @@
             incarnation: None,
             fence,
             fenced_since: BootTime::ZERO,
-            silent: false,
+            silent_since: None,
             expiry,
             used: ResourceVector::default(),
             tasks: BTreeSet::new(),
@@ -115,12 +115,17 @@
         }
     }
 
+    /// Returns whether the worker has not responded to the last calls.
+    pub(super) fn is_silent(&self) -> bool {
+        self.silent_since.is_some()
+    }
+
     /// Returns whether tasks may be placed on the worker.
     pub(super) fn usable(&self, now: BootTime) -> bool {
         self.listed
             && self.recorded_runs == RecordedRuns::AnyJob
             && self.info.accepting
-            && !self.silent
+            && !self.is_silent()
             && self.incarnation.is_some()
             && !self.orphan_size_unknown
             && self.quarantine <= now
@@ -133,7 +138,7 @@
     /// For a worker that gets no new tasks, only the jobs of its known runs and of ends that are
     /// not in the store yet have to be recorded.
     pub(super) fn wanted_runs(&self) -> RecordedRuns {
-        let takes = self.listed && self.info.accepting && !self.silent;
+        let takes = self.listed && self.info.accepting && !self.is_silent();
         match &self.inherited_runs {
             Some(possible_runs) if self.incarnation.is_none() => {
                 RecordedRuns::of(possible_runs)
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
@@ -151,7 +151,7 @@
     pub fn remove_if_gone(&mut self, worker: WorkerKey, now: BootTime) -> bool {
         let Some(state) = self.workers.get(worker) else { return true };
         let empty = state.idle() || (state.tasks.is_empty() && state.expiry <= now);
-        if state.listed || !state.silent || !empty {
+        if state.listed || !state.is_silent() || !empty {
             return false;
         }
         if let Some(state) = self.workers.remove(worker) {
--- a/crates/geraniumwinch-fleet/src/scheduler_event.rs
+++ b/crates/geraniumwinch-fleet/src/scheduler_event.rs
@@ -29,6 +29,10 @@
         run: u64,
         /// The worker.
         worker: Name,
+        /// The age of the run when the worker became silent.
+        age: Duration,
+        /// The number of other runs that are left on the worker.
+        beside: usize,
     },
     /// A run is missing from its worker's report.
     Missing {
--- a/crates/geraniumwinch-fleet/tests/delayed_starts.rs
+++ b/crates/geraniumwinch-fleet/tests/delayed_starts.rs
@@ -86,7 +86,7 @@
     a_silent_worker_that_may_execute_a_start_keeps_its_task(cell) {
         let start = start_unanswered(&mut cell);
         cell.outcome(&start, StartOutcome::Unknown);
-        cell.scheduler.mark_silent(start.worker);
+        cell.scheduler.mark_silent(start.worker, cell.now);
         cell.wait(LEASE_OVER_MS);
         assert_eq!(cell.place().len(), 0, "the next incarnation may execute the start");
         let running = vec![running(start.task.clone(), start.run)];
@@ -101,7 +101,7 @@
     a_silent_worker_keeps_its_task_no_longer_than_needed(cell) {
         let start = start_unanswered(&mut cell);
         cell.outcome(&start, StartOutcome::Unknown);
-        cell.scheduler.mark_silent(start.worker);
+        cell.scheduler.mark_silent(start.worker, cell.now);
         cell.wait(DELAY_OVER_MS);
         assert_eq!(cell.place().len(), 0, "a start that was just executed has a lease");
         cell.wait(LEASE_OVER_MS);
@@ -114,7 +114,7 @@
         let info = cell.scheduler.worker_info(start.worker).expect("the worker is known");
         let remaining = if &*info.id == "w" { "v" } else { "w" };
         cell.scheduler.set_workers(vec![worker_info(remaining)], cell.now);
-        cell.scheduler.mark_silent(start.worker);
+        cell.scheduler.mark_silent(start.worker, cell.now);
         cell.wait(LEASE_OVER_MS);
         assert_eq!(cell.place().len(), 0);
         cell.wait(DELAY_OVER_MS - LEASE_OVER_MS);
@@ -238,7 +238,7 @@
         cell.scheduler.report(worker, &report, cell.now, cell.now);
         let before = cell.scheduler.fence(worker);
         cell.scheduler.set_workers(Vec::new(), cell.now);
-        cell.scheduler.mark_silent(worker);
+        cell.scheduler.mark_silent(worker, cell.now);
         assert!(cell.scheduler.remove_if_gone(worker, cell.now));
         let worker = cell.scheduler.set_workers(vec![worker_info("w")], cell.now)[0];
         assert!(cell.scheduler.fence(worker) > before, "it may have restarted meanwhile");
@@ -295,7 +295,7 @@
         cell.scheduler.extend_lease(start.worker, cell.now);
         cell.scheduler.start_unanswered(start.worker, &start.task, start.run, cell.now);
         cell.outcome(&start, StartOutcome::Unknown);
-        cell.scheduler.mark_silent(start.worker);
+        cell.scheduler.mark_silent(start.worker, cell.now);
         cell.wait(LEASE_OVER_MS);
         assert_eq!(place_permitted(&mut cell).len(), 0, "a late start has a later lease");
         cell.wait(TICKET_VALIDITY.as_millis() as u64);
--- a/crates/geraniumwinch-fleet/tests/runs.rs
+++ b/crates/geraniumwinch-fleet/tests/runs.rs
@@ -136,7 +136,7 @@
         cell.accept("job", record(rules(1), vec![step(1, 1_000)]));
         let start = cell.start_all().remove(0);
         cell.scheduler.extend_lease(start.worker, cell.now);
-        cell.scheduler.mark_silent(start.worker);
+        cell.scheduler.mark_silent(start.worker, cell.now);
         cell.wait(6300);
         assert_eq!(cell.place().len(), 0, "the run may still be in progress");
         cell.wait(100);
--- a/crates/geraniumwinch-fleet/tests/takeover.rs
+++ b/crates/geraniumwinch-fleet/tests/takeover.rs
@@ -168,7 +168,7 @@
     assert_eq!(cell.start_all().len(), 8);
     cell.scheduler.extend_lease(workers[0], cell.now);
     cell.scheduler.set_workers(vec![worker_info("w")], cell.now);
-    cell.scheduler.mark_silent(workers[0]);
+    cell.scheduler.mark_silent(workers[0], cell.now);
     assert!(
         !cell.scheduler.remove_if_gone(workers[0], cell.now),
         "its lease has not expired"
@@ -279,7 +279,7 @@
 fn a_worker_that_responds_again_gets_tasks_once_recorded() {
     let mut cell = TestCell::new(1);
     let workers = cell.add_workers(&["w"]);
-    cell.scheduler.mark_silent(workers[0]);
+    cell.scheduler.mark_silent(workers[0], cell.now);
     let none =
         cell.scheduler.changed_worker_records().expect("its record has to be removed");
     assert_eq!(none, Vec::new());
