Reproduce tasks that crash their workers without an end

The stand-in's workers crash on request: they answer nothing for 0.9 s, are back under another id at the same address, and refuse calls for the former id, as the platform says.

--- a/crates/geraniumwinch-standins/src/fleet.rs
+++ b/crates/geraniumwinch-standins/src/fleet.rs
@@ -97,6 +97,7 @@
             .route("/forget", web::post().to(compact_history))
             .route("/restart", web::post().to(restart_worker))
             .route("/worker-state", web::post().to(set_worker_state))
+            .route("/worker-cores", web::post().to(set_worker_cores))
             .route("/account", web::get().to(show_runs))
     })
     .workers(1)
@@ -169,6 +170,25 @@
     HttpResponse::Ok().json(json!({}))
 }
 
+/// A change of the processors that a worker lists.
+#[derive(Debug, Deserialize)]
+struct WorkerCoresChange {
+    /// The index of the worker.
+    worker: usize,
+    cores: u64,
+}
+
+/// Changes the processors that a worker lists.
+async fn set_worker_cores(
+    store: SharedStore,
+    workers: SharedWorkers,
+    change: web::Json<WorkerCoresChange>,
+) -> HttpResponse {
+    let worker = lock(&workers[change.worker]);
+    lock(&store).set_worker_cores(worker.id(), change.cores);
+    HttpResponse::Ok().json(json!({}))
+}
+
 /// Writes the operators' configuration to the store.
 async fn publish_configuration(store: SharedStore, body: web::Bytes) -> HttpResponse {
     lock(&store).put("op/config", &body);
--- a/crates/geraniumwinch-standins/src/fleet/job_worker.rs
+++ b/crates/geraniumwinch-standins/src/fleet/job_worker.rs
@@ -28,6 +28,10 @@
 const WITHHELD_RESPONSE: Duration = Duration::from_secs(2);
 /// How long a ticket is valid.
 pub const TICKET_VALIDITY_MS: u64 = 2000;
+/// How long a worker responds to nothing after a crash.
+const CRASH_DOWNTIME: Duration = Duration::from_millis(900);
+/// The header with the id of the incarnation that a command is for.
+const EXPECT_INSTANCE: &str = "Geraniumwinch-Expect-Instance";
 /// The last word of the specification of a task whose queue requires no permission.
 const UNRESTRICTED: &str = "unrestricted";
 
@@ -74,6 +78,10 @@
     start_commands: u64,
     /// The number of restarts.
     incarnation: u64,
+    /// The ids of former incarnations whose entries the store still has to replace.
+    former_ids: Vec<String>,
+    /// When the worker responds again after a crash.
+    returns_at: Option<Instant>,
 }
 
 /// A start command, a stop command or a hold call.
@@ -82,7 +90,8 @@
 struct WireCommand {
     task: String,
     run: u64,
-    /// `MILLISECONDS OUTCOME`: the run time of the task, and its outcome `done` or `failed`; the word
+    /// `MILLISECONDS OUTCOME`: the run time of the task, and its outcome `done`, `failed` or `crashes`,
+    /// where the first task of a step crashes its worker and the others are done; the word
     /// [`UNRESTRICTED`] follows if the queue requires no permission.
     spec: String,
     deadline_ms: u64,
@@ -108,6 +117,8 @@
             closed: HashMap::new(),
             start_commands: 0,
             incarnation: 0,
+            former_ids: Vec::new(),
+            returns_at: None,
         }
     }
 
@@ -123,7 +134,33 @@
         let runs = std::mem::take(&mut self.runs);
         let id = std::mem::take(&mut self.id);
         let incarnation = self.incarnation + 1;
-        *self = JobWorker { runs, incarnation, ..JobWorker::new(id, self.clock_rate) };
+        let former_ids = std::mem::take(&mut self.former_ids);
+        let returns_at = self.returns_at;
+        let new = JobWorker::new(id, self.clock_rate);
+        *self = JobWorker { runs, incarnation, former_ids, returns_at, ..new };
+    }
+
+    /// Restarts the worker under another id after some time without responses.
+    fn crash(&mut self) {
+        self.restart();
+        let base = self.id.split('+').next().unwrap_or_default();
+        let next = format!("{base}+{}", self.incarnation);
+        self.former_ids.push(std::mem::replace(&mut self.id, next));
+        self.returns_at = Some(Instant::now() + CRASH_DOWNTIME);
+    }
+
+    /// Crashes if a run is due to, and returns whether the worker responds to nothing now. The store
+    /// lists it under its new id once it responds again.
+    fn is_down(&mut self, store: &SharedStore) -> bool {
+        self.end_due_runs();
+        if self.returns_at.is_some_and(|at| Instant::now() < at) {
+            return true;
+        }
+        self.returns_at = None;
+        for former in std::mem::take(&mut self.former_ids) {
+            lock(store).replace_worker(&former, &self.id);
+        }
+        false
     }
 
     /// Returns the time of the worker's clock, which begins at 1.
@@ -141,6 +178,10 @@
             }
             if clock > self.lease_expires_ms {
                 self.end_run(index, "lapsed");
+            } else if run.ends_at <= now && run.outcome == "crashes" {
+                self.runs[index].ended = Some(("crashed", unix_millis()));
+                self.crash();
+                return;
             } else if run.ends_at <= now {
                 self.end_run(index, run.outcome);
             }
@@ -234,7 +275,11 @@
         self.extend_lease(&command);
         let (millis, outcome) =
             command.spec.split_once(' ').unwrap_or((&command.spec, "done"));
-        let outcome = if outcome.starts_with("failed") { "failed" } else { "done" };
+        let outcome = match outcome.split(' ').next() {
+            Some("failed") => "failed",
+            Some("crashes") if command.task.ends_with(".0") => "crashes",
+            _ => "done",
+        };
         let run_time = Duration::from_millis(millis.parse().unwrap_or(100));
         self.runs.push(JobRun {
             task: command.task,
@@ -329,6 +374,28 @@
     usize::from(port).wrapping_sub(1) % super::PORT_STEP
 }
 
+/// Returns the response to a command that the worker does not execute, if any: none in time while
+/// the worker is down, and a refusal of commands for another incarnation.
+async fn reject(
+    store: &SharedStore,
+    worker: &Mutex<JobWorker>,
+    expected: Option<&str>,
+) -> Option<HttpResponse> {
+    let down = lock(worker).is_down(store);
+    if down {
+        tokio::time::sleep(WITHHELD_RESPONSE).await;
+        return Some(HttpResponse::ServiceUnavailable().finish());
+    }
+    let misdirected = expected.is_some_and(|id| id != lock(worker).id);
+    misdirected.then(|| HttpResponse::MisdirectedRequest().finish())
+}
+
+/// Returns the id of the incarnation that a command is for.
+fn expected_instance(request: &HttpRequest) -> Option<String> {
+    let header = request.headers().get(EXPECT_INSTANCE)?;
+    header.to_str().ok().map(str::to_owned)
+}
+
 /// Delays every third start command by the injected delay.
 async fn delay_start(store: &SharedStore, worker: &Mutex<JobWorker>) {
     let late_ms = lock(store).faults.orders_late_ms;
@@ -361,8 +428,14 @@
     let worker = worker_index(&request);
     let command = command.into_inner();
     let received_ms = unix_millis();
+    let expected = expected_instance(&request);
     let started = actix_rt::spawn(async move {
         delay_start(&store, &workers[worker]).await;
+        if let Some(response) =
+            reject(&store, &workers[worker], expected.as_deref()).await
+        {
+            return response;
+        }
         let refusal = refusal(&store, worker);
         let unanswered = lock(&store).faults.starts_unanswered;
         let response = {
@@ -394,7 +467,12 @@
     if refusal(&store, worker_index(&request)) == Some(CommandRefusal::Unhealthy) {
         return HttpResponse::ServiceUnavailable().finish();
     }
-    let mut worker = lock(worker_for(&workers, &request));
+    let worker = worker_for(&workers, &request);
+    let expected = expected_instance(&request);
+    if let Some(response) = reject(&store, worker, expected.as_deref()).await {
+        return response;
+    }
+    let mut worker = lock(worker);
     let result = worker.stop(&command);
     worker.command_response(result)
 }
@@ -402,11 +480,16 @@
 /// Acknowledges ended runs and extends the lease; returns the lists of running and ended runs once
 /// there is an unacknowledged end or the wait is over.
 async fn hold(
+    store: SharedStore,
     workers: SharedWorkers,
     request: HttpRequest,
     command: web::Json<WireCommand>,
 ) -> HttpResponse {
     let worker = worker_for(&workers, &request);
+    let expected = expected_instance(&request);
+    if let Some(response) = reject(&store, worker, expected.as_deref()).await {
+        return response;
+    }
     let end = Instant::now() + Duration::from_millis(command.wait_ms);
     let incarnation = {
         let mut worker = lock(worker);
@@ -416,6 +499,7 @@
     loop {
         {
             let mut worker = lock(worker);
+            worker.end_due_runs();
             if worker.incarnation != incarnation {
                 return HttpResponse::ServiceUnavailable().finish();
             }
--- a/crates/geraniumwinch-standins/src/fleet/kv_store.rs
+++ b/crates/geraniumwinch-standins/src/fleet/kv_store.rs
@@ -75,6 +75,32 @@
         self.put(&format!("servers/{id}-broken"), b"{");
     }
 
+    /// Replaces the entry of a worker by that of its next incarnation, which has another id.
+    pub(super) fn replace_worker(&mut self, former: &str, id: &str) {
+        let key = format!("servers/{former}");
+        if let Some(mut entry) = self.entry(&key) {
+            entry["born"] = json!(unix_millis());
+            self.put(&format!("servers/{id}"), entry.to_string().as_bytes());
+            self.revision += 1;
+            self.remove(&key);
+        }
+    }
+
+    /// Changes the processors in a worker's entry.
+    pub(super) fn set_worker_cores(&mut self, id: &str, cores: u64) {
+        let key = format!("servers/{id}");
+        if let Some(mut entry) = self.entry(&key) {
+            entry["capacity"]["cpu"] = json!(cores * 1000);
+            self.put(&key, entry.to_string().as_bytes());
+        }
+    }
+
+    /// Returns the decoded value of an item, if it is valid.
+    fn entry(&self, key: &str) -> Option<Value> {
+        let bytes = STANDARD.decode(&self.items.get(key)?.value).ok()?;
+        serde_json::from_slice(&bytes).ok()
+    }
+
     /// Changes the state in a worker's entry, or removes the entry if there is no new state.
     pub(super) fn set_worker_state(&mut self, id: &str, state: Option<&str>) {
         let key = format!("servers/{id}");
@@ -83,10 +109,7 @@
             self.remove(&key);
             return;
         };
-        let value = self.items.get(&key).map(|item| item.value.clone());
-        let bytes = value.and_then(|value| STANDARD.decode(value).ok());
-        let entry = bytes.and_then(|bytes| serde_json::from_slice::<Value>(&bytes).ok());
-        if let Some(mut entry) = entry {
+        if let Some(mut entry) = self.entry(&key) {
             entry["state"] = json!(state);
             self.put(&key, entry.to_string().as_bytes());
         }
--- a/crates/geraniumwinch-tests/src/fleet_cell.rs
+++ b/crates/geraniumwinch-tests/src/fleet_cell.rs
@@ -161,6 +161,11 @@
         self.post("/worker-state", &json!({ "worker": index, "state": state })).await;
     }
 
+    /// Changes the number of processors that a worker lists.
+    pub async fn set_worker_cores(&self, index: u16, cores: u64) {
+        self.post("/worker-cores", &json!({ "worker": index, "cores": cores })).await;
+    }
+
     /// Returns the proxy address under which clients reach a process.
     pub fn client_address(&self, index: usize) -> std::net::SocketAddr {
         self.addresses.entry(0, index, PORTS[0] + PROXY_OFFSET)
