Release the tasks of a worker as soon as another one responds at its address

Cause: the response of another incarnation was treated as silence, although it proves that the addressed one is gone with all its runs, and that nothing that was sent to it will be executed.

Change: such a response to a poll releases the tasks, orphans and possible runs of a former owner at once, unless the worker is listed under another address by then. Ends that the worker has reported stand. Twins: starts without a response, members of gangs, and workers of a former owner after a takeover.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
@@ -39,6 +39,9 @@
                 placed_run = placed_run
             );
         }
+        SchedulerEvent::Replaced { worker, address } => {
+            log_event!(Warn, "worker-replaced", worker = worker, address = address);
+        }
         SchedulerEvent::Restarted { worker, incarnation } => {
             log_event!(
                 Warn,
--- a/crates/geraniumwinch-cell/src/worker_loop.rs
+++ b/crates/geraniumwinch-cell/src/worker_loop.rs
@@ -42,7 +42,6 @@
     /// Runs until the ownership ends or the worker is gone.
     pub(crate) async fn run(self) {
         let mut silent = true;
-        let mut replaced = false;
         while !self.authority.is_lost() {
             let pause = match self.poll(silent).await {
                 Ok(()) => {
@@ -62,10 +61,6 @@
                         self.log_contact(false, error.as_str());
                     }
                     silent = true;
-                    if matches!(error, CommandError::OtherIncarnation) && !replaced {
-                        self.log_replaced();
-                        replaced = true;
-                    }
                     let now = self.ports.clock.now();
                     self.scheduler.borrow_mut().mark_silent(self.worker, now);
                     RETRY_DELAY
@@ -95,11 +90,22 @@
             if silent { 0 } else { self.scheduler.borrow().stored_ends(self.worker) };
         let wait = if silent { Duration::ZERO } else { POLL_WAIT };
         let command = PollCommand { lease_end_ms, acknowledged, wait };
-        let report = self.ports.workers.poll(target, command).await?;
-        self.apply_report(&report, now);
+        let address = target.address.clone();
+        let result = self.ports.workers.poll(target, command).await;
+        if matches!(result, Err(CommandError::OtherIncarnation)) {
+            self.release_replaced(&address);
+        }
+        self.apply_report(&result?, now);
         Ok(())
     }
 
+    /// Tells the scheduler that another worker has responded at the worker's address.
+    fn release_replaced(&self, address: &str) {
+        let now = self.ports.clock.now();
+        self.scheduler.borrow_mut().worker_replaced(self.worker, address, now);
+        self.pass_due.notify_one();
+    }
+
     /// Waits until all reported ends are stored, for at most [`STORE_WAIT`].
     async fn await_stored(&self) {
         let until = self.ports.clock.now() + STORE_WAIT;
@@ -123,13 +129,6 @@
         self.pass_due.notify_one();
     }
 
-    /// Logs that another incarnation responds at the worker's address.
-    fn log_replaced(&self) {
-        let Some(target) = self.sender.target(self.worker) else { return };
-        let (worker, address) = (target.id, target.address);
-        log_event!(Warn, "worker-replaced", worker = worker, address = address);
-    }
-
     /// Logs that a worker responds again or has stopped responding.
     fn log_contact(&self, found: bool, reason: &str) {
         let worker = self.sender.target(self.worker).map(|target| target.id);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -15,6 +15,7 @@
 mod placement;
 mod preemption;
 mod racks;
+mod replaced_workers;
 mod reports;
 mod timeouts;
 mod unreported_runs;
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/delayed_starts.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/delayed_starts.rs
@@ -18,13 +18,16 @@
 
 impl FleetScheduler {
     /// Returns whether a placement's start command may be executed by another incarnation of its
-    /// worker after the given time.
+    /// worker after the given time. A worker that was replaced has no other incarnation.
     pub(super) fn may_start_later(
         &self,
         task: TaskRef,
         placement: &TaskPlacement,
         after: BootTime,
     ) -> bool {
+        if self.workers[placement.worker].replaced {
+            return false;
+        }
         let permission = self.jobs[task.job].record.rules.permission;
         let validity = permission.map_or(MAX_COMMAND_DELAY, |cost| cost.validity);
         let delay = validity.min(MAX_COMMAND_DELAY);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
@@ -68,6 +68,8 @@
     pub(super) fenced_since: BootTime,
     /// Since when the worker has not responded to calls; `None` if it has responded to the last one.
     pub(super) silent_since: Option<BootTime>,
+    /// Whether another worker has responded at the address: the worker is gone, with all its runs.
+    pub(super) replaced: bool,
     /// When all runs started there will have ended if the worker stays silent.
     pub(super) expiry: BootTime,
     /// The resources reserved by its tasks and by gang reservations.
@@ -102,6 +104,7 @@
             fence,
             fenced_since: BootTime::ZERO,
             silent_since: None,
+            replaced: false,
             expiry,
             used: ResourceVector::default(),
             tasks: BTreeSet::new(),
@@ -185,10 +188,16 @@
     /// Begins a new incarnation of the worker and discards what earlier incarnations reported.
     pub(super) fn begin_incarnation(&mut self, incarnation: u64, now: BootTime) {
         self.fenced_since = now;
+        self.replaced = false;
         self.incarnation = Some(incarnation);
         self.processed_end = 0;
         self.stored_end = 0;
         self.unstored_ends.clear();
+        self.clear_orphans();
+    }
+
+    /// Records that no orphaned runs are left.
+    pub(super) fn clear_orphans(&mut self) {
         self.orphan_usage = ResourceVector::default();
         self.orphan_size_unknown = false;
     }
--- a/crates/geraniumwinch-fleet/src/scheduler_event.rs
+++ b/crates/geraniumwinch-fleet/src/scheduler_event.rs
@@ -54,6 +54,13 @@
         /// The run of the task's placement, if the task is placed.
         placed_run: Option<u64>,
     },
+    /// Another worker has responded at a worker's address.
+    Replaced {
+        /// The worker that is gone.
+        worker: Name,
+        /// The address.
+        address: Name,
+    },
     /// A worker reported a new incarnation.
     Restarted {
         /// The worker.
--- a/crates/geraniumwinch-fleet/tests/runs.rs
+++ b/crates/geraniumwinch-fleet/tests/runs.rs
@@ -288,4 +288,49 @@
         cell.scheduler.report(worker, &restarted, cell.now, cell.now);
         assert_eq!(cell.place().len(), 1, "the new incarnation does not run it");
     }
+
+    /// Guards against waiting for the lease of a worker that is gone: another worker has responded
+    /// at its address (issue 28, LOST).
+    a_replaced_worker_releases_its_tasks_at_once(cell) {
+        cell.add_workers(&["w", "longer"]);
+        cell.accept("job", record(rules(1), vec![step(1, 16_000)]));
+        let start = cell.start_all().remove(0);
+        cell.scheduler.extend_lease(start.worker, cell.now);
+        cell.wait(100);
+        let info = cell.scheduler.worker_info(start.worker).expect("a worker").clone();
+        cell.scheduler.worker_replaced(start.worker, "10.0.0.9:1", cell.now);
+        assert_eq!(cell.place().len(), 0, "the response came from a former address");
+        cell.scheduler.worker_replaced(start.worker, &info.address, cell.now);
+        let again = cell.place();
+        assert_eq!(again.len(), 1);
+        assert_ne!(again[0].worker, start.worker);
+    }
+
+    /// Guards against the same for a start without a response, which no other worker executes.
+    a_replaced_worker_releases_unanswered_starts(cell) {
+        cell.add_workers(&["w", "longer"]);
+        cell.accept("job", record(rules(1), vec![step(1, 16_000)]));
+        let start = cell.place().remove(0);
+        cell.scheduler.start_unanswered(start.worker, &start.task, start.run, cell.now);
+        cell.outcome(&start, StartOutcome::Unknown);
+        let info = cell.scheduler.worker_info(start.worker).expect("a worker").clone();
+        cell.scheduler.worker_replaced(start.worker, &info.address, cell.now);
+        assert_eq!(cell.place().len(), 1);
+    }
+
+    /// Guards against a gang that waits for the lease of a member's worker (issue 28, LOST): it may
+    /// only start again as a whole.
+    a_gang_starts_again_once_the_worker_of_a_member_is_replaced(cell) {
+        cell.add_workers(&["w", "longer", "longest one"]);
+        cell.accept("job", record(rules(1), vec![gang(2, 16_000)]));
+        let starts = cell.start_all();
+        let gone = starts[0].worker;
+        let info = cell.scheduler.worker_info(gone).expect("a worker").clone();
+        cell.scheduler.worker_replaced(gone, &info.address, cell.now);
+        let other = &starts[1];
+        cell.scheduler.stop_response(other.worker, &other.task, other.run, cell.now);
+        cell.wait(1);
+        cell.report(other.worker, Vec::new(), Vec::new());
+        assert_eq!(cell.place().len(), 2);
+    }
 }
--- a/crates/geraniumwinch-fleet/tests/takeover.rs
+++ b/crates/geraniumwinch-fleet/tests/takeover.rs
@@ -355,3 +355,25 @@
     assert!(JobRecord::decode(&[]).is_err());
     assert_eq!(job.accepted, common::UNIX_TIME + Duration::ZERO);
 }
+
+/// Guards against a new owner that waits for the lease of a worker that has been replaced (issue 28).
+#[test]
+fn a_replaced_worker_holds_back_no_job_of_a_former_owner() {
+    let mut cell = TestCell::new(2);
+    let uncertain_until = cell.now + LEASE;
+    cell.scheduler.load_job(
+        "job".into(),
+        record(rules(1), vec![step(1, 1_000)]),
+        uncertain_until,
+    );
+    let gone = WorkerRecord::unrestricted(worker_info("gone"));
+    let keys = cell.scheduler.load_workers(vec![gone.clone()], uncertain_until);
+    cell.add_workers(&["w"]);
+    assert_eq!(
+        cell.place().len(),
+        0,
+        "the job may run on the worker that has not reported"
+    );
+    cell.scheduler.worker_replaced(keys[0], &gone.info.address, cell.now);
+    assert_eq!(cell.place().len(), 1);
+}
