Give up tasks that crash the workers that start them

Cause: the end of a run whose worker vanished was nobody's failure, so nothing counted it and the task started again without a bound; the class of fault is a retry without a budget. Evidence: the logs, where the youngest run on each crashed worker is 10 to 14 ms old and belongs to the same few tasks.

Change: a crash is what a new incarnation, or another worker at the address, proves; not a cut link, a planned end or an expired lease. Whoever started last there is suspected. A suspected task starts again where the least work is at risk, no other job starts anything beside it for a moment, and if that worker crashes too, its job has failed. Runs beside a culprit are not charged. Without a clear suspect a task is given up after three suspicions or four crashes, which is below the five starts that the rule allows. A run that lasts much longer than those that were lost clears its task. The counts follow the job's record in the store, where former versions ignore them, and a suspected task waits up to a second until its crash is stored, so that a new owner goes on counting.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
@@ -39,6 +39,22 @@
                 placed_run = placed_run
             );
         }
+        SchedulerEvent::Crashed { task, run, worker, age, beside, suspected } => {
+            cell_metrics::count_crash(*suspected);
+            log_event!(
+                Warn,
+                "run-crashed",
+                task = task,
+                run = run,
+                worker = worker,
+                age_ms = age.as_millis(),
+                beside = beside,
+                suspected = suspected
+            );
+        }
+        SchedulerEvent::GivenUp { job } => {
+            log_event!(Warn, "job-given-up", job = job, reason = "crashes");
+        }
         SchedulerEvent::Replaced { worker, address } => {
             log_event!(Warn, "worker-replaced", worker = worker, address = address);
         }
--- a/crates/geraniumwinch-cell/src/cell_metrics.rs
+++ b/crates/geraniumwinch-cell/src/cell_metrics.rs
@@ -17,6 +17,7 @@
     STARTS = "geraniumwinch_cell_starts_total", "counter", "outcome", "Orders to start a task, by outcome.";
     ENDS = "geraniumwinch_cell_ends_total", "counter", "end", "Runs that ended, by how.";
     ORPHANS = "geraniumwinch_cell_orphans_total", "counter", "", "Reports of runs that their tasks should not have.";
+    CRASHES = "geraniumwinch_cell_run_crashes_total", "counter", "suspected", "Runs that were lost because their worker crashed, by whether they may have caused it.";
     JOB_ENDS = "geraniumwinch_cell_job_ends_total", "counter", "phase", "Jobs that ended, by how.";
     OWNERSHIPS = "geraniumwinch_cell_ownerships_total", "counter", "change", "Ownerships of the cell that this process took, resigned or lost.";
     EPOCH = "geraniumwinch_cell_epoch", "gauge", "", "Epoch of the ownership that this process holds, or 0.";
@@ -69,6 +70,11 @@
     counter!(ORPHANS).increment(1);
 }
 
+/// Counts a run that was lost because its worker crashed.
+pub(crate) fn count_crash(suspected: bool) {
+    counter!(CRASHES, "suspected" => suspected.to_string()).increment(1);
+}
+
 /// Counts the end of a job.
 pub(crate) fn count_job_end(phase: &'static str) {
     counter!(JOB_ENDS, "phase" => phase).increment(1);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod command_responses;
 mod completion;
+mod crashes;
 mod delayed_starts;
 mod gang_fit;
 mod gang_reservation;
@@ -51,6 +52,8 @@
 use self::job_state::RunPhase;
 use self::job_state::TaskPlacement;
 use self::job_state::TaskRef;
+use self::job_state::TaskState;
+use self::worker_state::FormerWorker;
 use self::worker_state::WorkerState;
 
 new_key_type! {
@@ -92,8 +95,8 @@
     /// How long a worker's lease lasts after the last command that extends it.
     lease: Duration,
     workers: SlotMap<WorkerKey, WorkerState>,
-    /// The fences of workers that were removed, in case they return.
-    former_fences: HashMap<Name, u64>,
+    /// The workers that were removed, in case they return.
+    former_workers: HashMap<Name, FormerWorker>,
     worker_ids: HashMap<Name, WorkerKey>,
     jobs: SlotMap<JobKey, JobState>,
     job_ids: HashMap<Name, JobKey>,
@@ -123,7 +126,7 @@
             first_run: epoch.saturating_sub(1) * RUNS_PER_EPOCH,
             lease,
             workers: SlotMap::with_key(),
-            former_fences: HashMap::new(),
+            former_workers: HashMap::new(),
             worker_ids: HashMap::new(),
             jobs: SlotMap::with_key(),
             job_ids: HashMap::new(),
@@ -262,17 +265,22 @@
         ((name.index as usize) < tasks.len()).then_some(task)
     }
 
+    /// Returns the state of a task.
+    fn task_state(&self, task: TaskRef) -> &TaskState {
+        &self.jobs[task.job].units[task.unit as usize].tasks[task.index as usize]
+    }
+
+    fn task_state_mut(&mut self, task: TaskRef) -> &mut TaskState {
+        &mut self.jobs[task.job].units[task.unit as usize].tasks[task.index as usize]
+    }
+
     /// Returns the current placement of a task.
     fn placement_of(&self, task: TaskRef) -> Option<&TaskPlacement> {
-        self.jobs[task.job].units[task.unit as usize].tasks[task.index as usize]
-            .placement
-            .as_ref()
+        self.task_state(task).placement.as_ref()
     }
 
     fn placement_of_mut(&mut self, task: TaskRef) -> Option<&mut TaskPlacement> {
-        self.jobs[task.job].units[task.unit as usize].tasks[task.index as usize]
-            .placement
-            .as_mut()
+        self.task_state_mut(task).placement.as_mut()
     }
 
     /// Assigns a task to a worker and accounts for its resources.
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/command_responses.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/command_responses.rs
@@ -67,6 +67,9 @@
             placement.since = now;
             placement.progressed = now;
         }
+        if let Some(placement) = self.placement_of_mut(task) {
+            placement.confirmed = true;
+        }
         self.mark_started(task, now);
     }
 
--- /dev/null
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/crashes.rs
@@ -0,0 +1,220 @@
+//! Crashes of workers, and tasks that cause them.
+//!
+//! A task that crashes each worker that starts it would be started for ever, and each crash also ends
+//! the runs beside it. Whoever started last on a worker that crashed is suspected. A suspected task
+//! starts again on a worker with much free capacity, where for a moment no other job starts anything.
+//! If that worker crashes as well, the job of the task has failed.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use geraniumwinch_core::Name;
+
+use crate::BootTime;
+use crate::JobPhase;
+use crate::RunCrash;
+use crate::SchedulerEvent;
+
+use super::FleetScheduler;
+use super::WorkerKey;
+use super::job_state::JobKey;
+use super::job_state::RunPhase;
+use super::job_state::TaskRef;
+use super::worker_state::WorkerTrial;
+
+/// The number of crashes as the only suspect, or together with suspects of its own job, after which a
+/// task is given up.
+const MAX_SOLE_SUSPICIONS: usize = 2;
+/// The number of crashes as one of several suspects after which a task is given up.
+const MAX_SUSPICIONS: usize = 3;
+/// The number of crashes after which a task is given up in any case.
+const MAX_CRASHES: usize = 4;
+/// The difference in age up to which two runs count as started together.
+const AGE_MARGIN: Duration = Duration::from_millis(250);
+/// How much longer than at the crashes a run must last to clear its task of them.
+const SURVIVAL_MARGIN: Duration = Duration::from_secs(1);
+/// The age at which a run clears its task of all crashes.
+const MAX_SURVIVAL: Duration = Duration::from_secs(60);
+/// The maximum time for which no other job starts tasks beside a suspected one.
+const MAX_TRIAL: Duration = Duration::from_secs(2);
+
+/// How long a suspected task waits at most for the record of a crash before it starts again.
+const MAX_RECORD_WAIT: Duration = Duration::from_secs(1);
+
+/// A run that was lost with its worker.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct LostRun {
+    pub(super) task: TaskRef,
+    pub(super) crash: RunCrash,
+}
+
+impl FleetScheduler {
+    /// Returns the runs that are lost if a worker has crashed: those that are placed there and those
+    /// that were abandoned since it became silent. A worker that was leaving has not crashed.
+    pub(super) fn take_lost_runs(
+        &mut self,
+        worker: WorkerKey,
+        now: BootTime,
+    ) -> Vec<LostRun> {
+        let state = &mut self.workers[worker];
+        let mut lost = std::mem::take(&mut state.expired_runs);
+        if state.leaving {
+            return Vec::new();
+        }
+        let tasks: Vec<TaskRef> = state.tasks.iter().copied().collect();
+        let placed = tasks.into_iter().filter_map(|task| self.lost_run(task, now));
+        lost.extend(placed);
+        lost
+    }
+
+    /// Returns the run of a placed task as lost, unless its end is known.
+    pub(super) fn lost_run(&self, task: TaskRef, now: BootTime) -> Option<LostRun> {
+        let placement = self.placement_of(task)?;
+        let silent_since = self.workers[placement.worker].silent_since;
+        let age = silent_since.unwrap_or(now).saturating_sub(placement.started_at);
+        let (run, confirmed) = (placement.run, placement.confirmed);
+        let crash = RunCrash { run, age, confirmed, suspected: false };
+        (placement.phase != RunPhase::Held).then_some(LostRun { task, crash })
+    }
+
+    /// Records the crash of a worker under its lost runs, and gives up the jobs of tasks that have
+    /// caused it as far as can be told.
+    ///
+    /// Once a culprit is found, the crash says nothing about the other runs.
+    pub(super) fn record_crash(
+        &mut self,
+        worker: &Name,
+        mut lost: Vec<LostRun>,
+        now: BootTime,
+    ) {
+        lost.retain(|run| self.jobs.get(run.task.job).is_some_and(|job| job.live()));
+        let Some(youngest) = lost.iter().map(|run| run.crash.age).min() else { return };
+        let beside = lost.len() - 1;
+        for LostRun { task, crash } in &mut lost {
+            crash.suspected = crash.age <= youngest * 2 + AGE_MARGIN;
+            self.events.push(SchedulerEvent::Crashed {
+                task: self.jobs[task.job].task_name(*task),
+                run: crash.run,
+                worker: worker.clone(),
+                age: crash.age,
+                beside,
+                suspected: crash.suspected,
+            });
+        }
+        let culprits: BTreeSet<JobKey> = lost
+            .iter()
+            .filter(|run| self.is_repeated(run))
+            .map(|run| run.task.job)
+            .collect();
+        if culprits.len() == 1 {
+            culprits.into_iter().for_each(|job| self.give_up(job, now));
+            return;
+        }
+        for run in lost {
+            self.count_crash(run, now);
+        }
+    }
+
+    /// Returns whether a lost run is evidence against a task that was suspected before.
+    fn is_repeated(&self, run: &LostRun) -> bool {
+        let crashes = &self.task_state(run.task).crashes;
+        let earlier = crashes.iter().filter(|crash| crash.is_evidence()).count();
+        run.crash.is_evidence() && earlier + 1 >= MAX_SOLE_SUSPICIONS
+    }
+
+    /// Counts a crash under a task, and gives up its job after too many.
+    fn count_crash(&mut self, run: LostRun, now: BootTime) {
+        let LostRun { task, crash } = run;
+        let crashes = &mut self.task_state_mut(task).crashes;
+        if crashes.iter().any(|known| known.run == crash.run) {
+            return;
+        }
+        crashes.push(crash);
+        let suspicions = crashes.iter().filter(|crash| crash.is_evidence()).count();
+        let given_up = crashes.len() >= MAX_CRASHES || suspicions >= MAX_SUSPICIONS;
+        self.mark_dirty(task.job, now);
+        if crash.is_evidence() {
+            let job = &mut self.jobs[task.job];
+            job.crash_write = (job.version, now + MAX_RECORD_WAIT);
+        }
+        if given_up {
+            self.give_up(task.job, now);
+        }
+    }
+
+    /// Fails a job with a task that crashes its workers.
+    fn give_up(&mut self, key: JobKey, now: BootTime) {
+        if self.jobs[key].live() {
+            let job = self.jobs[key].id.clone();
+            self.events.push(SchedulerEvent::GivenUp { job });
+            self.end_job(key, JobPhase::Failed, now);
+        }
+    }
+
+    /// Clears a task of crashes if its run, which was just reported, has lasted much longer than the
+    /// runs that were lost.
+    pub(super) fn clear_survivor(&mut self, task: TaskRef, now: BootTime) {
+        let Some(&placement) = self.placement_of(task) else { return };
+        let state = self.task_state_mut(task);
+        let Some(age) = state.crashes.iter().map(|crash| crash.age).max() else { return };
+        let survival = MAX_SURVIVAL.min(age * 2 + SURVIVAL_MARGIN);
+        if now >= placement.started_at + survival {
+            state.crashes.clear();
+        }
+    }
+
+    /// Keeps other jobs from starting tasks on the worker of a suspected task while it is young.
+    pub(super) fn begin_trial(
+        &mut self,
+        task: TaskRef,
+        worker: WorkerKey,
+        now: BootTime,
+    ) {
+        let crashes = self.task_state(task).crashes.iter();
+        let suspicions = crashes.filter(|crash| crash.suspected);
+        if let Some(age) = suspicions.map(|crash| crash.age).max() {
+            let until = now + MAX_TRIAL.min(age * 2 + AGE_MARGIN);
+            self.workers[worker].trial = Some(WorkerTrial { job: task.job, until });
+        }
+    }
+
+    /// Returns whether suspected tasks of a unit wait until the store holds the crashes under their job,
+    /// which the next owner has to know if they crash their worker together with this owner's VM.
+    pub(super) fn awaits_crash_record(
+        &self,
+        key: JobKey,
+        unit: u32,
+        now: BootTime,
+    ) -> bool {
+        let job = &self.jobs[key];
+        let (version, until) = job.crash_write;
+        job.stored_version < version && now < until && self.has_suspects(key, unit)
+    }
+
+    /// Returns the work, in thousandths of a core times milliseconds, that other jobs would lose if a
+    /// worker crashed now. A gang loses the work of all its members.
+    pub(super) fn work_at_risk(
+        &self,
+        key: JobKey,
+        worker: WorkerKey,
+        now: BootTime,
+    ) -> u64 {
+        let tasks = self.workers[worker].tasks.iter();
+        let others = tasks.filter(|task| task.job != key);
+        let work = |task: &TaskRef| {
+            let plan = self.jobs[task.job].plan(task.unit);
+            let members = if plan.gang { u64::from(plan.tasks) } else { 1 };
+            let placement = self.placement_of(*task);
+            let age =
+                placement.map_or(Duration::ZERO, |p| now.saturating_sub(p.started_at));
+            plan.reserved().cpu_millis * members * age.as_millis() as u64
+        };
+        others.map(work).sum()
+    }
+
+    /// Returns whether a unit has waiting tasks that are suspected of crashing their workers.
+    pub(super) fn has_suspects(&self, key: JobKey, unit: u32) -> bool {
+        let tasks = &self.jobs[key].units[unit as usize].tasks;
+        tasks.iter().any(|task| task.is_suspected() && task.is_waiting())
+    }
+}
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
@@ -13,8 +13,10 @@
 use crate::JobPhase;
 use crate::JobRecord;
 use crate::PermissionGrant;
+use crate::RunCrash;
 use crate::StepName;
 use crate::StepPlan;
+use crate::TaskCrash;
 use crate::TaskName;
 
 use super::WorkerKey;
@@ -84,6 +86,8 @@
     pub(super) percent: u32,
     /// When the progress last changed.
     pub(super) progressed: BootTime,
+    /// Whether the worker has confirmed the run.
+    pub(super) confirmed: bool,
     /// Whether the outcome of the start command is not known yet.
     pub(super) awaiting_outcome: bool,
     /// When the last copy of the start command remained without a response, if any did. The worker
@@ -100,6 +104,8 @@
     pub(super) placement: Option<TaskPlacement>,
     /// The numbers of failed runs; those of a gang are kept at its first task.
     pub(super) failed_runs: Vec<u64>,
+    /// The crashes of workers under the task since a run last lasted much longer.
+    pub(super) crashes: Vec<RunCrash>,
     /// The highest known run number.
     pub(super) last_run: u64,
     pub(super) checkpoint: Option<Name>,
@@ -112,6 +118,11 @@
     pub(super) fn is_waiting(&self) -> bool {
         !self.done && self.placement.is_none()
     }
+
+    /// Returns whether the task may have crashed a worker.
+    pub(super) fn is_suspected(&self) -> bool {
+        self.crashes.iter().any(|crash| crash.suspected)
+    }
 }
 
 /// The state of a unit.
@@ -157,6 +168,9 @@
     pub(super) serial: u64,
     /// When the job was accepted; `None` if it was read from the store by a new owner.
     pub(super) accepted_at: Option<BootTime>,
+    /// The version whose record is the first to hold all crashes under tasks, and until when suspected
+    /// tasks wait for it.
+    pub(super) crash_write: (u64, BootTime),
     /// Whether a worker has reported or confirmed a run of any task.
     pub(super) started: bool,
     /// Until when unplaced tasks may still be running on workers that have not reported.
@@ -187,6 +201,7 @@
             writing: false,
             serial,
             accepted_at: None,
+            crash_write: (0, BootTime::ZERO),
             started,
             uncertain_until: BootTime::ZERO,
             objective,
@@ -237,8 +252,22 @@
         before.iter().all(|&step| self.units[first + step as usize].remaining == 0)
     }
 
+    /// Returns the crashes of workers under all tasks.
+    fn task_crashes(&self) -> Vec<TaskCrash> {
+        let mut crashes = Vec::new();
+        for (unit, state) in self.units.iter().enumerate() {
+            for (index, task) in state.tasks.iter().enumerate() {
+                let (unit, index) = (unit as u32, index as u32);
+                let of_task = task.crashes.iter();
+                crashes.extend(of_task.map(|&crash| TaskCrash { unit, index, crash }));
+            }
+        }
+        crashes
+    }
+
     /// Copies the progress of the units into the record.
     pub(super) fn update_progress(&mut self) {
+        self.record.crashes = self.task_crashes();
         for (number, unit) in self.units.iter().enumerate() {
             let tasks = || unit.tasks.iter().enumerate();
             let done: Vec<u32> = tasks()
@@ -317,6 +346,12 @@
             }
         }
     }
+    for recorded in record.crashes.iter().filter(|crash| crash.unit == number) {
+        if let Some(task) = tasks.get_mut(recorded.index as usize) {
+            task.crashes.push(recorded.crash);
+            task.last_run = task.last_run.max(recorded.crash.run);
+        }
+    }
     UnitState {
         occurrence,
         step,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -122,7 +122,7 @@
             needed = self.overdue_copies(&plan, needed, now, round);
         }
         let partial = plan.gang && (waiting < plan.tasks as usize || needed < waiting);
-        if needed == 0 || partial {
+        if needed == 0 || partial || self.awaits_crash_record(key, unit, now) {
             return;
         }
         let mut offers = self.offers(key, unit, &plan, now);
@@ -161,7 +161,8 @@
         self.preempt(key, unit, left, unix_time, now);
     }
 
-    /// Returns the workers with free capacity for tasks of a unit, the preferred ones first.
+    /// Returns the workers with free capacity for tasks of a unit, the preferred ones first. Tasks
+    /// that may crash their worker should end as little other work as possible.
     pub(super) fn offers(
         &self,
         key: JobKey,
@@ -182,6 +183,9 @@
             }
         }
         offers.sort_by_key(|offer| offer.rank);
+        if self.has_suspects(key, unit) {
+            offers.sort_by_cached_key(|offer| self.work_at_risk(key, offer.worker, now));
+        }
         offers
     }
 
@@ -196,7 +200,8 @@
         now: BootTime,
     ) -> Option<WorkerOffer> {
         let state = &self.workers[worker];
-        if !state.usable(now) || !self.is_eligible(key, plan, state) {
+        let usable = state.usable(now) && state.allows_start(key, now);
+        if !usable || !self.is_eligible(key, plan, state) {
             return None;
         }
         let interfering = self.interfering(plan, state).next().is_some();
@@ -273,13 +278,14 @@
         round: &mut PlacementRound,
     ) {
         let state = &self.jobs[key].units[unit as usize];
-        let indices: Vec<u32> = state
+        let mut indices: Vec<u32> = state
             .tasks
             .iter()
             .enumerate()
             .filter(|(_, task)| task.is_waiting())
             .map(|(index, _)| index as u32)
             .collect();
+        indices.sort_by_key(|&index| !state.tasks[index as usize].is_suspected());
         let gang = self.jobs[key].plan(unit).gang;
         let highest = state.tasks.iter().map(|task| task.last_run).max().unwrap_or(0);
         let shared = state.tasks.iter().find_map(|task| task.checkpoint.clone());
@@ -327,10 +333,12 @@
             since: now,
             percent: 0,
             progressed: now,
+            confirmed: false,
             awaiting_outcome: true,
             unanswered_at: None,
         };
         self.assign(task, placement);
+        self.begin_trial(task, worker, now);
         let job = &self.jobs[task.job];
         round.starts.push(RunStart {
             worker,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/preemption.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/preemption.rs
@@ -38,7 +38,8 @@
 impl FleetScheduler {
     /// Stops less urgent tasks on permitted workers so that `needed` tasks of a unit fit.
     ///
-    /// Only jobs of the most urgent priority that can still meet their objective preempt others.
+    /// Only jobs of the most urgent priority that can still meet their objective preempt others, and
+    /// not for tasks that may crash their worker.
     pub(super) fn preempt(
         &mut self,
         key: JobKey,
@@ -50,6 +51,7 @@
         let job = &self.jobs[key];
         if job.record.rules.priority != 0
             || job.lateness(unix_time) != JobLateness::InTime
+            || self.has_suspects(key, unit)
         {
             return;
         }
@@ -98,6 +100,7 @@
         let job = &self.jobs[key];
         if job.units[unit as usize].open_requests > 0
             || job.lateness(unix_time) != JobLateness::InTime
+            || self.has_suspects(key, unit)
         {
             return;
         }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/replaced_workers.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/replaced_workers.rs
@@ -25,12 +25,15 @@
         state.clear_orphans();
         let id = state.info.id.clone();
         let address = state.info.address.clone();
-        self.events.push(SchedulerEvent::Replaced { worker: id, address });
+        let worker_id = id.clone();
+        self.events.push(SchedulerEvent::Replaced { worker: worker_id, address });
         // Ends that the worker has reported stand.
         self.release_held_ends(worker, now);
+        let lost = self.take_lost_runs(worker, now);
         let tasks: Vec<TaskRef> = self.workers[worker].tasks.iter().copied().collect();
         for task in tasks {
             self.abandon_run(task, now);
         }
+        self.record_crash(&id, lost, now);
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
@@ -34,11 +34,18 @@
         sent: BootTime,
         now: BootTime,
     ) {
-        let Some(state) = self.workers.get_mut(worker) else { return };
-        state.silent_since = None;
-        if state.incarnation != Some(report.incarnation) {
+        let Some(state) = self.workers.get(worker) else { return };
+        let former = state.incarnation;
+        let mut lost = Vec::new();
+        if former != Some(report.incarnation) {
+            if former.is_some() {
+                lost = self.take_lost_runs(worker, now);
+            }
             self.begin_incarnation(worker, report.incarnation, now);
         }
+        let state = &mut self.workers[worker];
+        state.silent_since = None;
+        state.expired_runs.clear();
         for ended in &report.ended {
             self.process_end(worker, ended, now);
         }
@@ -55,6 +62,9 @@
             }
         }
         self.abandon_missing_runs(worker, &matched, sent, now);
+        let id = self.workers[worker].info.id.clone();
+        lost.retain(|run| !matched.contains(&run.task));
+        self.record_crash(&id, lost, now);
         let state = &mut self.workers[worker];
         state.orphan_usage = orphans;
         state.orphan_size_unknown = unknown;
@@ -229,6 +239,7 @@
             }
         }
         self.mark_started(task, now);
+        self.clear_survivor(task, now);
         if running.checkpoint.is_some() {
             let unit = &mut self.jobs[task.job].units[task.unit as usize];
             unit.tasks[task.index as usize].checkpoint.clone_from(&running.checkpoint);
@@ -258,6 +269,7 @@
             since: now,
             percent: running.percent,
             progressed: now,
+            confirmed: true,
             awaiting_outcome: false,
             unanswered_at: None,
         };
@@ -345,6 +357,7 @@
         placement.phase = RunPhase::Running;
         placement.since = now;
     }
+    placement.confirmed = true;
     if placement.percent != running.percent {
         placement.percent = running.percent;
         placement.progressed = now;
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/timeouts.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/timeouts.rs
@@ -55,6 +55,9 @@
             age: lost.saturating_sub(placement.started_at),
             beside: worker.tasks.len() - 1,
         });
+        if let Some(lost) = self.lost_run(task, now) {
+            self.workers[placement.worker].expired_runs.push(lost);
+        }
         self.abandon_run(task, now);
     }
 
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
+use geraniumwinch_core::Name;
 use geraniumwinch_core::ResourceVector;
 
 use crate::BootTime;
@@ -11,6 +12,7 @@
 use crate::WorkerInfo;
 
 use super::FENCES_PER_EPOCH;
+use super::crashes::LostRun;
 use super::job_state::JobKey;
 use super::job_state::TaskRef;
 
@@ -26,6 +28,14 @@
     pub(super) held: Option<EndedRun>,
 }
 
+/// A time in which only one job may start tasks on a worker, since one of its tasks is suspected of
+/// crashing its workers.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct WorkerTrial {
+    pub(super) job: JobKey,
+    pub(super) until: BootTime,
+}
+
 /// The jobs whose tasks may be running on a worker according to the store.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum RecordedRuns {
@@ -47,6 +57,19 @@
     }
 }
 
+/// A worker that was removed.
+#[derive(Debug)]
+pub(super) struct FormerWorker {
+    /// The number that its last commands carried in their fencing token above the epoch.
+    pub(super) fence: u64,
+    /// Its last address.
+    pub(super) address: Name,
+    /// Its last incarnation in the platform's list.
+    pub(super) incarnation: u64,
+    /// The runs that were abandoned since it became silent.
+    pub(super) expired_runs: Vec<LostRun>,
+}
+
 /// The state of a worker and its tasks.
 #[derive(Debug)]
 pub(super) struct WorkerState {
@@ -70,6 +93,12 @@
     pub(super) silent_since: Option<BootTime>,
     /// Whether another worker has responded at the address: the worker is gone, with all its runs.
     pub(super) replaced: bool,
+    /// Whether the worker has announced that it leaves, so that its end is not a crash.
+    pub(super) leaving: bool,
+    /// The runs that were abandoned since the worker became silent; it may have crashed under them.
+    pub(super) expired_runs: Vec<LostRun>,
+    /// The trial of a suspected task there, if any.
+    pub(super) trial: Option<WorkerTrial>,
     /// When all runs started there will have ended if the worker stays silent.
     pub(super) expiry: BootTime,
     /// The resources reserved by its tasks and by gang reservations.
@@ -95,6 +124,7 @@
 impl WorkerState {
     /// Creates the state of a worker that has not reported yet.
     pub(super) fn new(info: WorkerInfo, fence: u64, expiry: BootTime) -> Self {
+        let leaving = !info.accepting;
         WorkerState {
             info,
             listed: true,
@@ -105,6 +135,9 @@
             fenced_since: BootTime::ZERO,
             silent_since: None,
             replaced: false,
+            leaving,
+            expired_runs: Vec::new(),
+            trial: None,
             expiry,
             used: ResourceVector::default(),
             tasks: BTreeSet::new(),
@@ -136,6 +169,11 @@
             && self.fence < FENCES_PER_EPOCH - 1
     }
 
+    /// Returns whether a job may start tasks there beside a suspected task of another job, if any.
+    pub(super) fn allows_start(&self, key: JobKey, now: BootTime) -> bool {
+        self.trial.is_none_or(|trial| trial.job == key || trial.until <= now)
+    }
+
     /// Returns what the store should record of the worker's runs.
     ///
     /// For a worker that gets no new tasks, only the jobs of its known runs and of ends that are
@@ -189,6 +227,8 @@
     pub(super) fn begin_incarnation(&mut self, incarnation: u64, now: BootTime) {
         self.fenced_since = now;
         self.replaced = false;
+        self.leaving = !self.info.accepting;
+        self.expired_runs.clear();
         self.incarnation = Some(incarnation);
         self.processed_end = 0;
         self.stored_end = 0;
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
@@ -14,6 +14,7 @@
 use super::FleetScheduler;
 use super::WorkerKey;
 use super::next_fence;
+use super::worker_state::FormerWorker;
 use super::worker_state::RecordedRuns;
 use super::worker_state::WorkerState;
 
@@ -32,20 +33,40 @@
             match self.worker_ids.get(&info.id) {
                 Some(&key) => {
                     let state = &mut self.workers[key];
+                    state.leaving |= !info.accepting;
                     state.info = info;
                     state.listed = true;
                 }
-                None => added.push(self.insert_worker(info, now + self.lease)),
+                None => {
+                    self.record_former_crash(&info, now);
+                    added.push(self.insert_worker(info, now + self.lease));
+                }
             }
         }
         added
     }
 
+    /// Records the crash of a removed worker that is back as another incarnation: under its former id
+    /// or at its former address.
+    fn record_former_crash(&mut self, info: &WorkerInfo, now: BootTime) {
+        let mut former_workers = self.former_workers.iter_mut();
+        let former = former_workers.find(|(id, former)| {
+            let same_id = **id == info.id && former.incarnation != info.incarnation;
+            let replaced = **id != info.id && former.address == info.address;
+            !former.expired_runs.is_empty() && (same_id || replaced)
+        });
+        if let Some((id, former)) = former {
+            let (id, lost) = (id.clone(), std::mem::take(&mut former.expired_runs));
+            self.record_crash(&id, lost, now);
+        }
+    }
+
     /// Adds a worker whose lease expires at `expiry` unless it is extended.
     fn insert_worker(&mut self, info: WorkerInfo, expiry: BootTime) -> WorkerKey {
         let id = info.id.clone();
         // A worker that was forgotten may have restarted meanwhile.
-        let fence = self.former_fences.remove(&id).map_or(0, next_fence);
+        let former = self.former_workers.remove(&id);
+        let fence = former.map_or(0, |former| next_fence(former.fence));
         let key = self.workers.insert(WorkerState::new(info, fence, expiry));
         self.worker_ids.insert(id, key);
         key
@@ -155,9 +176,12 @@
             return false;
         }
         if let Some(state) = self.workers.remove(worker) {
-            self.worker_ids.remove(&state.info.id);
-            self.former_fences.insert(state.info.id.clone(), state.fence);
             self.records_outdated |= state.recorded_runs != RecordedRuns::NoJobs;
+            self.worker_ids.remove(&state.info.id);
+            let WorkerInfo { id, address, incarnation, .. } = state.info.clone();
+            let (fence, expired_runs) = (state.fence, state.expired_runs);
+            let former = FormerWorker { fence, address, incarnation, expired_runs };
+            self.former_workers.insert(id, former);
         }
         true
     }
--- a/crates/geraniumwinch-fleet/src/job_record.rs
+++ b/crates/geraniumwinch-fleet/src/job_record.rs
@@ -11,6 +11,7 @@
 use crate::JobRequest;
 use crate::QueueRules;
 use crate::Result;
+use crate::RunCrash;
 use crate::fleet_error::DecodeSnafu;
 use crate::fleet_error::EncodeSnafu;
 use crate::fleet_error::FormatSnafu;
@@ -54,6 +55,17 @@
     pub failed: Vec<(u32, u64)>,
 }
 
+/// A crash of a worker under a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TaskCrash {
+    /// The unit of the task.
+    pub unit: u32,
+    /// The position of the task in its step.
+    pub index: u32,
+    /// The crash.
+    pub crash: RunCrash,
+}
+
 /// A job with its progress.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct JobRecord {
@@ -70,6 +82,10 @@
     /// The progress of the units that have any, by unit number, which is
     /// `occurrence * steps + step`.
     pub progress: BTreeMap<u32, UnitProgress>,
+    /// The crashes of workers under tasks. They follow the record in the store, where versions that
+    /// do not know them ignore them.
+    #[serde(skip)]
+    pub crashes: Vec<TaskCrash>,
 }
 
 impl JobRecord {
@@ -81,23 +97,38 @@
         request: JobRequest,
     ) -> Self {
         let phase = JobPhase::Live;
-        JobRecord { rules, account, accepted, phase, request, progress: BTreeMap::new() }
+        let (progress, crashes) = (BTreeMap::new(), Vec::new());
+        JobRecord { rules, account, accepted, phase, request, progress, crashes }
     }
 
     /// Encodes the record for the store: a byte with the format number, then the record in
-    /// postcard.
+    /// postcard, then the crashes if there are any.
     pub fn encode(&self) -> Result<Vec<u8>> {
-        postcard::to_extend(self, vec![FORMAT]).context(EncodeSnafu)
+        let bytes = postcard::to_extend(self, vec![FORMAT]).context(EncodeSnafu)?;
+        if self.crashes.is_empty() {
+            return Ok(bytes);
+        }
+        postcard::to_extend(&self.crashes, bytes).context(EncodeSnafu)
     }
 
     /// Decodes a record from the store.
     pub fn decode(bytes: &[u8]) -> Result<JobRecord> {
         match bytes.split_first() {
-            Some((&FORMAT, rest)) => postcard::from_bytes(rest).context(DecodeSnafu),
+            Some((&FORMAT, rest)) => JobRecord::decode_current(rest),
             first => {
                 let format = first.map_or(0, |(&format, _)| format);
                 FormatSnafu { format }.fail()
             }
         }
     }
+
+    /// Decodes a record in the current format, without its first byte.
+    fn decode_current(bytes: &[u8]) -> Result<JobRecord> {
+        let (mut record, rest): (JobRecord, &[u8]) =
+            postcard::take_from_bytes(bytes).context(DecodeSnafu)?;
+        if !rest.is_empty() {
+            record.crashes = postcard::from_bytes(rest).context(DecodeSnafu)?;
+        }
+        Ok(record)
+    }
 }
--- a/crates/geraniumwinch-fleet/src/scheduler_event.rs
+++ b/crates/geraniumwinch-fleet/src/scheduler_event.rs
@@ -54,6 +54,26 @@
         /// The run of the task's placement, if the task is placed.
         placed_run: Option<u64>,
     },
+    /// A run was lost because its worker crashed.
+    Crashed {
+        /// The task.
+        task: TaskName,
+        /// The run number.
+        run: u64,
+        /// The worker.
+        worker: Name,
+        /// The age of the run when the worker became silent.
+        age: Duration,
+        /// The number of other runs that were lost with the worker.
+        beside: usize,
+        /// Whether the run may have caused the crash.
+        suspected: bool,
+    },
+    /// A job is given up because one of its tasks crashes its workers.
+    GivenUp {
+        /// The job.
+        job: Name,
+    },
     /// Another worker has responded at a worker's address.
     Replaced {
         /// The worker that is gone.
--- a/crates/geraniumwinch-fleet/tests/crashing_tasks.rs
+++ b/crates/geraniumwinch-fleet/tests/crashing_tasks.rs
@@ -3,15 +3,21 @@
 mod common;
 
 use geraniumwinch_fleet::JobPhase;
+use geraniumwinch_fleet::RunOutcome;
 use geraniumwinch_fleet::RunStart;
 use geraniumwinch_fleet::SchedulerEvent;
 use geraniumwinch_fleet::StepPlan;
 use geraniumwinch_fleet::WorkerReport;
 
+use self::common::LEASE;
 use self::common::TestCell;
+use self::common::ended;
 use self::common::record;
 use self::common::rules;
+use self::common::running;
 use self::common::step;
+use self::common::task;
+use self::common::worker_info;
 
 /// The number of starts that the platform allows: three that crash their workers, and two more.
 const MAX_STARTS: usize = 5;
@@ -32,6 +38,7 @@
 /// the number of starts; at most twenty.
 fn crash_until_given_up(cell: &mut TestCell, age_ms: u64) -> usize {
     for starts in 0..20 {
+        cell.store_all();
         let placed = cell.start_all();
         let Some(start) = placed.iter().find(|start| start.task.index == 0) else {
             return starts;
@@ -74,6 +81,7 @@
         let gang = StepPlan { gang: true, ..step(3, 9_000) };
         cell.accept("job", record(rules(1), vec![gang]));
         for starts in 0..20 {
+            cell.store_all();
             let placed = cell.start_all();
             let Some(first) = placed.iter().find(|start| start.task.index == 0) else {
                 assert!((2..=MAX_STARTS).contains(&starts), "{starts} starts");
@@ -102,4 +110,171 @@
         assert!((2..=MAX_STARTS).contains(&starts), "{starts} starts");
         assert!(given_up(&mut cell));
     }
+
+    /// Guards against giving up a task for a crash that another one has caused: the run beside it
+    /// started long before, and is not suspected.
+    a_task_beside_the_culprit_goes_on(cell) {
+        cell.add_workers(&["w"]);
+        cell.accept("beside", record(rules(1), vec![step(1, 1_000)]));
+        cell.start_all();
+        cell.wait(900);
+        cell.accept("culprit", record(rules(1), vec![step(1, 1_000)]));
+        for starts in 0..2 {
+            cell.store_all();
+            let placed = cell.start_all();
+            let start = placed.iter().find(|start| &*start.task.step.job == "culprit");
+            crash(&mut cell, start.expect("a start"), 12, 100 + starts);
+            cell.wait(900);
+        }
+        cell.store_all();
+        assert_eq!(cell.phase("culprit"), Some(JobPhase::Failed));
+        assert_eq!(cell.phase("beside"), Some(JobPhase::Live));
+        let again = cell.place();
+        assert_eq!(again.len(), 1);
+        assert_eq!(again[0].task, task("beside", 0, 0));
+    }
+
+    /// Guards against giving up one of two jobs that are suspected alike: which one crashes its
+    /// workers is not known until they run apart.
+    suspects_of_two_jobs_are_tried_apart(cell) {
+        let workers = cell.add_workers(&["w", "other"]);
+        cell.scheduler.mark_silent(workers[1], cell.now);
+        cell.accept("one", record(rules(1), vec![step(1, 1_000)]));
+        cell.accept("two", record(rules(1), vec![step(1, 1_000)]));
+        let placed = cell.start_all();
+        assert_eq!(placed.len(), 2);
+        crash(&mut cell, &placed[0], 12, 100);
+        cell.store_all();
+        cell.report(workers[1], Vec::new(), Vec::new());
+        let placed = cell.start_all();
+        assert_eq!(placed.len(), 2);
+        assert_ne!(placed[0].worker, placed[1].worker);
+        crash(&mut cell, &placed[1], 12, 101);
+        cell.store_all();
+        let job = &placed[1].task.step.job;
+        assert_eq!(cell.phase(job), Some(JobPhase::Failed));
+        assert_eq!(cell.phase(&placed[0].task.step.job), Some(JobPhase::Live));
+    }
+
+    /// Guards against more lost work beside a task that is likely to crash its worker again.
+    no_other_job_starts_beside_a_suspected_task_at_first(cell) {
+        cell.add_workers(&["w"]);
+        cell.accept("suspect", record(rules(1), vec![step(1, 1_000)]));
+        let start = cell.start_all().remove(0);
+        crash(&mut cell, &start, 12, 100);
+        cell.store_all();
+        assert_eq!(cell.start_all().len(), 1, "the suspected task starts again");
+        cell.accept("other", record(rules(1), vec![step(1, 1_000)]));
+        assert_eq!(cell.place().len(), 0);
+        cell.wait(300);
+        assert_eq!(cell.place().len(), 1);
+    }
+
+    /// Guards against giving up a task for crashes that its workers have by themselves, long apart.
+    a_long_run_clears_a_task_of_a_crash(cell) {
+        let workers = cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![step(1, 1_000)]));
+        for incarnation in 100..110 {
+            let start = cell.start_all().remove(0);
+            crash(&mut cell, &start, 12, incarnation);
+            cell.store_all();
+            let start = cell.start_all().remove(0);
+            cell.wait(1100);
+            let running = vec![running(start.task.clone(), start.run)];
+            let report = WorkerReport { incarnation, running, ..WorkerReport::default() };
+            cell.scheduler.report(workers[0], &report, cell.now, cell.now);
+            let name = start.task.clone();
+            let ended = vec![ended(1, name, start.run, RunOutcome::Stopped)];
+            let report = WorkerReport { incarnation, ended, ..WorkerReport::default() };
+            cell.scheduler.report(workers[0], &report, cell.now, cell.now);
+        }
+        cell.store_all();
+        assert_eq!(cell.phase("job"), Some(JobPhase::Live));
+    }
+
+    /// Guards against taking the planned end of a worker for a crash.
+    a_worker_that_leaves_has_not_crashed(cell) {
+        cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![step(1, 1_000)]));
+        for incarnation in 100..106 {
+            let start = cell.start_all().remove(0);
+            let mut info = worker_info("w");
+            info.accepting = false;
+            cell.scheduler.set_workers(vec![info], cell.now);
+            crash(&mut cell, &start, 12, incarnation);
+            cell.add_workers(&["w"]);
+            let report = WorkerReport { incarnation, ..WorkerReport::default() };
+            cell.scheduler.report(start.worker, &report, cell.now, cell.now);
+            cell.store_all();
+        }
+        assert_eq!(cell.phase("job"), Some(JobPhase::Live));
+    }
+
+    /// Guards against taking a worker that was cut off for one that crashed: its lease ended, and it
+    /// is back in the same incarnation.
+    a_worker_that_was_cut_off_has_not_crashed(cell) {
+        cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![step(1, 1_000)]));
+        for _ in 0..6 {
+            let start = cell.start_all().remove(0);
+            cell.scheduler.extend_lease(start.worker, cell.now);
+            cell.wait(12);
+            cell.scheduler.mark_silent(start.worker, cell.now);
+            cell.wait(LEASE.as_millis() as u64 + 1);
+            cell.report(start.worker, Vec::new(), Vec::new());
+        }
+        cell.store_all();
+        assert_eq!(cell.phase("job"), Some(JobPhase::Live));
+    }
+
+    /// Guards against crashes that nobody counts because the worker was away for longer than its
+    /// lease, and had been removed meanwhile.
+    a_worker_that_is_back_after_its_removal_has_crashed(cell) {
+        for number in 0..2 {
+            let ids = [["a"], ["b"]];
+            cell.add_workers(&ids[number]);
+            cell.accept("job", record(rules(1), vec![step(1, 1_000)]));
+            cell.store_all();
+            let start = cell.start_all().remove(0);
+            cell.scheduler.extend_lease(start.worker, cell.now);
+            cell.wait(12);
+            cell.scheduler.mark_silent(start.worker, cell.now);
+            cell.scheduler.set_workers(Vec::new(), cell.now);
+            cell.wait(LEASE.as_millis() as u64 + 1);
+            assert!(cell.scheduler.remove_if_gone(start.worker, cell.now));
+        }
+        // The last worker is back under another id at the same address.
+        cell.add_workers(&["c"]);
+        cell.store_all();
+        assert_eq!(cell.phase("job"), Some(JobPhase::Failed));
+    }
+
+    /// Guards against a new owner that counts the crashes of a task from the beginning (issue 28).
+    a_new_owner_reads_the_crashes_under_a_task(cell) {
+        cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![step(1, 1_000)]));
+        let start = cell.start_all().remove(0);
+        crash(&mut cell, &start, 12, 100);
+        assert_eq!(cell.place().len(), 0, "the store does not hold the crash yet");
+        let (id, record) = cell.store_all().remove(0);
+        let mut next = TestCell::new(2);
+        next.scheduler.load_job(id, record, next.now);
+        next.add_workers(&["w"]);
+        let start = next.start_all().remove(0);
+        assert!(start.run > 1);
+        crash(&mut next, &start, 12, 101);
+        next.store_all();
+        assert_eq!(next.phase("job"), Some(JobPhase::Failed));
+    }
+
+    /// Guards against suspected tasks that never start again while the store takes no writes.
+    a_suspected_task_starts_again_without_the_store(cell) {
+        cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![step(1, 1_000)]));
+        let start = cell.start_all().remove(0);
+        crash(&mut cell, &start, 12, 100);
+        assert_eq!(cell.place().len(), 0);
+        cell.wait(1000);
+        assert_eq!(cell.place().len(), 1);
+    }
 }
--- a/crates/geraniumwinch-fleet/tests/delayed_starts.rs
+++ b/crates/geraniumwinch-fleet/tests/delayed_starts.rs
@@ -130,6 +130,7 @@
         let sent = cell.now;
         cell.wait(5);
         restart(&mut cell, &start, sent);
+        cell.store_all();
         assert_eq!(cell.place().len(), 0, "the new incarnation may execute the first copy");
         let sent = cell.now;
         restart(&mut cell, &start, sent);
--- a/crates/geraniumwinch-fleet/tests/runs.rs
+++ b/crates/geraniumwinch-fleet/tests/runs.rs
@@ -155,6 +155,7 @@
             ..Default::default()
         };
         cell.scheduler.report(workers[0], &report, cell.now, cell.now);
+        cell.store_all();
         assert_eq!(cell.place()[0].run, 2);
     }
 
@@ -301,6 +302,7 @@
         cell.scheduler.worker_replaced(start.worker, "10.0.0.9:1", cell.now);
         assert_eq!(cell.place().len(), 0, "the response came from a former address");
         cell.scheduler.worker_replaced(start.worker, &info.address, cell.now);
+        cell.store_all();
         let again = cell.place();
         assert_eq!(again.len(), 1);
         assert_ne!(again[0].worker, start.worker);
@@ -331,6 +333,7 @@
         cell.scheduler.stop_response(other.worker, &other.task, other.run, cell.now);
         cell.wait(1);
         cell.report(other.worker, Vec::new(), Vec::new());
+        cell.store_all();
         assert_eq!(cell.place().len(), 2);
     }
 }
--- a/crates/geraniumwinch-fleet/tests/takeover.rs
+++ b/crates/geraniumwinch-fleet/tests/takeover.rs
@@ -9,7 +9,9 @@
 use geraniumwinch_fleet::JobPhase;
 use geraniumwinch_fleet::JobRecord;
 use geraniumwinch_fleet::PossibleRuns;
+use geraniumwinch_fleet::RunCrash;
 use geraniumwinch_fleet::RunOutcome;
+use geraniumwinch_fleet::TaskCrash;
 use geraniumwinch_fleet::UnitProgress;
 use geraniumwinch_fleet::WorkerRecord;
 
@@ -377,3 +379,19 @@
     cell.scheduler.worker_replaced(keys[0], &gone.info.address, cell.now);
     assert_eq!(cell.place().len(), 1);
 }
+
+/// Guards against records that the versions before can't read: the crashes follow the record.
+#[test]
+fn crashes_follow_the_record_in_the_store() {
+    let mut job = record(rules(1), vec![step(2, 1_000)]);
+    let without = job.encode().expect("the record encodes");
+    let age = Duration::from_millis(12);
+    let crash = RunCrash { run: 3, age, confirmed: true, suspected: true };
+    job.crashes = vec![TaskCrash { unit: 0, index: 1, crash }];
+    let bytes = job.encode().expect("the record encodes");
+    assert!(bytes.starts_with(&without));
+    assert_eq!(JobRecord::decode(&bytes).expect("the record decodes"), job);
+    job.crashes.clear();
+    let former: JobRecord = postcard::from_bytes(&bytes[1..]).expect("it is readable");
+    assert_eq!(former, job);
+}
