Give up tasks that crash their workers in the scheduler of the failure domains as well

The twin of the fault: the scheduler of a failure domain requeued a task that was missing from its worker's inventory without a bound, whatever had happened to the worker.

An attempt that was confirmed and is missing, without a reported end, from a worker that is not leaving counts as a crash under its task.

Not covered: a new owner of a failure domain counts from the beginning, and a worker that is away for longer than its leases is not recognised as crashed, since its answers name no incarnation.

--- a/crates/geraniumwinch-core/src/job_scheduler.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler.rs
@@ -2,6 +2,7 @@
 
 mod attempt_ends;
 mod command_outcomes;
+mod crashes;
 mod inventory;
 mod job_state;
 mod job_view;
--- a/crates/geraniumwinch-core/src/job_scheduler/attempt_ends.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/attempt_ends.rs
@@ -59,7 +59,7 @@
     }
 
     /// Removes a task that is not placed from what waits.
-    fn discard_wait(&mut self, task: TaskRef, state: TaskState) {
+    pub(super) fn discard_wait(&mut self, task: TaskRef, state: TaskState) {
         match state {
             TaskState::Unlocated { until } => {
                 self.unlocated.remove(&(until, task));
--- a/crates/geraniumwinch-core/src/job_scheduler/inventory.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/inventory.rs
@@ -14,6 +14,7 @@
 use super::START_EXPIRY;
 use super::SchedulerCommand;
 use super::TaskReport;
+use super::crashes::LostAttempt;
 use super::job_state::TaskPhase;
 use super::job_state::TaskPlacement;
 use super::job_state::TaskRef;
@@ -59,6 +60,7 @@
         let Some(state) = self.workers.get_mut(worker) else { return };
         let could_start = state.may_start();
         state.reachable = true;
+        state.answered = state.answered.max(Some(sent));
         state.all_booked = all_booked;
         state.settled |= settled;
         if self.unsettled_renewals.get(&state.spec.name).is_some_and(|at| *at <= sent) {
@@ -80,6 +82,7 @@
         now: Instant,
     ) -> bool {
         let Some(key) = self.workers.find(worker) else { return false };
+        let answered = self.workers.get(key).and_then(|state| state.answered);
         let is_running = |report: &&TaskReport| report.state == ReportedState::Running;
         let mut all_booked = true;
         let mut running = BTreeSet::new();
@@ -99,7 +102,13 @@
         for report in reports.iter().filter(|report| !is_running(report)) {
             self.reconcile_ended(key, report, ledger, now);
         }
-        let undecided = self.requeue_missing(key, &running, sent, ledger, now);
+        let missing = self.missing_tasks(key, &running);
+        let undecided = self.requeue_missing(key, &missing, sent, ledger, now);
+        let lost = missing.into_iter().filter(|(task, _)| self.is_waiting(*task));
+        let lost =
+            lost.map(|(task, placement)| LostAttempt::new(task, placement, answered));
+        let lost = lost.collect();
+        self.record_crash(key, lost);
         self.start_reserved(key, now);
         all_booked && !undecided
     }
@@ -182,6 +191,29 @@
         });
     }
 
+    /// Returns the tasks that are booked on a worker and not running there, with their placements.
+    fn missing_tasks(
+        &self,
+        worker: WorkerKey,
+        running: &BTreeSet<TaskRef>,
+    ) -> Vec<(TaskRef, TaskPlacement)> {
+        let booked = self.on_worker.get(&worker).into_iter().flatten();
+        let missing = booked.filter(|task| !running.contains(task));
+        let placed = missing.filter_map(|&(key, index)| {
+            match self.jobs[key].tasks[index as usize] {
+                TaskState::Placed(placement) => Some(((key, index), placement)),
+                _ => None,
+            }
+        });
+        placed.collect()
+    }
+
+    /// Returns whether a task waits for a worker.
+    fn is_waiting(&self, (key, index): TaskRef) -> bool {
+        let job = self.jobs.get(key);
+        job.is_some_and(|job| job.tasks[index as usize] == TaskState::Pending)
+    }
+
     /// Queues tasks again that are missing from the inventory although their start was confirmed, or had
     /// expired, before the heartbeat was sent.
     ///
@@ -189,19 +221,13 @@
     fn requeue_missing(
         &mut self,
         worker: WorkerKey,
-        running: &BTreeSet<TaskRef>,
+        missing: &[(TaskRef, TaskPlacement)],
         sent: Instant,
         ledger: &mut TeamLedger,
         now: Instant,
     ) -> bool {
-        let Some(tasks) = self.on_worker.get(&worker) else { return false };
-        let missing: Vec<TaskRef> = tasks.difference(running).copied().collect();
         let mut undecided = false;
-        for task in missing {
-            let TaskState::Placed(placement) = self.jobs[task.0].tasks[task.1 as usize]
-            else {
-                continue;
-            };
+        for &(task, placement) in missing {
             let TaskPhase::Running(since) = placement.phase else { continue };
             if since <= sent {
                 self.finish_attempt(task, worker, ReportedState::Stopped, ledger, now);
--- a/crates/geraniumwinch-core/src/job_scheduler/job_state.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/job_state.rs
@@ -1,9 +1,11 @@
 //! The state of jobs and their tasks.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::time::Instant;
 
+use crate::CrashHistory;
 use crate::JobId;
 use crate::JobSpec;
 use crate::Name;
@@ -98,6 +100,8 @@
     pub(super) cancelled: bool,
     /// The workers on which tasks of the job have failed.
     pub(super) failed_on: BTreeSet<WorkerKey>,
+    /// The crashes of workers under tasks, by index.
+    pub(super) crashes: BTreeMap<u32, CrashHistory>,
 }
 
 impl JobState {
@@ -123,6 +127,7 @@
             queued: false,
             cancelled: false,
             failed_on: BTreeSet::new(),
+            crashes: BTreeMap::new(),
         }
     }
 }
--- a/crates/geraniumwinch-core/src/worker_table.rs
+++ b/crates/geraniumwinch-core/src/worker_table.rs
@@ -45,6 +45,8 @@
     pub settled: bool,
     /// When a message that grants or renews task leases was last sent to the worker.
     pub lease_sent: Option<Instant>,
+    /// When the last heartbeat was sent that the worker has answered.
+    pub answered: Option<Instant>,
     /// Whether the VM list contains the worker.
     pub listed: bool,
     /// The number of tasks booked on the worker.
@@ -182,6 +184,7 @@
             all_booked: false,
             settled: false,
             lease_sent: None,
+            answered: None,
             listed: true,
             tasks: 0,
             starts: 0.0,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/crashes.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/crashes.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 
 use geraniumwinch_core::Name;
+use geraniumwinch_core::RunCrash;
 
 use crate::BootTime;
 use crate::JobPhase;
-use crate::RunCrash;
 use crate::SchedulerEvent;
 
 use super::FleetScheduler;
@@ -22,22 +22,6 @@
 use super::job_state::TaskRef;
 use super::worker_state::WorkerTrial;
 
-/// The number of crashes as the only suspect, or together with suspects of its own job, after which a
-/// task is given up.
-const MAX_SOLE_SUSPICIONS: usize = 2;
-/// The number of crashes as one of several suspects after which a task is given up.
-const MAX_SUSPICIONS: usize = 3;
-/// The number of crashes after which a task is given up in any case.
-const MAX_CRASHES: usize = 4;
-/// The difference in age up to which two runs count as started together.
-const AGE_MARGIN: Duration = Duration::from_millis(250);
-/// How much longer than at the crashes a run must last to clear its task of them.
-const SURVIVAL_MARGIN: Duration = Duration::from_secs(1);
-/// The age at which a run clears its task of all crashes.
-const MAX_SURVIVAL: Duration = Duration::from_secs(60);
-/// The maximum time for which no other job starts tasks beside a suspected one.
-const MAX_TRIAL: Duration = Duration::from_secs(2);
-
 /// How long a suspected task waits at most for the record of a crash before it starts again.
 const MAX_RECORD_WAIT: Duration = Duration::from_secs(1);
 
@@ -73,7 +57,7 @@
         let silent_since = self.workers[placement.worker].silent_since;
         let age = silent_since.unwrap_or(now).saturating_sub(placement.started_at);
         let (run, confirmed) = (placement.run, placement.confirmed);
-        let crash = RunCrash { run, age, confirmed, suspected: false };
+        let crash = RunCrash::new(run, age, confirmed);
         (placement.phase != RunPhase::Held).then_some(LostRun { task, crash })
     }
 
@@ -91,7 +75,7 @@
         let Some(youngest) = lost.iter().map(|run| run.crash.age).min() else { return };
         let beside = lost.len() - 1;
         for LostRun { task, crash } in &mut lost {
-            crash.suspected = crash.age <= youngest * 2 + AGE_MARGIN;
+            crash.compare_age(youngest);
             self.events.push(SchedulerEvent::Crashed {
                 task: self.jobs[task.job].task_name(*task),
                 run: crash.run,
@@ -103,7 +87,7 @@
         }
         let culprits: BTreeSet<JobKey> = lost
             .iter()
-            .filter(|run| self.is_repeated(run))
+            .filter(|run| self.task_state(run.task).crashes.is_repeated_by(&run.crash))
             .map(|run| run.task.job)
             .collect();
         if culprits.len() == 1 {
@@ -115,29 +99,18 @@
         }
     }
 
-    /// Returns whether a lost run is evidence against a task that was suspected before.
-    fn is_repeated(&self, run: &LostRun) -> bool {
-        let crashes = &self.task_state(run.task).crashes;
-        let earlier = crashes.iter().filter(|crash| crash.is_evidence()).count();
-        run.crash.is_evidence() && earlier + 1 >= MAX_SOLE_SUSPICIONS
-    }
-
     /// Counts a crash under a task, and gives up its job after too many.
     fn count_crash(&mut self, run: LostRun, now: BootTime) {
         let LostRun { task, crash } = run;
-        let crashes = &mut self.task_state_mut(task).crashes;
-        if crashes.iter().any(|known| known.run == crash.run) {
+        if !self.task_state_mut(task).crashes.add(crash) {
             return;
         }
-        crashes.push(crash);
-        let suspicions = crashes.iter().filter(|crash| crash.is_evidence()).count();
-        let given_up = crashes.len() >= MAX_CRASHES || suspicions >= MAX_SUSPICIONS;
         self.mark_dirty(task.job, now);
         if crash.is_evidence() {
             let job = &mut self.jobs[task.job];
             job.crash_write = (job.version, now + MAX_RECORD_WAIT);
         }
-        if given_up {
+        if self.task_state(task).crashes.is_exhausted() {
             self.give_up(task.job, now);
         }
     }
@@ -155,12 +128,8 @@
     /// runs that were lost.
     pub(super) fn clear_survivor(&mut self, task: TaskRef, now: BootTime) {
         let Some(&placement) = self.placement_of(task) else { return };
-        let state = self.task_state_mut(task);
-        let Some(age) = state.crashes.iter().map(|crash| crash.age).max() else { return };
-        let survival = MAX_SURVIVAL.min(age * 2 + SURVIVAL_MARGIN);
-        if now >= placement.started_at + survival {
-            state.crashes.clear();
-        }
+        let age = now.saturating_sub(placement.started_at);
+        self.task_state_mut(task).crashes.clear_if_survived(age);
     }
 
     /// Keeps other jobs from starting tasks on the worker of a suspected task while it is young.
@@ -170,10 +139,8 @@
         worker: WorkerKey,
         now: BootTime,
     ) {
-        let crashes = self.task_state(task).crashes.iter();
-        let suspicions = crashes.filter(|crash| crash.suspected);
-        if let Some(age) = suspicions.map(|crash| crash.age).max() {
-            let until = now + MAX_TRIAL.min(age * 2 + AGE_MARGIN);
+        if let Some(time) = self.task_state(task).crashes.trial_time() {
+            let until = now + time;
             self.workers[worker].trial = Some(WorkerTrial { job: task.job, until });
         }
     }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use geraniumwinch_core::CrashHistory;
 use geraniumwinch_core::Name;
 use slotmap::new_key_type;
 
@@ -13,7 +14,6 @@
 use crate::JobPhase;
 use crate::JobRecord;
 use crate::PermissionGrant;
-use crate::RunCrash;
 use crate::StepName;
 use crate::StepPlan;
 use crate::TaskCrash;
@@ -105,7 +105,7 @@
     /// The numbers of failed runs; those of a gang are kept at its first task.
     pub(super) failed_runs: Vec<u64>,
     /// The crashes of workers under the task since a run last lasted much longer.
-    pub(super) crashes: Vec<RunCrash>,
+    pub(super) crashes: CrashHistory,
     /// The highest known run number.
     pub(super) last_run: u64,
     pub(super) checkpoint: Option<Name>,
@@ -121,7 +121,7 @@
 
     /// Returns whether the task may have crashed a worker.
     pub(super) fn is_suspected(&self) -> bool {
-        self.crashes.iter().any(|crash| crash.suspected)
+        self.crashes.is_suspected()
     }
 }
 
@@ -348,7 +348,7 @@
     }
     for recorded in record.crashes.iter().filter(|crash| crash.unit == number) {
         if let Some(task) = tasks.get_mut(recorded.index as usize) {
-            task.crashes.push(recorded.crash);
+            task.crashes.add(recorded.crash);
             task.last_run = task.last_run.max(recorded.crash.run);
         }
     }
--- a/crates/geraniumwinch-fleet/src/job_record.rs
+++ b/crates/geraniumwinch-fleet/src/job_record.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use geraniumwinch_core::Name;
+use geraniumwinch_core::RunCrash;
 use serde::Deserialize;
 use serde::Serialize;
 use snafu::ResultExt;
@@ -11,7 +12,6 @@
 use crate::JobRequest;
 use crate::QueueRules;
 use crate::Result;
-use crate::RunCrash;
 use crate::fleet_error::DecodeSnafu;
 use crate::fleet_error::EncodeSnafu;
 use crate::fleet_error::FormatSnafu;
--- a/crates/geraniumwinch-fleet/tests/takeover.rs
+++ b/crates/geraniumwinch-fleet/tests/takeover.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use geraniumwinch_core::ResourceVector;
+use geraniumwinch_core::RunCrash;
 use geraniumwinch_fleet::AccountLimit;
 use geraniumwinch_fleet::JobPhase;
 use geraniumwinch_fleet::JobRecord;
 use geraniumwinch_fleet::PossibleRuns;
-use geraniumwinch_fleet::RunCrash;
 use geraniumwinch_fleet::RunOutcome;
 use geraniumwinch_fleet::TaskCrash;
 use geraniumwinch_fleet::UnitProgress;
