--- a/crates/geraniumwinch-fleet/tests/capacity.rs
+++ b/crates/geraniumwinch-fleet/tests/capacity.rs
@@ -10,12 +10,14 @@
 use geraniumwinch_fleet::StepPlan;
 use geraniumwinch_fleet::WorkerRecord;
 
+use self::common::TestCell;
 use self::common::ended;
 use self::common::record;
 use self::common::rules;
 use self::common::running;
 use self::common::step;
 use self::common::task;
+use self::common::worker_info;
 
 /// Creates a processor limit for the account of the tests.
 fn limit(cpu_millis: u64) -> Vec<AccountLimit> {
@@ -23,6 +25,13 @@
     vec![AccountLimit { account: "account".into(), weight: 1, limit }]
 }
 
+/// Changes the processors of the only worker in the platform's list.
+fn shrink(cell: &mut TestCell, cpu_millis: u64) {
+    let mut info = worker_info("w");
+    info.capacity.cpu_millis = cpu_millis;
+    cell.scheduler.set_workers(vec![info], cell.now);
+}
+
 cases! {
     a_worker_is_not_overcommitted(cell) {
         cell.add_workers(&["w"]);
@@ -181,4 +190,73 @@
         assert_eq!(cell.place().len(), 0);
         assert_eq!(cell.scheduler.take_stops().len(), 0);
     }
+
+    /// Guards against starts on a worker whose capacity has shrunk below what runs there (LIMIT).
+    a_worker_that_shrank_gets_no_task_until_it_fits(cell) {
+        let workers = cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![step(4, 4_000)]));
+        let starts = cell.start_all();
+        cell.accept("next", record(rules(0), vec![step(1, 4_000)]));
+        shrink(&mut cell, 8_000);
+        let done = |index: usize| {
+            let name = starts[index].task.clone();
+            ended(index as u64 + 1, name, starts[index].run, RunOutcome::Done)
+        };
+        for ends in 1..=2 {
+            let left = (ends..4).map(|index| running(starts[index].task.clone(), 1));
+            let ended = (0..ends).map(done).collect();
+            cell.report(workers[0], left.collect(), ended);
+            assert_eq!(cell.place().len(), 0, "{} tasks still run", 4 - ends);
+        }
+        cell.report(workers[0], vec![running(starts[3].task.clone(), 1)], (0..3).map(done).collect());
+        assert_eq!(cell.place().len(), 1);
+    }
+
+    /// Guards against counting a task that is being stopped as gone on a worker that shrank (LIMIT).
+    a_stopping_task_still_counts_on_a_worker_that_shrank(cell) {
+        cell.add_workers(&["w"]);
+        cell.accept("job", record(rules(1), vec![step(2, 4_000)]));
+        cell.start_all();
+        shrink(&mut cell, 8_000);
+        cell.scheduler.cancel("job", cell.now);
+        cell.accept("next", record(rules(1), vec![step(1, 4_000)]));
+        assert_eq!(cell.place().len(), 0);
+    }
+
+    /// Guards against a gang that starts in reserved capacity which has shrunk meanwhile (LIMIT).
+    a_reservation_does_not_outlive_the_capacity(cell) {
+        let workers = cell.add_workers(&["w"]);
+        let saving = StepPlan { saves_progress: true, ..step(4, 4_000) };
+        cell.accept("low", record(rules(2), vec![saving]));
+        let starts = cell.start_all();
+        let report = starts.iter().map(|start| running(start.task.clone(), 1)).collect();
+        cell.report(workers[0], report, Vec::new());
+        let gang = StepPlan { gang: true, ..step(2, 8_000) };
+        cell.accept("gang", record(rules(0), vec![gang]));
+        cell.place();
+        assert_eq!(cell.scheduler.take_stops().len(), 4, "the capacity is reserved");
+        shrink(&mut cell, 12_000);
+        let ends = starts.iter().enumerate().map(|(number, start)| {
+            ended(number as u64 + 1, start.task.clone(), start.run, RunOutcome::Stopped)
+        });
+        cell.report(workers[0], Vec::new(), ends.collect());
+        assert_eq!(cell.place().len(), 0, "the gang no longer fits");
+        shrink(&mut cell, 16_000);
+        assert_eq!(cell.place().len(), 2, "the capacity has grown again");
+    }
+
+    /// Guards against a new owner that starts tasks beside runs that it has adopted on a worker that
+    /// shrank (LIMIT).
+    a_new_owner_counts_adopted_runs_on_a_worker_that_shrank(cell) {
+        let workers = cell.list_workers(&["w"]);
+        cell.scheduler.load_job(
+            "job".into(),
+            record(rules(1), vec![step(3, 4_000)]),
+            cell.now,
+        );
+        shrink(&mut cell, 8_000);
+        let adopted = (0..2).map(|index| running(task("job", 0, index), 1)).collect();
+        cell.report(workers[0], adopted, Vec::new());
+        assert_eq!(cell.place().len(), 0);
+    }
 }
