Soak with jobs that crash the workers that start them

Every 29th job of the new plan crashes its workers, beside the general faults; it has to fail, no other job may, unless two workers crashed under one of its tasks, and no task is started more than twice after three crashes. A short seeded run is part of the tests.

--- a/crates/geraniumwinch-tests/src/fault_injector.rs
+++ b/crates/geraniumwinch-tests/src/fault_injector.rs
@@ -43,6 +43,8 @@
     /// The general faults, and as often those of large fleets: slow processes, connections that are
     /// reset, links that lose packets, responses that are lost, and workers that leave and join.
     Fleet,
+    /// The general faults, beside jobs that crash the workers that start them.
+    Crashes,
 }
 
 /// A fault to inject.
--- a/crates/geraniumwinch-tests/src/fleet_cell.rs
+++ b/crates/geraniumwinch-tests/src/fleet_cell.rs
@@ -328,7 +328,17 @@
     ) -> FleetLoad {
         let url = |index| format!("http://{}", self.addresses.entry(0, index, PORTS[0]));
         let urls = (0..self.processes.len()).map(url).collect();
-        FleetLoad { seed, jobs, interval, task_millis, unrestricted, urls, host: HOST }
+        let (crashing, host) = (false, HOST);
+        FleetLoad {
+            seed,
+            jobs,
+            interval,
+            task_millis,
+            unrestricted,
+            crashing,
+            urls,
+            host,
+        }
     }
 
     /// Returns the state of a job in the queue `/jobs/`, or `None` if the process does not report it.
--- a/crates/geraniumwinch-tests/src/fleet_load.rs
+++ b/crates/geraniumwinch-tests/src/fleet_load.rs
@@ -29,6 +29,8 @@
     pub statuses: Vec<u16>,
     /// Whether a cancellation was acknowledged.
     pub cancelled: bool,
+    /// Whether the first task of each step crashes the workers that start it.
+    pub crashing: bool,
 }
 
 impl SubmissionOutcome {
@@ -61,6 +63,8 @@
     pub task_millis: u64,
     /// Whether every third job goes to the queue that requires no permission.
     pub unrestricted: bool,
+    /// Whether every 29th job crashes the workers that start it.
+    pub crashing: bool,
     /// The base URLs of the processes.
     pub urls: Vec<String>,
     /// The host name of the queues.
@@ -81,10 +85,16 @@
         let id = format!("{:08x}{number:08x}", self.seed);
         let unrestricted = self.unrestricted && number % 3 == 1;
         let queue = if unrestricted { UNRESTRICTED_QUEUE } else { "jobs" };
-        let body = self.body(unrestricted, &mut rng);
+        let crashing = self.crashing && number % 29 == 6;
+        let body = self.body(unrestricted, crashing, &mut rng);
         let key = if number.is_multiple_of(5) { ROTATED_KEY } else { FLEET_KEY };
-        let mut outcome =
-            SubmissionOutcome { id, queue, statuses: Vec::new(), cancelled: false };
+        let mut outcome = SubmissionOutcome {
+            id,
+            queue,
+            statuses: Vec::new(),
+            cancelled: false,
+            crashing,
+        };
         let path = outcome.path();
         for _ in 0..MAX_ATTEMPTS {
             let status =
@@ -134,11 +144,12 @@
     }
 
     /// Creates the body of a job with one or two steps, some of which are gangs.
-    fn body(&self, unrestricted: bool, rng: &mut SmallRng) -> String {
+    fn body(&self, unrestricted: bool, crashing: bool, rng: &mut SmallRng) -> String {
         let steps: Vec<String> = (0..rng.random_range(1..3))
             .map(|step| {
                 let count = rng.random_range(1..5);
-                let gang = rng.random_bool(0.3);
+                // The stand-in's gangs do not end with one of their members.
+                let gang = rng.random_bool(0.3) && !crashing;
                 let after = if step > 0 { "[0]" } else { "[]" };
                 format!(
                     r#"{{"count":{count},"cpu":{},"mem_mb":64,"estimate_ms":300,
@@ -150,6 +161,10 @@
         let millis = rng.random_range(20..700);
         let suffix =
             if unrestricted { format!(" {UNRESTRICTED_QUEUE}") } else { String::new() };
-        format!(r#"{{"spec":"{millis} done{suffix}","steps":[{}]}}"#, steps.join(","))
+        let outcome = if crashing { "crashes" } else { "done" };
+        format!(
+            r#"{{"spec":"{millis} {outcome}{suffix}","steps":[{}]}}"#,
+            steps.join(",")
+        )
     }
 }
--- a/crates/geraniumwinch-tests/tests/platform_soak.rs
+++ b/crates/geraniumwinch-tests/tests/platform_soak.rs
@@ -30,6 +30,8 @@
 const FAULT_PERIOD: Duration = Duration::from_secs(15);
 /// The number of jobs that are submitted meanwhile.
 const JOBS: u64 = 300;
+/// The number of starts that the platform allows a task after three workers have crashed under it.
+const STARTS_AFTER_CRASHES: usize = 2;
 /// The time within which every process refuses a withdrawn key.
 const REVOCATION_TIME: Duration = Duration::from_secs(4);
 
@@ -59,6 +61,11 @@
     run_seed(seed, FaultPlan::Fleet, false);
 }
 
+#[test_case(700; "seed 700")]
+fn tasks_that_crash_their_workers_are_given_up_under(seed: u64) {
+    run_seed(seed, FaultPlan::Crashes, true);
+}
+
 #[test]
 #[ignore = "a longer run for `make platform-soak`, which names the seed and may name the plan"]
 fn soak() {
@@ -67,6 +74,7 @@
         Ok("general") => (FaultPlan::General, false),
         Ok("permitted") => (FaultPlan::Commands, false),
         Ok("fleet") => (FaultPlan::Fleet, false),
+        Ok("crashes") => (FaultPlan::Crashes, true),
         _ => (FaultPlan::Commands, true),
     };
     run_seed(seed.expect("SOAK_SEED holds a number"), plan, unrestricted);
@@ -82,6 +90,7 @@
         if plan == FaultPlan::Fleet {
             load.urls = cell.proxied_urls();
         }
+        load.crashing = plan == FaultPlan::Crashes;
         let load = actix_rt::spawn(async move { load.run().await });
         let rng = SmallRng::seed_from_u64(seed);
         let mut injector = FaultInjector::new(rng, plan, PROCESSES, WORKERS);
@@ -94,6 +103,7 @@
         }
         check_job_states(&cell, &outcomes).await;
         check_runs(&cell, &outcomes).await;
+        check_crashes(&cell.runs().await);
         check_withdrawn_key(&cell, injector.version()).await;
     });
 }
@@ -105,14 +115,16 @@
     for (number, outcome) in
         outcomes.iter().enumerate().filter(|(_, outcome)| outcome.accepted())
     {
+        let end = if outcome.crashing { "failed" } else { "completed" };
         let final_states: &[&str] =
-            if outcome.cancelled { &["cancelled", "completed"] } else { &["completed"] };
+            if outcome.cancelled { &["cancelled", end] } else { &[end] };
         let cancel_sent = number % 8 == 3;
         wait_until(&format!("a final state of {outcome:?}"), async || {
             let state = cell.state_at(number % PROCESSES, &outcome.path()).await;
             let state = state.unwrap_or_default();
             final_states.contains(&state.as_str())
                 || (cancel_sent && state == "cancelled")
+                || (state == "failed" && most_crashes(cell, &outcome.id).await >= 2)
         })
         .await;
     }
@@ -148,6 +160,33 @@
     );
 }
 
+/// Returns the highest number of workers that crashed under a task of a job.
+async fn most_crashes(cell: &FleetCell, id: &str) -> usize {
+    let mut crashes: BTreeMap<String, usize> = BTreeMap::new();
+    for run in cell.runs().await.iter().filter(|run| run["how"] == "crashed") {
+        let task = run["task"].as_str().unwrap_or_default();
+        if task.starts_with(id) {
+            *crashes.entry(task.to_owned()).or_default() += 1;
+        }
+    }
+    crashes.into_values().max().unwrap_or(0)
+}
+
+/// Checks that no task is started more often than allowed after three workers have crashed under it.
+fn check_crashes(runs: &[Value]) {
+    let mut by_task: BTreeMap<&str, Vec<&Value>> = BTreeMap::new();
+    for run in runs {
+        by_task.entry(run["task"].as_str().unwrap_or_default()).or_default().push(run);
+    }
+    for (task, mut runs) in by_task {
+        runs.sort_by_key(|run| run["started_ms"].as_u64());
+        let crashed = runs.iter().enumerate().filter(|(_, run)| run["how"] == "crashed");
+        let Some((third, _)) = crashed.skip(2).next() else { continue };
+        let later = runs.len() - 1 - third;
+        assert!(later <= STARTS_AFTER_CRASHES, "{task} was started too often: {runs:#?}");
+    }
+}
+
 /// Returns the runs at the moment when the most of them ran at once.
 fn peak_runs<'a>(runs: impl Iterator<Item = &'a Value>) -> Vec<String> {
     let runs: Vec<&Value> = runs.collect();
