Count a crash against each suspect, and the age of a start from its last copy

Change: a crash that is explained counts against the other suspects still; the age of a run is counted from the last copy without a response; and a suspected task avoids workers where another job has just started something, beside which nobody could tell who it was.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/command_responses.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/command_responses.rs
@@ -24,6 +24,7 @@
         let Some(task) = self.find_run(worker, name, run) else { return };
         if let Some(placement) = self.placement_of_mut(task) {
             placement.unanswered_at = Some(now);
+            placement.started_at = now;
         }
     }
 
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/crashes.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/crashes.rs
@@ -25,6 +25,9 @@
 /// How long a suspected task waits at most for the record of a crash before it starts again.
 const MAX_RECORD_WAIT: Duration = Duration::from_secs(1);
 
+/// The age up to which a run is likely to be suspected if its worker crashes.
+const YOUNG_AGE: Duration = Duration::from_millis(250);
+
 /// A run that was lost with its worker.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct LostRun {
@@ -64,7 +67,7 @@
     /// Records the crash of a worker under its lost runs, and gives up the jobs of tasks that have
     /// caused it as far as can be told.
     ///
-    /// Once a culprit is found, the crash says nothing about the other runs.
+    /// Once a culprit is found, the crash says nothing about the runs that are not suspected.
     pub(super) fn record_crash(
         &mut self,
         worker: &Name,
@@ -92,7 +95,7 @@
             .collect();
         if culprits.len() == 1 {
             culprits.into_iter().for_each(|job| self.give_up(job, now));
-            return;
+            lost.retain(|run| run.crash.suspected);
         }
         for run in lost {
             self.count_crash(run, now);
@@ -102,7 +105,7 @@
     /// Counts a crash under a task, and gives up its job after too many.
     fn count_crash(&mut self, run: LostRun, now: BootTime) {
         let LostRun { task, crash } = run;
-        if !self.task_state_mut(task).crashes.add(crash) {
+        if !self.jobs[task.job].live() || !self.task_state_mut(task).crashes.add(crash) {
             return;
         }
         self.mark_dirty(task.job, now);
@@ -158,6 +161,22 @@
         job.stored_version < version && now < until && self.has_suspects(key, unit)
     }
 
+    /// Returns whether a task of another job has just started on a worker. If the worker crashed, it
+    /// would not be known which of them has caused it.
+    pub(super) fn has_young_run(
+        &self,
+        key: JobKey,
+        worker: WorkerKey,
+        now: BootTime,
+    ) -> bool {
+        let tasks = self.workers[worker].tasks.iter();
+        let mut others = tasks.filter(|task| task.job != key);
+        others.any(|task| {
+            let placement = self.placement_of(*task);
+            placement.is_some_and(|p| now < p.started_at + YOUNG_AGE)
+        })
+    }
+
     /// Returns the work, in thousandths of a core times milliseconds, that other jobs would lose if a
     /// worker crashed now. A gang loses the work of all its members.
     pub(super) fn work_at_risk(
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
@@ -78,7 +78,8 @@
     pub(super) run: u64,
     /// The phase of the run.
     pub(super) phase: RunPhase,
-    /// When the start command was sent, or the run of a former owner was adopted.
+    /// When the start command was sent, its last copy remained without a response, or the run of a
+    /// former owner was adopted.
     pub(super) started_at: BootTime,
     /// When the phase began or, for a stop without a response, when the command was last sent.
     pub(super) since: BootTime,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -184,7 +184,10 @@
         }
         offers.sort_by_key(|offer| offer.rank);
         if self.has_suspects(key, unit) {
-            offers.sort_by_cached_key(|offer| self.work_at_risk(key, offer.worker, now));
+            offers.sort_by_cached_key(|&WorkerOffer { worker, .. }| {
+                let young = self.has_young_run(key, worker, now);
+                (young, self.work_at_risk(key, worker, now))
+            });
         }
         offers
     }
--- a/crates/geraniumwinch-fleet/tests/crashing_tasks.rs
+++ b/crates/geraniumwinch-fleet/tests/crashing_tasks.rs
@@ -6,6 +6,7 @@
 use geraniumwinch_fleet::RunOutcome;
 use geraniumwinch_fleet::RunStart;
 use geraniumwinch_fleet::SchedulerEvent;
+use geraniumwinch_fleet::StartOutcome;
 use geraniumwinch_fleet::StepPlan;
 use geraniumwinch_fleet::WorkerReport;
 
@@ -277,4 +278,60 @@
         cell.wait(1000);
         assert_eq!(cell.place().len(), 1);
     }
+
+    /// Guards against a task that is never given up because another suspect is blamed for each of
+    /// its crashes (kbc-winch, many tasks of two classes crash their workers).
+    a_suspect_beside_the_culprit_stays_suspected(cell) {
+        let workers = cell.add_workers(&["v", "w"]);
+        cell.scheduler.mark_silent(workers[1], cell.now);
+        cell.accept("culprit", record(rules(1), vec![step(1, 1_000)]));
+        let first = cell.start_all().remove(0);
+        crash(&mut cell, &first, 12, 100);
+        cell.store_all();
+        cell.accept("other", record(rules(0), vec![step(1, 1_000)]));
+        let placed = cell.start_all();
+        assert_eq!(placed.len(), 2, "the other one starts first, both on one worker");
+        crash(&mut cell, &placed[0], 12, 101);
+        cell.store_all();
+        assert_eq!(cell.phase("culprit"), Some(JobPhase::Failed));
+        let again = cell.start_all().remove(0);
+        crash(&mut cell, &again, 12, 102);
+        cell.store_all();
+        assert_eq!(cell.phase("other"), Some(JobPhase::Failed), "it is suspected twice");
+    }
+
+    /// Guards against clearing a task that crashes its worker at once because the first copy of its
+    /// start got no response, and a later one was executed (kbc-winch, orders are answered late).
+    a_start_that_was_repeated_is_young(cell) {
+        cell.add_workers(&["w"]);
+        cell.accept("culprit", record(rules(1), vec![step(1, 1_000)]));
+        let start = cell.place().remove(0);
+        cell.wait(590);
+        cell.accept("beside", record(rules(1), vec![step(1, 1_000)]));
+        cell.start_all();
+        cell.wait(9);
+        let (now, run) = (cell.now, start.run);
+        cell.scheduler.start_unanswered(start.worker, &start.task, run, now);
+        cell.outcome(&start, StartOutcome::Started);
+        cell.scheduler.take_events();
+        crash(&mut cell, &start, 12, 100);
+        let events = cell.scheduler.take_events();
+        let suspected = events.iter().any(|event| {
+            matches!(event, SchedulerEvent::Crashed { task, suspected: true, .. } if *task == start.task)
+        });
+        assert!(suspected, "{events:?}");
+    }
+
+    /// Guards against two suspects of different jobs beside each other, of which none can be blamed.
+    a_suspected_task_avoids_workers_where_another_job_just_started(cell) {
+        let workers = cell.add_workers(&["v", "w"]);
+        cell.accept("suspect", record(rules(1), vec![step(1, 1_000)]));
+        let first = cell.start_all().remove(0);
+        crash(&mut cell, &first, 12, 100);
+        cell.store_all();
+        cell.accept("urgent", record(rules(0), vec![step(1, 1_000)]));
+        let placed = cell.start_all();
+        assert_eq!(placed.len(), 2);
+        assert_ne!(placed[0].worker, placed[1].worker, "{workers:?}");
+    }
 }
