Keep suspected tasks back while the store takes no records of their crashes

Cause: a suspected task waited for a second at most until its crash was stored. The store is often away for longer than that, and what an owner counts meanwhile is lost with it.

Change: it waits up to ten seconds. Only suspected tasks do; all others start as before. The test of this wait has the new bound.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/crashes.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/crashes.rs
@@ -23,7 +23,7 @@
 use super::worker_state::WorkerTrial;
 
 /// How long a suspected task waits at most for the record of a crash before it starts again.
-const MAX_RECORD_WAIT: Duration = Duration::from_secs(1);
+const MAX_RECORD_WAIT: Duration = Duration::from_secs(10);
 
 /// The age up to which a run is likely to be suspected if its worker crashes.
 const YOUNG_AGE: Duration = Duration::from_millis(250);
--- a/crates/geraniumwinch-fleet/tests/crashing_tasks.rs
+++ b/crates/geraniumwinch-fleet/tests/crashing_tasks.rs
@@ -279,7 +279,9 @@
         let start = cell.start_all().remove(0);
         crash(&mut cell, &start, 12, 100);
         assert_eq!(cell.place().len(), 0);
-        cell.wait(1000);
+        cell.wait(4500);
+        assert_eq!(cell.place().len(), 0, "its crashes would not be known to the next owner");
+        cell.wait(5500);
         assert_eq!(cell.place().len(), 1);
     }
 
