--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/crashes.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/crashes.rs
@@ -2,8 +2,9 @@
 //!
 //! A task that crashes each worker that starts it would be started for ever, and each crash also ends
 //! the runs beside it. Whoever started last on a worker that crashed is suspected. A suspected task
-//! starts again on a worker with much free capacity, where for a moment no other job starts anything.
-//! If that worker crashes as well, the job of the task has failed.
+//! starts again where other jobs would lose the least work, and for a moment none of them starts
+//! anything beside it. If that worker crashes as well, the job of the task has failed. The bounds are
+//! those of [`CrashHistory`](geraniumwinch_core::CrashHistory).
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -24,7 +25,6 @@
 
 /// How long a task waits at most for the record of a crash before it starts again.
 const MAX_RECORD_WAIT: Duration = Duration::from_secs(10);
-
 /// The age up to which a run is likely to be suspected if its worker crashes.
 const YOUNG_AGE: Duration = Duration::from_millis(250);
 
@@ -74,7 +74,7 @@
         mut lost: Vec<LostRun>,
         now: BootTime,
     ) {
-        lost.retain(|run| self.jobs.get(run.task.job).is_some_and(|job| job.live()));
+        lost.retain(|run| self.is_unfinished(run.task));
         let Some(youngest) = lost.iter().map(|run| run.crash.age).min() else { return };
         let beside = lost.len() - 1;
         for LostRun { task, crash } in &mut lost {
@@ -101,10 +101,16 @@
         }
     }
 
+    /// Returns whether a task of a known job still has to be done.
+    fn is_unfinished(&self, task: TaskRef) -> bool {
+        let live = self.jobs.get(task.job).is_some_and(|job| job.live());
+        live && !self.task_state(task).done
+    }
+
     /// Counts a crash under a task, and gives up its job after too many.
     fn count_crash(&mut self, run: LostRun, now: BootTime) {
         let LostRun { task, crash } = run;
-        if !self.jobs[task.job].live() || !self.task_state_mut(task).crashes.add(crash) {
+        if !self.is_unfinished(task) || !self.task_state_mut(task).crashes.add(crash) {
             return;
         }
         self.mark_dirty(task.job, now);
