Do not take a worker that left and was removed for one that crashed

Found by reading: runs that expired on a worker that had announced its end were counted as crashed once another worker was listed at its address after its removal; while it was still known, its announcement was respected.

Change: such a worker leaves no expired runs behind. Its test failed before.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
@@ -179,7 +179,9 @@
             self.records_outdated |= state.recorded_runs != RecordedRuns::NoJobs;
             self.worker_ids.remove(&state.info.id);
             let WorkerInfo { id, address, incarnation, .. } = state.info.clone();
-            let (fence, expired_runs) = (state.fence, state.expired_runs);
+            let fence = state.fence;
+            let expired_runs =
+                if state.leaving { Vec::new() } else { state.expired_runs };
             let former = FormerWorker { fence, address, incarnation, expired_runs };
             self.former_workers.insert(id, former);
         }
--- a/crates/geraniumwinch-fleet/tests/crashing_tasks.rs
+++ b/crates/geraniumwinch-fleet/tests/crashing_tasks.rs
@@ -12,6 +12,7 @@
 use geraniumwinch_fleet::StartOutcome;
 use geraniumwinch_fleet::StepPlan;
 use geraniumwinch_fleet::TaskCrash;
+use geraniumwinch_fleet::WorkerInfo;
 use geraniumwinch_fleet::WorkerReport;
 
 use self::common::LEASE;
@@ -254,6 +255,26 @@
         assert_eq!(cell.phase("job"), Some(JobPhase::Failed));
     }
 
+    /// Guards against taking the planned end of a worker for a crash when another worker is listed at
+    /// its address after its removal.
+    a_worker_that_left_and_was_removed_has_not_crashed(cell) {
+        for id in ["a", "b", "c", "d", "e"] {
+            cell.add_workers(&[id]);
+            cell.accept("job", record(rules(1), vec![step(1, 1_000)]));
+            cell.store_all();
+            let start = cell.start_all().remove(0);
+            cell.scheduler.extend_lease(start.worker, cell.now);
+            let leaving = WorkerInfo { accepting: false, ..worker_info(id) };
+            cell.scheduler.set_workers(vec![leaving], cell.now);
+            cell.scheduler.mark_silent(start.worker, cell.now);
+            cell.scheduler.set_workers(Vec::new(), cell.now);
+            cell.wait(LEASE.as_millis() as u64 + 1);
+            assert!(cell.scheduler.remove_if_gone(start.worker, cell.now));
+        }
+        cell.store_all();
+        assert_eq!(cell.phase("job"), Some(JobPhase::Live));
+    }
+
     /// Guards against a new owner that counts the crashes of a task from the beginning (issue 28).
     a_new_owner_reads_the_crashes_under_a_task(cell) {
         cell.add_workers(&["w"]);
