Do not stop gang members that wait for slower ones

Callers saw gangs that ran for seconds and then started again, some of them several times.

Cause: a gang ends together, so a member that has done its own work stays at 100 percent until the slowest one is done. After 2.5 s without progress it counted as stalled, and its stop broke the whole gang. Where workers differ in speed or tasks have long tails this met most gangs.

Change: a member at 100 percent is not stalled while another member of its gang has work left. A member that stands still is, by itself. The log line of a stalled run has its progress and age. The test of the waiting member failed before.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
@@ -66,8 +66,16 @@
                 incarnation = incarnation
             );
         }
-        SchedulerEvent::Stalled { task, run, worker } => {
-            log_event!(Warn, "run-stalled", task = task, run = run, worker = worker);
+        SchedulerEvent::Stalled { task, run, worker, percent, age } => {
+            log_event!(
+                Warn,
+                "run-stalled",
+                task = task,
+                run = run,
+                worker = worker,
+                percent = percent,
+                age_ms = age.as_millis()
+            );
         }
         SchedulerEvent::Preempted { task, run, worker } => {
             log_event!(Info, "preempted", task = task, run = run, worker = worker);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -18,6 +18,7 @@
 mod racks;
 mod replaced_workers;
 mod reports;
+mod stalled_runs;
 mod timeouts;
 mod unreported_runs;
 mod worker_state;
--- /dev/null
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/stalled_runs.rs
@@ -0,0 +1,62 @@
+//! Runs that make no progress.
+//!
+//! The members of a gang end together, so a member that has done its own work waits for the others.
+//! It is no reason to stop the gang while another member still works.
+
+use std::time::Duration;
+
+use crate::BootTime;
+use crate::SchedulerEvent;
+
+use super::FleetScheduler;
+use super::job_state::TaskPlacement;
+use super::job_state::TaskRef;
+
+/// The minimum time without progress after which a run counts as stalled.
+const STALL_MIN: Duration = Duration::from_millis(2500);
+/// A run counts as stalled after no progress for its estimated duration divided by this number, if
+/// that is longer than the minimum.
+const STALL_ESTIMATE_DIVISOR: u32 = 3;
+/// The progress in percent of a run that has done all of its work.
+const FULL_PERCENT: u32 = 100;
+
+impl FleetScheduler {
+    /// Stops a run that has made no progress for too long, so that the task is placed again.
+    pub(super) fn stop_if_stalled(
+        &mut self,
+        task: TaskRef,
+        placement: TaskPlacement,
+        now: BootTime,
+    ) {
+        let job = &self.jobs[task.job];
+        let plan = job.plan(task.unit);
+        let done = job.units[task.unit as usize].tasks[task.index as usize].done;
+        let limit = STALL_MIN.max(plan.estimate / STALL_ESTIMATE_DIVISOR);
+        let exempt =
+            plan.long_running || done || self.workers[placement.worker].is_silent();
+        if exempt
+            || now < placement.progressed + limit
+            || plan.gang && self.waits_for_members(task, &placement)
+        {
+            return;
+        }
+        self.events.push(SchedulerEvent::Stalled {
+            task: job.task_name(task),
+            run: placement.run,
+            worker: self.workers[placement.worker].info.id.clone(),
+            percent: placement.percent,
+            age: now.saturating_sub(placement.started_at),
+        });
+        self.record_failure(placement.worker, now);
+        self.stop(task, now);
+    }
+
+    /// Returns whether a member of a gang has done its work, but another member has not. A member
+    /// that stands still counts as stalled by itself.
+    fn waits_for_members(&self, task: TaskRef, placement: &TaskPlacement) -> bool {
+        let members = &self.jobs[task.job].units[task.unit as usize].tasks;
+        let mut placed = members.iter().filter_map(|member| member.placement.as_ref());
+        placement.percent >= FULL_PERCENT
+            && placed.any(|member| member.percent < FULL_PERCENT)
+    }
+}
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/timeouts.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/timeouts.rs
@@ -16,11 +16,6 @@
 const UNKNOWN_GRACE: Duration = Duration::from_millis(700);
 /// The time after which a stop command without a response is retried.
 const STOP_RETRY_INTERVAL: Duration = Duration::from_millis(600);
-/// The minimum time without progress after which a run counts as stalled.
-const STALL_MIN: Duration = Duration::from_millis(2500);
-/// A run counts as stalled after no progress for its estimated duration divided by this number, if
-/// that is longer than the minimum.
-const STALL_ESTIMATE_DIVISOR: u32 = 3;
 
 impl FleetScheduler {
     /// Performs the actions that are due: abandons the runs of silent workers whose leases have
@@ -77,29 +72,4 @@
             _ => {}
         }
     }
-
-    /// Stops a run that has made no progress for too long, so that the task is placed again.
-    fn stop_if_stalled(
-        &mut self,
-        task: TaskRef,
-        placement: TaskPlacement,
-        now: BootTime,
-    ) {
-        let job = &self.jobs[task.job];
-        let plan = job.plan(task.unit);
-        let done = job.units[task.unit as usize].tasks[task.index as usize].done;
-        let limit = STALL_MIN.max(plan.estimate / STALL_ESTIMATE_DIVISOR);
-        let exempt =
-            plan.long_running || done || self.workers[placement.worker].is_silent();
-        if exempt || now < placement.progressed + limit {
-            return;
-        }
-        self.events.push(SchedulerEvent::Stalled {
-            task: job.task_name(task),
-            run: placement.run,
-            worker: self.workers[placement.worker].info.id.clone(),
-        });
-        self.record_failure(placement.worker, now);
-        self.stop(task, now);
-    }
 }
--- a/crates/geraniumwinch-fleet/src/scheduler_event.rs
+++ b/crates/geraniumwinch-fleet/src/scheduler_event.rs
@@ -96,6 +96,10 @@
         run: u64,
         /// The worker.
         worker: Name,
+        /// The last known progress in percent.
+        percent: u32,
+        /// The age of the run.
+        age: Duration,
     },
     /// A run is being stopped to free capacity for a more urgent job.
     Preempted {
--- a/crates/geraniumwinch-fleet/tests/runs.rs
+++ b/crates/geraniumwinch-fleet/tests/runs.rs
@@ -6,6 +6,8 @@
 
 use geraniumwinch_fleet::JobPhase;
 use geraniumwinch_fleet::RunOutcome;
+use geraniumwinch_fleet::RunStart;
+use geraniumwinch_fleet::RunningRun;
 use geraniumwinch_fleet::SchedulerEvent;
 use geraniumwinch_fleet::StartOutcome;
 use geraniumwinch_fleet::StepPlan;
@@ -193,6 +195,41 @@
         assert_eq!(cell.scheduler.take_stops().len(), 1);
     }
 
+    /// Guards against stopping a gang because its fast members wait for a slow one.
+    a_member_that_waits_for_its_gang_is_not_stalled(cell) {
+        cell.add_workers(&["fast", "slow"]);
+        cell.accept("job", record(rules(1), vec![gang(2, 16_000)]));
+        let starts = cell.start_all();
+        let (fast, slow) = (&starts[0], &starts[1]);
+        for percent in 10..20 {
+            let run = |start: &RunStart, percent| RunningRun {
+                percent,
+                ..running(start.task.clone(), start.run)
+            };
+            cell.report(fast.worker, vec![run(fast, 100)], Vec::new());
+            cell.report(slow.worker, vec![run(slow, percent)], Vec::new());
+            cell.wait(900);
+        }
+        assert_eq!(cell.scheduler.take_stops(), Vec::new());
+    }
+
+    /// Guards against a gang that waits for ever for a member that stands still.
+    a_member_that_stands_still_is_stalled(cell) {
+        cell.add_workers(&["fast", "still"]);
+        cell.accept("job", record(rules(1), vec![gang(2, 16_000)]));
+        let starts = cell.start_all();
+        for _ in 0..3 {
+            for (start, percent) in starts.iter().zip([100, 40]) {
+                let run = running(start.task.clone(), start.run);
+                cell.report(start.worker, vec![RunningRun { percent, ..run }], Vec::new());
+            }
+            cell.wait(900);
+        }
+        let stops = cell.scheduler.take_stops();
+        assert_eq!(stops.len(), 1);
+        assert_eq!(stops[0].worker, starts[1].worker);
+    }
+
     /// Guards against counting a job as started when the command went to a crashed worker
     /// (kbc-winch, twice-in-three-seconds).
     a_job_waits_until_a_run_is_confirmed(cell) {
