Look only at granted workers in a placement pass, and stop searching for units that get nothing

Cause: each pass searched all workers for every waiting unit, three times for gangs, and looked permissions up by name. On a full cell of 350 workers the passes took most of the owner's processor.

Change: decisions of the permission service are kept by worker in sorted lists; offers, preemption and the fit of gangs look at granted workers only. Workers to request are not chosen again for 100 ms if there are none, nor while no long request can be sent; tasks to preempt are searched every 20 ms. Beyond 200 waiting units an attempt that got nothing is repeated after a delay that grows with them.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -11,9 +11,11 @@
 mod held_ends;
 mod job_state;
 mod overdue_jobs;
+mod permission_table;
 mod permissions;
 mod persistence;
 mod placement;
+mod placement_backoff;
 mod preemption;
 mod racks;
 mod replaced_workers;
@@ -54,6 +56,7 @@
 use self::job_state::TaskPlacement;
 use self::job_state::TaskRef;
 use self::job_state::TaskState;
+use self::placement_backoff::PlacementBackoff;
 use self::worker_state::FormerWorker;
 use self::worker_state::WorkerState;
 
@@ -107,6 +110,7 @@
     dirty: HashMap<JobKey, BootTime>,
     accounts: AccountUsage,
     waiting_load: WaitingLoad,
+    backoff: PlacementBackoff,
     /// The load of placed tasks, by priority.
     placed_load: BTreeMap<u32, PlacedLoad>,
     /// The estimated share of workers that the permission service allows, by queue.
@@ -135,6 +139,7 @@
             dirty: HashMap::new(),
             accounts: AccountUsage::default(),
             waiting_load: WaitingLoad::default(),
+            backoff: PlacementBackoff::default(),
             placed_load: BTreeMap::new(),
             allowed_share: HashMap::new(),
             records_outdated: false,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/command_responses.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/command_responses.rs
@@ -93,11 +93,8 @@
         now: BootTime,
     ) {
         if outcome == StartOutcome::NotPermitted {
-            let id = &self.workers[worker].info.id;
             let unit = &mut self.jobs[task.job].units[task.unit as usize];
-            if let Some(Some(grant)) = unit.permissions.get_mut(id) {
-                grant.until = now;
-            }
+            unit.permissions.expire(worker, now);
         }
         let unanswered =
             self.placement_of(task).is_some_and(|p| p.unanswered_at.is_some());
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/gang_fit.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/gang_fit.rs
@@ -6,7 +6,6 @@
 
 use super::FleetScheduler;
 use super::job_state::JobKey;
-use super::permissions::PermissionState;
 use super::worker_state::WorkerState;
 
 /// How many times over a gang must fit after preemption, since not all of that capacity will become
@@ -25,13 +24,9 @@
     ) -> bool {
         let plan = self.jobs[key].plan(unit);
         let mut fitting = 0;
-        for (worker, state) in &self.workers {
-            let permission = self.permission(key, unit, &state.info.id, now);
-            let permitted = matches!(
-                permission,
-                PermissionState::Valid(_) | PermissionState::Expired
-            );
-            if !permitted || !state.usable(now) || !self.is_eligible(key, plan, state) {
+        for worker in self.granted_workers(key, unit) {
+            let state = &self.workers[worker];
+            if !state.usable(now) || !self.is_eligible(key, plan, state) {
                 continue;
             }
             let free = self.capacity_after_preemption(key, state);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/gang_reservation.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/gang_reservation.rs
@@ -116,13 +116,11 @@
         workers: &[WorkerKey],
         now: BootTime,
     ) -> bool {
-        let permission = |&worker: &WorkerKey| {
-            self.permission(key, unit, &self.workers[worker].info.id, now)
-        };
+        let permission = |&worker: &WorkerKey| self.permission(key, unit, worker, now);
         workers
             .iter()
             .map(permission)
-            .all(|permission| matches!(permission, PermissionState::Valid(_)))
+            .all(|permission| permission == PermissionState::Valid)
     }
 
     /// Returns whether a worker could run tasks of a unit, apart from free capacity and the expiry
@@ -130,8 +128,7 @@
     fn may_take(&self, key: JobKey, unit: u32, worker: WorkerKey, now: BootTime) -> bool {
         self.workers.get(worker).is_some_and(|state| {
             state.usable(now)
-                && self.permission(key, unit, &state.info.id, now)
-                    != PermissionState::Denied
+                && self.permission(key, unit, worker, now) != PermissionState::Denied
         })
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
@@ -3,7 +3,6 @@
 //! A unit is one step of one occurrence of a job. The units of a job are numbered
 //! `occurrence * steps + step`.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use geraniumwinch_core::CrashHistory;
@@ -13,7 +12,6 @@
 use crate::BootTime;
 use crate::JobPhase;
 use crate::JobRecord;
-use crate::PermissionGrant;
 use crate::StepName;
 use crate::StepPlan;
 use crate::TaskCrash;
@@ -21,6 +19,7 @@
 
 use super::WorkerKey;
 use super::gang_reservation::GangReservation;
+use super::permission_table::PermissionTable;
 
 /// The number of workers that a permission request is assumed to name when the critical path is
 /// estimated.
@@ -138,8 +137,8 @@
     pub(super) remaining: u32,
     /// The number of tasks that are neither done nor placed.
     pub(super) waiting: u32,
-    /// The decisions of the permission service by worker; `None` if the worker was denied.
-    pub(super) permissions: HashMap<Name, Option<PermissionGrant>>,
+    /// The decisions of the permission service.
+    pub(super) permissions: PermissionTable,
     /// The number of open requests to the permission service.
     pub(super) open_requests: usize,
     /// The earliest time of the next permission request after a failed one.
@@ -148,6 +147,12 @@
     pub(super) reservation: Option<GangReservation>,
     /// The earliest time of the next search for workers for a gang that does not fit.
     pub(super) next_search: BootTime,
+    /// The earliest time of the next choice of workers to request permission for.
+    pub(super) next_request: BootTime,
+    /// The earliest time of the next search for tasks to preempt.
+    pub(super) next_preemption: BootTime,
+    /// The earliest time of the next attempt to place tasks.
+    pub(super) next_attempt: BootTime,
 }
 
 /// The state of a job.
@@ -230,6 +235,11 @@
         self.record.phase == JobPhase::Live
     }
 
+    /// Returns whether any task is neither done nor placed.
+    pub(super) fn has_waiting_tasks(&self) -> bool {
+        self.units.iter().any(|unit| unit.waiting > 0)
+    }
+
     /// Returns how late the job would be if its waiting tasks were started now. Scheduled jobs
     /// always count as in time.
     pub(super) fn lateness(&self, unix_time: Duration) -> JobLateness {
@@ -359,10 +369,13 @@
         tasks,
         remaining,
         waiting: remaining,
-        permissions: HashMap::new(),
+        permissions: PermissionTable::default(),
         open_requests: 0,
         retry_after: BootTime::ZERO,
         reservation: None,
         next_search: BootTime::ZERO,
+        next_request: BootTime::ZERO,
+        next_preemption: BootTime::ZERO,
+        next_attempt: BootTime::ZERO,
     }
 }
--- /dev/null
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/permission_table.rs
@@ -0,0 +1,82 @@
+//! The decisions of the permission service for a unit.
+
+use geraniumwinch_core::Name;
+
+use crate::BootTime;
+
+use super::WorkerKey;
+use super::permissions::PermissionState;
+
+/// The permission to place a unit on a worker.
+#[derive(Debug, Clone)]
+pub(super) struct WorkerGrant {
+    pub(super) worker: WorkerKey,
+    /// The ticket that proves the permission.
+    pub(super) ticket: Name,
+    /// When the ticket expires.
+    pub(super) until: BootTime,
+}
+
+/// The decisions of the permission service for a unit, by worker.
+///
+/// Placement looks at the grants of each waiting unit in each pass, so both lists are kept sorted by
+/// worker.
+#[derive(Debug, Default)]
+pub(super) struct PermissionTable {
+    requested: Vec<WorkerKey>,
+    grants: Vec<WorkerGrant>,
+}
+
+impl PermissionTable {
+    /// Returns the state of the permission for a worker.
+    pub(super) fn state(&self, worker: WorkerKey, now: BootTime) -> PermissionState {
+        match self.find(worker) {
+            Some(grant) if grant.until > now => PermissionState::Valid,
+            Some(_) => PermissionState::Expired,
+            None if self.is_requested(worker) => PermissionState::Denied,
+            None => PermissionState::NotRequested,
+        }
+    }
+
+    /// Returns the grant for a worker.
+    pub(super) fn find(&self, worker: WorkerKey) -> Option<&WorkerGrant> {
+        let position = self.position(worker).ok()?;
+        Some(&self.grants[position])
+    }
+
+    /// Returns whether the permission for a worker was requested and decided.
+    pub(super) fn is_requested(&self, worker: WorkerKey) -> bool {
+        self.requested.binary_search(&worker).is_ok()
+    }
+
+    /// Returns the grants, expired ones included.
+    pub(super) fn grants(&self) -> &[WorkerGrant] {
+        &self.grants
+    }
+
+    /// Records the decision for some workers: the grants among them, and denials for the others. A
+    /// worker that was granted once stays allowed.
+    pub(super) fn record(&mut self, requested: Vec<WorkerKey>, grants: Vec<WorkerGrant>) {
+        self.requested.extend(requested);
+        self.requested.sort_unstable();
+        self.requested.dedup();
+        for grant in grants {
+            match self.position(grant.worker) {
+                Ok(position) => self.grants[position] = grant,
+                Err(position) => self.grants.insert(position, grant),
+            }
+        }
+    }
+
+    /// Marks the grant for a worker as expired.
+    pub(super) fn expire(&mut self, worker: WorkerKey, now: BootTime) {
+        if let Ok(position) = self.position(worker) {
+            let grant = &mut self.grants[position];
+            grant.until = grant.until.min(now);
+        }
+    }
+
+    fn position(&self, worker: WorkerKey) -> Result<usize, usize> {
+        self.grants.binary_search_by_key(&worker, |grant| grant.worker)
+    }
+}
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
@@ -13,6 +13,7 @@
 
 use super::FleetScheduler;
 use super::job_state::JobKey;
+use super::permission_table::WorkerGrant;
 
 /// The share of workers that are assumed to be allowed for a queue before the first response.
 const INITIAL_SHARE: f64 = 0.4;
@@ -23,7 +24,7 @@
 /// The same for a gang, measured by the total capacity of the workers, most of which is in use.
 const GANG_REQUEST_SURPLUS: f64 = 4.5;
 /// The minimum number of workers to request permission for at first.
-const REQUEST_MIN: usize = 8;
+pub(super) const REQUEST_MIN: usize = 8;
 /// The maximum number of workers in one request. The service accepts up to 100, but several shorter
 /// calls from several VMs take less time.
 const REQUEST_MAX: usize = 60;
@@ -33,10 +34,10 @@
 const RETRY_DELAY: Duration = Duration::from_millis(60);
 
 /// The state of the permission to place a step on a worker.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum PermissionState {
-    /// The step may be placed on the worker; holds the ticket, if the queue requires permissions.
-    Valid(Option<Name>),
+    /// The step may be placed on the worker.
+    Valid,
     /// The permission was granted, but has expired.
     Expired,
     /// No permission was requested.
@@ -51,21 +52,26 @@
         &self,
         key: JobKey,
         unit: u32,
-        worker: &Name,
+        worker: WorkerKey,
         now: BootTime,
     ) -> PermissionState {
         let job = &self.jobs[key];
         if job.record.rules.permission.is_none() {
-            return PermissionState::Valid(None);
+            return PermissionState::Valid;
         }
-        match job.units[unit as usize].permissions.get(worker) {
-            None => PermissionState::NotRequested,
-            Some(None) => PermissionState::Denied,
-            Some(Some(grant)) if grant.until > now => {
-                PermissionState::Valid(Some(grant.ticket.clone()))
-            }
-            Some(Some(_)) => PermissionState::Expired,
+        job.units[unit as usize].permissions.state(worker, now)
+    }
+
+    /// Returns the workers with a valid or expired permission for a unit; all workers if its queue
+    /// requires none.
+    pub(super) fn granted_workers(&self, key: JobKey, unit: u32) -> Vec<WorkerKey> {
+        let job = &self.jobs[key];
+        if job.record.rules.permission.is_none() {
+            return self.workers.keys().collect();
         }
+        let grants = job.units[unit as usize].permissions.grants().iter();
+        let listed = grants.filter(|grant| self.workers.contains_key(grant.worker));
+        listed.map(|grant| grant.worker).collect()
     }
 
     /// Chooses the workers to request permission for, those with the most free capacity first.
@@ -161,18 +167,20 @@
     ) {
         let Some((key, unit)) = self.find_unit(step) else { return };
         self.finish_request(key, unit);
-        let job = &mut self.jobs[key];
-        let state = &mut job.units[unit as usize];
-        let unknown =
-            requested.iter().filter(|id| !state.permissions.contains_key(*id)).count();
-        for id in requested {
-            state.permissions.entry(id.clone()).or_insert(None);
-        }
+        let workers: Vec<WorkerKey> =
+            requested.iter().filter_map(|id| self.worker_ids.get(id).copied()).collect();
         let granted = grants.len();
-        for grant in grants {
-            state.permissions.insert(grant.worker.clone(), Some(grant));
-        }
-        if unknown == requested.len() && unknown > 0 {
+        let grants = grants.into_iter().filter_map(|grant| {
+            let worker = *self.worker_ids.get(&grant.worker)?;
+            Some(WorkerGrant { worker, ticket: grant.ticket, until: grant.until })
+        });
+        let grants = grants.collect();
+        let job = &mut self.jobs[key];
+        let table = &mut job.units[unit as usize].permissions;
+        let known = workers.iter().any(|&worker| table.is_requested(worker));
+        table.record(workers, grants);
+        let unknown = requested.len();
+        if !known && unknown > 0 {
             let queue = job.record.rules.queue.clone();
             let share = self.allowed_share.entry(queue).or_insert(INITIAL_SHARE);
             *share += (granted as f64 / unknown as f64 - *share) * SHARE_GAIN;
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -10,6 +10,7 @@
 use crate::RunStart;
 use crate::StepPlan;
 use crate::WorkerKey;
+use crate::run_command::is_long_call;
 
 use super::FleetScheduler;
 use super::job_state::JobKey;
@@ -18,9 +19,14 @@
 use super::job_state::TaskPlacement;
 use super::job_state::TaskRef;
 use super::overdue_jobs::OverdueRoom;
+use super::permission_table::WorkerGrant;
 use super::permissions::PermissionState;
+use super::permissions::REQUEST_MIN;
 use super::worker_state::WorkerState;
 
+/// The time after which workers to request permission for are chosen again if there were none.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
+
 /// The start commands and permission requests of one placement pass.
 #[derive(Debug, Default)]
 pub struct PlacementRound {
@@ -61,6 +67,7 @@
         let mut round = PlacementRound { long_requests, ..PlacementRound::default() };
         let unreported = self.unreported_runs(now);
         self.accounts.set_unreported(self.unreported_usage(&unreported, now));
+        self.backoff.begin_pass();
         for key in self.jobs_by_priority(unix_time) {
             if self.may_run_unreported(key, &unreported, now) {
                 continue;
@@ -69,19 +76,19 @@
                 if self.due(key, unit, unix_time)
                     && !self.start_reserved(key, unit, now, &mut round)
                 {
-                    self.place_unit(key, unit, unix_time, now, &mut round);
+                    self.attempt_unit(key, unit, unix_time, now, &mut round);
                 }
             }
         }
         round
     }
 
-    /// Returns the live jobs by priority, and the overdue jobs of all priorities at the end. Within
+    /// Returns the jobs with waiting tasks by priority, and the overdue jobs of all priorities at the end. Within
     /// a priority, those that can still meet their objective come first.
     fn jobs_by_priority(&self, unix_time: Duration) -> Vec<JobKey> {
-        let mut open: Vec<(bool, u32, JobLateness, u64, JobKey)> = self
-            .open_jobs
-            .iter()
+        let waiting =
+            self.open_jobs.iter().filter(|(.., key)| self.jobs[*key].has_waiting_tasks());
+        let mut open: Vec<(bool, u32, JobLateness, u64, JobKey)> = waiting
             .map(|&(priority, serial, key)| {
                 let lateness = self.jobs[key].lateness(unix_time);
                 let overdue = self.is_overdue(key, unix_time);
@@ -103,6 +110,31 @@
             && job.ready(unit)
     }
 
+    /// Places tasks of a unit, unless an earlier attempt got nothing too recently.
+    fn attempt_unit(
+        &mut self,
+        key: JobKey,
+        unit: u32,
+        unix_time: Duration,
+        now: BootTime,
+        round: &mut PlacementRound,
+    ) {
+        if !self.is_overdue(key, unix_time) {
+            self.backoff.count_unit();
+        }
+        let state = &self.jobs[key].units[unit as usize];
+        if now < state.next_attempt {
+            return;
+        }
+        let waiting = state.waiting;
+        self.place_unit(key, unit, unix_time, now, round);
+        let delay = self.backoff.delay();
+        let state = &mut self.jobs[key].units[unit as usize];
+        if state.waiting == waiting {
+            state.next_attempt = now + delay;
+        }
+    }
+
     /// Places as many tasks of a unit as possible, and requests permissions or preempts other tasks
     /// for the rest. A gang is placed as a whole or not at all.
     fn place_unit(
@@ -129,8 +161,7 @@
         if plan.same_rack {
             self.sort_by_rack(key, unit, needed, &mut offers);
         }
-        let valid =
-            |offer: &WorkerOffer| matches!(offer.permission, PermissionState::Valid(_));
+        let valid = |offer: &WorkerOffer| offer.permission == PermissionState::Valid;
         let chosen = choose_workers(&offers, needed, valid);
         if chosen.len() == needed {
             self.start(key, unit, &chosen, now, round);
@@ -176,11 +207,11 @@
             let offer = |worker| self.offer(key, unit, plan, worker, now);
             offers.extend(self.workers.keys().filter_map(offer));
         } else {
-            let granted = job.units[unit as usize].permissions.iter();
-            let granted = granted.filter(|(_, grant)| grant.is_some());
-            for worker in granted.filter_map(|(id, _)| self.worker_ids.get(id)) {
-                offers.extend(self.offer(key, unit, plan, *worker, now));
-            }
+            let grants = job.units[unit as usize].permissions.grants().iter();
+            let listed = grants.filter(|grant| self.workers.contains_key(grant.worker));
+            let offer =
+                |grant: &WorkerGrant| self.offer(key, unit, plan, grant.worker, now);
+            offers.extend(listed.filter_map(offer));
         }
         offers.sort_by_key(|offer| offer.rank);
         if self.has_suspects(key, unit) {
@@ -203,20 +234,23 @@
         now: BootTime,
     ) -> Option<WorkerOffer> {
         let state = &self.workers[worker];
+        let free = state.free();
         let usable = state.usable(now) && state.allows_start(key, now);
-        if !usable || !self.is_eligible(key, plan, state) {
+        if !has_room(&plan.reserved(), &free)
+            || !usable
+            || !self.is_eligible(key, plan, state)
+        {
             return None;
         }
         let interfering = self.interfering(plan, state).next().is_some();
         if interfering && plan.best_effort {
             return None;
         }
-        let free = state.free();
         let fits = self.fits(key, unit, plan, worker, &free);
         if fits == 0 {
             return None;
         }
-        let permission = self.permission(key, unit, &state.info.id, now);
+        let permission = self.permission(key, unit, worker, now);
         let remote =
             plan.affinity.as_ref().is_some_and(|r| !state.info.labels.contains(r));
         let rank = (state.failures > 0, interfering, remote, free.cpu_millis, worker);
@@ -234,7 +268,7 @@
         state: &WorkerState,
     ) -> impl Iterator<Item = TaskRef> {
         let sensitive = plan.best_effort || plan.latency_target.is_some();
-        let tasks = state.tasks.iter().copied().filter(move |_| sensitive);
+        let tasks = sensitive.then(|| state.tasks.iter().copied()).into_iter().flatten();
         tasks.filter(|task| plan.interferes_with(self.jobs[task.job].plan(task.unit)))
     }
 
@@ -315,12 +349,11 @@
         now: BootTime,
         round: &mut PlacementRound,
     ) {
-        let id = &self.workers[worker].info.id;
-        let ticket = match self.permission(task.job, task.unit, id, now) {
-            PermissionState::Valid(ticket) => ticket,
-            _ => None,
-        };
-        let plan = self.jobs[task.job].plan(task.unit);
+        let job = &self.jobs[task.job];
+        let grant = job.units[task.unit as usize].permissions.find(worker);
+        let ticket =
+            grant.filter(|grant| grant.until > now).map(|grant| grant.ticket.clone());
+        let plan = job.plan(task.unit);
         let victims: Vec<TaskRef> = match plan.latency_target {
             Some(_) => self.interfering(plan, &self.workers[worker]).collect(),
             None => Vec::new(),
@@ -399,14 +432,17 @@
         let job = &self.jobs[key];
         let state = &job.units[unit as usize];
         let open = state.open_requests > 0 || now < state.retry_after;
-        if job.record.rules.permission.is_none() || open {
+        let Some(cost) = job.record.rules.permission else { return };
+        let unaffordable =
+            round.long_requests == 0 && is_long_call(cost.call_time(REQUEST_MIN));
+        if open || unaffordable || now < state.next_request {
             return;
         }
         let mut candidates = Vec::new();
         for (worker, state) in &self.workers {
             let usable = state.usable(now) && self.is_eligible(key, plan, state);
             if !usable
-                || self.permission(key, unit, &state.info.id, now)
+                || self.permission(key, unit, worker, now)
                     != PermissionState::NotRequested
             {
                 continue;
@@ -418,12 +454,22 @@
             }
         }
         let names = self.choose_workers_to_request(key, plan.gang, needed, candidates);
+        if names.is_empty() {
+            self.jobs[key].units[unit as usize].next_request = now + REQUEST_INTERVAL;
+        }
         let requests =
             self.request_permissions(key, unit, &names, now, &mut round.long_requests);
         round.requests.extend(requests);
     }
 }
 
+/// Returns whether a task of a size fits into the given free capacity.
+fn has_room(size: &ResourceVector, free: &ResourceVector) -> bool {
+    size.cpu_millis <= free.cpu_millis
+        && size.memory_bytes <= free.memory_bytes
+        && size.accelerators <= free.accelerators
+}
+
 /// Returns how many tasks of a size fit into the given free capacity.
 pub(super) fn copies_that_fit(size: &ResourceVector, free: &ResourceVector) -> u32 {
     let cpu = free.cpu_millis.checked_div(size.cpu_millis);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/preemption.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/preemption.rs
@@ -18,11 +18,13 @@
 use super::job_state::JobLateness;
 use super::job_state::RunPhase;
 use super::job_state::TaskRef;
-use super::permissions::PermissionState;
 use super::placement::copies_that_fit;
 
 /// The progress in percent up to which a task without checkpoints may be preempted.
 const PREEMPTIBLE_PERCENT: u32 = 15;
+/// The minimum time between two searches for tasks to preempt for the same step. Their capacity is
+/// free no sooner than their workers have responded.
+const PREEMPTION_INTERVAL: Duration = Duration::from_millis(20);
 /// The minimum time between two searches for workers for a gang that does not fit.
 const GANG_SEARCH_INTERVAL: Duration = Duration::from_millis(120);
 
@@ -50,11 +52,13 @@
     ) {
         let job = &self.jobs[key];
         if job.record.rules.priority != 0
+            || now < job.units[unit as usize].next_preemption
             || job.lateness(unix_time) != JobLateness::InTime
             || self.has_suspects(key, unit)
         {
             return;
         }
+        self.jobs[key].units[unit as usize].next_preemption = now + PREEMPTION_INTERVAL;
         let mut victims = Vec::new();
         let mut found = 0;
         for worker in self.permitted_workers(key, unit, now) {
@@ -128,17 +132,11 @@
     /// Returns the usable workers with a valid or expired permission for a unit.
     fn permitted_workers(&self, key: JobKey, unit: u32, now: BootTime) -> Vec<WorkerKey> {
         let plan = self.jobs[key].plan(unit);
-        let mut permitted = Vec::new();
-        for (worker, state) in &self.workers {
-            let permission = self.permission(key, unit, &state.info.id, now);
-            let granted = matches!(
-                permission,
-                PermissionState::Valid(_) | PermissionState::Expired
-            );
-            if granted && state.usable(now) && self.is_eligible(key, plan, state) {
-                permitted.push(worker);
-            }
-        }
+        let mut permitted = self.granted_workers(key, unit);
+        permitted.retain(|&worker| {
+            let state = &self.workers[worker];
+            state.usable(now) && self.is_eligible(key, plan, state)
+        });
         permitted
     }
 
