Name as many workers in a permission call as add half of its fixed duration

Cause: an urgent job asked about eight workers, found them full when the answer came, and asked again: 1,300 calls a second under overload, each through the owner, for 250 jobs a second. Change: the smallest request names as many workers as add half of the fixed part to a call's duration.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
@@ -93,10 +93,13 @@
         let share = self.allowed_share.get(queue).copied().unwrap_or(INITIAL_SHARE);
         let surplus = if gang { GANG_REQUEST_SURPLUS } else { REQUEST_SURPLUS };
         let wanted = needed as f64 * surplus / share.max(0.05);
+        let cost = self.jobs[key].record.rules.permission;
+        let cheap = cost.map_or(0, |cost| cost.cheap_workers()).min(REQUEST_MAX);
+        let minimum = cheap.max(REQUEST_MIN);
         let mut covered = 0.0;
         let mut names = Vec::new();
         for (worker, now_fits, ever_fits) in candidates {
-            let enough = covered >= wanted && names.len() >= REQUEST_MIN;
+            let enough = covered >= wanted && names.len() >= minimum;
             if enough || names.len() == REQUEST_MAX * REQUEST_PARTS {
                 break;
             }
--- a/crates/geraniumwinch-fleet/src/queue_rules.rs
+++ b/crates/geraniumwinch-fleet/src/queue_rules.rs
@@ -6,6 +6,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// The share of a call's fixed duration that additional workers may add.
+const CHEAP_SHARE: f64 = 0.5;
+/// The minimum duration that a worker is assumed to add to a call.
+const MIN_PER_WORKER: Duration = Duration::from_micros(1);
+
 /// The duration of calls to the permission service, and how long its permissions are valid.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct PermissionCost {
@@ -22,6 +27,13 @@
     pub fn call_time(&self, workers: usize) -> Duration {
         self.base + self.per_worker * workers as u32
     }
+
+    /// Returns the number of workers that add half of the fixed part to a call's duration. One call
+    /// that names so many takes less time than two calls.
+    pub fn cheap_workers(&self) -> usize {
+        let per_worker = self.per_worker.max(MIN_PER_WORKER).as_secs_f64();
+        (self.base.as_secs_f64() * CHEAP_SHARE / per_worker) as usize
+    }
 }
 
 /// The rules by which the jobs of a queue are scheduled.
