Log reservations of gangs that lapse, and the share of the fleet that runs tasks

Change: the board line has the share that tasks have (running) beside the reserved one (used); a reservation that lapses has a log line with what was missing and how long it was held.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -199,6 +199,7 @@
             usable_workers = counts.usable_workers,
             workers = counts.workers,
             used = format!("{:.2}", counts.used),
+            running = format!("{:.2}", counts.running),
             backlog = format!("{:.2}", self.scheduler.borrow().backlog())
         );
     }
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
@@ -77,6 +77,16 @@
                 age_ms = age.as_millis()
             );
         }
+        SchedulerEvent::ReservationLapsed { step, cpu_millis, held, reason } => {
+            log_event!(
+                Info,
+                "reservation-lapsed",
+                step = step,
+                cpu_millis = cpu_millis,
+                held_ms = held.as_millis(),
+                reason = reason
+            );
+        }
         SchedulerEvent::Preempted { task, run, worker } => {
             log_event!(Info, "preempted", task = task, run = run, worker = worker);
         }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -86,6 +86,8 @@
     pub workers: usize,
     /// The fraction of the usable workers' processor capacity that is reserved.
     pub used: f64,
+    /// The fraction of the usable workers' processor capacity that tasks have.
+    pub running: f64,
 }
 
 /// Tracks the jobs and workers of a cell, and decides which task runs where.
@@ -254,6 +256,7 @@
             usable_workers: usable().count(),
             workers: self.workers.len(),
             used: used as f64 / total.max(1) as f64,
+            running: self.placed_cpu_millis() as f64 / total.max(1) as f64,
         }
     }
 
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
@@ -136,6 +136,11 @@
         (all * MAX_PACKED_SHARE - placed_load).max(all * MIN_URGENT_SHARE)
     }
 
+    /// Returns the processors of all placed tasks, in thousandths of a core.
+    pub(super) fn placed_cpu_millis(&self) -> u64 {
+        self.placed_load.values().map(|placed_load| placed_load.cpu_millis).sum()
+    }
+
     /// Returns the processors of all workers in thousandths of a core, at least one core.
     fn total_cpu_millis(&self) -> f64 {
         let total: u64 =
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/gang_reservation.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/gang_reservation.rs
@@ -5,6 +5,7 @@
 use geraniumwinch_core::ResourceVector;
 
 use crate::BootTime;
+use crate::SchedulerEvent;
 use crate::WorkerKey;
 
 use super::FleetScheduler;
@@ -23,6 +24,8 @@
     workers: Vec<WorkerKey>,
     /// The resources reserved for each task.
     size: ResourceVector,
+    /// When the capacity was reserved.
+    since: BootTime,
     /// When the reservation expires.
     until: BootTime,
 }
@@ -35,6 +38,7 @@
         key: JobKey,
         unit: u32,
         workers: &[WorkerKey],
+        now: BootTime,
         ready: BootTime,
     ) {
         self.release_reservation(key, unit);
@@ -43,7 +47,8 @@
             self.workers[worker].used.add(&size);
         }
         let until = ready + RESERVATION_TIME;
-        let reservation = GangReservation { workers: workers.to_vec(), size, until };
+        let reservation =
+            GangReservation { workers: workers.to_vec(), size, since: now, until };
         self.jobs[key].units[unit as usize].reservation = Some(reservation);
     }
 
@@ -77,16 +82,14 @@
         let job = &self.jobs[key];
         let state = &job.units[unit as usize];
         let Some(reservation) = &state.reservation else { return false };
-        let waiting = state.waiting as usize;
-        let allowed = self.accounts.allows(&job.record.account, &reservation.size);
-        let still_valid = reservation.workers.len() == waiting
-            && allowed >= waiting as u64
-            && now < reservation.until
-            && reservation
-                .workers
-                .iter()
-                .all(|&worker| self.may_take(key, unit, worker, now));
-        if !still_valid {
+        if let Some(reason) = self.lapse_reason(key, unit, reservation, now) {
+            self.events.push(SchedulerEvent::ReservationLapsed {
+                step: job.step_name(unit),
+                cpu_millis: reservation.size.cpu_millis
+                    * reservation.workers.len() as u64,
+                held: now.saturating_sub(reservation.since),
+                reason,
+            });
             self.release_reservation(key, unit);
             // Whatever prevented the capacity from becoming free may persist, so wait before the
             // next search.
@@ -108,6 +111,31 @@
         permitted
     }
 
+    /// Returns why the reservation of a gang is no longer valid, if it is not.
+    fn lapse_reason(
+        &self,
+        key: JobKey,
+        unit: u32,
+        reservation: &GangReservation,
+        now: BootTime,
+    ) -> Option<&'static str> {
+        let job = &self.jobs[key];
+        let waiting = job.units[unit as usize].waiting as usize;
+        let allowed = self.accounts.allows(&job.record.account, &reservation.size);
+        let usable = |&worker: &WorkerKey| self.may_take(key, unit, worker, now);
+        if reservation.workers.len() != waiting {
+            Some("changed")
+        } else if allowed < waiting as u64 {
+            Some("account-limit")
+        } else if now >= reservation.until {
+            Some("expired")
+        } else if !reservation.workers.iter().all(usable) {
+            Some("worker")
+        } else {
+            None
+        }
+    }
+
     /// Returns whether a unit has valid permissions for all of the given workers.
     pub(super) fn all_permitted(
         &self,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -413,7 +413,7 @@
                 .map(|request| request.call_time)
                 .max()
                 .unwrap_or_default();
-            self.reserve_capacity(key, unit, chosen, now + longest);
+            self.reserve_capacity(key, unit, chosen, now, now + longest);
         }
         round.requests.extend(requests);
         requested
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/preemption.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/preemption.rs
@@ -120,7 +120,7 @@
         let workers: Vec<WorkerKey> =
             options.iter().map(|option| option.worker).collect();
         if self.all_permitted(key, unit, &workers, now) {
-            self.reserve_capacity(key, unit, &workers, now);
+            self.reserve_capacity(key, unit, &workers, now, now);
         } else if !self.renew_permissions(key, unit, &workers, true, now, round) {
             return;
         }
--- a/crates/geraniumwinch-fleet/src/scheduler_event.rs
+++ b/crates/geraniumwinch-fleet/src/scheduler_event.rs
@@ -5,6 +5,7 @@
 use geraniumwinch_core::Name;
 
 use crate::RunOutcome;
+use crate::StepName;
 use crate::TaskName;
 
 /// An event that the dispatcher logs or counts.
@@ -101,6 +102,17 @@
         /// The age of the run.
         age: Duration,
     },
+    /// Capacity that was reserved for a gang is released although the gang has not started.
+    ReservationLapsed {
+        /// The gang's step.
+        step: StepName,
+        /// The processors that were reserved, in thousandths of a core.
+        cpu_millis: u64,
+        /// How long they were reserved.
+        held: Duration,
+        /// What was missing.
+        reason: &'static str,
+    },
     /// A run is being stopped to free capacity for a more urgent job.
     Preempted {
         /// The task.
