Learn durations by queue and speeds of workers from the ends of runs

Estimates of clients are off by half or more on some queues, and a quarter of the workers of one deployment runs at less than half the speed of the others; nothing used the ends that were seen.

DurationModel keeps the ratio of observed to estimated durations by queue, SpeedTable the speeds of workers. The fleet scheduler learns from ends and forecasts lateness, admission and placed work with it. Until enough ends are known, the clients' estimates hold as before.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -9,7 +9,9 @@
 mod gang_fit;
 mod gang_reservation;
 mod held_ends;
+mod job_forecast;
 mod job_state;
+mod learning;
 mod overdue_jobs;
 mod permissions;
 mod persistence;
@@ -18,6 +20,7 @@
 mod racks;
 mod replaced_workers;
 mod reports;
+mod speed_ranking;
 mod timeouts;
 mod unreported_runs;
 mod worker_state;
@@ -53,6 +56,7 @@
 use self::job_state::TaskPlacement;
 use self::job_state::TaskRef;
 use self::job_state::TaskState;
+use self::learning::FleetLearning;
 use self::worker_state::FormerWorker;
 use self::worker_state::WorkerState;
 
@@ -110,6 +114,7 @@
     placed_load: BTreeMap<u32, PlacedLoad>,
     /// The estimated share of workers that the permission service allows, by queue.
     allowed_share: HashMap<Name, f64>,
+    learning: FleetLearning,
     /// Whether the worker records must be written again: those in the store may include workers
     /// that were removed, or the last write was rejected.
     records_outdated: bool,
@@ -136,6 +141,7 @@
             waiting_load: WaitingLoad::default(),
             placed_load: BTreeMap::new(),
             allowed_share: HashMap::new(),
+            learning: FleetLearning::default(),
             records_outdated: false,
             stops: Vec::new(),
             events: Vec::new(),
@@ -195,7 +201,8 @@
         self.next_serial += 1;
         let priority = record.rules.priority;
         let live = record.phase == JobPhase::Live;
-        let key = self.jobs.insert(JobState::new(id.clone(), record, serial));
+        let forecast = self.forecast(&record);
+        let key = self.jobs.insert(JobState::new(id.clone(), record, serial, forecast));
         self.job_ids.insert(id, key);
         if live {
             self.open_jobs.insert((priority, serial, key));
@@ -298,7 +305,7 @@
         worker.used.add(&size);
         worker.tasks.insert(task);
         let placed_load = self.placed_load.entry(job.record.rules.priority).or_default();
-        placed_load.add_task(job.plan(task.unit));
+        placed_load.add_task(job.plan(task.unit), placement.expected);
         self.accounts.book(&job.record.account, &size);
         if self.jobs[task.job].units[task.unit as usize].waiting == 0 {
             self.release_reservation(task.job, task.unit);
@@ -320,7 +327,7 @@
             worker.tasks.remove(&task);
         }
         if let Some(placed_load) = self.placed_load.get_mut(&job.record.rules.priority) {
-            placed_load.remove_task(job.plan(task.unit));
+            placed_load.remove_task(job.plan(task.unit), placement.expected);
         }
         self.accounts.release(&job.record.account, &size);
         Some(placement)
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
@@ -32,16 +32,16 @@
 }
 
 impl PlacedLoad {
-    /// Adds a placed task.
-    pub(super) fn add_task(&mut self, plan: &StepPlan) {
+    /// Adds a placed task that is expected to take the given time.
+    pub(super) fn add_task(&mut self, plan: &StepPlan, expected: Duration) {
         self.cpu_millis += plan.reserved().cpu_millis;
-        self.work += work(plan);
+        self.work += work(plan, expected);
     }
 
-    /// Removes a task that is no longer placed.
-    pub(super) fn remove_task(&mut self, plan: &StepPlan) {
+    /// Removes a task that is no longer placed and was added with the same expected time.
+    pub(super) fn remove_task(&mut self, plan: &StepPlan, expected: Duration) {
         self.cpu_millis = self.cpu_millis.saturating_sub(plan.reserved().cpu_millis);
-        self.work = (self.work - work(plan)).max(0.0);
+        self.work = (self.work - work(plan, expected)).max(0.0);
     }
 
     /// Returns the work that the tasks are expected to do within a time in seconds, in thousandths
@@ -59,9 +59,9 @@
     }
 }
 
-/// Returns the estimated work of a task in thousandths of core-seconds.
-fn work(plan: &StepPlan) -> f64 {
-    plan.reserved().cpu_millis as f64 * plan.estimate.as_secs_f64()
+/// Returns the work of a task that takes the given time, in thousandths of core-seconds.
+fn work(plan: &StepPlan, time: Duration) -> f64 {
+    plan.reserved().cpu_millis as f64 * time.as_secs_f64()
 }
 
 /// The load of waiting tasks.
@@ -77,6 +77,7 @@
 impl FleetScheduler {
     /// Recomputes the load of waiting tasks; `unix_time` is the time since the Unix epoch.
     pub fn update_waiting_load(&mut self, unix_time: Duration) {
+        self.refresh_forecasts();
         let mut load = WaitingLoad::default();
         for &(priority, _, key) in &self.open_jobs {
             let job = &self.jobs[key];
@@ -92,7 +93,7 @@
                 }
                 if in_time {
                     *load.work.entry(priority).or_default() +=
-                        f64::from(waiting) * work(plan);
+                        f64::from(waiting) * work(plan, job.forecast.expected(plan));
                 }
             }
         }
@@ -101,8 +102,10 @@
 
     /// Adds a job that was accepted since the load was recomputed.
     pub(super) fn count_accepted(&mut self, record: &JobRecord) {
-        let steps = record.request.steps.iter();
-        let work: f64 = steps.map(|plan| f64::from(plan.tasks) * work(plan)).sum();
+        let forecast = self.forecast(record);
+        let work_of =
+            |plan: &StepPlan| f64::from(plan.tasks) * work(plan, forecast.expected(plan));
+        let work: f64 = record.request.steps.iter().map(work_of).sum();
         *self.waiting_load.work.entry(record.rules.priority).or_default() += work;
     }
 
@@ -119,10 +122,10 @@
         let priority = record.rules.priority;
         let ahead: f64 =
             self.waiting_load.work.range(..=priority).map(|(_, work)| work).sum();
-        let critical_path = critical_path(record);
+        let promised = critical_path(record, |plan| plan.estimate);
         let allowed =
-            critical_path.mul_f64(record.rules.stretch.max(1.0)) + record.rules.objective;
-        let slack = allowed.saturating_sub(critical_path).max(MIN_SLACK);
+            promised.mul_f64(record.rules.stretch.max(1.0)) + record.rules.objective;
+        let slack = allowed.saturating_sub(self.forecast(record).path).max(MIN_SLACK);
         ahead / self.capacity(priority, slack.as_secs_f64())
     }
 
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
@@ -21,6 +21,7 @@
 
 use super::WorkerKey;
 use super::gang_reservation::GangReservation;
+use super::job_forecast::JobForecast;
 
 /// The number of workers that a permission request is assumed to name when the critical path is
 /// estimated.
@@ -94,6 +95,11 @@
     /// When the last copy of the start command remained without a response, if any did. The worker
     /// may execute that copy later.
     pub(super) unanswered_at: Option<BootTime>,
+    /// Whether the run does all of its task's work and was started by this owner: it neither resumed
+    /// from a checkpoint nor was adopted.
+    pub(super) whole: bool,
+    /// How long the run was expected to take at its start.
+    pub(super) expected: Duration,
 }
 
 /// The state of a task.
@@ -178,20 +184,25 @@
     pub(super) uncertain_until: BootTime,
     /// When the job should be done, as time since the Unix epoch.
     pub(super) objective: Duration,
-    /// The estimated duration of the critical path.
-    pub(super) critical_path: Duration,
+    /// How long the tasks are expected to take, by what is learned.
+    pub(super) forecast: JobForecast,
     /// The units, by number.
     pub(super) units: Vec<UnitState>,
 }
 
 impl JobState {
     /// Creates the state of a job from its record.
-    pub(super) fn new(id: Name, record: JobRecord, serial: u64) -> Self {
+    pub(super) fn new(
+        id: Name,
+        record: JobRecord,
+        serial: u64,
+        forecast: JobForecast,
+    ) -> Self {
         let units = create_units(&record);
         let started = !record.progress.is_empty();
         let stored_phase = record.phase;
-        let critical_path = critical_path(&record);
-        let allowed = critical_path.mul_f64(record.rules.stretch.max(0.0));
+        let promised = critical_path(&record, |plan| plan.estimate);
+        let allowed = promised.mul_f64(record.rules.stretch.max(0.0));
         let objective = record.accepted + allowed + record.rules.objective;
         JobState {
             id,
@@ -206,7 +217,7 @@
             started,
             uncertain_until: BootTime::ZERO,
             objective,
-            critical_path,
+            forecast,
             units,
         }
     }
@@ -233,7 +244,7 @@
     /// Returns how late the job would be if its waiting tasks were started now. Scheduled jobs
     /// always count as in time.
     pub(super) fn lateness(&self, unix_time: Duration) -> JobLateness {
-        let needed = if self.started { Duration::ZERO } else { self.critical_path };
+        let needed = if self.started { Duration::ZERO } else { self.forecast.path };
         let end = unix_time + needed;
         let allowed = self.objective.saturating_sub(self.record.accepted);
         if self.record.request.schedule.is_some() || end <= self.objective {
@@ -288,9 +299,12 @@
     }
 }
 
-/// Returns the estimated duration of a job's critical path, including one permission request for
-/// each step.
-pub(super) fn critical_path(record: &JobRecord) -> Duration {
+/// Returns the duration of a job's critical path, including one permission request for each step, if
+/// the tasks of a step take as long as `duration` returns.
+pub(super) fn critical_path(
+    record: &JobRecord,
+    duration: impl Fn(&StepPlan) -> Duration,
+) -> Duration {
     let call_time = record
         .rules
         .permission
@@ -299,7 +313,7 @@
     for step in &record.request.steps {
         let before = step.after.iter().filter_map(|&before| ends.get(before as usize));
         let begin = before.max().copied().unwrap_or_default();
-        ends.push(begin + call_time + step.estimate);
+        ends.push(begin + call_time + duration(step));
     }
     ends.into_iter().max().unwrap_or_default()
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -44,7 +44,7 @@
     pub(super) permission: PermissionState,
     /// The sort key; the lowest rank is preferred: workers without failures, without interfering
     /// tasks, in the rack with the data, and with the least free processors.
-    rank: (bool, bool, bool, u64, WorkerKey),
+    pub(super) rank: (bool, bool, bool, u64, WorkerKey),
 }
 
 impl FleetScheduler {
@@ -126,6 +126,7 @@
             return;
         }
         let mut offers = self.offers(key, unit, &plan, now);
+        self.rank_by_speed(key, unit, needed, &mut offers);
         if plan.same_rack {
             self.sort_by_rack(key, unit, needed, &mut offers);
         }
@@ -339,6 +340,8 @@
             confirmed: false,
             awaiting_outcome: true,
             unanswered_at: None,
+            whole: checkpoint.is_none(),
+            expected: self.expected_run(task, worker),
         };
         self.assign(task, placement);
         self.begin_trial(task, worker, now);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
@@ -44,7 +44,9 @@
             self.begin_incarnation(worker, report.incarnation, now);
         }
         let state = &mut self.workers[worker];
-        state.silent_since = None;
+        if state.silent_since.take().is_some() {
+            state.silent_until = now;
+        }
         state.expired_runs.clear();
         for ended in &report.ended {
             self.process_end(worker, ended, now);
@@ -149,6 +151,7 @@
         }
         match placement {
             Some(placement) if current(&placement) => {
+                self.learn_from_end(task, &placement, ended.outcome, now);
                 self.unassign(task);
                 self.update_failures(worker, ended.outcome, now);
                 self.log_end(worker, ended);
@@ -272,6 +275,8 @@
             confirmed: true,
             awaiting_outcome: false,
             unanswered_at: None,
+            whole: false,
+            expected: self.expected_run(task, worker),
         };
         self.assign(task, placement);
         true
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
@@ -91,6 +91,8 @@
     pub(super) fenced_since: BootTime,
     /// Since when the worker has not responded to calls; `None` if it has responded to the last one.
     pub(super) silent_since: Option<BootTime>,
+    /// When the worker responded again after it was last silent.
+    pub(super) silent_until: BootTime,
     /// Whether another worker has responded at the address: the worker is gone, with all its runs.
     pub(super) replaced: bool,
     /// Whether the worker has announced that it leaves, so that its end is not a crash.
@@ -134,6 +136,7 @@
             fence,
             fenced_since: BootTime::ZERO,
             silent_since: None,
+            silent_until: BootTime::ZERO,
             replaced: false,
             leaving,
             expired_runs: Vec::new(),
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
@@ -30,6 +30,7 @@
         }
         let mut added = Vec::new();
         for info in infos {
+            self.list_speed(&info);
             match self.worker_ids.get(&info.id) {
                 Some(&key) => {
                     let state = &mut self.workers[key];
--- a/crates/geraniumwinch-fleet/src/scheduler_event.rs
+++ b/crates/geraniumwinch-fleet/src/scheduler_event.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use geraniumwinch_core::DurationRatio;
 use geraniumwinch_core::Name;
 
 use crate::RunOutcome;
@@ -118,6 +119,18 @@
         /// The name of the final phase.
         phase: &'static str,
     },
+    /// The tasks of a queue turned out to take longer or less long than was assumed.
+    DurationsLearned {
+        /// The queue.
+        queue: Name,
+        /// Whether this concerns the gangs of the queue or its other tasks.
+        gang: bool,
+        /// The ratio of durations to the clients' estimates that was last reported; `None` while the
+        /// estimates held.
+        former: Option<DurationRatio>,
+        /// The ratio from now on.
+        current: Option<DurationRatio>,
+    },
     /// A worker has been quarantined after several failures in a row.
     Quarantined {
         /// The worker.
