Place by the speeds of workers, and show what is learned

Urgent jobs and chains take fast workers first, also in permission requests, and a gang takes workers of like speed; without known differences the order is as before.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -191,6 +191,7 @@
     fn report_counts(&self, now: BootTime) {
         let counts = self.scheduler.borrow().counts(now);
         cell_metrics::set_counts(counts);
+        self.report_learning();
         log_event!(
             Info,
             "board",
@@ -203,6 +204,15 @@
         );
     }
 
+    /// Updates the metrics of what the scheduler has learned.
+    fn report_learning(&self) {
+        let scheduler = self.scheduler.borrow();
+        for (class, ratio, ends) in scheduler.learned_durations() {
+            cell_metrics::set_durations(class, ratio, ends);
+        }
+        cell_metrics::set_speeds(scheduler.worker_speeds());
+    }
+
     /// Removes the records of jobs that can no longer be queried.
     fn expire_records(&self) {
         let unix_time = self.ports.clock.unix_time();
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
@@ -77,6 +77,21 @@
             cell_metrics::count_job_end(phase);
             log_event!(Info, "job-ended", job = job, phase = phase);
         }
+        SchedulerEvent::DurationsLearned { queue, gang, former, current } => {
+            let former = former.unwrap_or_default();
+            let ratio = current.unwrap_or_default();
+            log_event!(
+                Info,
+                "durations-learned",
+                queue = queue,
+                gang = gang,
+                known = current.is_some(),
+                former = format!("{:.2}", former.typical),
+                typical = format!("{:.2}", ratio.typical),
+                favorable = format!("{:.2}", ratio.favorable),
+                total = format!("{:.2}", ratio.total)
+            );
+        }
         SchedulerEvent::Quarantined { worker } => {
             log_event!(Warn, "worker-quarantined", worker = worker);
         }
--- a/crates/geraniumwinch-cell/src/cell_metrics.rs
+++ b/crates/geraniumwinch-cell/src/cell_metrics.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
+use geraniumwinch_core::DurationClass;
+use geraniumwinch_core::DurationRatio;
 use geraniumwinch_core::ErrorKind;
+use geraniumwinch_core::SpeedTable;
 use geraniumwinch_core::metric_rows;
 use geraniumwinch_fleet::FleetCounts;
 use metrics::counter;
@@ -27,6 +30,10 @@
     LIVE_JOBS = "geraniumwinch_cell_live_jobs", "gauge", "", "Jobs that are not ended, at the owner.";
     PLACED = "geraniumwinch_cell_placed_tasks", "gauge", "", "Tasks that may run, at the owner.";
     USABLE = "geraniumwinch_cell_usable_workers", "gauge", "", "Workers that take tasks, at the owner.";
+    DURATION_RATIO = "geraniumwinch_cell_duration_ratio", "gauge", "queue, gang", "Learned ratio of durations to the clients' estimates for typical tasks of a queue, at the owner; 1 until enough ends are known.";
+    DURATION_ENDS = "geraniumwinch_cell_duration_ends", "gauge", "queue, gang", "Ends that this owner has learned the ratio from.";
+    SPEED_SPREAD = "geraniumwinch_cell_worker_speed_spread", "gauge", "", "Standard deviation of the logarithms of the workers' learned speeds, at the owner; 0 if they are alike.";
+    SPEEDS_KNOWN = "geraniumwinch_cell_worker_speeds_known", "gauge", "", "Workers whose speeds are learned, at the owner.";
     STORE_TIME = "geraniumwinch_cell_commit_seconds", "histogram", "", "Time that a transaction of the journal takes in seconds.";
     ACCEPT_TIME = "geraniumwinch_cell_accept_seconds", "histogram", "", "Time from a job's arrival to its answer in seconds.";
     START_WAIT = "geraniumwinch_cell_first_start_seconds", "histogram", "", "Time from a job's acceptance until a worker says that a task runs in seconds.";
@@ -113,6 +120,25 @@
     gauge!(USABLE).set(counts.usable_workers as f64);
 }
 
+/// Sets the gauges of what the owner has learned of a queue.
+pub(crate) fn set_durations(
+    class: &DurationClass,
+    ratio: Option<DurationRatio>,
+    ends: u64,
+) {
+    let queue = class.queue.to_string();
+    let gang = if class.gang { "true" } else { "false" };
+    let typical = ratio.unwrap_or_default().typical;
+    gauge!(DURATION_RATIO, "queue" => queue.clone(), "gang" => gang).set(typical);
+    gauge!(DURATION_ENDS, "queue" => queue, "gang" => gang).set(ends as f64);
+}
+
+/// Sets the gauges of what the owner has learned of its workers.
+pub(crate) fn set_speeds(speeds: &SpeedTable) {
+    gauge!(SPEED_SPREAD).set(speeds.spread());
+    gauge!(SPEEDS_KNOWN).set(speeds.known_workers() as f64);
+}
+
 /// Records the duration of a journal transaction.
 pub(crate) fn record_commit(time: Duration) {
     histogram!(STORE_TIME).record(time.as_secs_f64());
--- a/crates/geraniumwinch-core/src/ratio_estimate.rs
+++ b/crates/geraniumwinch-core/src/ratio_estimate.rs
@@ -7,9 +7,9 @@
 /// The number of ends from which on a ratio counts as known.
 const MIN_ENDS: f64 = 20.0;
 /// The number of ends that a ratio remembers at most, so that a busy queue follows a change of load.
-const MAX_ENDS: f64 = 400.0;
+const MAX_ENDS: f64 = 200.0;
 /// The time after which an end counts half.
-const HALF_LIFE: Duration = Duration::from_secs(30);
+const HALF_LIFE: Duration = Duration::from_secs(120);
 /// How far an end may lie from the mean, in standard deviations; what is beyond counts as this far.
 const MAX_DEVIATIONS: f64 = 2.5;
 /// The standard deviation of logarithms that is assumed at least, and before ends are known.
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
@@ -82,7 +82,10 @@
         needed: usize,
         mut candidates: Vec<(WorkerKey, u32, u32)>,
     ) -> Vec<Name> {
-        candidates.sort_by_key(|&(_, now, ever)| std::cmp::Reverse((now, ever)));
+        candidates.sort_by_cached_key(|&(worker, now, ever)| {
+            let speed = self.request_speed(key, gang, worker);
+            std::cmp::Reverse((now > 0, speed, now, ever))
+        });
         let queue = &self.jobs[key].record.rules.queue;
         let share = self.allowed_share.get(queue).copied().unwrap_or(INITIAL_SHARE);
         let surplus = if gang { GANG_REQUEST_SURPLUS } else { REQUEST_SURPLUS };
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/speed_ranking.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/speed_ranking.rs
@@ -6,6 +6,7 @@
 //! wasted on it. No worker is passed over while work waits that it could run.
 
 use super::FleetScheduler;
+use super::WorkerKey;
 use super::job_state::JobKey;
 use super::placement::WorkerOffer;
 
@@ -40,6 +41,20 @@
         record.rules.priority == URGENT_PRIORITY || is_chain
     }
 
+    /// Returns the speed by which a worker is chosen for a permission request. A gang needs many
+    /// workers with room, so it does not choose by speed.
+    pub(super) fn request_speed(
+        &self,
+        key: JobKey,
+        gang: bool,
+        worker: WorkerKey,
+    ) -> i32 {
+        if gang || !self.prefers_fast(key) {
+            return 0;
+        }
+        self.learning.speeds.speed_step(&self.workers[worker].info.id)
+    }
+
     /// Returns the speed of the slowest worker that a gang needs if it takes the fastest ones.
     fn slowest_needed(&self, needed: usize, offers: &[WorkerOffer]) -> i32 {
         let mut speeds: Vec<(i32, usize)> = offers
