--- a/crates/geraniumwinch-core/src/ratio_estimate.rs
+++ b/crates/geraniumwinch-core/src/ratio_estimate.rs
@@ -1,5 +1,7 @@
 //! The learned ratio of observed to estimated durations.
 
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
 use std::time::Duration;
 
 use crate::decay::decay_factor;
@@ -14,6 +16,11 @@
 const MAX_DEVIATIONS: f64 = 2.5;
 /// The standard deviation of logarithms that is assumed at least, and before ends are known.
 const MIN_DEVIATION: f64 = 0.4;
+/// How many times its estimate a run's start must be ago before its end counts. Of runs that started
+/// together the short ones end first, and would make all of them seem short.
+const HOLD_FACTOR: u32 = 2;
+/// The number of ends that are held back at most.
+const MAX_HELD: usize = 512;
 /// The largest factor between an observed and an estimated duration.
 const MAX_FACTOR: f64 = 20.0;
 /// The change of a logarithm from which on forecasts are made anew.
@@ -61,6 +68,14 @@
     pub current: Option<DurationRatio>,
 }
 
+/// An end that does not count yet; ordered by the time from which on it does.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct HeldEnd {
+    due: Duration,
+    estimate: Duration,
+    observed: Duration,
+}
+
 /// Estimates the ratio of observed to estimated durations of one kind of task from the ends of runs.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct RatioEstimate {
@@ -75,6 +90,7 @@
     /// The number of all ends.
     ends: u64,
     updated: Duration,
+    held: BinaryHeap<Reverse<HeldEnd>>,
     /// The ratio that forecasts use; `None` until enough ends are known.
     published: Option<DurationRatio>,
     /// The ratio at the last reported change.
@@ -89,14 +105,30 @@
         observed: Duration,
         now: Duration,
     ) -> bool {
+        let hold = (estimate * HOLD_FACTOR).saturating_sub(observed);
+        self.held.push(Reverse(HeldEnd { due: now + hold, estimate, observed }));
+        self.ends += 1;
+        while let Some(Reverse(end)) = self.held.peek()
+            && (end.due <= now || self.held.len() > MAX_HELD)
+        {
+            if let Some(Reverse(end)) = self.held.pop() {
+                self.count(&end, now);
+            }
+        }
         self.decay(now);
-        let (estimate, observed) = (estimate.as_secs_f64(), observed.as_secs_f64());
-        let ratio = (observed / estimate).clamp(1.0 / MAX_FACTOR, MAX_FACTOR);
+        self.publish()
+    }
+
+    /// Counts an end.
+    fn count(&mut self, end: &HeldEnd, now: Duration) {
+        self.decay(end.due.min(now));
+        self.shrink((MAX_ENDS / (self.weight + 1.0)).min(1.0));
+        let estimate = end.estimate.as_secs_f64();
+        let ratio = end.observed.as_secs_f64() / estimate;
+        let ratio = ratio.clamp(1.0 / MAX_FACTOR, MAX_FACTOR);
         self.add_logarithm(ratio.ln());
         self.estimated += estimate;
         self.observed += estimate * ratio;
-        self.ends += 1;
-        self.publish()
     }
 
     /// Returns the ratio that forecasts use.
@@ -127,15 +159,17 @@
         self.updated
     }
 
-    /// Lets the known ends count less, by their age and their number.
+    /// Lets the known ends count less by their age.
     fn decay(&mut self, now: Duration) {
-        let by_time = decay_factor(now.saturating_sub(self.updated), HALF_LIFE);
-        let by_number = (MAX_ENDS / (self.weight + 1.0)).min(1.0);
-        let factor = by_time * by_number;
+        self.shrink(decay_factor(now.saturating_sub(self.updated), HALF_LIFE));
+        self.updated = self.updated.max(now);
+    }
+
+    /// Multiplies the weight of the known ends.
+    fn shrink(&mut self, factor: f64) {
         self.weight *= factor;
         self.estimated *= factor;
         self.observed *= factor;
-        self.updated = now;
     }
 
     /// Adds the logarithm of a ratio to the mean and the variance.
--- a/crates/geraniumwinch-core/tests/learning.rs
+++ b/crates/geraniumwinch-core/tests/learning.rs
@@ -60,7 +60,7 @@
 #[test_case(1.0)]
 fn a_ratio_is_learned(factor: f64) {
     let mut model = DurationModel::default();
-    add_ends(&mut model, 40, factor, Duration::ZERO);
+    add_ends(&mut model, 80, factor, Duration::ZERO);
     let ratio = model.ratio(&class("queue")).expect("enough ends are known");
     assert!((ratio.typical / factor).ln().abs() < 0.05, "{ratio:?}");
     assert!((ratio.total / factor).ln().abs() < 0.05, "{ratio:?}");
@@ -89,6 +89,22 @@
     assert!(ratio.total > 1.1, "{ratio:?}");
 }
 
+/// Load: tasks of unlike length that all start at once, as after a takeover or in a burst. The short
+/// ones end first and must not make the queue seem short.
+#[test]
+fn short_tasks_that_end_first_do_not_count_alone() {
+    let mut model = DurationModel::default();
+    for number in 1..=100u32 {
+        let time = ESTIMATE.mul_f64(f64::from(number) / 50.0);
+        model.observe(&class("queue"), ESTIMATE, time, time);
+        let ratio = model.ratio(&class("queue"));
+        assert!(ratio.is_none_or(|ratio| ratio.total > 0.8), "{number}: {ratio:?}");
+    }
+    model.observe(&class("queue"), ESTIMATE, ESTIMATE * 2, ESTIMATE * 3);
+    let ratio = model.ratio(&class("queue")).expect("enough ends are known");
+    assert!((ratio.total - 1.0).abs() < 0.1, "{ratio:?}");
+}
+
 /// Load: tasks of a queue become three times as long.
 #[test]
 fn a_change_of_load_is_followed() {
