--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/speed_ranking.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/speed_ranking.rs
@@ -23,7 +23,8 @@
         needed: usize,
         offers: &mut [WorkerOffer],
     ) {
-        if self.has_suspects(key, unit) {
+        let is_known = self.learning.speeds.known_workers() > 0;
+        if !is_known || self.has_suspects(key, unit) {
             return;
         }
         if self.jobs[key].plan(unit).gang {
