Ask for permissions only what can be used, in the order of the starts, and count it

Cause: under overload each waiting job renewed permissions that expired unused, as all of them saw the same capacity become free; nobody counted it, requests had no limit but that on long calls, and the queue sorted by priority alone.

Change: the queue of calls tells the scheduler what the VMs can send soon and whether calls are scarce. While they are, a request is made only for capacity that is free and not claimed by a request that goes before it, by jobs that may preempt, and by gangs that are likely to fit or are first in their priority. Accounts share the calls of a priority. Requests that waited are sent in the order of the starts and dropped when nobody can use them. A VM whose call is overdue gets no more. Counted: asked, granted, used, lapsed, failed, dropped, and the wait for the first permission.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -14,6 +14,7 @@
 use geraniumwinch_core::log_event;
 use geraniumwinch_fleet::BootTime;
 use geraniumwinch_fleet::FleetScheduler;
+use geraniumwinch_fleet::PermissionCounts;
 use geraniumwinch_fleet::ShareLimiter;
 use geraniumwinch_fleet::WorkerKey;
 use tokio::sync::Notify;
@@ -73,6 +74,8 @@
     journal: Rc<RecordJournal>,
     sender: Rc<CommandSender>,
     permission_queue: PermissionQueue,
+    /// The totals that were last reported.
+    reported_permissions: Cell<PermissionCounts>,
     pub(crate) members: RefCell<MemberTable>,
     pass_due: Rc<Notify>,
     commit_done: Rc<Notify>,
@@ -144,6 +147,7 @@
             journal,
             sender,
             permission_queue: PermissionQueue::default(),
+            reported_permissions: Cell::default(),
             members: RefCell::default(),
             pass_due,
             commit_done,
@@ -173,6 +177,7 @@
             if now >= reported + REPORT_INTERVAL {
                 reported = now;
                 self.report_counts(now);
+                self.report_permissions(now);
             }
             if now >= expired + EXPIRE_INTERVAL {
                 expired = now;
@@ -267,10 +272,8 @@
         let mut starts = Vec::new();
         // Without a configuration, the limits of the accounts are unknown.
         if self.authority.may_start(now) && self.limits_version.get().is_some() {
-            let long_requests = self
-                .permission_queue
-                .long_call_capacity(&self.permission_callers(now), now);
-            let round = scheduler.place(self.ports.clock.unix_time(), now, long_requests);
+            let calls = self.permission_queue.budget(&self.permission_callers(now), now);
+            let round = scheduler.place(self.ports.clock.unix_time(), now, calls);
             starts = round.starts;
             requests = round.requests;
         }
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/permission_calls.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/permission_calls.rs
@@ -7,6 +7,7 @@
 use geraniumwinch_core::Name;
 use geraniumwinch_core::log_event;
 use geraniumwinch_fleet::BootTime;
+use geraniumwinch_fleet::PermissionCounts;
 use geraniumwinch_fleet::PermissionGrant;
 use geraniumwinch_fleet::PermissionRequest;
 
@@ -29,13 +30,47 @@
         if self.permission_queue.pending_count() == 0 {
             return;
         }
-        for (member, request) in
-            self.permission_queue.assign(&self.permission_callers(now), now)
-        {
+        let unix_time = self.ports.clock.unix_time();
+        let members = self.permission_callers(now);
+        let mut scheduler = self.scheduler.borrow_mut();
+        let worth =
+            |request: &PermissionRequest| scheduler.call_worth(request, unix_time);
+        let assignment = self.permission_queue.assign(&members, now, worth);
+        for request in assignment.dropped {
+            scheduler.permission_dropped(&request.step);
+        }
+        for (member, request) in assignment.calls {
             actix_rt::spawn(Rc::clone(self).request_permission(member, request));
         }
     }
 
+    /// Logs and counts what has become of the permissions since the last report.
+    pub(super) fn report_permissions(&self, now: BootTime) {
+        let counts = self.scheduler.borrow().permission_counts();
+        let added = counts.since(&self.reported_permissions.replace(counts));
+        cell_metrics::count_permissions(&added);
+        let (waiting, open) =
+            (self.permission_queue.pending_count(), self.permission_queue.open_count());
+        if added == PermissionCounts::default() && waiting == 0 && open == 0 {
+            return;
+        }
+        let callers = self.permission_callers(now);
+        log_event!(
+            Info,
+            "permissions",
+            asked = added.asked,
+            granted = added.granted,
+            used = added.used,
+            lapsed = added.lapsed,
+            failed = added.failed,
+            dropped = added.dropped,
+            waiting = waiting,
+            open = open,
+            callers = callers.len(),
+            scarce = self.permission_queue.budget(&callers, now).scarce
+        );
+    }
+
     /// Returns the addresses of the VMs that can call the permission service.
     pub(super) fn permission_callers(&self, now: BootTime) -> Vec<SocketAddr> {
         let mut members = vec![self.settings.peer_address];
@@ -52,11 +87,12 @@
     ) {
         let began = self.ports.clock.now();
         let step = request.step.clone();
+        let account = request.account.clone();
         let requested = request.workers.clone();
         let allowed = self.request_through(member, request).await;
         let now = self.ports.clock.now();
         cell_metrics::record_permission_call(now.saturating_sub(began));
-        self.permission_queue.end(member, allowed.is_some(), now);
+        self.permission_queue.end(member, &account, allowed.is_some(), now);
         log_event!(
             Info,
             "permission",
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
@@ -72,6 +72,9 @@
         SchedulerEvent::Preempted { task, run, worker } => {
             log_event!(Info, "preempted", task = task, run = run, worker = worker);
         }
+        SchedulerEvent::FirstPermission { wait } => {
+            cell_metrics::record_permission_wait(*wait);
+        }
         SchedulerEvent::FirstStart { wait } => cell_metrics::record_first_start(*wait),
         SchedulerEvent::JobEnded { job, phase } => {
             cell_metrics::count_job_end(phase);
--- a/crates/geraniumwinch-cell/src/cell_metrics.rs
+++ b/crates/geraniumwinch-cell/src/cell_metrics.rs
@@ -5,6 +5,7 @@
 use geraniumwinch_core::ErrorKind;
 use geraniumwinch_core::metric_rows;
 use geraniumwinch_fleet::FleetCounts;
+use geraniumwinch_fleet::PermissionCounts;
 use metrics::counter;
 use metrics::gauge;
 use metrics::histogram;
@@ -31,6 +32,9 @@
     ACCEPT_TIME = "geraniumwinch_cell_accept_seconds", "histogram", "", "Time from a job's arrival to its answer in seconds.";
     START_WAIT = "geraniumwinch_cell_first_start_seconds", "histogram", "", "Time from a job's acceptance until a worker says that a task runs in seconds.";
     PERMISSION_TIME = "geraniumwinch_cell_permission_seconds", "histogram", "", "Time that a question to the permission service takes in seconds.";
+    PERMISSIONS = "geraniumwinch_cell_permissions_total", "counter", "state", "Workers that permission was requested for, permissions granted, used by a start, and lapsed unused.";
+    PERMISSION_CALLS = "geraniumwinch_cell_permission_calls_total", "counter", "outcome", "Permission requests that failed, or were dropped before they were sent.";
+    PERMISSION_WAIT = "geraniumwinch_cell_first_permission_seconds", "histogram", "", "Time from a job's first permission request to its first permission in seconds.";
     TAKEOVER_TIME = "geraniumwinch_cell_takeover_seconds", "histogram", "", "Time from a won ownership until the new owner decides in seconds.";
 }
 
@@ -128,6 +132,21 @@
     histogram!(PERMISSION_TIME).record(time.as_secs_f64());
 }
 
+/// Counts permissions and the requests that yielded none.
+pub(crate) fn count_permissions(added: &PermissionCounts) {
+    counter!(PERMISSIONS, "state" => "asked").increment(added.asked);
+    counter!(PERMISSIONS, "state" => "granted").increment(added.granted);
+    counter!(PERMISSIONS, "state" => "used").increment(added.used);
+    counter!(PERMISSIONS, "state" => "lapsed").increment(added.lapsed);
+    counter!(PERMISSION_CALLS, "outcome" => "failed").increment(added.failed);
+    counter!(PERMISSION_CALLS, "outcome" => "dropped").increment(added.dropped);
+}
+
+/// Records the time from a job's first permission request to its first permission.
+pub(crate) fn record_permission_wait(wait: Duration) {
+    histogram!(PERMISSION_WAIT).record(wait.as_secs_f64());
+}
+
 /// Records the duration of a takeover.
 pub(crate) fn record_takeover(time: Duration) {
     histogram!(TAKEOVER_TIME).record(time.as_secs_f64());
--- a/crates/geraniumwinch-cell/src/cell_node.rs
+++ b/crates/geraniumwinch-cell/src/cell_node.rs
@@ -7,6 +7,7 @@
 
 use futures_util::future::LocalBoxFuture;
 use geraniumwinch_core::log_event;
+use geraniumwinch_fleet::PermissionRequest;
 use metrics_exporter_prometheus::PrometheusHandle;
 use snafu::ResultExt;
 use tokio::signal::unix::Signal;
@@ -199,12 +200,7 @@
     async fn request_permission(&self, message: PermissionMessage) -> PeerReply {
         let PermissionMessage { job, occurrence, step, workers, call_time } = message;
         let step = geraniumwinch_fleet::StepName { job, occurrence, step };
-        let request = geraniumwinch_fleet::PermissionRequest {
-            step,
-            priority: 0,
-            call_time,
-            workers,
-        };
+        let request = PermissionRequest::relayed(step, workers, call_time);
         match self.ports.permissions.request(request).await {
             Ok(allowed) => PeerReply::Allowed(Some(allowed)),
             Err(error) => {
--- a/crates/geraniumwinch-cell/src/lib.rs
+++ b/crates/geraniumwinch-cell/src/lib.rs
@@ -54,6 +54,8 @@
 pub use self::http_listener::HttpListener;
 pub use self::http_listener::HttpRequest;
 pub use self::http_listener::HttpResponse;
+pub use self::permission_queue::CallAssignment;
+pub use self::permission_queue::PermissionQueue;
 pub use self::record_store::CommitOutcome;
 pub use self::record_store::RecordStore;
 pub use self::record_store::StoreChange;
--- a/crates/geraniumwinch-cell/src/permission_queue.rs
+++ b/crates/geraniumwinch-cell/src/permission_queue.rs
@@ -2,6 +2,10 @@
 //!
 //! The service handles one call per VM at a time, so a short call that waits behind a long one is
 //! late. Some VMs are therefore reserved for short calls.
+//!
+//! The scheduler is told what the VMs can send soon and asks for no more, so requests only wait here
+//! when VMs became busy or were lost meanwhile. They are sent in the order in which their jobs start,
+//! with the accounts of a priority taking turns, and dropped when nobody can use the response.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -9,7 +13,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use geraniumwinch_core::Name;
 use geraniumwinch_fleet::BootTime;
+use geraniumwinch_fleet::CallBudget;
+use geraniumwinch_fleet::CallWorth;
 use geraniumwinch_fleet::PermissionRequest;
 
 /// The share of VMs that are reserved for short calls.
@@ -20,6 +27,12 @@
 const MAX_QUEUE_AHEAD: Duration = Duration::from_millis(40);
 /// How long a VM gets no calls after one failed.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(1200);
+/// How far ahead the time that VMs can spend on short calls is handed out.
+const BUDGET_AHEAD: Duration = Duration::from_millis(150);
+/// How much longer than expected a VM's calls may take before it counts as unavailable.
+const LATE_CALL: Duration = Duration::from_millis(250);
+/// The share of VMs without calls below which calls are scarce.
+const SCARCE_IDLE_SHARE: f64 = 0.5;
 
 /// The open calls of a VM.
 #[derive(Debug, Clone, Copy, Default)]
@@ -34,56 +47,128 @@
     backoff_until: BootTime,
 }
 
+impl MemberLoad {
+    /// Returns whether the VM can get further calls: none has failed recently, and none is open that
+    /// should have ended long ago.
+    fn is_available(&self, now: BootTime) -> bool {
+        let late = self.open > 0 && self.busy_until + LATE_CALL < now;
+        self.backoff_until <= now && !late
+    }
+
+    /// Returns whether the VM can make a call at once.
+    fn is_idle(&self, now: BootTime) -> bool {
+        self.open == 0 && self.is_available(now)
+    }
+
+    /// Returns the time that the VM can spend on short calls soon.
+    fn short_time(&self, now: BootTime) -> Duration {
+        if self.long || !self.is_available(now) {
+            return Duration::ZERO;
+        }
+        (now + BUDGET_AHEAD).saturating_sub(self.busy_until.max(now))
+    }
+}
+
+/// What becomes of the pending requests.
+#[derive(Debug, Default)]
+pub struct CallAssignment {
+    /// The requests to send now, with the VM that makes the call.
+    pub calls: Vec<(SocketAddr, PermissionRequest)>,
+    /// The requests that are not sent.
+    pub dropped: Vec<PermissionRequest>,
+}
+
 /// The pending permission requests and the load of the VMs.
 #[derive(Debug, Default)]
-pub(crate) struct PermissionQueue {
+pub struct PermissionQueue {
     pending: RefCell<Vec<PermissionRequest>>,
     loads: RefCell<HashMap<SocketAddr, MemberLoad>>,
+    /// The number of open calls of each account.
+    open_calls: RefCell<HashMap<Name, usize>>,
     /// The time at which the last short call was assigned.
     last_short: Cell<BootTime>,
 }
 
 impl PermissionQueue {
     /// Adds requests.
-    pub(crate) fn push(&self, requests: Vec<PermissionRequest>) {
+    pub fn push(&self, requests: Vec<PermissionRequest>) {
         self.pending.borrow_mut().extend(requests);
     }
 
-    /// Assigns pending requests in order of priority to VMs that are free to make the call.
-    pub(crate) fn assign(
+    /// Assigns pending requests in their order to VMs that are free to make the call, and drops those
+    /// whose response nobody could use. `worth` returns what the response would be good for.
+    pub fn assign(
         &self,
         members: &[SocketAddr],
         now: BootTime,
-    ) -> Vec<(SocketAddr, PermissionRequest)> {
-        let mut pending = self.pending.borrow_mut();
-        pending.sort_by_key(|request| request.priority);
-        let mut assigned = Vec::new();
-        let mut left = Vec::new();
-        for request in pending.drain(..) {
+        worth: impl Fn(&PermissionRequest) -> CallWorth,
+    ) -> CallAssignment {
+        let mut assignment = CallAssignment::default();
+        let mut waiting = Vec::new();
+        for request in self.take_in_order() {
+            let worth = worth(&request);
+            if worth == CallWorth::Useless || now >= request.send_by {
+                assignment.dropped.push(request);
+                continue;
+            }
             match self.choose(members, request.is_long(), now) {
                 Some(member) => {
                     self.begin(member, &request, now);
-                    assigned.push((member, request));
+                    assignment.calls.push((member, request));
                 }
-                None => left.push(request),
+                None => waiting.push((worth, request)),
             }
         }
-        *pending = left;
-        assigned
+        let dropped = &mut assignment.dropped;
+        *self.pending.borrow_mut() = keep_waiting(waiting, members.len(), now, dropped);
+        assignment
+    }
+
+    /// Removes all pending requests in the order in which they are sent: that of their jobs, where
+    /// the accounts of a priority take turns. An account's turns begin after its open calls.
+    fn take_in_order(&self) -> Vec<PermissionRequest> {
+        let mut pending = std::mem::take(&mut *self.pending.borrow_mut());
+        pending.sort_by_key(|request| request.order);
+        let open_calls = self.open_calls.borrow();
+        let mut turns = HashMap::new();
+        let mut ordered = Vec::with_capacity(pending.len());
+        for request in pending {
+            let order = request.order;
+            let class = (order.overdue, order.priority, order.late);
+            let open = open_calls.get(&request.account).copied().unwrap_or_default();
+            let turn = turns.entry((class, request.account.clone())).or_insert(open);
+            ordered.push(((class, *turn, order.serial), request));
+            *turn += 1;
+        }
+        ordered.sort_by_key(|(place, _)| *place);
+        ordered.into_iter().map(|(_, request)| request).collect()
+    }
+
+    /// Returns the calls that the VMs can make soon beside those that are pending.
+    pub fn budget(&self, members: &[SocketAddr], now: BootTime) -> CallBudget {
+        let loads = self.loads.borrow();
+        let load = |member: &SocketAddr| loads.get(member).copied().unwrap_or_default();
+        let idle = members.iter().filter(|member| load(member).is_idle(now)).count();
+        let short_time: Duration =
+            members.iter().map(|member| load(member).short_time(now)).sum();
+        let pending = self.pending.borrow();
+        let (long, short): (Vec<&PermissionRequest>, Vec<&PermissionRequest>) =
+            pending.iter().partition(|request| request.is_long());
+        let waiting: Duration = short.iter().map(|request| request.call_time).sum();
+        let few_idle = (idle as f64) < members.len() as f64 * SCARCE_IDLE_SHARE;
+        CallBudget {
+            long_calls: self.long_call_capacity(members, now).saturating_sub(long.len()),
+            short_time: short_time.saturating_sub(waiting),
+            scarce: few_idle || !pending.is_empty(),
+        }
     }
 
     /// Returns the number of additional long calls that can be made at once.
-    pub(crate) fn long_call_capacity(
-        &self,
-        members: &[SocketAddr],
-        now: BootTime,
-    ) -> usize {
+    fn long_call_capacity(&self, members: &[SocketAddr], now: BootTime) -> usize {
         let loads = self.loads.borrow();
         let load = |member: &SocketAddr| loads.get(member).copied().unwrap_or_default();
         let long = members.iter().filter(|member| load(member).long).count();
-        let idle = members
-            .iter()
-            .filter(|member| load(member).open == 0 && load(member).backoff_until <= now);
+        let idle = members.iter().filter(|member| load(member).is_idle(now));
         let short_calls = now < self.last_short.get() + SHORT_CALL_WINDOW;
         let share = if short_calls { RESERVED_SHARE } else { 0.0 };
         let reserved = (members.len() as f64 * share).ceil() as usize;
@@ -100,8 +185,7 @@
     ) -> Option<SocketAddr> {
         let loads = self.loads.borrow();
         let load = |member: &SocketAddr| loads.get(member).copied().unwrap_or_default();
-        let available =
-            || members.iter().filter(|member| load(member).backoff_until <= now);
+        let available = || members.iter().filter(|member| load(member).is_available(now));
         let idle = available().find(|member| load(member).open == 0).copied();
         if long {
             return idle.filter(|_| self.long_call_capacity(members, now) > 0);
@@ -120,6 +204,7 @@
         if !request.is_long() {
             self.last_short.set(now);
         }
+        *self.open_calls.borrow_mut().entry(request.account.clone()).or_default() += 1;
         let mut loads = self.loads.borrow_mut();
         let load = loads.entry(member).or_default();
         load.open += 1;
@@ -127,8 +212,15 @@
         load.busy_until = load.busy_until.max(now) + request.call_time;
     }
 
-    /// Records the end of a call, whether it succeeded or failed.
-    pub(crate) fn end(&self, member: SocketAddr, succeeded: bool, now: BootTime) {
+    /// Records the end of an account's call, whether it succeeded or failed.
+    pub fn end(
+        &self,
+        member: SocketAddr,
+        account: &Name,
+        succeeded: bool,
+        now: BootTime,
+    ) {
+        self.end_account_call(account);
         let mut loads = self.loads.borrow_mut();
         let load = loads.entry(member).or_default();
         load.open = load.open.saturating_sub(1);
@@ -141,8 +233,47 @@
         }
     }
 
+    /// Counts the end of one of an account's calls.
+    fn end_account_call(&self, account: &Name) {
+        let mut open_calls = self.open_calls.borrow_mut();
+        let Some(open) = open_calls.get_mut(account) else { return };
+        *open -= 1;
+        if *open == 0 {
+            open_calls.remove(account);
+        }
+    }
+
     /// Returns the number of pending requests.
-    pub(crate) fn pending_count(&self) -> usize {
+    pub fn pending_count(&self) -> usize {
         self.pending.borrow().len()
     }
+
+    /// Returns the number of open calls.
+    pub fn open_count(&self) -> usize {
+        self.open_calls.borrow().values().sum()
+    }
+}
+
+/// Returns the requests that go on waiting, and moves the others to `dropped`: those that should let
+/// others go first, and those that would wait until they are of no use.
+fn keep_waiting(
+    waiting: Vec<(CallWorth, PermissionRequest)>,
+    members: usize,
+    now: BootTime,
+    dropped: &mut Vec<PermissionRequest>,
+) -> Vec<PermissionRequest> {
+    let others_wait = waiting.iter().any(|(worth, _)| *worth == CallWorth::Useful);
+    let vms = u32::try_from(members).unwrap_or(u32::MAX).max(1);
+    let mut ahead = Duration::ZERO;
+    let mut kept = Vec::new();
+    for (worth, request) in waiting {
+        let deferred = worth == CallWorth::Deferrable && others_wait;
+        if deferred || now + ahead / vms >= request.send_by {
+            dropped.push(request);
+            continue;
+        }
+        ahead += request.call_time;
+        kept.push(request);
+    }
+    kept
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -2,6 +2,8 @@
 
 mod account_usage;
 mod admission;
+mod call_claims;
+mod call_shares;
 mod command_responses;
 mod completion;
 mod crashes;
@@ -11,6 +13,7 @@
 mod held_ends;
 mod job_state;
 mod overdue_jobs;
+mod permission_ledger;
 mod permissions;
 mod persistence;
 mod placement;
@@ -18,6 +21,7 @@
 mod racks;
 mod replaced_workers;
 mod reports;
+mod scarce_calls;
 mod timeouts;
 mod unreported_runs;
 mod worker_state;
@@ -47,12 +51,15 @@
 use self::account_usage::AccountUsage;
 use self::admission::PlacedLoad;
 use self::admission::WaitingLoad;
+use self::call_claims::CallClaims;
+use self::call_shares::CallShares;
 use self::job_state::JobKey;
 use self::job_state::JobState;
 use self::job_state::RunPhase;
 use self::job_state::TaskPlacement;
 use self::job_state::TaskRef;
 use self::job_state::TaskState;
+use self::permission_ledger::PermissionLedger;
 use self::worker_state::FormerWorker;
 use self::worker_state::WorkerState;
 
@@ -110,6 +117,9 @@
     placed_load: BTreeMap<u32, PlacedLoad>,
     /// The estimated share of workers that the permission service allows, by queue.
     allowed_share: HashMap<Name, f64>,
+    permission_ledger: PermissionLedger,
+    call_claims: CallClaims,
+    call_shares: CallShares,
     /// Whether the worker records must be written again: those in the store may include workers
     /// that were removed, or the last write was rejected.
     records_outdated: bool,
@@ -136,6 +146,9 @@
             waiting_load: WaitingLoad::default(),
             placed_load: BTreeMap::new(),
             allowed_share: HashMap::new(),
+            permission_ledger: PermissionLedger::default(),
+            call_claims: CallClaims::default(),
+            call_shares: CallShares::default(),
             records_outdated: false,
             stops: Vec::new(),
             events: Vec::new(),
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/completion.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/completion.rs
@@ -107,7 +107,9 @@
         let id = job.id.clone();
         for unit in 0..job.units.len() as u32 {
             self.release_reservation(key, unit);
+            self.call_claims.release(key, unit);
         }
+        self.permission_ledger.end_job(key);
         self.mark_dirty(key, now);
         for task in self.placed_tasks(key) {
             let state =
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
@@ -5,14 +5,17 @@
 use geraniumwinch_core::Name;
 
 use crate::BootTime;
+use crate::CallOrder;
 use crate::PermissionGrant;
 use crate::PermissionRequest;
 use crate::StepName;
 use crate::WorkerKey;
-use crate::run_command::is_long_call;
 
 use super::FleetScheduler;
+use super::PlacementRound;
+use super::call_shares::UnitCall;
 use super::job_state::JobKey;
+use super::job_state::JobLateness;
 
 /// The share of workers that are assumed to be allowed for a queue before the first response.
 const INITIAL_SHARE: f64 = 0.4;
@@ -81,17 +84,23 @@
         gang: bool,
         needed: usize,
         mut candidates: Vec<(WorkerKey, u32, u32)>,
+        round: &PlacementRound,
     ) -> Vec<Name> {
+        if round.calls.scarce {
+            self.keep_usable_candidates(key, gang, needed, &mut candidates, round);
+        }
+        let single_call = round.calls.scarce && !gang;
+        let limit = if single_call { REQUEST_MAX } else { REQUEST_MAX * REQUEST_PARTS };
         candidates.sort_by_key(|&(_, now, ever)| std::cmp::Reverse((now, ever)));
         let queue = &self.jobs[key].record.rules.queue;
-        let share = self.allowed_share.get(queue).copied().unwrap_or(INITIAL_SHARE);
+        let share = self.expected_share(queue);
         let surplus = if gang { GANG_REQUEST_SURPLUS } else { REQUEST_SURPLUS };
         let wanted = needed as f64 * surplus / share.max(0.05);
         let mut covered = 0.0;
         let mut names = Vec::new();
         for (worker, now_fits, ever_fits) in candidates {
             let enough = covered >= wanted && names.len() >= REQUEST_MIN;
-            if enough || names.len() == REQUEST_MAX * REQUEST_PARTS {
+            if enough || names.len() == limit {
                 break;
             }
             covered += f64::from(if gang { ever_fits } else { now_fits });
@@ -100,46 +109,72 @@
         names
     }
 
+    /// Returns the share of workers that are likely to be allowed for a queue.
+    pub(super) fn expected_share(&self, queue: &Name) -> f64 {
+        self.allowed_share.get(queue).copied().unwrap_or(INITIAL_SHARE)
+    }
+
     /// Creates the permission requests for a unit, unless some are open or have failed too
     /// recently.
     ///
-    /// At most `budget` of them are long, since a long request that has to wait for a free VM would
-    /// complete only after the capacity is gone.
+    /// No more are created than the VMs can send soon, since the capacity would be gone before a
+    /// request that has to wait for a free VM completes.
     pub(super) fn request_permissions(
         &mut self,
         key: JobKey,
         unit: u32,
         workers: &[Name],
         now: BootTime,
-        budget: &mut usize,
+        round: &mut PlacementRound,
     ) -> Vec<PermissionRequest> {
-        let job = &mut self.jobs[key];
+        let job = &self.jobs[key];
         let step = job.step_name(unit);
         let Some(cost) = job.record.rules.permission else { return Vec::new() };
-        let state = &mut job.units[unit as usize];
+        let state = &job.units[unit as usize];
         if workers.is_empty() || state.open_requests > 0 || now < state.retry_after {
             return Vec::new();
         }
         let part = workers.len().div_ceil(workers.len().div_ceil(REQUEST_MAX));
-        let priority = job.record.rules.priority;
+        let gang = job.plan(unit).gang;
+        let account = job.record.account.clone();
+        let order = self.call_order(key, round.unix_time);
         let mut requests = Vec::new();
         for workers in workers.chunks(part) {
-            let (step, workers) = (step.clone(), workers.to_vec());
             let call_time = cost.call_time(workers.len());
-            if is_long_call(call_time) {
-                if *budget == 0 {
-                    break;
-                }
-                *budget -= 1;
+            let call = UnitCall { key, unit, priority: order.priority, call_time };
+            if !self.call_shares.admit(&account, call, &mut round.calls, now) {
+                break;
             }
-            requests.push(PermissionRequest { step, priority, call_time, workers });
+            requests.push(PermissionRequest {
+                step: step.clone(),
+                account: account.clone(),
+                order,
+                call_time,
+                send_by: now + cost.validity,
+                workers: workers.to_vec(),
+            });
         }
-        state.open_requests = requests.len();
+        self.permission_ledger.begin_wait(key, now);
+        if !gang && !requests.is_empty() {
+            self.claim_capacity(key, unit, workers);
+        }
+        self.jobs[key].units[unit as usize].open_requests = requests.len();
         requests
     }
 
+    /// Returns the position of a job's requests in the order in which they are sent.
+    fn call_order(&self, key: JobKey, unix_time: Duration) -> CallOrder {
+        let job = &self.jobs[key];
+        CallOrder {
+            overdue: self.is_overdue(key, unix_time),
+            priority: job.record.rules.priority,
+            late: job.lateness(unix_time) != JobLateness::InTime,
+            serial: job.serial,
+        }
+    }
+
     /// Resolves the name of a step to its job and unit.
-    fn find_unit(&self, step: &StepName) -> Option<(JobKey, u32)> {
+    pub(super) fn find_unit(&self, step: &StepName) -> Option<(JobKey, u32)> {
         let &key = self.job_ids.get(&step.job)?;
         let steps = self.jobs[key].record.request.steps.len() as u32;
         let unit = step.occurrence.checked_mul(steps)? + step.step;
@@ -161,6 +196,7 @@
     ) {
         let Some((key, unit)) = self.find_unit(step) else { return };
         self.finish_request(key, unit);
+        self.permission_ledger.record_grants(key, unit, requested.len(), &grants);
         let job = &mut self.jobs[key];
         let state = &mut job.units[unit as usize];
         let unknown =
@@ -181,13 +217,28 @@
 
     /// Handles a permission request that failed.
     pub fn permission_failed(&mut self, step: &StepName, now: BootTime) {
+        self.permission_ledger.counts.failed += 1;
         let Some((key, unit)) = self.find_unit(step) else { return };
         self.finish_request(key, unit);
         self.jobs[key].units[unit as usize].retry_after = now + RETRY_DELAY;
     }
 
+    /// Handles a permission request that was dropped before it was sent. The unit may request
+    /// permissions again at once.
+    pub fn permission_dropped(&mut self, step: &StepName) {
+        self.permission_ledger.counts.dropped += 1;
+        let Some((key, unit)) = self.find_unit(step) else { return };
+        self.finish_request(key, unit);
+    }
+
+    /// Closes a request and, after a unit's last one, releases what the unit has claimed.
     fn finish_request(&mut self, key: JobKey, unit: u32) {
         let state = &mut self.jobs[key].units[unit as usize];
         state.open_requests = state.open_requests.saturating_sub(1);
+        if state.open_requests == 0 {
+            self.call_claims.release(key, unit);
+        }
+        let rules = &self.jobs[key].record.rules;
+        self.call_shares.end(key, unit, &self.jobs[key].record.account, rules.priority);
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -1,11 +1,13 @@
 //! Placement of waiting tasks on workers.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use geraniumwinch_core::Name;
 use geraniumwinch_core::ResourceVector;
 
 use crate::BootTime;
+use crate::CallBudget;
 use crate::PermissionRequest;
 use crate::RunStart;
 use crate::StepPlan;
@@ -28,8 +30,12 @@
     pub starts: Vec<RunStart>,
     /// The requests to the permission service.
     pub requests: Vec<PermissionRequest>,
-    /// The number of long requests that may still be sent.
-    long_requests: usize,
+    /// The requests that may still be sent.
+    pub(super) calls: CallBudget,
+    /// The time since the Unix epoch.
+    pub(super) unix_time: Duration,
+    /// The number of gangs that look for capacity, by priority, so far in the order of placement.
+    pub(super) searching_gangs: BTreeMap<u32, usize>,
     /// What overdue jobs may still take; `None` before the first of them.
     pub(super) overdue_room: Option<OverdueRoom>,
 }
@@ -50,15 +56,17 @@
 impl FleetScheduler {
     /// Places waiting tasks.
     ///
-    /// `unix_time` is the time since the Unix epoch, and `long_requests` is the number of long
-    /// permission requests that can be sent now.
+    /// `unix_time` is the time since the Unix epoch, and `calls` is the capacity for calls to the
+    /// permission service.
     pub fn place(
         &mut self,
         unix_time: Duration,
         now: BootTime,
-        long_requests: usize,
+        calls: impl Into<CallBudget>,
     ) -> PlacementRound {
-        let mut round = PlacementRound { long_requests, ..PlacementRound::default() };
+        let calls = calls.into();
+        let mut round = PlacementRound { calls, unix_time, ..PlacementRound::default() };
+        self.begin_permission_pass(now);
         let unreported = self.unreported_runs(now);
         self.accounts.set_unreported(self.unreported_usage(&unreported, now));
         for key in self.jobs_by_priority(unix_time) {
@@ -143,7 +151,11 @@
         if plan.gang {
             if renewable.len() == needed {
                 self.renew_permissions(key, unit, &renewable, true, now, round);
-            } else if self.gang_search_due(key, unit, now) {
+                return;
+            }
+            let priority = self.jobs[key].record.rules.priority;
+            *round.searching_gangs.entry(priority).or_default() += 1;
+            if self.gang_search_due(key, unit, now) {
                 if !self.fits_after_preemption(key, unit, needed, now) {
                     self.request_new_permissions(key, unit, &plan, needed, now, round);
                 }
@@ -320,6 +332,9 @@
             PermissionState::Valid(ticket) => ticket,
             _ => None,
         };
+        if ticket.is_some() {
+            self.permission_ledger.record_use(task.job, task.unit, id);
+        }
         let plan = self.jobs[task.job].plan(task.unit);
         let victims: Vec<TaskRef> = match plan.latency_target {
             Some(_) => self.interfering(plan, &self.workers[worker]).collect(),
@@ -365,14 +380,13 @@
         round: &mut PlacementRound,
     ) -> bool {
         let mut names: Vec<Name> = Vec::new();
-        for &worker in chosen {
+        for worker in self.choose_workers_to_renew(key, unit, chosen, reserve, round) {
             let id = &self.workers[worker].info.id;
             if !names.contains(id) {
                 names.push(id.clone());
             }
         }
-        let requests =
-            self.request_permissions(key, unit, &names, now, &mut round.long_requests);
+        let requests = self.request_permissions(key, unit, &names, now, round);
         let requested = !requests.is_empty();
         if reserve && requested {
             let longest = requests
@@ -411,15 +425,15 @@
             {
                 continue;
             }
-            let now_fits = self.fits(key, unit, plan, worker, &state.free());
+            let now_fits = self.fits_for_request(key, unit, plan, worker, round);
             let ever_fits = self.fits(key, unit, plan, worker, &state.info.capacity);
             if ever_fits > 0 {
                 candidates.push((worker, now_fits, ever_fits));
             }
         }
-        let names = self.choose_workers_to_request(key, plan.gang, needed, candidates);
-        let requests =
-            self.request_permissions(key, unit, &names, now, &mut round.long_requests);
+        let names =
+            self.choose_workers_to_request(key, plan.gang, needed, candidates, round);
+        let requests = self.request_permissions(key, unit, &names, now, round);
         round.requests.extend(requests);
     }
 }
--- a/crates/geraniumwinch-fleet/src/lib.rs
+++ b/crates/geraniumwinch-fleet/src/lib.rs
@@ -4,10 +4,12 @@
 //! The crate performs no I/O and reads no clock. The caller passes the current time to every call
 //! that depends on it.
 
+mod call_budget;
 mod fleet_error;
 mod fleet_scheduler;
 mod job_record;
 mod job_request;
+mod permission_counts;
 mod queue_rules;
 mod run_command;
 mod run_outcome;
@@ -19,6 +21,7 @@
 mod worker_record;
 mod worker_report;
 
+pub use self::call_budget::CallBudget;
 pub use self::fleet_error::FleetError;
 pub use self::fleet_error::Result;
 pub use self::fleet_scheduler::FENCES_PER_EPOCH;
@@ -33,8 +36,11 @@
 pub use self::job_record::UnitProgress;
 pub use self::job_request::JobRequest;
 pub use self::job_request::JobSchedule;
+pub use self::permission_counts::PermissionCounts;
 pub use self::queue_rules::PermissionCost;
 pub use self::queue_rules::QueueRules;
+pub use self::run_command::CallOrder;
+pub use self::run_command::CallWorth;
 pub use self::run_command::PermissionGrant;
 pub use self::run_command::PermissionRequest;
 pub use self::run_command::RunStart;
--- a/crates/geraniumwinch-fleet/src/run_command.rs
+++ b/crates/geraniumwinch-fleet/src/run_command.rs
@@ -65,15 +65,55 @@
 pub struct PermissionRequest {
     /// The step.
     pub step: StepName,
-    /// The priority of the queue; 0 is the most urgent.
-    pub priority: u32,
+    /// The client account of the job.
+    pub account: Name,
+    /// The position in the order in which requests are sent.
+    pub order: CallOrder,
     /// The expected duration of the call.
     pub call_time: Duration,
+    /// The time after which the request is not sent any more.
+    pub send_by: BootTime,
     /// The candidate workers.
     pub workers: Vec<Name>,
 }
 
+/// The order in which permission requests are sent: that in which their jobs start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CallOrder {
+    /// Whether the job's result is of little use by now.
+    pub overdue: bool,
+    /// The priority of the queue; 0 is the most urgent.
+    pub priority: u32,
+    /// Whether the job can no longer meet its objective.
+    pub late: bool,
+    /// The position of the job in the order of acceptance.
+    pub serial: u64,
+}
+
+/// What the response to a permission request that was not sent yet would be good for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallWorth {
+    /// The step can start with it.
+    Useful,
+    /// Other requests should go first: the job is overdue, or has no free capacity now.
+    Deferrable,
+    /// The step has no task left that may start.
+    Useless,
+}
+
 impl PermissionRequest {
+    /// Creates a request that another process has decided to send.
+    pub fn relayed(step: StepName, workers: Vec<Name>, call_time: Duration) -> Self {
+        PermissionRequest {
+            step,
+            account: "".into(),
+            order: CallOrder::default(),
+            call_time,
+            send_by: BootTime::MAX,
+            workers,
+        }
+    }
+
     /// Returns whether the call takes so long that short ones should not queue behind it.
     pub fn is_long(&self) -> bool {
         is_long_call(self.call_time)
--- a/crates/geraniumwinch-fleet/src/scheduler_event.rs
+++ b/crates/geraniumwinch-fleet/src/scheduler_event.rs
@@ -111,6 +111,11 @@
         /// The time from the job's acceptance to the confirmation.
         wait: Duration,
     },
+    /// A job has got its first permission.
+    FirstPermission {
+        /// The time from the job's first request to the first pass that could use the permission.
+        wait: Duration,
+    },
     /// A job has ended.
     JobEnded {
         /// The job.
