--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -2,6 +2,8 @@
 
 mod account_usage;
 mod admission;
+mod call_claims;
+mod call_shares;
 mod command_responses;
 mod completion;
 mod crashes;
@@ -13,6 +15,7 @@
 mod job_state;
 mod learning;
 mod overdue_jobs;
+mod permission_ledger;
 mod permission_table;
 mod permissions;
 mod persistence;
@@ -22,6 +25,7 @@
 mod racks;
 mod replaced_workers;
 mod reports;
+mod scarce_calls;
 mod speed_ranking;
 mod stalled_runs;
 mod timeouts;
@@ -53,6 +57,8 @@
 use self::account_usage::AccountUsage;
 use self::admission::PlacedLoad;
 use self::admission::WaitingLoad;
+use self::call_claims::CallClaims;
+use self::call_shares::CallShares;
 use self::job_state::JobKey;
 use self::job_state::JobState;
 use self::job_state::RunPhase;
@@ -60,6 +66,7 @@
 use self::job_state::TaskRef;
 use self::job_state::TaskState;
 use self::learning::FleetLearning;
+use self::permission_ledger::PermissionLedger;
 use self::placement_backoff::PlacementBackoff;
 use self::worker_state::FormerWorker;
 use self::worker_state::WorkerState;
@@ -122,6 +129,9 @@
     /// The estimated share of workers that the permission service allows, by queue.
     allowed_share: HashMap<Name, f64>,
     learning: FleetLearning,
+    permission_ledger: PermissionLedger,
+    call_claims: CallClaims,
+    call_shares: CallShares,
     /// Whether the worker records must be written again: those in the store may include workers
     /// that were removed, or the last write was rejected.
     records_outdated: bool,
@@ -150,6 +160,9 @@
             placed_load: BTreeMap::new(),
             allowed_share: HashMap::new(),
             learning: FleetLearning::default(),
+            permission_ledger: PermissionLedger::default(),
+            call_claims: CallClaims::default(),
+            call_shares: CallShares::default(),
             records_outdated: false,
             stops: Vec::new(),
             events: Vec::new(),
