Count the work that is lost by its cause; preempt what loses least; rank competing accounts

Cause: no metric said by which decision work was thrown away, preemption chose victims by priority and age of the job alone, and an account at many times its usual was placed in order of acceptance. Change: each lost run is counted once under the first decision that ended it; victims are the tasks with the least unsaved work, within a budget; in-time jobs of a priority are placed in the order of their accounts' use above their share. Not measured after it yet.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -37,6 +37,7 @@
 use self::loading::load_fences;
 use self::loading::load_jobs;
 use self::loading::load_workers;
+use self::scheduler_log::log_lost_work;
 use self::scheduler_log::log_scheduler_event;
 
 /// The maximum time between two scheduling passes.
@@ -201,6 +202,8 @@
             used = format!("{:.2}", counts.used),
             backlog = format!("{:.2}", self.scheduler.borrow().backlog())
         );
+        let lost_work = self.scheduler.borrow_mut().take_lost_work();
+        lost_work.into_iter().for_each(|(loss, tally)| log_lost_work(loss, tally));
     }
 
     /// Removes the records of jobs that can no longer be queried.
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
@@ -1,10 +1,25 @@
 //! Log lines and counters of scheduler events.
 
 use geraniumwinch_core::log_event;
+use geraniumwinch_fleet::LossTally;
+use geraniumwinch_fleet::RunLoss;
 use geraniumwinch_fleet::SchedulerEvent;
 
 use crate::cell_metrics;
 
+/// Logs work that was thrown away since the last line and updates the counters.
+pub(super) fn log_lost_work(loss: RunLoss, tally: LossTally) {
+    cell_metrics::count_lost_work(loss, tally);
+    log_event!(
+        Info,
+        "work-lost",
+        cause = loss.cause.as_str(),
+        gang = loss.in_gang,
+        runs = tally.runs,
+        core_seconds = format!("{:.1}", tally.core_seconds)
+    );
+}
+
 /// Logs a scheduler event and updates the counters.
 pub(super) fn log_scheduler_event(event: &SchedulerEvent) {
     match event {
--- a/crates/geraniumwinch-cell/src/cell_metrics.rs
+++ b/crates/geraniumwinch-cell/src/cell_metrics.rs
@@ -5,6 +5,8 @@
 use geraniumwinch_core::ErrorKind;
 use geraniumwinch_core::metric_rows;
 use geraniumwinch_fleet::FleetCounts;
+use geraniumwinch_fleet::LossTally;
+use geraniumwinch_fleet::RunLoss;
 use metrics::counter;
 use metrics::gauge;
 use metrics::histogram;
@@ -19,6 +21,8 @@
     ORPHANS = "geraniumwinch_cell_orphans_total", "counter", "", "Reports of runs that their tasks should not have.";
     CRASHES = "geraniumwinch_cell_run_crashes_total", "counter", "suspected", "Runs that were lost because their worker crashed, by whether they may have caused it.";
     JOB_ENDS = "geraniumwinch_cell_job_ends_total", "counter", "phase", "Jobs that ended, by how.";
+    LOST_WORK = "geraniumwinch_cell_lost_core_milliseconds_total", "counter", "cause,gang", "Work thrown away in milliseconds of a core, by what ended the run or, where `gang` is true, the first lost member of its gang.";
+    LOST_RUNS = "geraniumwinch_cell_lost_runs_total", "counter", "cause,gang", "Runs whose work was thrown away, by what ended them.";
     OWNERSHIPS = "geraniumwinch_cell_ownerships_total", "counter", "change", "Ownerships of the cell that this process took, resigned or lost.";
     EPOCH = "geraniumwinch_cell_epoch", "gauge", "", "Epoch of the ownership that this process holds, or 0.";
     CATALOG = "geraniumwinch_cell_catalog_version", "gauge", "", "Number of the configuration in force.";
@@ -75,6 +79,14 @@
     counter!(CRASHES, "suspected" => suspected.to_string()).increment(1);
 }
 
+/// Counts work that was thrown away.
+pub(crate) fn count_lost_work(loss: RunLoss, tally: LossTally) {
+    let (cause, gang) = (loss.cause.as_str(), loss.in_gang.to_string());
+    let core_millis = (tally.core_seconds * 1000.0).round() as u64;
+    counter!(LOST_WORK, "cause" => cause, "gang" => gang.clone()).increment(core_millis);
+    counter!(LOST_RUNS, "cause" => cause, "gang" => gang).increment(tally.runs);
+}
+
 /// Counts the end of a job.
 pub(crate) fn count_job_end(phase: &'static str) {
     counter!(JOB_ENDS, "phase" => phase).increment(1);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -1,5 +1,6 @@
 //! The scheduler of a cell: its jobs, its workers, and which task runs where.
 
+mod account_ranks;
 mod account_usage;
 mod admission;
 mod command_responses;
@@ -10,6 +11,7 @@
 mod gang_reservation;
 mod held_ends;
 mod job_state;
+mod lost_runs;
 mod overdue_jobs;
 mod permissions;
 mod persistence;
@@ -39,11 +41,15 @@
 use crate::BootTime;
 use crate::JobPhase;
 use crate::JobRecord;
+use crate::LostWork;
+use crate::PreemptionBudget;
+use crate::RunLoss;
 use crate::RunStop;
 use crate::SchedulerEvent;
 use crate::TaskName;
 use crate::WorkerInfo;
 
+use self::account_ranks::AccountRanks;
 use self::account_usage::AccountUsage;
 use self::admission::PlacedLoad;
 use self::admission::WaitingLoad;
@@ -105,11 +111,14 @@
     /// The jobs with changes that were not handed to the store yet, with the time of the first one.
     dirty: HashMap<JobKey, BootTime>,
     accounts: AccountUsage,
+    account_ranks: AccountRanks,
     waiting_load: WaitingLoad,
     /// The load of placed tasks, by priority.
     placed_load: BTreeMap<u32, PlacedLoad>,
     /// The estimated share of workers that the permission service allows, by queue.
     allowed_share: HashMap<Name, f64>,
+    lost_work: LostWork,
+    preemption_budget: PreemptionBudget,
     /// Whether the worker records must be written again: those in the store may include workers
     /// that were removed, or the last write was rejected.
     records_outdated: bool,
@@ -133,9 +142,12 @@
             open_jobs: BTreeSet::new(),
             dirty: HashMap::new(),
             accounts: AccountUsage::default(),
+            account_ranks: AccountRanks::default(),
             waiting_load: WaitingLoad::default(),
             placed_load: BTreeMap::new(),
             allowed_share: HashMap::new(),
+            lost_work: LostWork::default(),
+            preemption_budget: PreemptionBudget::default(),
             records_outdated: false,
             stops: Vec::new(),
             events: Vec::new(),
@@ -284,7 +296,11 @@
     }
 
     /// Assigns a task to a worker and accounts for its resources.
-    fn assign(&mut self, task: TaskRef, placement: TaskPlacement) {
+    fn assign(&mut self, task: TaskRef, mut placement: TaskPlacement) {
+        let unit = &self.jobs[task.job].units[task.unit as usize];
+        if unit.waiting == unit.remaining {
+            self.reset_gang_end(task);
+        }
         let job = &mut self.jobs[task.job];
         let size = job.plan(task.unit).reserved();
         let unit = &mut job.units[task.unit as usize];
@@ -293,6 +309,7 @@
             unit.waiting -= 1;
         }
         state.last_run = state.last_run.max(placement.run);
+        placement.work.resumed = state.checkpoint.is_some();
         state.placement = Some(placement);
         let worker = &mut self.workers[placement.worker];
         worker.used.add(&size);
@@ -326,14 +343,17 @@
         Some(placement)
     }
 
-    /// Stops a placed task, unless it is already being stopped or its run has ended.
-    fn stop(&mut self, task: TaskRef, now: BootTime) {
+    /// Stops a placed task, unless it is already being stopped or its run has ended. Its work is lost
+    /// for the given reason.
+    fn stop(&mut self, task: TaskRef, loss: RunLoss, now: BootTime) {
         let Some(placement) = self.placement_of_mut(task) else { return };
         if matches!(placement.phase, RunPhase::Stopping(_) | RunPhase::Held) {
             return;
         }
         placement.phase = RunPhase::Stopping(None);
         placement.since = now;
+        placement.work.loss = Some(loss);
+        self.set_gang_cause(task, loss.cause);
         self.send_stop(task);
     }
 
--- /dev/null
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/account_ranks.rs
@@ -0,0 +1,55 @@
+//! The order in which client accounts are served when they compete for a full cell.
+//!
+//! An account within its share is served as if no other account existed. What others leave unused
+//! is lent to accounts beyond their share, those that are the least above it first. It comes back
+//! with the next placements, and urgent jobs preempt the account that is the most above its share
+//! first.
+
+use std::collections::HashMap;
+
+use geraniumwinch_core::Name;
+
+use crate::BootTime;
+
+use super::FleetScheduler;
+
+/// The number of ranks for each multiple of an account's share. Accounts of the same rank are
+/// served in the order of acceptance.
+const RANKS_PER_SHARE: f64 = 4.0;
+
+/// How far accounts are above their shares.
+#[derive(Debug, Default)]
+pub(super) struct AccountRanks {
+    /// The ranks of the accounts that are above their share; the lowest is served first.
+    above: HashMap<Name, u32>,
+}
+
+impl AccountRanks {
+    /// Returns the rank of an account: 0 if it is within its share, and the higher the further it
+    /// is above.
+    pub(super) fn rank(&self, account: &Name) -> u32 {
+        if self.above.is_empty() {
+            return 0;
+        }
+        self.above.get(account).copied().unwrap_or(0)
+    }
+}
+
+impl FleetScheduler {
+    /// Recomputes how far accounts are above their shares. The cost depends on the number of
+    /// accounts and workers only.
+    pub(super) fn update_account_ranks(&mut self, now: BootTime) {
+        let usable = self.workers.values().filter(|state| state.usable(now));
+        let total: u64 = usable.map(|state| state.info.capacity.cpu_millis).sum();
+        let total_weight = self.accounts.total_weight() as f64;
+        let mut above = HashMap::new();
+        for (account, weight, used) in self.accounts.weighted_usage() {
+            let share = total as f64 * weight as f64 / total_weight;
+            let ratio = used.cpu_millis as f64 / share;
+            if ratio > 1.0 {
+                above.insert(account.clone(), (ratio * RANKS_PER_SHARE) as u32);
+            }
+        }
+        self.account_ranks = AccountRanks { above };
+    }
+}
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/account_usage.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/account_usage.rs
@@ -50,6 +50,22 @@
         cpu.min(memory).min(accelerators)
     }
 
+    /// Returns the sum of the weights of all accounts.
+    pub(super) fn total_weight(&self) -> u64 {
+        self.limits.values().map(|limit| limit.weight).sum()
+    }
+
+    /// Returns the accounts that have a weight, with the weight and the resources in use.
+    pub(super) fn weighted_usage(
+        &self,
+    ) -> impl Iterator<Item = (&Name, u64, ResourceVector)> {
+        let weighted = self.limits.values().filter(|limit| limit.weight > 0);
+        weighted.map(|limit| {
+            let used = self.used.get(&limit.account).copied().unwrap_or_default();
+            (&limit.account, limit.weight, used)
+        })
+    }
+
     /// Adds a task that may be running.
     pub(super) fn book(&mut self, account: &Name, size: &ResourceVector) {
         self.used.entry(account.clone()).or_default().add(size);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/command_responses.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/command_responses.rs
@@ -1,6 +1,7 @@
 //! Handling of responses to commands, and of commands without a response.
 
 use crate::BootTime;
+use crate::LossCause;
 use crate::StartOutcome;
 use crate::TaskName;
 
@@ -108,7 +109,7 @@
         if outcome == StartOutcome::Unhealthy {
             self.record_failure(worker, now);
         }
-        self.abandon_run(task, now);
+        self.abandon_run(task, LossCause::StartFailed, now);
     }
 
     /// Handles a worker's response to a command to stop a run.
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/completion.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/completion.rs
@@ -84,9 +84,10 @@
 
     /// Stops all placed members of a gang after one of them has ended.
     pub(super) fn break_gang(&mut self, task: TaskRef, now: BootTime) {
+        let loss = self.gang_loss(task);
         let members = self.jobs[task.job].units[task.unit as usize].tasks.len() as u32;
         for index in 0..members {
-            self.stop(TaskRef { index, ..task }, now);
+            self.stop(TaskRef { index, ..task }, loss, now);
         }
     }
 
@@ -116,7 +117,7 @@
                 .placement
                 .is_some_and(|placement| placement.phase == RunPhase::Running);
             if !state.done || !started {
-                self.stop(task, now);
+                self.stop(task, FleetScheduler::job_loss(phase), now);
             }
         }
         self.events.push(SchedulerEvent::JobEnded { job: id, phase: phase.as_str() });
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
@@ -21,6 +21,8 @@
 
 use super::WorkerKey;
 use super::gang_reservation::GangReservation;
+use super::lost_runs::GangEnd;
+use super::lost_runs::RunWork;
 
 /// The number of workers that a permission request is assumed to name when the critical path is
 /// estimated.
@@ -94,6 +96,8 @@
     /// When the last copy of the start command remained without a response, if any did. The worker
     /// may execute that copy later.
     pub(super) unanswered_at: Option<BootTime>,
+    /// What is known of the work of the run.
+    pub(super) work: RunWork,
 }
 
 /// The state of a task.
@@ -148,6 +152,8 @@
     pub(super) reservation: Option<GangReservation>,
     /// The earliest time of the next search for workers for a gang that does not fit.
     pub(super) next_search: BootTime,
+    /// Why the last run of a gang ended.
+    pub(super) gang_end: GangEnd,
 }
 
 /// The state of a job.
@@ -364,5 +370,6 @@
         retry_after: BootTime::ZERO,
         reservation: None,
         next_search: BootTime::ZERO,
+        gang_end: GangEnd::default(),
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -1,12 +1,15 @@
 //! Placement of waiting tasks on workers.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use geraniumwinch_core::Name;
 use geraniumwinch_core::ResourceVector;
 
 use crate::BootTime;
+use crate::LossCause;
 use crate::PermissionRequest;
+use crate::RunLoss;
 use crate::RunStart;
 use crate::StepPlan;
 use crate::WorkerKey;
@@ -17,6 +20,7 @@
 use super::job_state::RunPhase;
 use super::job_state::TaskPlacement;
 use super::job_state::TaskRef;
+use super::lost_runs::RunWork;
 use super::overdue_jobs::OverdueRoom;
 use super::permissions::PermissionState;
 use super::worker_state::WorkerState;
@@ -32,6 +36,10 @@
     long_requests: usize,
     /// What overdue jobs may still take; `None` before the first of them.
     pub(super) overdue_room: Option<OverdueRoom>,
+    /// The capacity that is free or becomes free soon, and that urgent jobs take then.
+    pub(super) promised: HashMap<WorkerKey, ResourceVector>,
+    /// The number of searches of urgent jobs for tasks to preempt.
+    pub(super) preemption_searches: usize,
 }
 
 /// A worker with free capacity for tasks of a step.
@@ -61,6 +69,7 @@
         let mut round = PlacementRound { long_requests, ..PlacementRound::default() };
         let unreported = self.unreported_runs(now);
         self.accounts.set_unreported(self.unreported_usage(&unreported, now));
+        self.update_account_ranks(now);
         for key in self.jobs_by_priority(unix_time) {
             if self.may_run_unreported(key, &unreported, now) {
                 continue;
@@ -77,15 +86,17 @@
     }
 
     /// Returns the live jobs by priority, and the overdue jobs of all priorities at the end. Within
-    /// a priority, those that can still meet their objective come first.
+    /// a priority, those that can still meet their objective come first, and among them those of
+    /// accounts within their share.
     fn jobs_by_priority(&self, unix_time: Duration) -> Vec<JobKey> {
-        let mut open: Vec<(bool, u32, JobLateness, u64, JobKey)> = self
+        let mut open: Vec<(bool, u32, JobLateness, u32, u64, JobKey)> = self
             .open_jobs
             .iter()
             .map(|&(priority, serial, key)| {
                 let lateness = self.jobs[key].lateness(unix_time);
                 let overdue = self.is_overdue(key, unix_time);
-                (overdue, priority, lateness, serial, key)
+                let rank = self.account_ranks.rank(&self.jobs[key].record.account);
+                (overdue, priority, lateness, rank, serial, key)
             })
             .collect();
         open.sort_unstable();
@@ -158,7 +169,7 @@
         } else {
             self.request_new_permissions(key, unit, &plan, left, now, round);
         }
-        self.preempt(key, unit, left, unix_time, now);
+        self.preempt(key, unit, left, unix_time, now, round);
     }
 
     /// Returns the workers with free capacity for tasks of a unit, the preferred ones first. Tasks
@@ -326,7 +337,8 @@
             None => Vec::new(),
         };
         // The best-effort tasks are placed again on workers without latency-sensitive tasks.
-        victims.into_iter().for_each(|task| self.stop(task, now));
+        let loss = RunLoss::single(LossCause::Displaced);
+        victims.into_iter().for_each(|task| self.stop(task, loss, now));
         let phase = RunPhase::Starting;
         let placement = TaskPlacement {
             worker,
@@ -339,6 +351,7 @@
             confirmed: false,
             awaiting_outcome: true,
             unanswered_at: None,
+            work: RunWork::default(),
         };
         self.assign(task, placement);
         self.begin_trial(task, worker, now);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/replaced_workers.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/replaced_workers.rs
@@ -1,6 +1,7 @@
 //! Workers that are gone because another worker responds at their address.
 
 use crate::BootTime;
+use crate::LossCause;
 use crate::SchedulerEvent;
 
 use super::FleetScheduler;
@@ -32,7 +33,7 @@
         let lost = self.take_lost_runs(worker, now);
         let tasks: Vec<TaskRef> = self.workers[worker].tasks.iter().copied().collect();
         for task in tasks {
-            self.abandon_run(task, now);
+            self.abandon_run(task, LossCause::WorkerLost, now);
         }
         self.record_crash(&id, lost, now);
     }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
@@ -6,6 +6,7 @@
 
 use crate::BootTime;
 use crate::EndedRun;
+use crate::LossCause;
 use crate::RunOutcome;
 use crate::RunStop;
 use crate::RunningRun;
@@ -17,6 +18,7 @@
 use super::job_state::RunPhase;
 use super::job_state::TaskPlacement;
 use super::job_state::TaskRef;
+use super::lost_runs::RunWork;
 use super::next_fence;
 use super::worker_state::UnstoredEnd;
 
@@ -65,6 +67,7 @@
         let id = self.workers[worker].info.id.clone();
         lost.retain(|run| !matched.contains(&run.task));
         self.record_crash(&id, lost, now);
+        self.account_orphans(worker, now);
         let state = &mut self.workers[worker];
         state.orphan_usage = orphans;
         state.orphan_size_unknown = unknown;
@@ -98,8 +101,9 @@
     }
 
     /// Abandons the run of a task, without a reported end, so that the task waits again.
-    pub(super) fn abandon_run(&mut self, task: TaskRef, now: BootTime) {
+    pub(super) fn abandon_run(&mut self, task: TaskRef, cause: LossCause, now: BootTime) {
         if let Some(placement) = self.unassign(task) {
+            self.account_abandoned(task, &placement, cause, now);
             self.apply_outcome(task, placement.run, RunOutcome::LeaseExpired, now);
         }
     }
@@ -135,7 +139,7 @@
         ended: &EndedRun,
         now: BootTime,
     ) {
-        let placement = self.placement_of(task).copied();
+        let mut placement = self.placement_of(task).copied();
         let current = |placement: &TaskPlacement| {
             placement.worker == worker && placement.run == ended.run
         };
@@ -145,11 +149,17 @@
         let state = &mut job.units[task.unit as usize].tasks[task.index as usize];
         state.last_run = state.last_run.max(ended.run);
         if ended.checkpoint.is_some() && placement.as_ref().is_none_or(current) {
+            if let Some(placement) = &mut placement
+                && state.checkpoint != ended.checkpoint
+            {
+                placement.work.saved_at = Some(self.workers[worker].reported_at);
+            }
             state.checkpoint.clone_from(&ended.checkpoint);
         }
         match placement {
             Some(placement) if current(&placement) => {
                 self.unassign(task);
+                self.account_end(task, &placement, ended.outcome, now);
                 self.update_failures(worker, ended.outcome, now);
                 self.log_end(worker, ended);
                 self.apply_outcome(task, ended.run, ended.outcome, now);
@@ -241,8 +251,16 @@
         self.mark_started(task, now);
         self.clear_survivor(task, now);
         if running.checkpoint.is_some() {
+            // The checkpoint was saved at some time since then.
+            let reported_at = self.workers[worker].reported_at;
             let unit = &mut self.jobs[task.job].units[task.unit as usize];
-            unit.tasks[task.index as usize].checkpoint.clone_from(&running.checkpoint);
+            let state = &mut unit.tasks[task.index as usize];
+            if state.checkpoint != running.checkpoint {
+                state.checkpoint.clone_from(&running.checkpoint);
+                if let Some(placement) = &mut state.placement {
+                    placement.work.saved_at = Some(reported_at);
+                }
+            }
         }
         RunMatch::Placed(task)
     }
@@ -272,6 +290,7 @@
             confirmed: true,
             awaiting_outcome: false,
             unanswered_at: None,
+            work: RunWork::default(),
         };
         self.assign(task, placement);
         true
@@ -337,7 +356,7 @@
                     worker: id,
                 };
                 self.events.push(event);
-                self.abandon_run(task, now);
+                self.abandon_run(task, LossCause::WorkerLost, now);
             }
         }
     }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/timeouts.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/timeouts.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 
 use crate::BootTime;
+use crate::LossCause;
+use crate::RunLoss;
 use crate::SchedulerEvent;
 
 use super::FleetScheduler;
@@ -58,14 +60,14 @@
         if let Some(lost) = self.lost_run(task, now) {
             self.workers[placement.worker].expired_runs.push(lost);
         }
-        self.abandon_run(task, now);
+        self.abandon_run(task, LossCause::LeaseExpired, now);
     }
 
     /// Performs the actions that are due for one run.
     fn sweep_run(&mut self, task: TaskRef, placement: TaskPlacement, now: BootTime) {
         match placement.phase {
             RunPhase::Unknown if now >= placement.since + UNKNOWN_GRACE => {
-                self.stop(task, now);
+                self.stop(task, RunLoss::single(LossCause::StartFailed), now);
             }
             RunPhase::Stopping(None) if now >= placement.since + STOP_RETRY_INTERVAL => {
                 if let Some(placement) = self.placement_of_mut(task) {
@@ -100,6 +102,6 @@
             worker: self.workers[placement.worker].info.id.clone(),
         });
         self.record_failure(placement.worker, now);
-        self.stop(task, now);
+        self.stop(task, RunLoss::single(LossCause::Stalled), now);
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
@@ -107,6 +107,8 @@
     pub(super) tasks: BTreeSet<TaskRef>,
     /// The resources used by orphaned runs of known size.
     pub(super) orphan_usage: ResourceVector,
+    /// When the last report was processed.
+    pub(super) reported_at: BootTime,
     /// Whether there are orphaned runs of unknown size.
     pub(super) orphan_size_unknown: bool,
     /// The number of failures since the last run that was done.
@@ -142,6 +144,7 @@
             used: ResourceVector::default(),
             tasks: BTreeSet::new(),
             orphan_usage: ResourceVector::default(),
+            reported_at: BootTime::ZERO,
             orphan_size_unknown: false,
             failures: 0,
             quarantine: BootTime::ZERO,
