--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -344,16 +344,19 @@
     }
 
     /// Stops a placed task, unless it is already being stopped or its run has ended. Its work is lost
-    /// for the given reason.
-    fn stop(&mut self, task: TaskRef, loss: RunLoss, now: BootTime) {
+    /// for the given reason; for a member of a broken gang it may not be known yet.
+    fn stop(&mut self, task: TaskRef, loss: impl Into<Option<RunLoss>>, now: BootTime) {
         let Some(placement) = self.placement_of_mut(task) else { return };
         if matches!(placement.phase, RunPhase::Stopping(_) | RunPhase::Held) {
             return;
         }
         placement.phase = RunPhase::Stopping(None);
         placement.since = now;
-        placement.work.loss = Some(loss);
-        self.set_gang_cause(task, loss.cause);
+        let loss = loss.into();
+        placement.work.loss = loss;
+        if let Some(loss) = loss {
+            self.set_gang_cause(task, loss.cause);
+        }
         self.send_stop(task);
     }
 
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/completion.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/completion.rs
@@ -108,6 +108,7 @@
         let id = job.id.clone();
         for unit in 0..job.units.len() as u32 {
             self.release_reservation(key, unit);
+            self.reset_gang_end(TaskRef { job: key, unit, index: 0 });
         }
         self.mark_dirty(key, now);
         for task in self.placed_tasks(key) {
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/lost_runs.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/lost_runs.rs
@@ -69,7 +69,7 @@
         let tally = LossTally::of_run(cpu_millis, placement.unsaved(now));
         match placement.work.loss.or_else(|| own_loss(outcome)) {
             Some(loss) => self.count_loss(task, loss, tally),
-            None => self.count_gang_end(task, tally),
+            None => self.count_unexplained(task, tally),
         }
     }
 
@@ -120,13 +120,13 @@
         }
     }
 
-    /// Returns the loss of the other members of a gang that was broken.
-    pub(super) fn gang_loss(&self, task: TaskRef) -> RunLoss {
+    /// Returns the loss of the other members of a gang that was broken, if its cause is known.
+    pub(super) fn gang_loss(&self, task: TaskRef) -> Option<RunLoss> {
         let end = &self.jobs[task.job].units[task.unit as usize].gang_end;
-        RunLoss::of_gang(end.cause.unwrap_or(LossCause::Unknown))
+        end.cause.map(RunLoss::of_gang)
     }
 
-    /// Forgets why the former run of a gang ended, when its next run begins.
+    /// Forgets why the former run of a gang ended, when its next run begins or its job ends.
     pub(super) fn reset_gang_end(&mut self, task: TaskRef) {
         let unit = &mut self.jobs[task.job].units[task.unit as usize];
         let end = std::mem::take(&mut unit.gang_end);
@@ -158,25 +158,30 @@
         self.lost_work.add(loss, tally);
     }
 
-    /// Counts the loss of a gang member that its worker has ended because of another member.
-    fn count_gang_end(&mut self, task: TaskRef, tally: LossTally) {
-        let end = &mut self.jobs[task.job].units[task.unit as usize].gang_end;
+    /// Counts the loss of a run that has ended without a cause of its own: that of a gang member
+    /// under the cause of the first lost member, as soon as it is known.
+    fn count_unexplained(&mut self, task: TaskRef, tally: LossTally) {
+        let job = &mut self.jobs[task.job];
+        let gang = job.plan(task.unit).gang;
+        let end = &mut job.units[task.unit as usize].gang_end;
         match end.cause {
+            _ if !gang => {
+                self.lost_work.add(RunLoss::single(LossCause::Unknown), tally);
+            }
             Some(cause) => self.lost_work.add(RunLoss::of_gang(cause), tally),
             None => end.pending.add(tally),
         }
     }
 }
 
-/// Returns the loss of a run that no decision of this owner has ended; `None` if another member of
-/// its gang was lost.
+/// Returns the loss of a run that no decision of this owner has ended, if its outcome tells.
 fn own_loss(outcome: RunOutcome) -> Option<RunLoss> {
     let cause = match outcome {
-        RunOutcome::Broken | RunOutcome::Alone => return None,
+        RunOutcome::Broken | RunOutcome::Alone | RunOutcome::Stopped => return None,
         RunOutcome::Failed => LossCause::Failed,
         RunOutcome::LeaseExpired => LossCause::LeaseExpired,
+        // The job has ended otherwise.
         RunOutcome::Done => LossCause::Cancelled,
-        RunOutcome::Stopped => LossCause::Unknown,
     };
     Some(RunLoss::single(cause))
 }
