--- a/crates/geraniumwinch-fleet/tests/competing_accounts.rs
+++ b/crates/geraniumwinch-fleet/tests/competing_accounts.rs
@@ -2,16 +2,24 @@
 
 mod common;
 
+use std::time::Duration;
+
 use geraniumwinch_core::ResourceVector;
 use geraniumwinch_fleet::AccountLimit;
 use geraniumwinch_fleet::JobRecord;
+use geraniumwinch_fleet::RunStart;
+use geraniumwinch_fleet::RunningRun;
 use geraniumwinch_fleet::StepPlan;
 
 use self::common::TestCell;
 use self::common::record;
 use self::common::rules;
+use self::common::running;
 use self::common::step;
 
+/// A time after which the average use of an account is close to its current one.
+const LONG_TIME: Duration = Duration::from_secs(30);
+
 /// Creates a job of an account with tasks of 4 cores.
 fn job(account: &str, priority: u32, tasks: u32) -> JobRecord {
     let plan = StepPlan { saves_progress: true, ..step(tasks, 4_000) };
@@ -36,6 +44,7 @@
     cell.accept("b0", job("busy", 1, tasks));
     cell.accept("q0", job("quiet", 1, 8 - tasks));
     assert_eq!(cell.start_all().len(), 8);
+    cell.now += LONG_TIME;
     cell.accept("b1", job("busy", 1, 1));
     cell.accept("q1", job("quiet", 1, 1));
 }
@@ -55,6 +64,14 @@
         assert_eq!(next_job(&mut cell), "q1");
     }
 
+    /// Load: small accounts with wide jobs. One that exceeds its share for a moment keeps its place.
+    a_short_excess_does_not_count(cell) {
+        set_weights(&mut cell, 10);
+        compete(&mut cell, 7);
+        cell.now = cell.now - LONG_TIME + Duration::from_secs(2);
+        assert_eq!(next_job(&mut cell), "b1");
+    }
+
     /// Load: two accounts within their shares are served in the order of acceptance.
     accounts_within_their_shares_are_served_in_order(cell) {
         set_weights(&mut cell, 10);
@@ -81,10 +98,21 @@
     /// last would lose its work otherwise.
     urgent_work_preempts_the_account_above_its_share(cell) {
         set_weights(&mut cell, 10);
-        cell.add_workers(&["w"]);
+        let workers = cell.add_workers(&["w"]);
         cell.accept("b0", job("busy", 1, 3));
         cell.accept("q0", job("quiet", 2, 1));
-        assert_eq!(cell.start_all().len(), 4);
+        let starts = cell.start_all();
+        assert_eq!(starts.len(), 4);
+        cell.now += LONG_TIME;
+        cell.place();
+        for checkpoint in [None, Some("c1".into())] {
+            let run = |start: &RunStart| running(start.task.clone(), start.run);
+            let runs = starts.iter().map(|start| RunningRun {
+                checkpoint: checkpoint.clone(),
+                ..run(start)
+            });
+            cell.report(workers[0], runs.collect(), Vec::new());
+        }
         cell.accept("urgent", job("quiet", 0, 1));
         cell.place();
         let stops = cell.scheduler.take_stops();
