--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -38,6 +38,7 @@
 use self::loading::load_fences;
 use self::loading::load_jobs;
 use self::loading::load_workers;
+use self::scheduler_log::log_lost_work;
 use self::scheduler_log::log_scheduler_event;
 
 /// The maximum time between two scheduling passes.
@@ -208,6 +209,8 @@
             running = format!("{:.2}", counts.running),
             backlog = format!("{:.2}", self.scheduler.borrow().backlog())
         );
+        let lost_work = self.scheduler.borrow_mut().take_lost_work();
+        lost_work.into_iter().for_each(|(loss, tally)| log_lost_work(loss, tally));
     }
 
     /// Updates the metrics of what the scheduler has learned.
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -14,6 +14,7 @@
 mod job_forecast;
 mod job_state;
 mod learning;
+mod lost_runs;
 mod overdue_jobs;
 mod permission_ledger;
 mod permission_table;
@@ -49,6 +50,8 @@
 use crate::BootTime;
 use crate::JobPhase;
 use crate::JobRecord;
+use crate::LostWork;
+use crate::RunLoss;
 use crate::RunStop;
 use crate::SchedulerEvent;
 use crate::TaskName;
@@ -132,6 +135,7 @@
     permission_ledger: PermissionLedger,
     call_claims: CallClaims,
     call_shares: CallShares,
+    lost_work: LostWork,
     /// Whether the worker records must be written again: those in the store may include workers
     /// that were removed, or the last write was rejected.
     records_outdated: bool,
@@ -163,6 +167,7 @@
             permission_ledger: PermissionLedger::default(),
             call_claims: CallClaims::default(),
             call_shares: CallShares::default(),
+            lost_work: LostWork::default(),
             records_outdated: false,
             stops: Vec::new(),
             events: Vec::new(),
@@ -313,7 +318,11 @@
     }
 
     /// Assigns a task to a worker and accounts for its resources.
-    fn assign(&mut self, task: TaskRef, placement: TaskPlacement) {
+    fn assign(&mut self, task: TaskRef, mut placement: TaskPlacement) {
+        let unit = &self.jobs[task.job].units[task.unit as usize];
+        if unit.waiting == unit.remaining {
+            self.reset_gang_end(task);
+        }
         let job = &mut self.jobs[task.job];
         let size = job.plan(task.unit).reserved();
         let unit = &mut job.units[task.unit as usize];
@@ -322,6 +331,7 @@
             unit.waiting -= 1;
         }
         state.last_run = state.last_run.max(placement.run);
+        placement.work.resumed = state.checkpoint.is_some();
         state.placement = Some(placement);
         let worker = &mut self.workers[placement.worker];
         worker.used.add(&size);
@@ -355,14 +365,20 @@
         Some(placement)
     }
 
-    /// Stops a placed task, unless it is already being stopped or its run has ended.
-    fn stop(&mut self, task: TaskRef, now: BootTime) {
+    /// Stops a placed task, unless it is already being stopped or its run has ended. Its work is lost
+    /// for the given reason; for a member of a broken gang it may not be known yet.
+    fn stop(&mut self, task: TaskRef, loss: impl Into<Option<RunLoss>>, now: BootTime) {
         let Some(placement) = self.placement_of_mut(task) else { return };
         if matches!(placement.phase, RunPhase::Stopping(_) | RunPhase::Held) {
             return;
         }
         placement.phase = RunPhase::Stopping(None);
         placement.since = now;
+        let loss = loss.into();
+        placement.work.loss = loss;
+        if let Some(loss) = loss {
+            self.set_gang_cause(task, loss.cause);
+        }
         self.send_stop(task);
     }
 
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
@@ -20,6 +20,8 @@
 use super::WorkerKey;
 use super::gang_reservation::GangReservation;
 use super::job_forecast::JobForecast;
+use super::lost_runs::GangEnd;
+use super::lost_runs::RunWork;
 use super::permission_table::PermissionTable;
 
 /// The number of workers that a permission request is assumed to name when the critical path is
@@ -99,6 +101,8 @@
     pub(super) whole: bool,
     /// How long the run was expected to take at its start.
     pub(super) expected: Duration,
+    /// What is known of the work of the run.
+    pub(super) work: RunWork,
 }
 
 /// The state of a task.
@@ -159,6 +163,8 @@
     pub(super) next_preemption: BootTime,
     /// The earliest time of the next attempt to place tasks.
     pub(super) next_attempt: BootTime,
+    /// Why the last run of a gang ended.
+    pub(super) gang_end: GangEnd,
 }
 
 /// The state of a job.
@@ -391,5 +397,6 @@
         next_request: BootTime::ZERO,
         next_preemption: BootTime::ZERO,
         next_attempt: BootTime::ZERO,
+        gang_end: GangEnd::default(),
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -8,7 +8,9 @@
 
 use crate::BootTime;
 use crate::CallBudget;
+use crate::LossCause;
 use crate::PermissionRequest;
+use crate::RunLoss;
 use crate::RunStart;
 use crate::StepPlan;
 use crate::WorkerKey;
@@ -20,6 +22,7 @@
 use super::job_state::RunPhase;
 use super::job_state::TaskPlacement;
 use super::job_state::TaskRef;
+use super::lost_runs::RunWork;
 use super::overdue_jobs::OverdueRoom;
 use super::permission_table::WorkerGrant;
 use super::permissions::PermissionState;
@@ -376,7 +379,8 @@
             None => Vec::new(),
         };
         // The best-effort tasks are placed again on workers without latency-sensitive tasks.
-        victims.into_iter().for_each(|task| self.stop(task, now));
+        let loss = RunLoss::single(LossCause::Displaced);
+        victims.into_iter().for_each(|task| self.stop(task, loss, now));
         let phase = RunPhase::Starting;
         let placement = TaskPlacement {
             worker,
@@ -391,6 +395,7 @@
             unanswered_at: None,
             whole: checkpoint.is_none(),
             expected: self.expected_run(task, worker),
+            work: RunWork::default(),
         };
         self.assign(task, placement);
         self.begin_trial(task, worker, now);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/preemption.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/preemption.rs
@@ -9,6 +9,8 @@
 use geraniumwinch_core::ResourceVector;
 
 use crate::BootTime;
+use crate::LossCause;
+use crate::RunLoss;
 use crate::SchedulerEvent;
 use crate::WorkerKey;
 
@@ -231,7 +233,7 @@
                 run: placement.run,
                 worker: self.workers[placement.worker].info.id.clone(),
             });
-            self.stop(task, now);
+            self.stop(task, RunLoss::single(LossCause::Preempted), now);
         }
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/stalled_runs.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/stalled_runs.rs
@@ -6,6 +6,8 @@
 use std::time::Duration;
 
 use crate::BootTime;
+use crate::LossCause;
+use crate::RunLoss;
 use crate::SchedulerEvent;
 
 use super::FleetScheduler;
@@ -48,7 +50,7 @@
             age: now.saturating_sub(placement.started_at),
         });
         self.record_failure(placement.worker, now);
-        self.stop(task, now);
+        self.stop(task, RunLoss::single(LossCause::Stalled), now);
     }
 
     /// Returns whether a member of a gang has done its work, but another member has not. A member
