Let the decisions of a failure domain withhold all starts

An operator without the users' platform can't empty a failure domain: workers and endpoints are only left out one by one, by the VM list.

The scheduler and the slot allocator can be told that their domain is evacuated. Nothing is started then, also no repeat and no task that waits for preempted ones to leave; requests that wait are refused with a true not-run, as are new ones; what runs and what is granted stays. Nothing calls it yet.

--- a/crates/geraniumwinch-core/src/error_kind.rs
+++ b/crates/geraniumwinch-core/src/error_kind.rs
@@ -122,6 +122,12 @@
     ProcessStarting => "process-starting", 503, NotRun, ONE_SECOND;
     /// The process is stopping.
     ProcessStopping => "process-stopping", 503, NotRun, SHORT_RETRY;
+    /// The failure domain is evacuated, and no other one took the work.
+    DomainEvacuated => "domain-evacuated", 503, NotRun, LONG_RETRY;
+    /// No failure domain of the fleet has this name.
+    DomainUnknown => "domain-unknown", 404, NotRun, NO_RETRY;
+    /// Every other failure domain is evacuated already.
+    DomainLast => "domain-last", 409, NotRun, NO_RETRY;
 }
 
 impl std::fmt::Display for ErrorKind {
--- a/crates/geraniumwinch-core/src/job_scheduler.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler.rs
@@ -3,6 +3,7 @@
 mod attempt_ends;
 mod command_outcomes;
 mod crashes;
+mod evacuation;
 mod inventory;
 mod job_state;
 mod job_view;
@@ -84,6 +85,8 @@
     /// Whether a change since the last placement pass may allow a waiting task to start.
     dirty: bool,
     last_pass: Option<Instant>,
+    /// Whether nothing may be started in the domain.
+    evacuated: bool,
 }
 
 impl JobScheduler {
@@ -108,6 +111,7 @@
             commands: Vec::new(),
             dirty: true,
             last_pass: None,
+            evacuated: false,
         }
     }
 
--- a/crates/geraniumwinch-core/src/job_scheduler/job_view.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/job_view.rs
@@ -97,6 +97,11 @@
         if job.pending.is_empty() {
             return None;
         }
+        if self.evacuated {
+            return Some(
+                "the evacuation of the failure domain to be taken back".to_owned(),
+            );
+        }
         let together = match job.spec.kind {
             JobKind::Gang => job.pending.len() as u32,
             JobKind::Batch | JobKind::Service => 1,
--- a/crates/geraniumwinch-core/src/job_scheduler/placement.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/placement.rs
@@ -62,7 +62,11 @@
     /// Starts the waiting tasks that fit.
     ///
     /// Urgent jobs go first; among the teams, the one with the lowest weighted dominant share does.
+    /// In an evacuated domain, nothing starts.
     pub fn place(&mut self, ledger: &mut TeamLedger, now: Instant) {
+        if self.evacuated {
+            return;
+        }
         let due = self.last_pass.is_none_or(|last| now - last >= PASS_INTERVAL);
         if !self.dirty && !due {
             return;
--- a/crates/geraniumwinch-core/src/slot_allocator.rs
+++ b/crates/geraniumwinch-core/src/slot_allocator.rs
@@ -44,6 +44,8 @@
     grants: GrantTable,
     recovering_until: Option<Instant>,
     reserved_until: Option<Instant>,
+    /// Whether no slot may be granted in the domain.
+    evacuated: bool,
 }
 
 impl<C> SlotAllocator<C> {
@@ -58,6 +60,7 @@
             grants: GrantTable::new(epoch),
             recovering_until,
             reserved_until: None,
+            evacuated: false,
         }
     }
 
@@ -93,6 +96,27 @@
         outcomes
     }
 
+    /// Starts or ends refusing all requests, and refuses those that wait.
+    pub fn set_evacuated(&mut self, evacuated: bool) -> Vec<SlotOutcome<C>> {
+        self.evacuated = evacuated;
+        if !evacuated {
+            return Vec::new();
+        }
+        let queues = self.queues.values_mut();
+        queues.flat_map(|queue| queue.drain(ErrorKind::DomainEvacuated)).collect()
+    }
+
+    /// Returns whether no slot may be granted in the domain.
+    pub fn evacuated(&self) -> bool {
+        self.evacuated
+    }
+
+    /// Returns whether slots may be in use that no process has reported since the takeover.
+    pub fn may_miss_grants(&self, now: Instant) -> bool {
+        let pending = |until: Option<Instant>| until.is_some_and(|until| until > now);
+        pending(self.recovering_until) || pending(self.reserved_until)
+    }
+
     /// Starts granting slots before the end of the recovery period.
     ///
     /// To be called once all other processes of the domain have reported the slots that they hold. The
@@ -123,6 +147,9 @@
         ledger: &TeamLedger,
         now: Instant,
     ) -> Option<SlotOutcome<C>> {
+        if self.evacuated {
+            return Some(request.refuse(ErrorKind::DomainEvacuated));
+        }
         if let Some(until) = self.recovering_until(now) {
             return Some(request.refuse_after(ErrorKind::DomainRecovering, until - now));
         }
@@ -248,9 +275,14 @@
     }
 
     /// Returns the number of free slots, of all slots and of waiting requests for each queue.
+    ///
+    /// An evacuated domain has no slots.
     pub fn queue_load(&self) -> impl Iterator<Item = (&Name, u32, u32, usize)> {
         self.queues.iter().map(|(name, queue)| {
-            let (free, all) = self.endpoints.service_slots(&queue.policy().service);
+            let (free, all) = match self.evacuated {
+                true => (0, 0),
+                false => self.endpoints.service_slots(&queue.policy().service),
+            };
             (name, free, all, queue.len())
         })
     }
--- a/crates/geraniumwinch-core/src/slot_allocator/request_queue.rs
+++ b/crates/geraniumwinch-core/src/slot_allocator/request_queue.rs
@@ -170,12 +170,20 @@
         }
     }
 
-    /// Refuses all waiting requests.
-    pub(super) fn refuse_all(self, kind: ErrorKind) -> Vec<SlotOutcome<C>> {
-        let requests = self.teams.into_values().flat_map(BTreeMap::into_values);
+    /// Refuses all waiting requests and leaves the queue empty.
+    pub(super) fn drain(&mut self, kind: ErrorKind) -> Vec<SlotOutcome<C>> {
+        self.positions.clear();
+        self.deadlines.clear();
+        let teams = std::mem::take(&mut self.teams).into_values();
+        let requests = teams.flat_map(BTreeMap::into_values);
         requests.map(|request| request.refuse(kind)).collect()
     }
 
+    /// Refuses all waiting requests.
+    pub(super) fn refuse_all(mut self, kind: ErrorKind) -> Vec<SlotOutcome<C>> {
+        self.drain(kind)
+    }
+
     /// Removes the request at a position.
     fn remove(
         &mut self,
