Keep the evacuated failure domains in the head of the configuration

Where an operator's request lives decides who learns of it, and whether a process of the former version can go on. In the set itself, a section that it doesn't know would stop such a process at the revision before: it then refuses all work with a key as stale. An ordinary apply of the operators' file would also take the request back unseen.

The head names the evacuated domains and since when. Former versions skip the field, and a head without evacuations is written as before. Unknown names and the last domain are refused with a hint. Nothing writes the field yet.

--- a/crates/geraniumwinch-config/src/lib.rs
+++ b/crates/geraniumwinch-config/src/lib.rs
@@ -1,8 +1,10 @@
 //! Parsing and validation of process settings and of the operators' configuration set, both in INI
 //! format.
 
+mod config_head;
 mod config_problem;
 mod configuration_set;
+mod evacuation_set;
 mod ini_text;
 mod key_hash;
 mod node_settings;
@@ -11,10 +13,14 @@
 mod set_delta;
 mod team_catalog;
 
+pub use self::config_head::ConfigHead;
 pub use self::config_problem::ConfigProblem;
 pub use self::configuration_set::ConfigurationSet;
 pub use self::configuration_set::ObjectName;
 pub use self::configuration_set::ObjectOptions;
+pub use self::evacuation_set::EvacuatedDomain;
+pub use self::evacuation_set::EvacuationProblem;
+pub use self::evacuation_set::EvacuationSet;
 pub use self::ini_text::IniOption;
 pub use self::ini_text::IniSection;
 pub use self::ini_text::IniText;
