Evacuate a failure domain by the product's own interface

The dispatcher, the only process that starts tasks or grants slots in its domain, puts the newest known state in force before each decision; a new owner reads it before it decides, and an owner that the store doesn't answer learns of it from other owners. What waits for a slot and new work goes to other domains, or is refused as domain-evacuated, not run. status shows since when a domain is evacuated, whether that is in force and what still runs there. The state never reverts to a lower revision, and a set that is applied changes nothing about it.

A former process skips the new field of the head. Messages and error kinds keep their numbers; a test holds that.

--- a/crates/geraniumwinch-node/src/config_sync.rs
+++ b/crates/geraniumwinch-node/src/config_sync.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use geraniumwinch_config::ConfigHead;
 use geraniumwinch_config::ConfigurationSet;
 use geraniumwinch_config::SetDelta;
 use geraniumwinch_core::Name;
@@ -19,7 +20,7 @@
 use crate::dispatcher::CatalogChanged;
 use crate::node_shared::NodeShared;
 use crate::platform_store::PlatformStore;
-use crate::publisher::ConfigHead;
+use crate::publisher::decode_head;
 use crate::shared_lock::lock;
 use crate::store_keys;
 
@@ -62,10 +63,11 @@
         let sent = self.shared.now();
         let head = self.store.get(store_keys::CONFIG_HEAD).await;
         self.shared.record_store_call(head.is_ok());
-        let Some(head) = head?.as_ref().map(ConfigHead::decode).transpose()? else {
+        let Some(head) = head?.as_ref().map(decode_head).transpose()? else {
             self.shared.catalog.confirm(sent);
             return Ok(());
         };
+        self.shared.evacuations.apply(head.revision, head.evacuated.clone());
         let current = self.shared.catalog.view().revision;
         if head.revision > current {
             if !self.read_deltas(current, &head).await? {
@@ -104,7 +106,7 @@
         let Some(head) = self.store.get(store_keys::CONFIG_HEAD).await? else {
             return Ok(());
         };
-        let head = ConfigHead::decode(&head)?;
+        let head = decode_head(&head)?;
         let Some(record) = self.store.get(store_keys::CONFIG_CURRENT).await? else {
             return Ok(());
         };
@@ -200,6 +202,15 @@
     }
 }
 
+/// Fetches the evacuations that a peer knows, which is the owner of another domain.
+async fn fetch_evacuations(shared: &NodeShared, peer: std::net::SocketAddr) {
+    let timeout = shared.settings.peer_heartbeat * 2;
+    let response = shared.link.call(peer, PeerMessage::EvacuationRequest, timeout).await;
+    if let Ok(PeerMessage::EvacuationResponse(report)) = response {
+        shared.evacuations.apply(report.revision, report.evacuated);
+    }
+}
+
 /// Exchanges digests with the owners of the other domains.
 async fn exchange_digests(shared: &Arc<NodeShared>) {
     let own = &shared.own_digest;
@@ -260,6 +271,9 @@
     if digest.revision > revision {
         fetch_configuration(shared, address).await;
     }
+    if digest.revision > shared.evacuations.view().0 {
+        fetch_evacuations(shared, address).await;
+    }
     if let Some(age_ms) = digest.fresh_age_ms
         && digest.revision == shared.catalog.view().revision
         && let Some(at) = sent.checked_sub(Duration::from_millis(age_ms))
--- a/crates/geraniumwinch-node/src/dispatcher.rs
+++ b/crates/geraniumwinch-node/src/dispatcher.rs
@@ -2,6 +2,7 @@
 
 mod dispatch_allowances;
 mod dispatch_digest;
+mod dispatch_evacuation;
 mod dispatch_jobs;
 mod dispatch_slots;
 mod dispatch_workers;
@@ -34,6 +35,7 @@
 use actix::Actor;
 use actix::AsyncContext;
 use actix::Context;
+use geraniumwinch_config::EvacuatedDomain;
 use geraniumwinch_core::AllowanceTable;
 use geraniumwinch_core::ErrorKind;
 use geraniumwinch_core::GrantTicket;
@@ -113,6 +115,8 @@
     pending_releases: BTreeMap<Name, u32>,
     /// Teams that were limited by their allowance recently, with the latest time.
     denied_teams: BTreeMap<Name, Instant>,
+    /// The evacuation of the domain that is in force.
+    evacuation: Option<EvacuatedDomain>,
 }
 
 impl Actor for Dispatcher {
@@ -156,6 +160,7 @@
             return;
         }
         let now = self.shared.now();
+        self.apply_evacuation(now);
         let outcomes = self.allocator.allocate(&mut self.ledger, now);
         outcomes.into_iter().for_each(|outcome| self.complete_request(outcome, now));
         self.scheduler.place(&mut self.ledger, now);
--- a/crates/geraniumwinch-node/src/dispatcher/dispatch_digest.rs
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatch_digest.rs
@@ -31,6 +31,7 @@
         for (team, policy, usage) in self.ledger.iter() {
             node_metrics::set_team_usage(team, usage.running, policy.allowance);
         }
+        self.refresh_evacuation_metrics();
         let own = &self.shared.own_digest;
         *lock(own) = Some(digest);
     }
--- a/crates/geraniumwinch-node/src/dispatcher/dispatch_jobs.rs
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatch_jobs.rs
@@ -43,6 +43,11 @@
                 return;
             }
         }
+        if self.evacuation.is_some() {
+            let detail = format!("failure domain {}", self.shared.domain());
+            self.refuse_job(from, correlation, ErrorKind::DomainEvacuated, &detail);
+            return;
+        }
         if let Some(kind) =
             self.scheduler.check(&spec, self.ledger.key_of(&team), &self.ledger)
         {
--- a/crates/geraniumwinch-node/src/dispatcher/dispatch_slots.rs
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatch_slots.rs
@@ -195,7 +195,9 @@
     ) {
         let now = self.shared.now();
         let in_time = now < context.deadline;
-        if outcome == JournalOutcome::Persisted && in_time && self.may_decide() {
+        let persisted = outcome == JournalOutcome::Persisted;
+        let evacuated = self.allocator.evacuated();
+        if persisted && in_time && !evacuated && self.may_decide() {
             self.issue_grant(context, offer);
             return;
         }
@@ -208,6 +210,7 @@
             }
         }
         let kind = match in_time {
+            true if persisted && evacuated => ErrorKind::DomainEvacuated,
             true => ErrorKind::StoreUnavailable,
             false => ErrorKind::DeadlinePassed,
         };
--- a/crates/geraniumwinch-node/src/dispatcher/dispatcher_messages.rs
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatcher_messages.rs
@@ -185,6 +185,12 @@
                     PeerMessage::StatusResponse(report),
                 );
             }
+            PeerMessage::EvacuationRequest => {
+                self.apply_evacuation(started);
+                let report = Box::new(self.evacuation_report(started));
+                let response = PeerMessage::EvacuationResponse(report);
+                self.respond(&call.from, call.correlation, response);
+            }
             _ => {}
         }
         self.decide();
--- a/crates/geraniumwinch-node/src/dispatcher/dispatcher_restore.rs
+++ b/crates/geraniumwinch-node/src/dispatcher/dispatcher_restore.rs
@@ -94,6 +94,7 @@
             allowances: init.allowances,
             pending_releases: BTreeMap::new(),
             denied_teams: BTreeMap::new(),
+            evacuation: None,
             shared,
         };
         dispatcher.allocator.set_endpoints(&init.vms.endpoints);
--- a/crates/geraniumwinch-node/src/domain_map.rs
+++ b/crates/geraniumwinch-node/src/domain_map.rs
@@ -82,6 +82,30 @@
         domains
     }
 
+    /// Returns the domains with slots for a queue, in ascending order of the waiting requests for each
+    /// slot.
+    ///
+    /// Digests that are older than `max_age` are ignored.
+    pub(crate) fn by_queue_length(
+        &self,
+        queue: &str,
+        max_age: Duration,
+        now: Instant,
+    ) -> Vec<Name> {
+        let rows = self.lock();
+        let mut domains: Vec<(f64, Name)> = rows
+            .values()
+            .filter(|row| now.saturating_duration_since(row.created_at) <= max_age)
+            .filter_map(|row| {
+                let load = row.digest.queues.iter().find(|load| &*load.queue == queue)?;
+                let length = f64::from(load.waiting) / f64::from(load.slots);
+                (load.slots > 0).then(|| (length, row.digest.domain.clone()))
+            })
+            .collect();
+        domains.sort_by(|left, right| left.0.total_cmp(&right.0));
+        domains.into_iter().map(|(_, domain)| domain).collect()
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeMap<Name, DomainRow>> {
         lock(&self.rows)
     }
--- a/crates/geraniumwinch-node/src/entry_server.rs
+++ b/crates/geraniumwinch-node/src/entry_server.rs
@@ -14,7 +14,6 @@
 use actix_web::http::header;
 use actix_web::http::header::HeaderMap;
 use actix_web::web;
-use geraniumwinch_config::ConfigurationSet;
 use geraniumwinch_config::KeyHash;
 use geraniumwinch_config::StalePolicy;
 use geraniumwinch_core::ErrorKind;
@@ -24,16 +23,16 @@
 use geraniumwinch_wire::RecordKey;
 use snafu::ResultExt;
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 
 use crate::Result;
 use crate::endpoint_exchange::EndpointRequest;
+use crate::evacuation_handlers;
 use crate::forwarded_response::is_hop_by_hop_header;
 use crate::job_handlers;
 use crate::node_error::HttpListenSnafu;
 use crate::node_shared::NodeShared;
 use crate::operator_handlers;
-use crate::publisher::PublishOutcome;
+use crate::publisher::PublishRequest;
 use crate::refusal_response::RefusalResponse;
 use crate::request_forwarder::ForwardedRequest;
 use crate::request_forwarder::forward;
@@ -50,15 +49,6 @@
 /// How long an idle connection is kept open.
 const KEEP_ALIVE: Duration = Duration::from_secs(60);
 
-/// A request to publish a configuration set.
-pub(crate) struct PublishRequest {
-    /// The revision that the set is based on.
-    pub(crate) base: u64,
-    pub(crate) set: ConfigurationSet,
-    /// Receives the outcome.
-    pub(crate) done: oneshot::Sender<PublishOutcome>,
-}
-
 /// The state that the HTTP handlers share.
 #[derive(Clone)]
 pub(crate) struct EntryState {
@@ -121,6 +111,14 @@
             "/v1/configuration/check",
             web::post().to(operator_handlers::check_configuration),
         )
+        .route(
+            "/v1/domains/{domain}/evacuation",
+            web::put().to(evacuation_handlers::request_evacuation),
+        )
+        .route(
+            "/v1/domains/{domain}/evacuation",
+            web::delete().to(evacuation_handlers::take_back),
+        )
         .route("/v1/queues/{queue}/jobs", web::post().to(job_handlers::submit))
         .route("/v1/jobs/{job}", web::get().to(job_handlers::query))
         .route("/v1/jobs/{job}", web::delete().to(job_handlers::cancel))
--- /dev/null
+++ b/crates/geraniumwinch-node/src/evacuation_publisher.rs
@@ -0,0 +1,111 @@
+//! Publishing requests to evacuate failure domains.
+
+use std::time::Duration;
+
+use geraniumwinch_config::ConfigHead;
+use geraniumwinch_config::EvacuatedDomain;
+use geraniumwinch_config::EvacuationProblem;
+use geraniumwinch_config::EvacuationSet;
+use geraniumwinch_core::Name;
+use geraniumwinch_core::log_event;
+
+use crate::Result;
+use crate::node_shared::unix_millis;
+use crate::publisher::ConfigPublisher;
+use crate::publisher::PUBLISH_TIMEOUT;
+use crate::publisher::RETRY_DELAY;
+use crate::publisher::StoredConfig;
+
+/// A request of an operator about the evacuation of a domain.
+#[derive(Debug, Clone)]
+pub(crate) struct EvacuationChange {
+    pub(crate) domain: Name,
+    /// Whether the domain is evacuated or taken back.
+    pub(crate) evacuates: bool,
+    /// Whether the domain may be the last one that is not evacuated.
+    pub(crate) last: bool,
+}
+
+/// The outcome of a request about the evacuation of a domain.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum EvacuationOutcome {
+    /// The store has what was requested.
+    Stored {
+        /// The revision that has it.
+        revision: u64,
+        /// The evacuation, or `None` if the domain is not evacuated.
+        evacuation: Option<EvacuatedDomain>,
+    },
+    /// The request is invalid.
+    Refused(EvacuationProblem),
+    /// What was requested may have been stored.
+    Unknown,
+}
+
+impl ConfigPublisher {
+    /// Publishes the newest set again with a changed list of evacuated domains, with retries.
+    ///
+    /// A repetition after a lost response finds the domain as requested, and changes nothing.
+    pub(crate) async fn publish_evacuation(
+        &self,
+        change: &EvacuationChange,
+    ) -> EvacuationOutcome {
+        let started = self.shared.now();
+        while self.shared.now() - started < PUBLISH_TIMEOUT {
+            match self.attempt_evacuation(change).await {
+                Ok(outcome) => {
+                    log_event!(
+                        Info,
+                        "evacuation-published",
+                        domain = change.domain,
+                        evacuates = change.evacuates,
+                        end = format!("{outcome:?}"),
+                    );
+                    return outcome;
+                }
+                Err(error) => log_event!(Warn, "publication-unanswered", error = error),
+            }
+            tokio::time::sleep(RETRY_DELAY).await;
+        }
+        EvacuationOutcome::Unknown
+    }
+
+    /// Tries once to publish the change; after an error, it may have been published.
+    async fn attempt_evacuation(
+        &self,
+        change: &EvacuationChange,
+    ) -> Result<EvacuationOutcome> {
+        let head = self.read_head().await?;
+        let mut evacuated =
+            head.as_ref().map_or_else(EvacuationSet::default, StoredConfig::evacuated);
+        let changed = match self.change_set(&mut evacuated, change) {
+            Ok(changed) => changed,
+            Err(problem) => return Ok(EvacuationOutcome::Refused(problem)),
+        };
+        let mut revision = head.as_ref().map_or(0, StoredConfig::revision);
+        let evacuation = evacuated.get(&change.domain);
+        if changed {
+            let set = self.read_current().await?;
+            revision += 1;
+            let digest = set.digest();
+            let id = format!("{:032x}", rand::random::<u128>());
+            let new = ConfigHead { revision, change: id, digest, evacuated };
+            self.commit(head.as_ref(), &new, &set, &set).await?;
+        }
+        Ok(EvacuationOutcome::Stored { revision, evacuation })
+    }
+
+    /// Applies the change to the evacuated domains, and returns whether it makes a difference.
+    fn change_set(
+        &self,
+        evacuated: &mut EvacuationSet,
+        change: &EvacuationChange,
+    ) -> std::result::Result<bool, EvacuationProblem> {
+        let known = self.shared.settings.domain_names();
+        if !change.evacuates {
+            return evacuated.take_back(&change.domain, &known);
+        }
+        let unix_time = Duration::from_millis(unix_millis(self.shared.clock.wall()));
+        evacuated.request(&change.domain, &known, change.last, unix_time)
+    }
+}
--- a/crates/geraniumwinch-node/src/job_handlers.rs
+++ b/crates/geraniumwinch-node/src/job_handlers.rs
@@ -136,6 +136,10 @@
         match call_domain(state, &domain, message, unreachable).await {
             Ok(JobResponse::Accepted(job)) => return Ok(job),
             Ok(_) => {}
+            // A job that another domain is too small for still fits into the evacuated one.
+            Err(other)
+                if other.kind == ErrorKind::JobNeverFits
+                    && refusal.kind == ErrorKind::DomainEvacuated => {}
             Err(other) if is_domain_specific(other.kind) => refusal = other,
             Err(other) => return Err(other),
         }
@@ -147,7 +151,10 @@
 fn is_domain_specific(kind: ErrorKind) -> bool {
     matches!(
         kind,
-        ErrorKind::JobNeverFits | ErrorKind::TeamLimit | ErrorKind::DomainUnowned
+        ErrorKind::JobNeverFits
+            | ErrorKind::TeamLimit
+            | ErrorKind::DomainUnowned
+            | ErrorKind::DomainEvacuated
     )
 }
 
--- a/crates/geraniumwinch-node/src/node_metrics.rs
+++ b/crates/geraniumwinch-node/src/node_metrics.rs
@@ -23,6 +23,8 @@
     GRANTS = "geraniumwinch_grants_total", "counter", "", "Slots granted.";
     CONFIG_REVISION = "geraniumwinch_config_revision", "gauge", "", "Revision of the configuration in force.";
     OWNER_EPOCH = "geraniumwinch_owner_epoch", "gauge", "", "Epoch of the ownership that this process holds, or 0.";
+    EVACUATED_SINCE = "geraniumwinch_evacuated_since_timestamp_seconds", "gauge", "", "When the evacuation of the failure domain that this process owns was requested, in seconds since 1970, or 0.";
+    WITHHELD_TASKS = "geraniumwinch_withheld_tasks", "gauge", "", "Waiting tasks that the evacuation of the failure domain withholds.";
     TEAM_RUNNING = "geraniumwinch_team_running", "gauge", "team", "Running tasks and requests of a team in the domain.";
     TEAM_ALLOWANCE = "geraniumwinch_team_allowance", "gauge", "team", "Tasks and requests that a team may run in the domain.";
     SLOT_WAIT = "geraniumwinch_slot_wait_seconds", "histogram", "", "Time from a request's arrival to its slot in seconds.";
@@ -106,6 +108,13 @@
     gauge!(CONFIG_REVISION).set(revision as f64);
 }
 
+/// Sets since when the owned domain is evacuated, as Unix time in milliseconds, and how many of its
+/// tasks wait for that reason.
+pub(crate) fn set_evacuation(since_ms: Option<u64>, waiting: usize) {
+    gauge!(EVACUATED_SINCE).set(since_ms.unwrap_or(0) as f64 / 1000.0);
+    gauge!(WITHHELD_TASKS).set(waiting as f64);
+}
+
 /// Sets the numbers of a team's running tasks and requests and of those that it may run.
 pub(crate) fn set_team_usage(team: &str, running: u32, allowance: u32) {
     gauge!(TEAM_RUNNING, "team" => team.to_owned()).set(f64::from(running));
--- a/crates/geraniumwinch-node/src/node_shared.rs
+++ b/crates/geraniumwinch-node/src/node_shared.rs
@@ -23,6 +23,7 @@
 use crate::catalog_state::CatalogState;
 use crate::dispatcher::Dispatcher;
 use crate::domain_map::DomainMap;
+use crate::evacuation_state::EvacuationState;
 use crate::held_slots::HeldSlots;
 use crate::member_table::MemberTable;
 use crate::mirror_table::MirrorTable;
@@ -47,6 +48,8 @@
     /// The connections to peers.
     pub(crate) link: Arc<PeerLink>,
     pub(crate) catalog: CatalogState,
+    /// The evacuated domains, as far as this process knows.
+    pub(crate) evacuations: EvacuationState,
     /// The digests of the other failure domains.
     pub(crate) domains: DomainMap,
     pub(crate) held_slots: HeldSlots,
--- a/crates/geraniumwinch-node/src/node_supervisor.rs
+++ b/crates/geraniumwinch-node/src/node_supervisor.rs
@@ -27,8 +27,8 @@
 use crate::domain_map::DomainMap;
 use crate::entry_server;
 use crate::entry_server::EntryState;
-use crate::entry_server::PublishRequest;
 use crate::etcd_store::EtcdStore;
+use crate::evacuation_state::EvacuationState;
 use crate::held_slots::HeldSlots;
 use crate::http_client::HttpClient;
 use crate::member_table::MemberTable;
@@ -42,6 +42,7 @@
 use crate::peer_link::PeerLink;
 use crate::peer_router::PeerRouter;
 use crate::publisher::ConfigPublisher;
+use crate::publisher::PublishRequest;
 use crate::supervised_loop::supervise;
 use crate::vm_list::HttpVmList;
 use crate::worker_port::HttpWorkerPort;
@@ -90,6 +91,7 @@
     Arc::new(NodeShared {
         link: PeerLink::new(identity, settings.peer),
         catalog: CatalogState::default(),
+        evacuations: EvacuationState::default(),
         domains: DomainMap::default(),
         held_slots: HeldSlots::default(),
         members: MemberTable::default(),
@@ -149,10 +151,7 @@
     actix_rt::spawn(async move {
         while let Some(request) = requests.recv().await {
             let publisher = ConfigPublisher::new(shared.clone(), store.clone());
-            actix_rt::spawn(async move {
-                let outcome = publisher.publish(request.base, &request.set).await;
-                let _ = request.done.send(outcome);
-            });
+            actix_rt::spawn(async move { publisher.run(request).await });
         }
     });
     sender
--- a/crates/geraniumwinch-node/src/operator_handlers.rs
+++ b/crates/geraniumwinch-node/src/operator_handlers.rs
@@ -16,9 +16,12 @@
 use tokio::sync::oneshot;
 
 use crate::entry_server::EntryState;
-use crate::entry_server::PublishRequest;
 use crate::entry_server::is_operator;
+use crate::evacuation_handlers::EvacuationStatus;
+use crate::evacuation_handlers::combine_reports;
+use crate::evacuation_handlers::fetch_report;
 use crate::publisher::PublishOutcome;
+use crate::publisher::PublishRequest;
 use crate::refusal_response::RefusalResponse;
 
 /// How long a dispatcher may take to report the state of its domain.
@@ -33,6 +36,7 @@
     reachable: bool,
     #[serde(skip_serializing_if = "Option::is_none")]
     report: Option<Box<StatusReport>>,
+    evacuation: Option<EvacuationStatus>,
 }
 
 /// The body of a status response.
@@ -49,7 +53,7 @@
 }
 
 /// Refuses a request that is not authenticated with the operators' key.
-fn require_operator(
+pub(crate) fn require_operator(
     state: &EntryState,
     request: &HttpRequest,
 ) -> Result<(), RefusalResponse> {
@@ -109,7 +113,7 @@
         Err(problems) => return refuse_set(&problems),
     };
     let (done, outcome) = oneshot::channel();
-    let publish_request = PublishRequest { base, set, done };
+    let publish_request = PublishRequest::Set { base, set, done };
     let sent = state.publisher.send(publish_request).is_ok();
     match outcome.await {
         Ok(PublishOutcome::Published(revision)) if sent => HttpResponse::Ok()
@@ -164,10 +168,21 @@
     }
     let shared = &state.shared;
     let calls = shared.settings.domain_names().into_iter().map(|domain| async {
-        let report = fetch_status(&state, &domain).await;
-        DomainStatus { domain, reachable: report.is_some(), report }
+        let status = fetch_status(&state, &domain);
+        let evacuations = fetch_report(shared, &domain, STATUS_TIMEOUT);
+        let (status, evacuations) = futures_util::future::join(status, evacuations).await;
+        (domain, status, evacuations)
     });
-    let domains = futures_util::future::join_all(calls).await;
+    let reports = futures_util::future::join_all(calls).await;
+    let evacuations = reports.iter().map(|row| (row.0.clone(), row.2.clone())).collect();
+    let mut evacuations = combine_reports(shared, &evacuations);
+    let domains = reports.into_iter().map(|(domain, report, _)| DomainStatus {
+        reachable: report.is_some(),
+        report,
+        evacuation: evacuations.remove(&domain),
+        domain,
+    });
+    let domains = domains.collect();
     let fresh = shared.catalog.fresh_age(shared.now());
     HttpResponse::Ok().json(StatusBody {
         process: shared.settings.name.clone(),
--- a/crates/geraniumwinch-node/src/ownership/owned_domain.rs
+++ b/crates/geraniumwinch-node/src/ownership/owned_domain.rs
@@ -330,6 +330,7 @@
         self.loops.iter().for_each(JoinHandle::abort);
         self.arbiter.stop();
         node_metrics::set_owner_epoch(0);
+        node_metrics::set_evacuation(None, 0);
     }
 }
 
--- a/crates/geraniumwinch-node/src/ownership/take_over.rs
+++ b/crates/geraniumwinch-node/src/ownership/take_over.rs
@@ -22,6 +22,7 @@
 use crate::node_shared::unix_millis;
 use crate::platform_store::StoreCondition;
 use crate::platform_store::StoreWrite;
+use crate::publisher::decode_head;
 use crate::store_keys;
 
 use super::OwnedDomain;
@@ -159,6 +160,7 @@
         let (mut entries, mirrored) = self.read_entries().await;
         entries.extend(mirrored.iter().cloned());
         let allowances = self.read_allowances().await;
+        self.read_evacuations().await;
         let vms = self.ports.vm_list.read(shared.domain()).await.unwrap_or_default();
         let state = RecoveredState { entries, allowances, vms };
         let owned = OwnedDomain::start(
@@ -202,6 +204,25 @@
         }
     }
 
+    /// Reads the evacuated domains, retrying failed reads, so that nothing starts without them.
+    async fn read_evacuations(&self) {
+        loop {
+            let record = self.ports.store.get(store_keys::CONFIG_HEAD).await;
+            let head =
+                record.and_then(|record| record.as_ref().map(decode_head).transpose());
+            match head {
+                Ok(Some(head)) => {
+                    return self.shared.evacuations.apply(head.revision, head.evacuated);
+                }
+                Ok(None) => return,
+                Err(error) => {
+                    log_event!(Warn, "evacuations-unread", error = error);
+                    tokio::time::sleep(READ_RETRY_DELAY).await;
+                }
+            }
+        }
+    }
+
     /// Announces the new owner to the other processes of the domain.
     async fn announce_ownership(&self, view: &OwnerView) {
         for address in self.member_addresses().await {
--- a/crates/geraniumwinch-node/src/peer_router.rs
+++ b/crates/geraniumwinch-node/src/peer_router.rs
@@ -223,7 +223,9 @@
                 geraniumwinch_wire::JobResponse::Refused { kind, retry_after_ms, detail };
             Some(PeerMessage::JobResponse(response))
         }
-        PeerMessage::StatusRequest => Some(PeerMessage::Refused(kind)),
+        PeerMessage::StatusRequest | PeerMessage::EvacuationRequest => {
+            Some(PeerMessage::Refused(kind))
+        }
         _ => None,
     }
 }
--- a/crates/geraniumwinch-node/src/publisher.rs
+++ b/crates/geraniumwinch-node/src/publisher.rs
@@ -4,14 +4,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use geraniumwinch_config::ConfigHead;
 use geraniumwinch_config::ConfigurationSet;
+use geraniumwinch_config::EvacuationSet;
 use geraniumwinch_config::SetDelta;
 use geraniumwinch_core::log_event;
-use serde::Deserialize;
-use serde::Serialize;
+use tokio::sync::oneshot;
 
 use crate::NodeError;
 use crate::Result;
+use crate::evacuation_publisher::EvacuationChange;
+use crate::evacuation_publisher::EvacuationOutcome;
 use crate::node_shared::NodeShared;
 use crate::platform_store::PlatformStore;
 use crate::platform_store::StoreCondition;
@@ -20,32 +23,57 @@
 use crate::store_keys;
 
 /// How long a publication is retried while its responses are lost.
-const PUBLISH_TIMEOUT: Duration = Duration::from_secs(4);
+pub(crate) const PUBLISH_TIMEOUT: Duration = Duration::from_secs(4);
 /// Delay between two attempts.
-const RETRY_DELAY: Duration = Duration::from_millis(100);
+pub(crate) const RETRY_DELAY: Duration = Duration::from_millis(100);
 /// Number of deltas that are kept in the store.
 const KEPT_DELTAS: u64 = 256;
 
-/// The head of the configuration in the store.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub(crate) struct ConfigHead {
-    pub(crate) revision: u64,
-    /// The random identifier of the publication of this revision.
-    pub(crate) change: String,
-    /// The digest of the configuration set.
-    pub(crate) digest: String,
+/// The head of the configuration as read from the store.
+pub(crate) struct StoredConfig {
+    head: ConfigHead,
+    /// The store's revision of the head.
+    mod_revision: i64,
 }
 
-impl ConfigHead {
-    /// Decodes a stored head.
-    pub(crate) fn decode(record: &StoreRecord) -> Result<ConfigHead> {
-        serde_json::from_slice(&record.value).map_err(|error| NodeError::StoredValue {
-            key: record.key.clone(),
-            message: error.to_string(),
-        })
+impl StoredConfig {
+    /// Returns the newest revision of the configuration.
+    pub(crate) fn revision(&self) -> u64 {
+        self.head.revision
+    }
+
+    /// Returns the evacuated domains.
+    pub(crate) fn evacuated(&self) -> EvacuationSet {
+        self.head.evacuated.clone()
     }
 }
 
+/// Decodes a stored head.
+pub(crate) fn decode_head(record: &StoreRecord) -> Result<ConfigHead> {
+    serde_json::from_slice(&record.value).map_err(|error| NodeError::StoredValue {
+        key: record.key.clone(),
+        message: error.to_string(),
+    })
+}
+
+/// A request of an operator to publish something.
+pub(crate) enum PublishRequest {
+    /// Publishes a configuration set.
+    Set {
+        /// The revision that the set is based on.
+        base: u64,
+        set: ConfigurationSet,
+        /// Receives the outcome.
+        done: oneshot::Sender<PublishOutcome>,
+    },
+    /// Publishes the evacuation of a domain, or its end.
+    Evacuation {
+        change: EvacuationChange,
+        /// Receives the outcome.
+        done: oneshot::Sender<EvacuationOutcome>,
+    },
+}
+
 /// The outcome of a publication.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum PublishOutcome {
@@ -59,7 +87,7 @@
 
 /// Publishes configuration sets by compare-and-swap on the head.
 pub(crate) struct ConfigPublisher {
-    shared: Arc<NodeShared>,
+    pub(crate) shared: Arc<NodeShared>,
     store: Rc<dyn PlatformStore>,
 }
 
@@ -69,6 +97,18 @@
         ConfigPublisher { shared, store }
     }
 
+    /// Executes a request and sends its outcome.
+    pub(crate) async fn run(&self, request: PublishRequest) {
+        match request {
+            PublishRequest::Set { base, set, done } => {
+                let _ = done.send(self.publish(base, &set).await);
+            }
+            PublishRequest::Evacuation { change, done } => {
+                let _ = done.send(self.publish_evacuation(&change).await);
+            }
+        }
+    }
+
     /// Publishes a valid set that is based on a revision, with retries.
     pub(crate) async fn publish(
         &self,
@@ -104,11 +144,8 @@
         change: &str,
         attempted: &mut bool,
     ) -> Result<PublishOutcome> {
-        let record = self.store.get(store_keys::CONFIG_HEAD).await;
-        self.shared.record_store_call(record.is_ok());
-        let record = record?;
-        let head = record.as_ref().map(ConfigHead::decode).transpose()?;
-        let newest = head.as_ref().map_or(0, |head| head.revision);
+        let head = self.read_head().await?;
+        let newest = head.as_ref().map_or(0, StoredConfig::revision);
         if newest != base {
             if *attempted && self.took_effect(base + 1, change).await? {
                 return Ok(PublishOutcome::Published(base + 1));
@@ -116,19 +153,43 @@
             return Ok(PublishOutcome::Conflict(newest));
         }
         let old = self.read_current().await?;
-        let condition = match &record {
-            Some(record) => StoreCondition::Unchanged(
-                store_keys::CONFIG_HEAD.to_owned(),
-                record.mod_revision,
-            ),
-            None => StoreCondition::Absent(store_keys::CONFIG_HEAD.to_owned()),
+        let new = ConfigHead {
+            revision: base + 1,
+            change: change.to_owned(),
+            digest: set.digest(),
+            evacuated: head.as_ref().map(StoredConfig::evacuated).unwrap_or_default(),
         };
         *attempted = true;
-        let writes = writes(base, set, change, &old);
-        let commit = self.store.commit(&[condition], &writes).await;
+        self.commit(head.as_ref(), &new, set, &old).await?;
+        Ok(PublishOutcome::Published(new.revision))
+    }
+
+    /// Reads the head, if a revision has been published.
+    pub(crate) async fn read_head(&self) -> Result<Option<StoredConfig>> {
+        let record = self.store.get(store_keys::CONFIG_HEAD).await;
+        self.shared.record_store_call(record.is_ok());
+        let Some(record) = record? else { return Ok(None) };
+        let mod_revision = record.mod_revision;
+        Ok(Some(StoredConfig { head: decode_head(&record)?, mod_revision }))
+    }
+
+    /// Replaces the head that was read and the set; after an error, that may have taken effect.
+    pub(crate) async fn commit(
+        &self,
+        read: Option<&StoredConfig>,
+        new: &ConfigHead,
+        set: &ConfigurationSet,
+        old: &ConfigurationSet,
+    ) -> Result<()> {
+        let key = store_keys::CONFIG_HEAD.to_owned();
+        let condition = match read {
+            Some(read) => StoreCondition::Unchanged(key, read.mod_revision),
+            None => StoreCondition::Absent(key),
+        };
+        let commit = self.store.commit(&[condition], &writes(new, set, old)).await;
         self.shared.record_store_call(commit.is_ok());
         if commit?.succeeded {
-            return Ok(PublishOutcome::Published(base + 1));
+            return Ok(());
         }
         // The head has changed since it was read; the next attempt finds out whose change it was.
         Err(NodeError::Store { message: "the configuration head has changed".to_owned() })
@@ -142,7 +203,7 @@
     }
 
     /// Reads the current set from the store.
-    async fn read_current(&self) -> Result<ConfigurationSet> {
+    pub(crate) async fn read_current(&self) -> Result<ConfigurationSet> {
         let Some(record) = self.store.get(store_keys::CONFIG_CURRENT).await? else {
             return Ok(ConfigurationSet::default());
         };
@@ -161,21 +222,19 @@
 
 /// Returns the writes that publish a set.
 fn writes(
-    base: u64,
+    head: &ConfigHead,
     set: &ConfigurationSet,
-    change: &str,
     old: &ConfigurationSet,
 ) -> Vec<StoreWrite> {
-    let revision = base + 1;
-    let head = ConfigHead { revision, change: change.to_owned(), digest: set.digest() };
+    let revision = head.revision;
     let delta = SetDelta::between(old, set);
     let json = |value: serde_json::Result<Vec<u8>>| value.expect("it serializes to JSON");
     let put = |key: String, value: Vec<u8>| StoreWrite::Put { key, value, lease: None };
     let mut writes = vec![
-        put(store_keys::CONFIG_HEAD.to_owned(), json(serde_json::to_vec(&head))),
+        put(store_keys::CONFIG_HEAD.to_owned(), json(serde_json::to_vec(head))),
         put(store_keys::CONFIG_CURRENT.to_owned(), set.to_ini().into_bytes()),
         put(store_keys::config_delta(revision), json(serde_json::to_vec(&delta))),
-        put(change_key(revision), change.as_bytes().to_vec()),
+        put(change_key(revision), head.change.as_bytes().to_vec()),
     ];
     if let Some(old) = revision.checked_sub(KEPT_DELTAS) {
         writes.push(StoreWrite::Delete(store_keys::config_delta(old)));
--- a/crates/geraniumwinch-node/src/slot_client.rs
+++ b/crates/geraniumwinch-node/src/slot_client.rs
@@ -112,7 +112,11 @@
         {
             return SlotAcquisition::Refused(refusal);
         }
-        match next_domain(shared, requirements, &tried) {
+        let mut other = next_domain(shared, requirements, &tried);
+        if other.is_none() && refusal.kind == ErrorKind::DomainEvacuated {
+            other = waiting_domain(shared, requirements, &tried);
+        }
+        match other {
             Some(other) => {
                 node_metrics::count_retry(refusal.kind);
                 domain = other;
@@ -134,6 +138,7 @@
     matches!(
         kind,
         ErrorKind::DomainUnowned
+            | ErrorKind::DomainEvacuated
             | ErrorKind::DomainRecovering
             | ErrorKind::EndpointMissing
             | ErrorKind::DeadlineUnmeetable
@@ -154,6 +159,17 @@
     domains.into_iter().map(|(domain, _)| domain).find(|domain| !tried.contains(domain))
 }
 
+/// Returns the domain with the shortest queue for its slots among those not tried yet.
+fn waiting_domain(
+    shared: &NodeShared,
+    requirements: &SlotRequirements,
+    tried: &[Name],
+) -> Option<Name> {
+    let age = shared.settings.owner_lease;
+    let domains = shared.domains.by_queue_length(&requirements.queue, age, shared.now());
+    domains.into_iter().find(|domain| !tried.contains(domain))
+}
+
 /// Requests a slot from the dispatcher of a domain, or its successor if the ownership changes.
 async fn call_domain(
     shared: &Arc<NodeShared>,
@@ -249,9 +265,17 @@
             DomainResponse::Slot(Box::new(SlotAcquisition::Known(state)))
         }
         GrantResponse::Elsewhere { domain } => DomainResponse::Elsewhere(domain),
-        GrantResponse::Refused { kind, retry_after_ms } => DomainResponse::Refused(
-            RefusalResponse::from_dispatcher(kind, retry_after_ms, ""),
-        ),
+        GrantResponse::Refused { kind, retry_after_ms } => {
+            let detail = match kind {
+                ErrorKind::DomainEvacuated => format!("failure domain {domain}"),
+                _ => String::new(),
+            };
+            DomainResponse::Refused(RefusalResponse::from_dispatcher(
+                kind,
+                retry_after_ms,
+                &detail,
+            ))
+        }
     }
 }
 
--- a/crates/geraniumwinch-wire/src/lib.rs
+++ b/crates/geraniumwinch-wire/src/lib.rs
@@ -1,6 +1,7 @@
 //! Messages between the system's processes, and their binary encoding.
 
 mod domain_digest;
+mod evacuation_report;
 mod journal_entry;
 mod peer_envelope;
 mod peer_message;
@@ -10,6 +11,8 @@
 pub use self::domain_digest::OwnerView;
 pub use self::domain_digest::QueueLoad;
 pub use self::domain_digest::TeamRow;
+pub use self::evacuation_report::DomainDrain;
+pub use self::evacuation_report::EvacuationReport;
 pub use self::journal_entry::JournalEntry;
 pub use self::peer_envelope::MAX_MESSAGE_BYTES;
 pub use self::peer_envelope::PeerEnvelope;
--- a/crates/geraniumwinch-wire/src/peer_message.rs
+++ b/crates/geraniumwinch-wire/src/peer_message.rs
@@ -19,6 +19,7 @@
 use serde::Serialize;
 
 use crate::DomainDigest;
+use crate::EvacuationReport;
 use crate::JournalEntry;
 use crate::OwnerView;
 use crate::PeerName;
@@ -340,4 +341,8 @@
     Done,
     /// Refuses a request that has no response type of its own.
     Refused(ErrorKind),
+    /// Requests the evacuations in force in the receiver's domain.
+    EvacuationRequest,
+    /// Responds with the evacuations in force in the domain.
+    EvacuationResponse(Box<EvacuationReport>),
 }
--- a/crates/geraniumwinch-wire/tests/decoding.rs
+++ b/crates/geraniumwinch-wire/tests/decoding.rs
@@ -1,5 +1,6 @@
 //! Decoding of malformed, oversized and foreign messages, which must fail without a panic.
 
+use geraniumwinch_core::ErrorKind;
 use geraniumwinch_wire::MAX_MESSAGE_BYTES;
 use geraniumwinch_wire::PeerEnvelope;
 use geraniumwinch_wire::PeerIdentity;
@@ -61,6 +62,20 @@
     assert_eq!(PeerEnvelope::decode(&bytes).expect("a valid message"), envelope());
 }
 
+/// Returns the last two bytes of an encoded message.
+fn last_bytes(body: PeerMessage) -> [u8; 2] {
+    let bytes = PeerEnvelope { body, ..envelope() }.encode().expect("a valid message");
+    bytes[bytes.len() - 2..].try_into().expect("two bytes")
+}
+
+// Guards a rolling update: what former versions send and receive keeps its number on the wire.
+#[test]
+fn messages_and_error_kinds_keep_their_numbers() {
+    let stopping = PeerMessage::Refused(ErrorKind::ProcessStopping);
+    assert_eq!(last_bytes(stopping), [23, 36]);
+    assert_eq!(last_bytes(PeerMessage::Refused(ErrorKind::KeyMissing)), [23, 0]);
+}
+
 #[test]
 fn foreign_and_oversized_messages_give_different_errors() {
     let foreign = PeerEnvelope::decode(b"GET / HTTP/1.1");
--- a/crates/geraniumwinch/src/command_table.rs
+++ b/crates/geraniumwinch/src/command_table.rs
@@ -92,6 +92,13 @@
         options: commands::status::options,
         run: commands::status::run,
     },
+    CliCommand {
+        name: "evacuate",
+        arguments: "DOMAIN",
+        doc: "Let nothing more start in a failure domain, or take that back.",
+        options: commands::evacuate::options,
+        run: commands::evacuate::run,
+    },
     CliCommand {
         name: "hash-key",
         arguments: "",
--- a/crates/geraniumwinch/src/commands.rs
+++ b/crates/geraniumwinch/src/commands.rs
@@ -4,6 +4,7 @@
 pub(crate) mod cell;
 pub(crate) mod check;
 pub(crate) mod entry;
+pub(crate) mod evacuate;
 pub(crate) mod explain;
 pub(crate) mod hash_key;
 pub(crate) mod jobs;
--- a/crates/geraniumwinch/src/commands/status.rs
+++ b/crates/geraniumwinch/src/commands/status.rs
@@ -1,5 +1,9 @@
 //! `status`: prints the state of the system.
 
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
 use awc::http::Method;
 use getopts::Matches;
 use getopts::Options;
@@ -45,6 +49,7 @@
 fn print_domain(domain: &Value) {
     let report = &domain["report"];
     println!("\ndomain {}", text(&domain["domain"]));
+    print_evacuation(&domain["evacuation"]);
     if report.is_null() {
         println!("  unreachable");
         return;
@@ -98,3 +103,40 @@
         );
     }
 }
+
+/// Prints since when a domain is evacuated, and what still runs there.
+fn print_evacuation(evacuation: &Value) {
+    let Some(since_ms) = evacuation["since_ms"].as_u64() else { return };
+    let now_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let age = Duration::from_millis((now_ms.as_millis() as u64).saturating_sub(since_ms));
+    let state = match evacuation["in_force"].as_bool() {
+        Some(true) => "in force",
+        Some(false) => "not in force yet",
+        None => "its dispatcher does not answer",
+    };
+    println!("  evacuated for {} s, since {since_ms} ms of 1970; {state}", age.as_secs());
+    println!("  {}", describe_drain(evacuation));
+}
+
+/// Describes the work that is left in a domain.
+pub(crate) fn describe_drain(evacuation: &Value) -> String {
+    let drain = &evacuation["drain"];
+    if drain.is_null() {
+        return "it is not known what still runs".to_owned();
+    }
+    if evacuation["empty"] == true {
+        return format!("empty: nothing runs, tasks waiting {}", drain["waiting_tasks"]);
+    }
+    let unreported = match drain["unreported_requests"] == true {
+        true => " and those not reported since the takeover",
+        false => "",
+    };
+    format!(
+        "still running: tasks {}, tasks not located since the takeover {}, requests {}{unreported}; \
+         tasks waiting {}",
+        drain["tasks"],
+        drain["unlocated_tasks"],
+        drain["requests"],
+        drain["waiting_tasks"],
+    )
+}
