Keep operators' requests in a module below the publisher and the entry server

publisher.rs and evacuation_publisher.rs imported each other, and entry_server.rs and publisher.rs did so through the request type. The requests and their outcomes now stand in publish_request.rs, which imports none of them. No change of behaviour.

--- a/crates/geraniumwinch-node/src/entry_server.rs
+++ b/crates/geraniumwinch-node/src/entry_server.rs
@@ -32,7 +32,7 @@
 use crate::node_error::HttpListenSnafu;
 use crate::node_shared::NodeShared;
 use crate::operator_handlers;
-use crate::publisher::PublishRequest;
+use crate::publish_request::PublishRequest;
 use crate::refusal_response::RefusalResponse;
 use crate::request_forwarder::ForwardedRequest;
 use crate::request_forwarder::forward;
--- a/crates/geraniumwinch-node/src/evacuation_handlers.rs
+++ b/crates/geraniumwinch-node/src/evacuation_handlers.rs
@@ -18,11 +18,11 @@
 use tokio::sync::oneshot;
 
 use crate::entry_server::EntryState;
-use crate::evacuation_publisher::EvacuationChange;
-use crate::evacuation_publisher::EvacuationOutcome;
 use crate::node_shared::NodeShared;
 use crate::operator_handlers::require_operator;
-use crate::publisher::PublishRequest;
+use crate::publish_request::EvacuationChange;
+use crate::publish_request::EvacuationOutcome;
+use crate::publish_request::PublishRequest;
 use crate::refusal_response::RefusalResponse;
 
 /// The parameters of a request to evacuate a domain.
--- a/crates/geraniumwinch-node/src/evacuation_publisher.rs
+++ b/crates/geraniumwinch-node/src/evacuation_publisher.rs
@@ -3,45 +3,19 @@
 use std::time::Duration;
 
 use geraniumwinch_config::ConfigHead;
-use geraniumwinch_config::EvacuatedDomain;
 use geraniumwinch_config::EvacuationProblem;
 use geraniumwinch_config::EvacuationSet;
-use geraniumwinch_core::Name;
 use geraniumwinch_core::log_event;
 
 use crate::Result;
 use crate::node_shared::unix_millis;
+use crate::publish_request::EvacuationChange;
+use crate::publish_request::EvacuationOutcome;
 use crate::publisher::ConfigPublisher;
 use crate::publisher::PUBLISH_TIMEOUT;
 use crate::publisher::RETRY_DELAY;
 use crate::publisher::StoredConfig;
 
-/// A request of an operator about the evacuation of a domain.
-#[derive(Debug, Clone)]
-pub(crate) struct EvacuationChange {
-    pub(crate) domain: Name,
-    /// Whether the domain is evacuated or taken back.
-    pub(crate) evacuates: bool,
-    /// Whether the domain may be the last one that is not evacuated.
-    pub(crate) last: bool,
-}
-
-/// The outcome of a request about the evacuation of a domain.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) enum EvacuationOutcome {
-    /// The store has what was requested.
-    Stored {
-        /// The revision that has it.
-        revision: u64,
-        /// The evacuation, or `None` if the domain is not evacuated.
-        evacuation: Option<EvacuatedDomain>,
-    },
-    /// The request is invalid.
-    Refused(EvacuationProblem),
-    /// What was requested may have been stored.
-    Unknown,
-}
-
 impl ConfigPublisher {
     /// Publishes the newest set again with a changed list of evacuated domains, with retries.
     ///
--- a/crates/geraniumwinch-node/src/lib.rs
+++ b/crates/geraniumwinch-node/src/lib.rs
@@ -29,6 +29,7 @@
 mod peer_router;
 mod pending_calls;
 mod platform_store;
+mod publish_request;
 mod publisher;
 mod refusal_response;
 mod request_forwarder;
--- a/crates/geraniumwinch-node/src/operator_handlers.rs
+++ b/crates/geraniumwinch-node/src/operator_handlers.rs
@@ -20,8 +20,8 @@
 use crate::evacuation_handlers::EvacuationStatus;
 use crate::evacuation_handlers::combine_reports;
 use crate::evacuation_handlers::fetch_report;
-use crate::publisher::PublishOutcome;
-use crate::publisher::PublishRequest;
+use crate::publish_request::PublishOutcome;
+use crate::publish_request::PublishRequest;
 use crate::refusal_response::RefusalResponse;
 
 /// How long a dispatcher may take to report the state of its domain.
--- a/crates/geraniumwinch-node/src/publisher.rs
+++ b/crates/geraniumwinch-node/src/publisher.rs
@@ -9,17 +9,16 @@
 use geraniumwinch_config::EvacuationSet;
 use geraniumwinch_config::SetDelta;
 use geraniumwinch_core::log_event;
-use tokio::sync::oneshot;
 
 use crate::NodeError;
 use crate::Result;
-use crate::evacuation_publisher::EvacuationChange;
-use crate::evacuation_publisher::EvacuationOutcome;
 use crate::node_shared::NodeShared;
 use crate::platform_store::PlatformStore;
 use crate::platform_store::StoreCondition;
 use crate::platform_store::StoreRecord;
 use crate::platform_store::StoreWrite;
+use crate::publish_request::PublishOutcome;
+use crate::publish_request::PublishRequest;
 use crate::store_keys;
 
 /// How long a publication is retried while its responses are lost.
@@ -56,35 +55,6 @@
     })
 }
 
-/// A request of an operator to publish something.
-pub(crate) enum PublishRequest {
-    /// Publishes a configuration set.
-    Set {
-        /// The revision that the set is based on.
-        base: u64,
-        set: ConfigurationSet,
-        /// Receives the outcome.
-        done: oneshot::Sender<PublishOutcome>,
-    },
-    /// Publishes the evacuation of a domain, or its end.
-    Evacuation {
-        change: EvacuationChange,
-        /// Receives the outcome.
-        done: oneshot::Sender<EvacuationOutcome>,
-    },
-}
-
-/// The outcome of a publication.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum PublishOutcome {
-    /// The set was published as this revision.
-    Published(u64),
-    /// Another set was published first; this is the newest revision.
-    Conflict(u64),
-    /// The set may have been published.
-    Unknown,
-}
-
 /// Publishes configuration sets by compare-and-swap on the head.
 pub(crate) struct ConfigPublisher {
     pub(crate) shared: Arc<NodeShared>,
