Skip the search for workers to request once all were decided; compare sizes before dividing

Cause: half of a placement pass was the search for workers to request permission for, for units that have asked about all of them, and divisions for tasks that do not fit. Change: such a unit is skipped, and a task that does not fit is found by comparison.

--- a/crates/geraniumwinch-bench/src/pass_cost.rs
+++ b/crates/geraniumwinch-bench/src/pass_cost.rs
@@ -198,7 +198,7 @@
     /// Allows a step on a part of the named workers.
     fn allow(&mut self, request: PermissionRequest) {
         let until = self.now + Duration::from_secs(2);
-        let share = [0.7, 0.3, 0.45][request.priority as usize % 3];
+        let share = [0.7, 0.3, 0.45][request.order.priority as usize % 3];
         let rng = &mut self.rng;
         let grants = request
             .workers
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -458,7 +458,8 @@
         let Some(cost) = job.record.rules.permission else { return };
         let unaffordable =
             round.calls.long_calls == 0 && is_long_call(cost.call_time(REQUEST_MIN));
-        if open || unaffordable || now < state.next_request {
+        let complete = state.permissions.requested_count() >= self.workers.len();
+        if open || unaffordable || complete || now < state.next_request {
             return;
         }
         let mut candidates = Vec::new();
@@ -496,6 +497,9 @@
 
 /// Returns how many tasks of a size fit into the given free capacity.
 pub(super) fn copies_that_fit(size: &ResourceVector, free: &ResourceVector) -> u32 {
+    if !has_room(size, free) {
+        return 0;
+    }
     let cpu = free.cpu_millis.checked_div(size.cpu_millis);
     let memory = free.memory_bytes.checked_div(size.memory_bytes);
     let accelerators = free.accelerators.checked_div(size.accelerators).map(u64::from);
