Fleet scheduler: start nothing in evacuated failure domains

An operator can take a failure domain out of service only if no new task starts there. The scheduler gets the set of evacuated domains; their workers are not usable, so placement, preemption, permission requests and gangs leave them out. Reservations there are released at once, and admission counts neither their processors nor the tasks that still occupy them.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -6,6 +6,7 @@
 mod completion;
 mod crashes;
 mod delayed_starts;
+mod evacuations;
 mod gang_fit;
 mod gang_reservation;
 mod held_ends;
@@ -23,6 +24,7 @@
 mod worker_state;
 mod workers;
 
+pub use self::evacuations::EvacuationProgress;
 pub use self::persistence::RecordWrite;
 pub use self::placement::PlacementRound;
 
@@ -106,8 +108,10 @@
     dirty: HashMap<JobKey, BootTime>,
     accounts: AccountUsage,
     waiting_load: WaitingLoad,
-    /// The load of placed tasks, by priority.
+    /// The load of the tasks that are placed outside evacuated domains, by priority.
     placed_load: BTreeMap<u32, PlacedLoad>,
+    /// The failure domains whose workers get no new tasks.
+    evacuated_domains: BTreeSet<Name>,
     /// The estimated share of workers that the permission service allows, by queue.
     allowed_share: HashMap<Name, f64>,
     /// Whether the worker records must be written again: those in the store may include workers
@@ -135,6 +139,7 @@
             accounts: AccountUsage::default(),
             waiting_load: WaitingLoad::default(),
             placed_load: BTreeMap::new(),
+            evacuated_domains: BTreeSet::new(),
             allowed_share: HashMap::new(),
             records_outdated: false,
             stops: Vec::new(),
@@ -297,8 +302,10 @@
         let worker = &mut self.workers[placement.worker];
         worker.used.add(&size);
         worker.tasks.insert(task);
-        let placed_load = self.placed_load.entry(job.record.rules.priority).or_default();
-        placed_load.add_task(job.plan(task.unit));
+        if !worker.evacuated {
+            let load = self.placed_load.entry(job.record.rules.priority).or_default();
+            load.add_task(job.plan(task.unit));
+        }
         self.accounts.book(&job.record.account, &size);
         if self.jobs[task.job].units[task.unit as usize].waiting == 0 {
             self.release_reservation(task.job, task.unit);
@@ -315,11 +322,14 @@
         if state.is_waiting() {
             unit.waiting += 1;
         }
+        let mut evacuated = false;
         if let Some(worker) = self.workers.get_mut(placement.worker) {
             worker.used.subtract(&size);
             worker.tasks.remove(&task);
+            evacuated = worker.evacuated;
         }
-        if let Some(placed_load) = self.placed_load.get_mut(&job.record.rules.priority) {
+        let placed_load = self.placed_load.get_mut(&job.record.rules.priority);
+        if let Some(placed_load) = placed_load.filter(|_| !evacuated) {
             placed_load.remove_task(job.plan(task.unit));
         }
         self.accounts.release(&job.record.account, &size);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
@@ -136,10 +136,11 @@
         (all * MAX_PACKED_SHARE - placed_load).max(all * MIN_URGENT_SHARE)
     }
 
-    /// Returns the processors of all workers in thousandths of a core, at least one core.
+    /// Returns the processors of all workers outside evacuated domains in thousandths of a core, at
+    /// least one core.
     fn total_cpu_millis(&self) -> f64 {
-        let total: u64 =
-            self.workers.values().map(|state| state.info.capacity.cpu_millis).sum();
+        let workers = self.workers.values().filter(|state| !state.evacuated);
+        let total: u64 = workers.map(|state| state.info.capacity.cpu_millis).sum();
         total.max(1000) as f64
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/gang_reservation.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/gang_reservation.rs
@@ -27,6 +27,13 @@
     until: BootTime,
 }
 
+impl GangReservation {
+    /// Returns the worker of each task.
+    pub(super) fn workers(&self) -> &[WorkerKey] {
+        &self.workers
+    }
+}
+
 impl FleetScheduler {
     /// Reserves capacity for the tasks of a gang, replacing an earlier reservation. `ready` is the
     /// time when the permissions are expected.
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
@@ -77,6 +77,8 @@
     pub(super) info: WorkerInfo,
     /// Whether the worker is still in the platform's list.
     pub(super) listed: bool,
+    /// Whether the worker's failure domain is evacuated.
+    pub(super) evacuated: bool,
     /// The jobs whose tasks may be running there according to the store. The next owner polls the
     /// recorded workers for their runs.
     pub(super) recorded_runs: RecordedRuns,
@@ -128,6 +130,7 @@
         WorkerState {
             info,
             listed: true,
+            evacuated: false,
             recorded_runs: RecordedRuns::NoJobs,
             inherited_runs: None,
             incarnation: None,
@@ -159,6 +162,7 @@
     /// Returns whether tasks may be placed on the worker.
     pub(super) fn usable(&self, now: BootTime) -> bool {
         self.listed
+            && !self.evacuated
             && self.recorded_runs == RecordedRuns::AnyJob
             && self.info.accepting
             && !self.is_silent()
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
@@ -43,6 +43,7 @@
                 }
             }
         }
+        self.update_evacuated_workers();
         added
     }
 
@@ -93,6 +94,7 @@
             state.inherited_runs = Some(record.possible_runs);
             added.push(key);
         }
+        self.update_evacuated_workers();
         added
     }
 
--- a/crates/geraniumwinch-fleet/src/lib.rs
+++ b/crates/geraniumwinch-fleet/src/lib.rs
@@ -21,6 +21,7 @@
 
 pub use self::fleet_error::FleetError;
 pub use self::fleet_error::Result;
+pub use self::fleet_scheduler::EvacuationProgress;
 pub use self::fleet_scheduler::FENCES_PER_EPOCH;
 pub use self::fleet_scheduler::FleetCounts;
 pub use self::fleet_scheduler::FleetScheduler;
