Follow the operators' evacuation requests at the owner of the cell

Nothing read the requests, so tasks started in domains that an operator was emptying. Each copy of a start command is checked again before it is sent. Only deployments with [workers] evacuation-ms have the feature; others make no call.

The stand-in of the platform lets tests request and withdraw evacuations, its workers are in two domains, and the soak has a plan with evacuations. Tests are not run yet on this commit.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -23,6 +23,7 @@
 use crate::catalog_watch::CatalogWatch;
 use crate::cell_metrics;
 use crate::command_sender::CommandSender;
+use crate::evacuation_watch::EvacuationWatch;
 use crate::member_table::MemberTable;
 use crate::owner_authority::OwnerAuthority;
 use crate::owner_election::OWNER_TTL;
@@ -72,6 +73,7 @@
     scheduler: Rc<RefCell<FleetScheduler>>,
     journal: Rc<RecordJournal>,
     sender: Rc<CommandSender>,
+    evacuations: Rc<EvacuationWatch>,
     permission_queue: PermissionQueue,
     pub(crate) members: RefCell<MemberTable>,
     pass_due: Rc<Notify>,
@@ -102,13 +104,21 @@
         let uncertain_until = began + lease + OWNER_TTL;
         let scheduler =
             Rc::new(RefCell::new(FleetScheduler::new(authority.epoch, lease)));
-        let (jobs, fences, workers) = tokio::join!(
+        let pass_due = Rc::new(Notify::new());
+        let evacuations = Rc::new(EvacuationWatch::new(
+            ports.clone(),
+            Rc::clone(&authority),
+            Rc::clone(&scheduler),
+            Rc::clone(&pass_due),
+            settings.evacuation_bound,
+        ));
+        let (jobs, fences, workers, evacuated) = tokio::join!(
             load_jobs(&ports, &authority, &scheduler, uncertain_until),
             load_fences(&ports, &authority),
             load_workers(&ports, &authority, &scheduler, uncertain_until),
+            evacuations.load(),
         );
-        let (jobs, fences, workers) = (jobs?, fences?, workers?);
-        let pass_due = Rc::new(Notify::new());
+        let (jobs, fences, workers, ()) = (jobs?, fences?, workers?, evacuated?);
         let commit_done = Rc::new(Notify::new());
         let journal = Rc::new(RecordJournal::new(
             ports.clone(),
@@ -122,6 +132,7 @@
             ports.clone(),
             Rc::clone(&authority),
             Rc::clone(&scheduler),
+            Rc::clone(&evacuations),
             settings.worker_lease,
             Rc::clone(&pass_due),
         ));
@@ -143,6 +154,7 @@
             scheduler,
             journal,
             sender,
+            evacuations,
             permission_queue: PermissionQueue::default(),
             members: RefCell::default(),
             pass_due,
@@ -159,6 +171,7 @@
     pub(crate) async fn run(self: Rc<Self>) {
         let journal = actix_rt::spawn(Rc::clone(&self.journal).run());
         let listing = actix_rt::spawn(Rc::clone(&self).list_workers());
+        let evacuations = actix_rt::spawn(Rc::clone(&self.evacuations).run());
         let mut expired = self.ports.clock.now();
         let mut reported = expired;
         while !self.authority.is_lost() {
@@ -180,6 +193,8 @@
             }
         }
         listing.abort();
+        evacuations.abort();
+        self.evacuations.end();
         self.journal.wake();
         if journal.await.is_err() {
             log_event!(Error, "child-failed", child = "journal");
@@ -191,6 +206,7 @@
     fn report_counts(&self, now: BootTime) {
         let counts = self.scheduler.borrow().counts(now);
         cell_metrics::set_counts(counts);
+        self.evacuations.report_progress(now);
         log_event!(
             Info,
             "board",
@@ -266,7 +282,9 @@
         let mut requests = Vec::new();
         let mut starts = Vec::new();
         // Without a configuration, the limits of the accounts are unknown.
-        if self.authority.may_start(now) && self.limits_version.get().is_some() {
+        let known =
+            self.limits_version.get().is_some() && self.evacuations.permits_starts(now);
+        if self.authority.may_start(now) && known {
             let long_requests = self
                 .permission_queue
                 .long_call_capacity(&self.permission_callers(now), now);
--- a/crates/geraniumwinch-cell/src/cell_metrics.rs
+++ b/crates/geraniumwinch-cell/src/cell_metrics.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use geraniumwinch_core::ErrorKind;
+use geraniumwinch_core::Name;
 use geraniumwinch_core::metric_rows;
+use geraniumwinch_fleet::EvacuationProgress;
 use geraniumwinch_fleet::FleetCounts;
 use metrics::counter;
 use metrics::gauge;
@@ -27,6 +29,12 @@
     LIVE_JOBS = "geraniumwinch_cell_live_jobs", "gauge", "", "Jobs that are not ended, at the owner.";
     PLACED = "geraniumwinch_cell_placed_tasks", "gauge", "", "Tasks that may run, at the owner.";
     USABLE = "geraniumwinch_cell_usable_workers", "gauge", "", "Workers that take tasks, at the owner.";
+    EVACUATED = "geraniumwinch_cell_evacuated_domains", "gauge", "", "Failure domains that are evacuated, at the owner.";
+    EVACUATED_SINCE = "geraniumwinch_cell_evacuated_since_timestamp_seconds", "gauge", "domain", "Since when the owner knows that a domain is evacuated, in seconds since 1970, or 0.";
+    EVACUATED_RUNS = "geraniumwinch_cell_evacuated_runs", "gauge", "domain", "Tasks that may still run in an evacuated domain.";
+    EVACUATED_UNCERTAIN = "geraniumwinch_cell_evacuated_uncertain_workers", "gauge", "domain", "Workers of an evacuated domain where runs of a former owner, or runs that are being stopped, may exist.";
+    EVACUATION_TIME = "geraniumwinch_cell_evacuations_checked_timestamp_seconds", "gauge", "", "When the store last said which domains are evacuated, in seconds since 1970.";
+    WITHHELD_SINCE = "geraniumwinch_cell_starts_withheld_since_timestamp_seconds", "gauge", "", "Since when the owner starts nothing because it does not know which domains are evacuated, in seconds since 1970, or 0.";
     STORE_TIME = "geraniumwinch_cell_commit_seconds", "histogram", "", "Time that a transaction of the journal takes in seconds.";
     ACCEPT_TIME = "geraniumwinch_cell_accept_seconds", "histogram", "", "Time from a job's arrival to its answer in seconds.";
     START_WAIT = "geraniumwinch_cell_first_start_seconds", "histogram", "", "Time from a job's acceptance until a worker says that a task runs in seconds.";
@@ -101,6 +109,43 @@
     gauge!(LIST_TIME).set(unix_time.as_secs_f64());
 }
 
+/// Sets the number of evacuated domains.
+pub(crate) fn set_evacuated_domains(domains: usize) {
+    gauge!(EVACUATED).set(domains as f64);
+}
+
+/// Sets the time since which a domain is evacuated.
+pub(crate) fn set_evacuated_since(domain: &Name, unix_time: Duration) {
+    let domain = domain.to_string();
+    gauge!(EVACUATED_SINCE, "domain" => domain).set(unix_time.as_secs_f64());
+}
+
+/// Sets what is left in an evacuated domain.
+pub(crate) fn set_evacuation(progress: &EvacuationProgress) {
+    let domain = progress.domain.to_string();
+    gauge!(EVACUATED_RUNS, "domain" => domain.clone()).set(progress.runs as f64);
+    let uncertain = progress.uncertain_workers as f64;
+    gauge!(EVACUATED_UNCERTAIN, "domain" => domain).set(uncertain);
+}
+
+/// Resets the gauges of a domain that is no longer evacuated.
+pub(crate) fn clear_evacuation(domain: &Name) {
+    let label = domain.to_string();
+    gauge!(EVACUATED_SINCE, "domain" => label.clone()).set(0.0);
+    gauge!(EVACUATED_RUNS, "domain" => label.clone()).set(0.0);
+    gauge!(EVACUATED_UNCERTAIN, "domain" => label).set(0.0);
+}
+
+/// Sets the time at which the store last confirmed the evacuated domains.
+pub(crate) fn set_evacuations_checked(unix_time: Duration) {
+    gauge!(EVACUATION_TIME).set(unix_time.as_secs_f64());
+}
+
+/// Sets the time since which all starts are withheld; zero if they are not.
+pub(crate) fn set_starts_withheld(unix_time: Duration) {
+    gauge!(WITHHELD_SINCE).set(unix_time.as_secs_f64());
+}
+
 /// Records the time from a job's acceptance to its first start.
 pub(crate) fn record_first_start(wait: Duration) {
     histogram!(START_WAIT).record(wait.as_secs_f64());
--- a/crates/geraniumwinch-cell/src/cell_ports.rs
+++ b/crates/geraniumwinch-cell/src/cell_ports.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use crate::CellClock;
+use crate::EvacuationReader;
 use crate::PermissionService;
 use crate::RecordStore;
 use crate::WorkerDirectory;
@@ -24,4 +25,6 @@
     pub permissions: Rc<dyn PermissionService>,
     /// The decoder of configurations.
     pub catalogs: Rc<dyn CatalogReader>,
+    /// The decoder of evacuation requests.
+    pub evacuations: Rc<dyn EvacuationReader>,
 }
--- a/crates/geraniumwinch-cell/src/cell_settings.rs
+++ b/crates/geraniumwinch-cell/src/cell_settings.rs
@@ -35,12 +35,18 @@
     pub worker_lease: Duration,
     /// The interval at which a worker refreshes its entry in the directory.
     pub worker_heartbeat: Duration,
+    /// The time within which a request to evacuate a failure domain must be in effect; `None` if the
+    /// deployment has no such requests.
+    pub evacuation_bound: Option<Duration>,
     /// The time between the stop signal and the forced termination of the process.
     pub stop_grace: Duration,
     /// How long the result of a finished job can be queried.
     pub job_retention: Duration,
 }
 
+/// The minimum time for evacuation requests to take effect, in which the store is asked several times.
+const EVACUATION_BOUND_MIN: Duration = Duration::from_millis(1000);
+
 /// Reads typed options and collects the problems.
 struct SettingReader<'a> {
     ini: &'a IniText,
@@ -99,6 +105,18 @@
         Duration::from_millis(millis.unwrap_or(0))
     }
 
+    /// Returns the bound of evacuation requests, if there is one.
+    fn evacuation_bound(&mut self) -> Option<Duration> {
+        self.optional("workers", "evacuation-ms")?;
+        let bound = self.millis("workers", "evacuation-ms");
+        if bound < EVACUATION_BOUND_MIN {
+            let least = EVACUATION_BOUND_MIN.as_millis();
+            let message = format!("option `evacuation-ms` must be at least {least}");
+            self.report("workers", message);
+        }
+        Some(bound)
+    }
+
     /// Returns a duration that is given in seconds.
     fn seconds(&mut self, section: &str, option: &str) -> Duration {
         let seconds: f64 =
@@ -156,6 +174,7 @@
         cpu_share: reader.parsed("vm", "cpu-share", "number").unwrap_or(1.0),
         worker_lease: reader.millis("workers", "lease-ms"),
         worker_heartbeat: reader.millis("workers", "heartbeat-ms"),
+        evacuation_bound: reader.evacuation_bound(),
         stop_grace: reader.seconds("process", "stop-grace-s"),
         job_retention: reader.seconds("jobs", "retention-s"),
     }
--- a/crates/geraniumwinch-cell/src/command_sender.rs
+++ b/crates/geraniumwinch-cell/src/command_sender.rs
@@ -20,6 +20,7 @@
 use crate::StartCommand;
 use crate::WorkerTarget;
 use crate::cell_metrics;
+use crate::evacuation_watch::EvacuationWatch;
 use crate::owner_authority::OwnerAuthority;
 use crate::worker_gateway::CommandResult;
 
@@ -38,6 +39,7 @@
     ports: CellPorts,
     authority: Rc<OwnerAuthority>,
     scheduler: Rc<RefCell<FleetScheduler>>,
+    evacuations: Rc<EvacuationWatch>,
     clocks: RefCell<HashMap<WorkerKey, ClockReading>>,
     lease: Duration,
     pass_due: Rc<Notify>,
@@ -49,11 +51,20 @@
         ports: CellPorts,
         authority: Rc<OwnerAuthority>,
         scheduler: Rc<RefCell<FleetScheduler>>,
+        evacuations: Rc<EvacuationWatch>,
         lease: Duration,
         pass_due: Rc<Notify>,
     ) -> Self {
         let clocks = RefCell::default();
-        CommandSender { ports, authority, scheduler, clocks, lease, pass_due }
+        CommandSender {
+            ports,
+            authority,
+            scheduler,
+            evacuations,
+            clocks,
+            lease,
+            pass_due,
+        }
     }
 
     /// Returns the address of a worker and the fencing token of commands to it.
@@ -176,10 +187,20 @@
         scheduler.start_unanswered(start.worker, &start.task, start.run, now);
     }
 
+    /// Returns whether a start on a worker is to be withheld because its failure domain is evacuated,
+    /// or because it is not known whether it is.
+    fn withholds_start(&self, worker: WorkerKey, now: BootTime) -> bool {
+        !self.evacuations.permits_starts(now)
+            || self.scheduler.borrow().is_evacuated(worker)
+    }
+
     /// Sends a start command once.
     async fn send_start(&self, start: RunStart) -> CommandResult<()> {
         let now = self.ports.clock.now();
         let worker = start.worker;
+        if self.withholds_start(worker, now) {
+            return Err(CommandError::Withheld);
+        }
         let target = self.target(worker).filter(|_| self.authority.may_start(now));
         let lease_end_ms = self.lease_end(worker, now);
         let (Some(target), Some(lease_end_ms)) = (target, lease_end_ms) else {
--- a/crates/geraniumwinch-cell/src/worker_gateway.rs
+++ b/crates/geraniumwinch-cell/src/worker_gateway.rs
@@ -62,6 +62,8 @@
     OtherIncarnation,
     /// The worker is unhealthy and has not executed the command.
     Unhealthy,
+    /// The command was not sent, since its worker's failure domain is evacuated or may be.
+    Withheld,
     /// The call returned no usable response.
     Call(CallError),
 }
@@ -77,6 +79,7 @@
             CommandError::NotPermitted => "not-permitted",
             CommandError::OtherIncarnation => "other-lifetime",
             CommandError::Unhealthy => "unhealthy",
+            CommandError::Withheld => "withheld",
             CommandError::Call(error) if error.had_no_effect() => "not-sent",
             CommandError::Call(_) => "no-answer",
         }
--- a/crates/geraniumwinch-cell/tests/repeated_calls/test_node.rs
+++ b/crates/geraniumwinch-cell/tests/repeated_calls/test_node.rs
@@ -16,6 +16,7 @@
 use geraniumwinch_cell::CellSettings;
 use geraniumwinch_cell::CommandError;
 use geraniumwinch_cell::CommandResult;
+use geraniumwinch_cell::EvacuationReader;
 use geraniumwinch_cell::HttpResponse;
 use geraniumwinch_cell::JobCatalog;
 use geraniumwinch_cell::JobSubmission;
@@ -104,6 +105,16 @@
     }
 }
 
+impl EvacuationReader for NoPlatform {
+    fn prefix(&self) -> &'static str {
+        "evacuation/"
+    }
+
+    fn domain(&self, _: &str) -> Option<Name> {
+        None
+    }
+}
+
 /// A cell process in the test's own process, on a store in memory and without workers.
 pub struct TestNode {
     /// The store.
@@ -129,6 +140,7 @@
             directory: Rc::new(NoPlatform),
             permissions: Rc::new(NoPlatform),
             catalogs: Rc::new(NoPlatform),
+            evacuations: Rc::new(NoPlatform),
         };
         let node = CellNode::new(settings(), ports, CallClient::new());
         let handler = Rc::new(|_| async { HttpResponse::empty(404) }.boxed_local());
@@ -214,6 +226,7 @@
         cpu_share: 1.0,
         worker_lease: Duration::from_secs(6),
         worker_heartbeat: Duration::from_millis(1500),
+        evacuation_bound: None,
         stop_grace: Duration::from_secs(4),
         job_retention: Duration::from_secs(120),
     }
--- a/crates/geraniumwinch-standins/src/fleet.rs
+++ b/crates/geraniumwinch-standins/src/fleet.rs
@@ -41,6 +41,8 @@
     store_lost: bool,
     /// Whether the store refuses reads of the operators' configuration.
     config_hidden: bool,
+    /// Whether the store refuses reads of the operators' evacuation requests.
+    evacuations_hidden: bool,
     /// The delay of responses to transactions, in milliseconds.
     store_delay_ms: u64,
     /// The delay after which a transaction is executed, without a response in time, in milliseconds.
@@ -63,6 +65,9 @@
     Ticket,
 }
 
+/// The number of domains, in which the workers are by turns.
+const DOMAINS: u16 = 2;
+
 /// Serves requests until the process ends.
 pub async fn serve(options: StandInOptions) -> std::io::Result<()> {
     let store: SharedStore = web::Data::new(Mutex::new(KvStore::default()));
@@ -72,12 +77,13 @@
         address.set_port(options.listen.port() + 1 + index);
         instances.push((format!("{}-{index}", options.name), address));
     }
-    let workers = instances.iter().map(|(id, address)| {
+    let workers = instances.iter().zip(0..).map(|((id, address), index)| {
         let mut address = *address;
         address.set_port(address.port() + options.proxy_offset);
         lock(&store).register_worker(
             id,
             &address.to_string(),
+            &format!("d{}", index % DOMAINS),
             options.cores,
             options.memory_gb,
         );
@@ -94,6 +100,7 @@
             .route("/-/advise", web::post().to(advise))
             .route("/faults", web::post().to(set_faults))
             .route("/operator", web::post().to(publish_configuration))
+            .route("/evacuation", web::post().to(set_evacuation))
             .route("/forget", web::post().to(compact_history))
             .route("/restart", web::post().to(restart_worker))
             .route("/worker-state", web::post().to(set_worker_state))
@@ -195,6 +202,22 @@
     HttpResponse::Ok().json(json!({}))
 }
 
+/// An operator's request to evacuate a domain, or its withdrawal.
+#[derive(Debug, Deserialize)]
+struct EvacuationChange {
+    domain: String,
+    requested: bool,
+}
+
+/// Writes or removes an operator's request to evacuate a domain.
+async fn set_evacuation(
+    store: SharedStore,
+    change: web::Json<EvacuationChange>,
+) -> HttpResponse {
+    lock(&store).set_evacuation(&change.domain, change.requested);
+    HttpResponse::Ok().json(json!({}))
+}
+
 /// Returns every run that was started, with its outcome.
 async fn show_runs(workers: SharedWorkers) -> HttpResponse {
     let workers = workers.iter().enumerate();
--- a/crates/geraniumwinch-standins/src/fleet/kv_store.rs
+++ b/crates/geraniumwinch-standins/src/fleet/kv_store.rs
@@ -19,6 +19,8 @@
 use super::FleetFaults;
 use super::SharedStore;
 
+/// The key prefix of the operators' requests to evacuate a domain.
+const EVACUATION_PREFIX: &str = "op/evacuate/";
 /// The maximum number of items in a page.
 const MAX_PAGE_ITEMS: usize = 500;
 /// The interval at which a waiting watch checks for changes.
@@ -62,11 +64,12 @@
         &mut self,
         id: &str,
         address: &str,
+        domain: &str,
         cores: u64,
         memory_gb: u64,
     ) {
         let entry = json!({
-            "service": "service", "address": address, "zone": "d0", "version": "v1",
+            "service": "service", "address": address, "zone": domain, "version": "v1",
             "slots": 8, "state": "ready", "cold_remaining_ms": 0, "seq_no": 1,
             "capacity": { "cpu": cores * 1000, "mem_mb": memory_gb * 1024, "gpu": 0 },
             "labels": ["a", "r1"], "born": unix_millis(),
@@ -115,6 +118,17 @@
         }
     }
 
+    /// Writes or removes the request to evacuate a domain.
+    pub(super) fn set_evacuation(&mut self, domain: &str, requested: bool) {
+        let key = format!("{EVACUATION_PREFIX}{domain}");
+        if requested {
+            self.put(&key, b"{}");
+        } else {
+            self.revision += 1;
+            self.remove(&key);
+        }
+    }
+
     /// Writes an item at the current revision.
     fn write(&mut self, key: &str, value: String, lease: u64) {
         let revision = self.revision;
@@ -257,9 +271,11 @@
     store.faults.store_busy.then(|| HttpResponse::ServiceUnavailable().finish())
 }
 
-/// Returns whether a read of a key, or a watch of a prefix, is refused.
+/// Returns whether a read of a key, or a read or watch of a prefix, is refused.
 fn is_hidden(store: &KvStore, key: &str) -> bool {
-    store.faults.config_hidden && key.starts_with("op/")
+    let evacuation = key.starts_with(EVACUATION_PREFIX);
+    store.faults.config_hidden && key.starts_with("op/") && !evacuation
+        || store.faults.evacuations_hidden && evacuation
 }
 
 /// Returns an item.
@@ -285,6 +301,9 @@
     if let Some(response) = busy_response(&store) {
         return response;
     }
+    if is_hidden(&store, &query.prefix) {
+        return HttpResponse::ServiceUnavailable().finish();
+    }
     let matching = store
         .items
         .iter()
--- a/crates/geraniumwinch-tests/src/fault_injector.rs
+++ b/crates/geraniumwinch-tests/src/fault_injector.rs
@@ -1,5 +1,6 @@
 //! Injects random faults, several at a time, into a cell on the users' platform.
 
+use std::ops::Range;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -10,6 +11,7 @@
 use serde_json::json;
 
 use crate::FleetCell;
+use crate::unix_millis;
 
 /// The modes in which the proxy disturbs connections.
 const MODES: [&str; 6] =
@@ -29,6 +31,13 @@
 /// The delay of the packets that a lossy link loses, in milliseconds.
 const RETRANSMISSION_MS: u64 = 250;
 
+/// The duration of a fault in milliseconds.
+const FAULT_MS: Range<u64> = 200..4500;
+/// The duration of an evacuation in milliseconds, longer than it takes to come into effect.
+const EVACUATION_MS: Range<u64> = 5500..9000;
+/// The failure domains of the workers.
+const DOMAINS: [&str; 2] = ["d0", "d1"];
+
 /// The ways in which a worker refuses commands.
 const REFUSALS: [&str; 2] = ["unhealthy", "ticket"];
 
@@ -45,6 +54,9 @@
     Fleet,
     /// The general faults, beside jobs that crash the workers that start them.
     Crashes,
+    /// Evacuations of failure domains, beside faults of processes and of the store that delay no
+    /// commands to workers.
+    Evacuations,
 }
 
 /// A fault to inject.
@@ -80,6 +92,8 @@
     CompactStore,
     /// A new configuration version is published.
     PublishConfiguration,
+    /// A domain is evacuated, and taken back when the fault is cleared.
+    Evacuate(&'static str),
 }
 
 /// Draws faults from a random number generator, injects them and clears them.
@@ -91,12 +105,33 @@
     active: Vec<(FleetFault, Instant)>,
     /// The last published configuration version.
     version: u64,
+    /// The evacuations so far.
+    evacuations: Vec<Evacuation>,
+}
+
+/// An evacuation that was requested from the platform.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Evacuation {
+    /// The domain.
+    pub domain: &'static str,
+    /// The Unix time in milliseconds at which the store had the request.
+    pub requested_ms: u64,
+    /// The Unix time in milliseconds before the domain was taken back; `None` before that.
+    pub returned_ms: Option<u64>,
 }
 
 impl FaultInjector {
     /// Creates an injector for a cell whose published configuration has version 1.
     pub fn new(rng: SmallRng, plan: FaultPlan, processes: usize, workers: u16) -> Self {
-        FaultInjector { rng, plan, processes, workers, active: Vec::new(), version: 1 }
+        FaultInjector {
+            rng,
+            plan,
+            processes,
+            workers,
+            active: Vec::new(),
+            version: 1,
+            evacuations: Vec::new(),
+        }
     }
 
     /// Returns the last published configuration version.
@@ -104,14 +139,22 @@
         self.version
     }
 
+    /// Returns the evacuations so far.
+    pub fn evacuations(&self) -> &[Evacuation] {
+        &self.evacuations
+    }
+
     /// Injects and clears faults for the given duration.
     pub async fn inject_for(&mut self, cell: &mut FleetCell, duration: Duration) {
         let started = Instant::now();
         while started.elapsed() < duration {
             if self.active.len() < MAX_ACTIVE {
                 let fault = self.draw_fault();
-                let fault_duration =
-                    Duration::from_millis(self.rng.random_range(200..4500));
+                let millis = match fault {
+                    FleetFault::Evacuate(_) => EVACUATION_MS,
+                    _ => FAULT_MS,
+                };
+                let fault_duration = Duration::from_millis(self.rng.random_range(millis));
                 self.inject(cell, fault, Instant::now() + fault_duration).await;
             }
             let pause = Duration::from_millis(self.rng.random_range(50..900));
@@ -130,10 +173,26 @@
         match self.plan {
             FaultPlan::Commands if self.rng.random_bool(0.5) => self.draw_command_fault(),
             FaultPlan::Fleet if self.rng.random_bool(0.5) => self.draw_fleet_fault(),
+            FaultPlan::Evacuations => self.draw_evacuation_fault(),
             _ => self.draw_general_fault(),
         }
     }
 
+    fn draw_evacuation_fault(&mut self) -> FleetFault {
+        let rng = &mut self.rng;
+        let process = rng.random_range(0..self.processes);
+        let mode = MODES.choose(rng).copied().unwrap_or(MODES[0]);
+        match rng.random_range(0..12) {
+            0..=3 => FleetFault::Evacuate(DOMAINS.choose(rng).unwrap_or(&DOMAINS[0])),
+            4..=5 => FleetFault::Kill(process),
+            6 => FleetFault::Terminate(process),
+            7..=8 => FleetFault::DisturbStoreLink(process, mode),
+            9 => FleetFault::StandIn("store_busy", json!(true)),
+            10 => FleetFault::StandIn("evacuations_hidden", json!(true)),
+            _ => FleetFault::CompactStore,
+        }
+    }
+
     fn draw_fleet_fault(&mut self) -> FleetFault {
         let rng = &mut self.rng;
         let process = rng.random_range(0..self.processes);
@@ -214,6 +273,12 @@
                 return self.apply_to_stand_ins(cell).await;
             }
             FleetFault::Terminate(index) => cell.process(*index).terminate(),
+            FleetFault::Evacuate(domain) => {
+                cell.set_evacuation(domain, true).await;
+                let requested_ms = unix_millis();
+                let evacuation = Evacuation { domain, requested_ms, returned_ms: None };
+                self.evacuations.push(evacuation);
+            }
             FleetFault::RestartWorker(index) => return cell.restart_worker(*index).await,
             FleetFault::RestartWorkerTwice(index) => cell.restart_worker(*index).await,
             FleetFault::CompactStore => return cell.compact_store().await,
@@ -251,12 +316,23 @@
                     cell.start_process(index);
                 }
                 FleetFault::RestartWorkerTwice(index) => cell.restart_worker(index).await,
+                FleetFault::Evacuate(domain) => self.take_back(cell, domain).await,
                 _ => {}
             }
         }
         self.apply_to_stand_ins(cell).await;
     }
 
+    /// Takes an evacuated domain back.
+    async fn take_back(&mut self, cell: &FleetCell, domain: &'static str) {
+        let returned_ms = Some(unix_millis());
+        cell.set_evacuation(domain, false).await;
+        let mut evacuations = self.evacuations.iter_mut().rev();
+        if let Some(evacuation) = evacuations.find(|found| found.domain == domain) {
+            evacuation.returned_ms = returned_ms;
+        }
+    }
+
     /// Applies the proxy rules and stand-in faults of all active faults.
     async fn apply_to_stand_ins(&self, cell: &FleetCell) {
         let mut rules = Vec::new();
--- a/crates/geraniumwinch-tests/src/fleet_cell.rs
+++ b/crates/geraniumwinch-tests/src/fleet_cell.rs
@@ -44,6 +44,8 @@
     proxy: Option<CellProcess>,
     /// The CPU limit of the client account in thousandths of a core; 0 means no limit.
     limit: u64,
+    /// Whether the processes follow evacuation requests.
+    evacuable: bool,
     client: TestClient,
 }
 
@@ -51,13 +53,28 @@
     /// Starts a stand-in with 16-core workers and a cell, and waits until all processes accept
     /// client requests.
     pub async fn start(processes: usize, workers: u16) -> FleetCell {
-        FleetCell::start_cell(processes, workers, false, 0).await
+        FleetCell::start_cell(processes, workers, false, 0, false).await
+    }
+
+    /// Like [`FleetCell::start`], with processes that follow evacuation requests. The workers are in
+    /// the domains `d0` and `d1` by turns.
+    pub async fn start_evacuable(processes: usize, workers: u16) -> FleetCell {
+        FleetCell::start_cell(processes, workers, false, 0, true).await
     }
 
     /// Like [`FleetCell::start`], with a proxy in front of the store and the workers, and a CPU
     /// limit of the client account.
     pub async fn start_proxied(processes: usize, workers: u16, limit: u64) -> FleetCell {
-        FleetCell::start_cell(processes, workers, true, limit).await
+        FleetCell::start_cell(processes, workers, true, limit, false).await
+    }
+
+    /// Like [`FleetCell::start_proxied`], with processes that follow evacuation requests.
+    pub async fn start_proxied_evacuable(
+        processes: usize,
+        workers: u16,
+        limit: u64,
+    ) -> FleetCell {
+        FleetCell::start_cell(processes, workers, true, limit, true).await
     }
 
     async fn start_cell(
@@ -65,6 +82,7 @@
         workers: u16,
         proxied: bool,
         limit: u64,
+        evacuable: bool,
     ) -> FleetCell {
         let addresses = CellAddresses::reserve();
         let log_dir = std::env::temp_dir().join(format!(
@@ -90,6 +108,7 @@
             _platform: platform,
             proxy,
             limit,
+            evacuable,
             client,
         };
         wait_until("the stand-in responds", async || {
@@ -166,6 +185,13 @@
         self.post("/worker-cores", &json!({ "worker": index, "cores": cores })).await;
     }
 
+    /// Requests the evacuation of a domain, or takes the domain back. Returns once the store has the
+    /// change.
+    pub async fn set_evacuation(&self, domain: &str, requested: bool) {
+        let change = json!({ "domain": domain, "requested": requested });
+        self.post("/evacuation", &change).await;
+    }
+
     /// Returns the proxy address under which clients reach a process.
     pub fn client_address(&self, index: usize) -> std::net::SocketAddr {
         self.addresses.entry(0, index, PORTS[0] + PROXY_OFFSET)
@@ -218,12 +244,14 @@
             PORTS.map(|port| self.addresses.entry(0, index, port));
         let store = self.store_address(index);
         let permissions = self.addresses.platform(PLATFORM_PORT);
+        let evacuation = if self.evacuable { "evacuation-ms = 5000\n" } else { "" };
         format!(
             "[process]\nname = node-{index}\nfailure-domain = d{index}\n\
              stop-grace-s = 4\n[vm]\ncpu-share = 1\n[listen]\ncallers = {clients}\n\
              readiness = {readiness}\npeers = {peers}\nmetrics = {metrics}\n\
              [platform]\nstore = {store}\npermissions = {permissions}\n\
-             [workers]\nlease-ms = 6000\nheartbeat-ms = 1500\n[jobs]\nretention-s = 120\n"
+             [workers]\nlease-ms = 6000\nheartbeat-ms = 1500\n{evacuation}\
+             [jobs]\nretention-s = 120\n"
         )
     }
 
@@ -366,19 +394,23 @@
             if self.processes[index].is_none() {
                 continue;
             }
-            let url =
-                format!("http://{}/metrics", self.addresses.entry(0, index, PORTS[3]));
-            let response = self.client.send(Method::GET, &url, &[], "").await;
-            let text = String::from_utf8_lossy(&response.body).into_owned();
-            let epoch =
-                text.lines().find(|line| line.starts_with("geraniumwinch_cell_epoch "));
-            if epoch.is_some_and(|line| !line.ends_with(" 0")) {
+            let epoch = self.metric(index, "geraniumwinch_cell_epoch").await;
+            if epoch.is_some_and(|epoch| epoch > 0.0) {
                 return Some(index);
             }
         }
         None
     }
 
+    /// Returns the value of a metric without labels, if the process reports it.
+    pub async fn metric(&self, index: usize, name: &str) -> Option<f64> {
+        let url = format!("http://{}/metrics", self.addresses.entry(0, index, PORTS[3]));
+        let response = self.client.send(Method::GET, &url, &[], "").await;
+        let text = String::from_utf8_lossy(&response.body).into_owned();
+        let value = |line: &str| line.strip_prefix(name)?.strip_prefix(' ')?.parse().ok();
+        text.lines().find_map(value)
+    }
+
     /// Waits until a process owns the cell and returns its index.
     pub async fn await_owner(&self) -> usize {
         wait_until("a process owns the cell", async || self.owner().await.is_some())
--- a/crates/geraniumwinch-tests/src/lib.rs
+++ b/crates/geraniumwinch-tests/src/lib.rs
@@ -19,6 +19,7 @@
 pub use self::cell_plan::default_configuration;
 pub use self::cell_process::CellProcess;
 pub use self::cell_process::program_path;
+pub use self::fault_injector::Evacuation;
 pub use self::fault_injector::FaultInjector;
 pub use self::fault_injector::FaultPlan;
 pub use self::fleet_cell::FLEET_KEY;
@@ -45,6 +46,13 @@
 /// Far above every latency target, so that a slow machine does not fail a test.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Returns the Unix time in milliseconds.
+pub fn unix_millis() -> u64 {
+    let now = std::time::SystemTime::now();
+    let since = now.duration_since(std::time::UNIX_EPOCH).expect("a time after 1970");
+    since.as_millis() as u64
+}
+
 /// Runs a future to completion on a new actix system.
 pub fn run_test<T>(test: impl Future<Output = T>) -> T {
     actix_rt::System::new().block_on(test)
--- a/crates/geraniumwinch-tests/tests/platform_soak.rs
+++ b/crates/geraniumwinch-tests/tests/platform_soak.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use geraniumwinch_tests::Evacuation;
 use geraniumwinch_tests::FaultInjector;
 use geraniumwinch_tests::FaultPlan;
 use geraniumwinch_tests::FleetCell;
@@ -32,6 +33,8 @@
 const JOBS: u64 = 300;
 /// The number of starts that the platform allows a task after three workers have crashed under it.
 const STARTS_AFTER_CRASHES: usize = 2;
+/// The time within which the request to evacuate a domain is in effect.
+const EVACUATION_BOUND: Duration = Duration::from_secs(5);
 /// The time within which every process refuses a withdrawn key.
 const REVOCATION_TIME: Duration = Duration::from_secs(4);
 
@@ -66,6 +69,12 @@
     run_seed(seed, FaultPlan::Crashes, true);
 }
 
+#[test_case(800; "seed 800")]
+#[test_case(801; "seed 801")]
+fn nothing_starts_in_an_evacuated_domain_under(seed: u64) {
+    run_seed(seed, FaultPlan::Evacuations, true);
+}
+
 #[test]
 #[ignore = "a longer run for `make platform-soak`, which names the seed and may name the plan"]
 fn soak() {
@@ -74,6 +83,7 @@
         Ok("general") => (FaultPlan::General, false),
         Ok("permitted") => (FaultPlan::Commands, false),
         Ok("fleet") => (FaultPlan::Fleet, false),
+        Ok("evacuations") => (FaultPlan::Evacuations, true),
         Ok("crashes") => (FaultPlan::Crashes, true),
         _ => (FaultPlan::Commands, true),
     };
@@ -84,7 +94,12 @@
 /// true, every third job goes to a queue that requires no permission.
 fn run_seed(seed: u64, plan: FaultPlan, unrestricted: bool) {
     run_test(async {
-        let mut cell = FleetCell::start_proxied(PROCESSES, WORKERS, LIMIT_MILLIS).await;
+        let mut cell = match plan {
+            FaultPlan::Evacuations => {
+                FleetCell::start_proxied_evacuable(PROCESSES, WORKERS, LIMIT_MILLIS).await
+            }
+            _ => FleetCell::start_proxied(PROCESSES, WORKERS, LIMIT_MILLIS).await,
+        };
         let interval = FAULT_PERIOD / JOBS as u32;
         let mut load = cell.load(seed, JOBS, interval, TASK_MILLIS, unrestricted);
         if plan == FaultPlan::Fleet {
@@ -104,6 +119,7 @@
         check_job_states(&cell, &outcomes, plan == FaultPlan::Crashes).await;
         check_runs(&cell, &outcomes).await;
         check_crashes(&cell.runs().await);
+        check_evacuations(&cell.runs().await, injector.evacuations());
         check_withdrawn_key(&cell, injector.version()).await;
     });
 }
@@ -195,6 +211,22 @@
     }
 }
 
+/// Checks that no start command for a worker in an evacuated domain arrived after the request had to be
+/// in effect.
+fn check_evacuations(runs: &[Value], evacuations: &[Evacuation]) {
+    for evacuation in evacuations {
+        let since = evacuation.requested_ms + EVACUATION_BOUND.as_millis() as u64;
+        let until = evacuation.returned_ms.unwrap_or(u64::MAX);
+        for run in runs {
+            let worker = run["worker"].as_u64().unwrap_or_default();
+            let received = run["received_ms"].as_u64().unwrap_or_default();
+            let inside = evacuation.domain == format!("d{}", worker % 2);
+            let broken = inside && (since..until).contains(&received);
+            assert!(!broken, "{run} started during {evacuation:?}");
+        }
+    }
+}
+
 /// Returns the runs at the moment when the most of them ran at once.
 fn peak_runs<'a>(runs: impl Iterator<Item = &'a Value>) -> Vec<String> {
     let runs: Vec<&Value> = runs.collect();
--- a/crates/geraniumwinch-tests/tests/shrinking_workers.rs
+++ b/crates/geraniumwinch-tests/tests/shrinking_workers.rs
@@ -5,6 +5,7 @@
 
 use geraniumwinch_tests::FleetCell;
 use geraniumwinch_tests::run_test;
+use geraniumwinch_tests::unix_millis;
 use geraniumwinch_tests::wait_until;
 use serde_json::Value;
 
@@ -26,13 +27,6 @@
     starts.map(beside).max().unwrap_or(0)
 }
 
-/// Returns the Unix time in milliseconds.
-fn unix_millis() -> u64 {
-    let now = std::time::SystemTime::now();
-    now.duration_since(std::time::UNIX_EPOCH).expect("a time after 1970").as_millis()
-        as u64
-}
-
 /// Guards against starts that bring a worker over a capacity that has shrunk (LIMIT), also by a new
 /// owner.
 #[test]
