--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -8,6 +8,7 @@
 mod completion;
 mod crashes;
 mod delayed_starts;
+mod evacuations;
 mod gang_fit;
 mod gang_reservation;
 mod held_ends;
@@ -34,6 +35,7 @@
 mod worker_state;
 mod workers;
 
+pub use self::evacuations::EvacuationProgress;
 pub use self::persistence::RecordWrite;
 pub use self::placement::PlacementRound;
 
@@ -127,8 +129,10 @@
     accounts: AccountUsage,
     waiting_load: WaitingLoad,
     backoff: PlacementBackoff,
-    /// The load of placed tasks, by priority.
+    /// The load of the tasks that are placed outside evacuated domains, by priority.
     placed_load: BTreeMap<u32, PlacedLoad>,
+    /// The failure domains whose workers get no new tasks.
+    evacuated_domains: BTreeSet<Name>,
     /// The estimated share of workers that the permission service allows, by queue.
     allowed_share: HashMap<Name, f64>,
     learning: FleetLearning,
@@ -162,6 +166,7 @@
             waiting_load: WaitingLoad::default(),
             backoff: PlacementBackoff::default(),
             placed_load: BTreeMap::new(),
+            evacuated_domains: BTreeSet::new(),
             allowed_share: HashMap::new(),
             learning: FleetLearning::default(),
             permission_ledger: PermissionLedger::default(),
@@ -336,8 +341,10 @@
         let worker = &mut self.workers[placement.worker];
         worker.used.add(&size);
         worker.tasks.insert(task);
-        let placed_load = self.placed_load.entry(job.record.rules.priority).or_default();
-        placed_load.add_task(job.plan(task.unit), placement.expected);
+        if !worker.evacuated {
+            let load = self.placed_load.entry(job.record.rules.priority).or_default();
+            load.add_task(job.plan(task.unit), placement.expected);
+        }
         self.accounts.book(&job.record.account, &size);
         if self.jobs[task.job].units[task.unit as usize].waiting == 0 {
             self.release_reservation(task.job, task.unit);
@@ -354,11 +361,14 @@
         if state.is_waiting() {
             unit.waiting += 1;
         }
+        let mut evacuated = false;
         if let Some(worker) = self.workers.get_mut(placement.worker) {
             worker.used.subtract(&size);
             worker.tasks.remove(&task);
+            evacuated = worker.evacuated;
         }
-        if let Some(placed_load) = self.placed_load.get_mut(&job.record.rules.priority) {
+        let placed_load = self.placed_load.get_mut(&job.record.rules.priority);
+        if let Some(placed_load) = placed_load.filter(|_| !evacuated) {
             placed_load.remove_task(job.plan(task.unit), placement.expected);
         }
         self.accounts.release(&job.record.account, &size);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
@@ -44,6 +44,7 @@
                 }
             }
         }
+        self.update_evacuated_workers();
         added
     }
 
@@ -94,6 +95,7 @@
             state.inherited_runs = Some(record.possible_runs);
             added.push(key);
         }
+        self.update_evacuated_workers();
         added
     }
 
