Let urgent jobs use what they were permitted, and ask while calls are scarce

Cause: an attempt that got nothing delayed the next one of any job, by the backlog of all, also when its permission arrived or capacity was freed for it; late urgent jobs could ask for free room only, lost to less urgent requests in the queue, and asked about 60 workers each; a unit that had asked about as many workers as there are never asked about workers that came later; a renewal that asked for nothing kept a unit from asking elsewhere. Change: no delay for urgent jobs, and none after an answer; urgent jobs whose result is of use ask whatever others claim, about as many workers as a call names cheaply; a request gives way only to those of its length with the same or a higher priority; the count of workers is not compared any more. Result: the test of an urgent job beside 2,000 waiting steps fails without the change of the delay.

--- a/crates/geraniumwinch-cell/src/permission_queue.rs
+++ b/crates/geraniumwinch-cell/src/permission_queue.rs
@@ -262,11 +262,19 @@
     now: BootTime,
     dropped: &mut Vec<PermissionRequest>,
 ) -> Vec<PermissionRequest> {
-    let others_wait = waiting.iter().any(|(worth, _)| *worth == CallWorth::Useful);
+    let useful = |request: &PermissionRequest| {
+        let (long, priority) = (request.is_long(), request.order.priority);
+        waiting.iter().any(|(worth, other)| {
+            let first = other.is_long() == long && other.order.priority <= priority;
+            *worth == CallWorth::Useful && first
+        })
+    };
+    let others_wait: Vec<bool> =
+        waiting.iter().map(|(_, request)| useful(request)).collect();
     let vms = u32::try_from(members).unwrap_or(u32::MAX).max(1);
     let mut ahead = Duration::ZERO;
     let mut kept = Vec::new();
-    for (worth, request) in waiting {
+    for ((worth, request), others_wait) in waiting.into_iter().zip(others_wait) {
         let deferred = worth == CallWorth::Deferrable && others_wait;
         if deferred || now + ahead / vms >= request.send_by {
             dropped.push(request);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
@@ -28,6 +28,8 @@
 /// estimated.
 const TYPICAL_REQUEST_WORKERS: usize = 30;
 
+/// The most urgent priority of a queue.
+pub(super) const URGENT_PRIORITY: u32 = 0;
 /// The result of a job is still of some use until this many times its objective.
 const LATE_FACTOR: u32 = 3;
 
@@ -252,6 +254,11 @@
         self.record.phase == JobPhase::Live
     }
 
+    /// Returns whether the job's queue has the most urgent priority.
+    pub(super) fn is_urgent(&self) -> bool {
+        self.record.rules.priority == URGENT_PRIORITY
+    }
+
     /// Returns whether any task is neither done nor placed.
     pub(super) fn has_waiting_tasks(&self) -> bool {
         self.units.iter().any(|unit| unit.waiting > 0)
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/permission_table.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/permission_table.rs
@@ -49,11 +49,6 @@
         self.requested.binary_search(&worker).is_ok()
     }
 
-    /// Returns the number of workers whose permission was decided.
-    pub(super) fn requested_count(&self) -> usize {
-        self.requested.len()
-    }
-
     /// Returns the grants, expired ones included.
     pub(super) fn grants(&self) -> &[WorkerGrant] {
         &self.grants
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
@@ -95,8 +95,6 @@
         if round.calls.scarce {
             self.keep_usable_candidates(key, gang, needed, &mut candidates, round);
         }
-        let single_call = round.calls.scarce && !gang;
-        let limit = if single_call { REQUEST_MAX } else { REQUEST_MAX * REQUEST_PARTS };
         candidates.sort_by_cached_key(|&(worker, now, ever)| {
             let speed = self.request_speed(key, gang, worker);
             std::cmp::Reverse((now > 0, speed, now, ever))
@@ -108,6 +106,12 @@
         let cost = self.jobs[key].record.rules.permission;
         let cheap = cost.map_or(0, |cost| cost.cheap_workers()).min(REQUEST_MAX);
         let minimum = cheap.max(REQUEST_MIN);
+        let limit = match (round.calls.scarce, gang) {
+            // In a burst all urgent jobs see the same workers, and a longer call would not help.
+            (true, false) if self.jobs[key].is_urgent() => minimum,
+            (true, false) => REQUEST_MAX,
+            _ => REQUEST_MAX * REQUEST_PARTS,
+        };
         let mut covered = 0.0;
         let mut names = Vec::new();
         for (worker, now_fits, ever_fits) in candidates {
@@ -249,6 +253,7 @@
     fn finish_request(&mut self, key: JobKey, unit: u32) {
         let state = &mut self.jobs[key].units[unit as usize];
         state.open_requests = state.open_requests.saturating_sub(1);
+        state.next_attempt = BootTime::ZERO;
         if state.open_requests == 0 {
             self.call_claims.release(key, unit);
         }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -140,8 +140,9 @@
         let waiting = state.waiting;
         self.place_unit(key, unit, unix_time, now, round);
         let delay = self.backoff.delay();
+        let urgent = self.jobs[key].is_urgent();
         let state = &mut self.jobs[key].units[unit as usize];
-        if state.waiting == waiting {
+        if state.waiting == waiting && !urgent {
             state.next_attempt = now + delay;
         }
     }
@@ -200,9 +201,9 @@
         }
         self.start(key, unit, &chosen, now, round);
         let left = needed - chosen.len();
-        if renewable.len() > chosen.len() {
-            self.renew_permissions(key, unit, &renewable, false, now, round);
-        } else {
+        let renewed = renewable.len() > chosen.len()
+            && self.renew_permissions(key, unit, &renewable, false, now, round);
+        if !renewed {
             self.request_new_permissions(key, unit, &plan, left, now, round);
         }
         self.preempt(key, unit, left, unix_time, now);
@@ -458,8 +459,7 @@
         let Some(cost) = job.record.rules.permission else { return };
         let unaffordable =
             round.calls.long_calls == 0 && is_long_call(cost.call_time(REQUEST_MIN));
-        let complete = state.permissions.requested_count() >= self.workers.len();
-        if open || unaffordable || complete || now < state.next_request {
+        if open || unaffordable || now < state.next_request {
             return;
         }
         let mut candidates = Vec::new();
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/preemption.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/preemption.rs
@@ -20,6 +20,7 @@
 use super::job_state::JobLateness;
 use super::job_state::RunPhase;
 use super::job_state::TaskRef;
+use super::job_state::URGENT_PRIORITY;
 use super::placement::copies_that_fit;
 
 /// The progress in percent up to which a task without checkpoints may be preempted.
@@ -53,7 +54,7 @@
         now: BootTime,
     ) {
         let job = &self.jobs[key];
-        if job.record.rules.priority != 0
+        if !job.is_urgent()
             || now < job.units[unit as usize].next_preemption
             || job.lateness(unix_time) != JobLateness::InTime
             || self.has_suspects(key, unit)
@@ -213,7 +214,8 @@
         let plan = job.plan(task.unit);
         let Some(placement) = self.placement_of(task) else { return false };
         let state = &job.units[task.unit as usize].tasks[task.index as usize];
-        let restartable = priority == 0 && placement.percent <= PREEMPTIBLE_PERCENT;
+        let restartable =
+            priority == URGENT_PRIORITY && placement.percent <= PREEMPTIBLE_PERCENT;
         job.record.rules.priority > priority
             && placement.phase == RunPhase::Running
             && !plan.gang
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/scarce_calls.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/scarce_calls.rs
@@ -20,7 +20,6 @@
 use super::FleetScheduler;
 use super::PlacementRound;
 use super::job_state::JobKey;
-use super::job_state::JobLateness;
 
 /// The number of waiting gangs of each priority, in the order of placement, that may request
 /// permissions although they are not likely to fit now.
@@ -67,7 +66,7 @@
         candidates: &mut Vec<(WorkerKey, u32, u32)>,
         round: &PlacementRound,
     ) {
-        if self.may_preempt(key, round.unix_time) {
+        if self.is_pressing(key, round.unix_time) {
             return;
         }
         if !gang {
@@ -84,10 +83,10 @@
         }
     }
 
-    /// Returns whether tasks of a job preempt others.
-    fn may_preempt(&self, key: JobKey, unix_time: Duration) -> bool {
-        let job = &self.jobs[key];
-        job.record.rules.priority == 0 && job.lateness(unix_time) == JobLateness::InTime
+    /// Returns whether a job requests permissions whatever others claim: it is urgent, and its result
+    /// is still of use.
+    pub(super) fn is_pressing(&self, key: JobKey, unix_time: Duration) -> bool {
+        self.jobs[key].is_urgent() && !self.is_overdue(key, unix_time)
     }
 
     /// Chooses the workers among the given ones whose permissions are renewed. `reserved` tells
@@ -101,7 +100,8 @@
         round: &PlacementRound,
     ) -> Vec<WorkerKey> {
         let mut workers = workers.to_vec();
-        if round.calls.scarce && !reserved {
+        let pressing = self.is_pressing(key, round.unix_time);
+        if round.calls.scarce && !reserved && !pressing {
             let plan = self.jobs[key].plan(unit);
             workers.retain(|&worker| self.unclaimed_fits(key, unit, plan, worker) > 0);
         }
@@ -130,7 +130,7 @@
             })
         };
         let startable = plan.gang
-            || self.may_preempt(key, unix_time)
+            || self.is_pressing(key, unix_time)
             || request.workers.iter().any(has_room);
         if startable && !self.is_overdue(key, unix_time) {
             CallWorth::Useful
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/speed_ranking.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/speed_ranking.rs
@@ -8,11 +8,9 @@
 use super::FleetScheduler;
 use super::WorkerKey;
 use super::job_state::JobKey;
+use super::job_state::URGENT_PRIORITY;
 use super::placement::WorkerOffer;
 
-/// The priority of the jobs that take fast workers first.
-const URGENT_PRIORITY: u32 = 0;
-
 impl FleetScheduler {
     /// Sorts the offers for `needed` tasks of a unit by the speed that suits them, if workers are
     /// known to differ. Offers that are worse for another reason stay behind.
--- a/crates/geraniumwinch-fleet/tests/load.rs
+++ b/crates/geraniumwinch-fleet/tests/load.rs
@@ -50,6 +50,35 @@
 }
 
 cases! {
+    /// Pattern: an overload with hundreds of waiting steps. Guards against urgent jobs whose
+    /// permission arrives but is not used because earlier attempts got nothing.
+    an_urgent_job_starts_at_once_beside_a_large_backlog(cell) {
+        cell.add_workers(&["w"]);
+        cell.accept("full", record(rules(0), vec![step(1, 16_000)]));
+        let full = cell.start_all().remove(0);
+        for index in 0..2_000 {
+            cell.accept(&format!("bulk-{index}"), record(rules(2), vec![step(1, 16_000)]));
+        }
+        let call_time = Duration::from_millis(10);
+        cell.accept("urgent", record(permitted(0, call_time), vec![step(1, 16_000)]));
+        cell.place();
+        let requests = cell.scheduler.place(UNIX_TIME, cell.now, LONG_REQUESTS).requests;
+        assert!(requests.is_empty(), "the first pass has sent the request");
+        cell.wait(20);
+        let urgent = task("urgent", 0, 0).step;
+        let grant = PermissionGrant {
+            worker: "w".into(),
+            ticket: "ticket".into(),
+            until: cell.now + Duration::from_secs(2),
+        };
+        cell.scheduler.permission_response(&urgent, &["w".into()], vec![grant]);
+        let end = ended(1, full.task.clone(), full.run, RunOutcome::Done);
+        cell.report(full.worker, Vec::new(), vec![end]);
+        let starts = cell.place();
+        assert_eq!(starts.len(), 1);
+        assert_eq!(starts[0].task, task("urgent", 0, 0));
+    }
+
     urgent_jobs_are_placed_first(cell) {
         cell.add_workers(&["w"]);
         cell.accept("bulk", record(rules(2), vec![step(4, 4_000)]));
