Publish an evacuation only with the published set, and take no list from before what is known

Found by a review. Cause: with the stored set missing, a request to evacuate would have published an empty one; a refusal after an unanswered attempt was reported as not published; a head that can't be decoded kept a domain without an owner; a list of an older revision, or of none, replaced the known requests in the cell. Change: the set must have the digest that the head names; such a refusal counts as unknown; an undecodable head is logged and the domain is served; such a list is an error. Both errors of a failed watch are logged.

--- a/crates/geraniumwinch-cell/src/evacuation_watch.rs
+++ b/crates/geraniumwinch-cell/src/evacuation_watch.rs
@@ -149,13 +149,14 @@
                         log_event!(Info, "store-regained", part = "evacuations");
                     }
                 }
-                Err(_) => {
+                Err(read_error) => {
                     if !std::mem::replace(&mut disconnected, true) {
                         log_event!(
                             Warn,
                             "store-lost",
                             part = "evacuations",
-                            error = error
+                            error = error,
+                            read_error = read_error
                         );
                     }
                 }
@@ -203,6 +204,10 @@
             let page = within(bound.mul_f64(part::CALL), page).await?;
             // Pages are no snapshot, so the watch repeats what has changed since the first one.
             let revision = *first_revision.get_or_insert(page.revision);
+            if revision == 0 || revision < self.revision.get() {
+                let message = format!("the list is of revision {revision}");
+                return Err(CallError::Malformed { message });
+            }
             for item in &page.items {
                 if let Some(domain) = self.ports.evacuations.domain(&item.key) {
                     domains.insert(domain, item.revision);
--- a/crates/geraniumwinch-fleet/tests/load.rs
+++ b/crates/geraniumwinch-fleet/tests/load.rs
@@ -79,6 +79,22 @@
         assert_eq!(starts[0].task, task("urgent", 0, 0));
     }
 
+    /// Guards against a job that waits for ever after the workers that it has asked about were
+    /// replaced (soak, plan crashes, seed 700).
+    a_worker_that_replaces_another_one_is_asked_about(cell) {
+        let former = cell.add_workers(&["former"])[0];
+        let call_time = Duration::from_millis(10);
+        cell.accept("job", record(permitted(1, call_time), vec![step(1, 1_000)]));
+        let round = cell.scheduler.place(UNIX_TIME, cell.now, LONG_REQUESTS);
+        allow(&mut cell, &round.requests[0], &[]);
+        cell.add_workers(&["new"]);
+        cell.scheduler.mark_silent(former, cell.now);
+        cell.wait(60_000);
+        assert!(cell.scheduler.remove_if_gone(former, cell.now));
+        let round = cell.scheduler.place(UNIX_TIME, cell.now, LONG_REQUESTS);
+        assert_eq!(&*round.requests[0].workers, ["new".into()]);
+    }
+
     urgent_jobs_are_placed_first(cell) {
         cell.add_workers(&["w"]);
         cell.accept("bulk", record(rules(2), vec![step(4, 4_000)]));
--- a/crates/geraniumwinch-node/src/evacuation_publisher.rs
+++ b/crates/geraniumwinch-node/src/evacuation_publisher.rs
@@ -7,6 +7,7 @@
 use geraniumwinch_config::EvacuationSet;
 use geraniumwinch_core::log_event;
 
+use crate::NodeError;
 use crate::Result;
 use crate::node_shared::unix_millis;
 use crate::publish_request::EvacuationChange;
@@ -15,6 +16,7 @@
 use crate::publisher::PUBLISH_TIMEOUT;
 use crate::publisher::RETRY_DELAY;
 use crate::publisher::StoredConfig;
+use crate::store_keys;
 
 impl ConfigPublisher {
     /// Publishes the newest set again with a changed list of evacuated domains, with retries.
@@ -25,8 +27,11 @@
         change: &EvacuationChange,
     ) -> EvacuationOutcome {
         let started = self.shared.now();
+        let mut maybe_published = false;
         while self.shared.now() - started < PUBLISH_TIMEOUT {
             match self.attempt_evacuation(change).await {
+                // The refusal applies to this attempt; an earlier one may have been published.
+                Ok(EvacuationOutcome::Refused(_)) if maybe_published => break,
                 Ok(outcome) => {
                     log_event!(
                         Info,
@@ -37,7 +42,10 @@
                     );
                     return outcome;
                 }
-                Err(error) => log_event!(Warn, "publication-unanswered", error = error),
+                Err(error) => {
+                    maybe_published = true;
+                    log_event!(Warn, "publication-unanswered", error = error);
+                }
             }
             tokio::time::sleep(RETRY_DELAY).await;
         }
@@ -62,6 +70,9 @@
             let set = self.read_current().await?;
             revision += 1;
             let digest = set.digest();
+            if head.as_ref().is_none_or(|head| head.digest() != digest) {
+                return Err(unpublished_set());
+            }
             let id = format!("{:032x}", rand::random::<u128>());
             let new = ConfigHead { revision, change: id, digest, evacuated };
             self.commit(head.as_ref(), &new, &set, &set).await?;
@@ -83,3 +94,12 @@
         evacuated.request(&change.domain, &known, change.last, unix_time)
     }
 }
+
+/// Returns the error for a stored set that is not the one that the head names. Publishing it again
+/// would replace the configuration.
+fn unpublished_set() -> NodeError {
+    NodeError::StoredValue {
+        key: store_keys::CONFIG_CURRENT.to_owned(),
+        message: "the set is missing or is not the published one".to_owned(),
+    }
+}
--- a/crates/geraniumwinch-node/src/ownership/take_over.rs
+++ b/crates/geraniumwinch-node/src/ownership/take_over.rs
@@ -12,6 +12,7 @@
 use geraniumwinch_wire::PeerMessage;
 use rand::Rng;
 
+use crate::NodeError;
 use crate::allowance_balancer::read_allowances;
 use crate::dispatcher::FreezeDispatcher;
 use crate::dispatcher::ReportedGrants;
@@ -215,6 +216,10 @@
                     return self.shared.evacuations.apply(head.revision, head.evacuated);
                 }
                 Ok(None) => return,
+                // No later read helps, and a domain without an owner would serve nothing.
+                Err(error @ NodeError::StoredValue { .. }) => {
+                    return log_event!(Error, "evacuations-unreadable", error = error);
+                }
                 Err(error) => {
                     log_event!(Warn, "evacuations-unread", error = error);
                     tokio::time::sleep(READ_RETRY_DELAY).await;
--- a/crates/geraniumwinch-node/src/publisher.rs
+++ b/crates/geraniumwinch-node/src/publisher.rs
@@ -41,6 +41,11 @@
         self.head.revision
     }
 
+    /// Returns the digest of the published set.
+    pub(crate) fn digest(&self) -> &str {
+        &self.head.digest
+    }
+
     /// Returns the evacuated domains.
     pub(crate) fn evacuated(&self) -> EvacuationSet {
         self.head.evacuated.clone()
