Keep passes below a third of the owner's time, however long they take

Cause: the time between two passes was capped at 50 ms, so passes of 100 ms and more, as a backlog or a slow processor makes them, took most of the owner's time. The board line has the number of passes and their total duration.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -28,6 +28,7 @@
 use crate::member_table::MemberTable;
 use crate::owner_authority::OwnerAuthority;
 use crate::owner_election::OWNER_TTL;
+use crate::pass_pacing::PassPacing;
 use crate::peer_message::MemberInfo;
 use crate::peer_message::PeerReply;
 use crate::peer_message::PeerRequest;
@@ -44,13 +45,6 @@
 
 /// The maximum time between two scheduling passes.
 const PASS_INTERVAL: Duration = Duration::from_millis(100);
-/// The minimum time between two passes.
-const PASS_GAP: Duration = Duration::from_millis(4);
-/// The ratio of the time between two passes to the duration of the last one, so that worker reports
-/// and client requests get most of the CPU.
-const PASS_GAP_FACTOR: u32 = 2;
-/// The maximum time that results from this ratio.
-const PASS_GAP_MAX: Duration = Duration::from_millis(50);
 /// The interval at which the worker directory is read.
 const LIST_INTERVAL: Duration = Duration::from_millis(700);
 /// The interval at which the scheduler's counts are logged.
@@ -80,6 +74,7 @@
     /// The totals that were last reported.
     reported_permissions: Cell<PermissionCounts>,
     pub(crate) members: RefCell<MemberTable>,
+    pacing: RefCell<PassPacing>,
     pass_due: Rc<Notify>,
     commit_done: Rc<Notify>,
     /// The version of the configuration whose limits the scheduler uses; `None` before the first
@@ -162,6 +157,7 @@
             permission_queue: PermissionQueue::default(),
             reported_permissions: Cell::default(),
             members: RefCell::default(),
+            pacing: RefCell::default(),
             pass_due,
             commit_done,
             limits_version: Cell::new(None),
@@ -185,7 +181,7 @@
             let took = self.ports.clock.now().saturating_sub(began);
             // A timeout needs no handling: a pass runs either way.
             let _ = tokio::time::timeout(PASS_INTERVAL, self.pass_due.notified()).await;
-            let gap = (took * PASS_GAP_FACTOR).clamp(PASS_GAP, PASS_GAP_MAX);
+            let gap = self.pacing.borrow_mut().record(took);
             tokio::time::sleep(gap).await;
             let now = self.ports.clock.now();
             if now >= reported + REPORT_INTERVAL {
@@ -214,6 +210,7 @@
         cell_metrics::set_counts(counts);
         self.report_learning();
         self.evacuations.report_progress(now);
+        let (passes, busy) = self.pacing.borrow_mut().take();
         log_event!(
             Info,
             "board",
@@ -223,6 +220,8 @@
             workers = counts.workers,
             used = format!("{:.2}", counts.used),
             running = format!("{:.2}", counts.running),
+            passes = passes,
+            pass_ms = busy.as_millis(),
             backlog = format!("{:.2}", self.scheduler.borrow().backlog())
         );
         let lost_work = self.scheduler.borrow_mut().take_lost_work();
--- /dev/null
+++ b/crates/geraniumwinch-cell/src/pass_pacing.rs
@@ -0,0 +1,36 @@
+//! The times of the owner's scheduling passes.
+//!
+//! It addresses a backlog that makes passes long: whatever they take, worker reports and client requests
+//! must get most of the processor, since the owner would otherwise fall behind for good.
+
+use std::time::Duration;
+
+/// The minimum time between two passes.
+const MIN_GAP: Duration = Duration::from_millis(4);
+/// The ratio of the time between two passes to the duration of the last one.
+const GAP_FACTOR: u32 = 2;
+/// The maximum time between two passes.
+const MAX_GAP: Duration = Duration::from_secs(1);
+
+/// Paces the owner's scheduling passes and sums up their durations.
+#[derive(Debug, Default)]
+pub struct PassPacing {
+    passes: u32,
+    busy: Duration,
+}
+
+impl PassPacing {
+    /// Records the duration of a pass and returns the time to wait before the next one.
+    pub fn record(&mut self, took: Duration) -> Duration {
+        self.passes += 1;
+        self.busy += took;
+        (took * GAP_FACTOR).clamp(MIN_GAP, MAX_GAP)
+    }
+
+    /// Returns and clears the number of passes and their total duration.
+    pub fn take(&mut self) -> (u32, Duration) {
+        let totals = (self.passes, self.busy);
+        *self = PassPacing::default();
+        totals
+    }
+}
