--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -71,7 +71,7 @@
     sender: Rc<CommandSender>,
     evacuations: Rc<EvacuationWatch>,
     permission_queue: PermissionQueue,
-    /// The totals that were last reported.
+    /// The permission counts at the last report.
     reported_permissions: Cell<PermissionCounts>,
     pub(crate) members: RefCell<MemberTable>,
     pacing: RefCell<PassPacing>,
--- a/crates/geraniumwinch-cell/src/evacuation_watch.rs
+++ b/crates/geraniumwinch-cell/src/evacuation_watch.rs
@@ -26,7 +26,7 @@
 use crate::cell_metrics;
 use crate::owner_authority::OwnerAuthority;
 
-/// The parts of the bound that each step of following the requests may take.
+/// Times as parts of the bound.
 mod part {
     /// The duration of a watch without changes, and the timeout of a read.
     pub(super) const CALL: f64 = 0.2;
--- a/crates/geraniumwinch-core/src/ratio_estimate.rs
+++ b/crates/geraniumwinch-core/src/ratio_estimate.rs
@@ -48,7 +48,7 @@
 impl DurationRatio {
     /// Returns the factor by which to judge whether a task can be done in time: no task counts as
     /// late that has a fair chance to be in time.
-    pub fn hopeful(&self) -> f64 {
+    pub fn for_lateness(&self) -> f64 {
         self.favorable.max(self.typical.min(1.0))
     }
 
--- a/crates/geraniumwinch-fleet/src/call_budget.rs
+++ b/crates/geraniumwinch-fleet/src/call_budget.rs
@@ -51,7 +51,7 @@
     }
 }
 
-/// Limits long calls only.
+/// Creates a budget that limits long calls only.
 impl From<usize> for CallBudget {
     fn from(long_calls: usize) -> Self {
         CallBudget { long_calls, short_time: Duration::MAX, scarce: false }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/job_forecast.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/job_forecast.rs
@@ -29,9 +29,9 @@
             singles: learning.ratio(queue, false),
             path: Duration::ZERO,
         };
-        let hopeful =
-            |plan: &StepPlan| plan.estimate.mul_f64(forecast.ratio(plan).hopeful());
-        forecast.path = critical_path(record, hopeful);
+        let for_lateness =
+            |plan: &StepPlan| plan.estimate.mul_f64(forecast.ratio(plan).for_lateness());
+        forecast.path = critical_path(record, for_lateness);
         forecast
     }
 
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/learning.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/learning.rs
@@ -90,7 +90,7 @@
         job.forecast.expected(job.plan(task.unit)).div_f64(speed)
     }
 
-    /// Makes the speed of a listed worker known to the table.
+    /// Adds a listed worker to the speed table; its kind is its labels but the rack.
     pub(super) fn list_speed(&mut self, info: &WorkerInfo) {
         let labels = info.labels.iter();
         let kind = labels.filter(|label| info.rack.as_ref() != Some(*label));
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/permission_ledger.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/permission_ledger.rs
@@ -31,6 +31,7 @@
     unused: HashMap<GrantKey, BootTime>,
     /// The permissions by expiry, including those that were used or replaced since.
     expiries: VecDeque<(BootTime, GrantKey)>,
+    /// The waits of live jobs that have requested permissions.
     first_waits: HashMap<JobKey, FirstWait>,
     /// Since when the jobs waited that have got their first permission since the last pass.
     waits_over: Vec<BootTime>,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/permission_table.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/permission_table.rs
@@ -23,7 +23,9 @@
 /// worker.
 #[derive(Debug, Default)]
 pub(super) struct PermissionTable {
+    /// The workers about which the service has decided.
     requested: Vec<WorkerKey>,
+    /// The newest grant of each allowed worker.
     grants: Vec<WorkerGrant>,
 }
 
@@ -76,6 +78,7 @@
         }
     }
 
+    /// Returns the position of a worker's grant, or where it would be inserted.
     fn position(&self, worker: WorkerKey) -> Result<usize, usize> {
         self.grants.binary_search_by_key(&worker, |grant| grant.worker)
     }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
@@ -107,7 +107,7 @@
         let cheap = cost.map_or(0, |cost| cost.cheap_workers()).min(REQUEST_MAX);
         let minimum = cheap.max(REQUEST_MIN);
         let limit = match (round.calls.scarce, gang) {
-            // In a burst all urgent jobs see the same workers, and a longer call would not help.
+            // A longer call takes more time, and the urgent jobs of a burst all see the same workers.
             (true, false) if self.jobs[key].is_urgent() => minimum,
             (true, false) => REQUEST_MAX,
             _ => REQUEST_MAX * REQUEST_PARTS,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -94,8 +94,8 @@
         round
     }
 
-    /// Returns the jobs with waiting tasks by priority, and the overdue jobs of all priorities at the end. Within
-    /// a priority, those that can still meet their objective come first.
+    /// Returns the jobs with waiting tasks by priority, and the overdue jobs of all priorities at
+    /// the end. Within a priority, those that can still meet their objective come first.
     fn jobs_by_priority(&self, unix_time: Duration) -> Vec<JobKey> {
         let waiting =
             self.open_jobs.iter().filter(|(.., key)| self.jobs[*key].has_waiting_tasks());
