Saturate sums of amounts

An entry of the list of workers, or a record, with an amount near the limit of its type ends the owner where overflows are checked. In a release build the total wraps: two capacities of 2^63 sum to nothing, and admission and placement use that.

Cause: `ResourceVector::add` and the sums of capacities, demands and placed tasks were unchecked.

Change: `ResourceVector` saturates, implements `Sum`, and all totals use it.

--- a/crates/geraniumwinch-core/src/resource_vector.rs
+++ b/crates/geraniumwinch-core/src/resource_vector.rs
@@ -1,5 +1,7 @@
 //! Amounts of the resources that tasks require and workers provide.
 
+use std::iter::Sum;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -15,6 +17,15 @@
 }
 
 impl ResourceVector {
+    /// The greatest amounts that a single VM may have; larger ones are errors of their writer. The
+    /// sums over the workers of a fleet, or over the tasks of a job, don't come near the limits of
+    /// their types.
+    pub const VM_MAX: ResourceVector = ResourceVector {
+        cpu_millis: 16_384 * 1000,
+        memory_bytes: 64 << 40,
+        accelerators: 4096,
+    };
+
     /// Returns whether no amount exceeds that of `available`.
     pub fn fits(&self, available: &ResourceVector) -> bool {
         self.cpu_millis <= available.cpu_millis
@@ -22,11 +33,11 @@
             && self.accelerators <= available.accelerators
     }
 
-    /// Adds another vector.
+    /// Adds another vector, saturating at the greatest amounts.
     pub fn add(&mut self, other: &ResourceVector) {
-        self.cpu_millis += other.cpu_millis;
-        self.memory_bytes += other.memory_bytes;
-        self.accelerators += other.accelerators;
+        self.cpu_millis = self.cpu_millis.saturating_add(other.cpu_millis);
+        self.memory_bytes = self.memory_bytes.saturating_add(other.memory_bytes);
+        self.accelerators = self.accelerators.saturating_add(other.accelerators);
     }
 
     /// Subtracts another vector, saturating at zero.
@@ -61,6 +72,14 @@
     }
 }
 
+impl<'a> Sum<&'a ResourceVector> for ResourceVector {
+    fn sum<I: Iterator<Item = &'a ResourceVector>>(vectors: I) -> Self {
+        let mut total = ResourceVector::default();
+        vectors.for_each(|vector| total.add(vector));
+        total
+    }
+}
+
 /// Returns `part / whole`, or 0 if `whole` is 0.
 fn fraction(part: u64, whole: u64) -> f64 {
     if whole == 0 { 0.0 } else { part as f64 / whole as f64 }
--- a/crates/geraniumwinch-core/src/worker_table.rs
+++ b/crates/geraniumwinch-core/src/worker_table.rs
@@ -112,11 +112,8 @@
 
     /// Returns the total resources of the listed workers.
     pub fn total(&self) -> ResourceVector {
-        let mut total = ResourceVector::default();
-        for state in self.vms.states.values().filter(|state| state.listed) {
-            total.add(&state.spec.capacity);
-        }
-        total
+        let listed = self.vms.states.values().filter(|state| state.listed);
+        listed.map(|state| &state.spec.capacity).sum()
     }
 
     /// Returns whether a task of this size fits on any listed worker that is empty.
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -55,6 +55,7 @@
 use std::time::Duration;
 
 use geraniumwinch_core::Name;
+use geraniumwinch_core::ResourceVector;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
@@ -288,15 +289,16 @@
     /// Returns a summary of the scheduler's state.
     pub fn counts(&self, now: BootTime) -> FleetCounts {
         let usable = || self.workers.values().filter(|state| state.usable(now));
-        let used: u64 = usable().map(|state| state.used.cpu_millis).sum();
-        let total: u64 = usable().map(|state| state.info.capacity.cpu_millis).sum();
+        let used: ResourceVector = usable().map(|state| &state.used).sum();
+        let total: ResourceVector = usable().map(|state| &state.info.capacity).sum();
+        let total = total.cpu_millis.max(1) as f64;
         FleetCounts {
             live_jobs: self.open_jobs.len(),
             placed: self.workers.values().map(|state| state.tasks.len()).sum(),
             usable_workers: usable().count(),
             workers: self.workers.len(),
-            used: used as f64 / total.max(1) as f64,
-            running: self.placed_cpu_millis() as f64 / total.max(1) as f64,
+            used: used.cpu_millis as f64 / total,
+            running: self.placed_cpu_millis() as f64 / total,
         }
     }
 
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
@@ -7,6 +7,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use geraniumwinch_core::ResourceVector;
+
 use crate::JobRecord;
 use crate::StepPlan;
 
@@ -34,7 +36,7 @@
 impl PlacedLoad {
     /// Adds a placed task that is expected to take the given time.
     pub(super) fn add_task(&mut self, plan: &StepPlan, expected: Duration) {
-        self.cpu_millis += plan.reserved().cpu_millis;
+        self.cpu_millis = self.cpu_millis.saturating_add(plan.reserved().cpu_millis);
         self.work += work(plan, expected);
     }
 
@@ -89,7 +91,9 @@
                 }
                 let plan = job.plan(unit);
                 if job.ready(unit) {
-                    load.demand += u64::from(waiting) * plan.reserved().cpu_millis;
+                    let demand =
+                        plan.reserved().cpu_millis.saturating_mul(waiting.into());
+                    load.demand = load.demand.saturating_add(demand);
                 }
                 if in_time {
                     *load.work.entry(priority).or_default() +=
@@ -142,14 +146,15 @@
     /// Returns the processors of all tasks that are placed outside evacuated domains, in thousandths
     /// of a core.
     pub(super) fn placed_cpu_millis(&self) -> u64 {
-        self.placed_load.values().map(|placed_load| placed_load.cpu_millis).sum()
+        let amounts = self.placed_load.values().map(|load| load.cpu_millis);
+        amounts.fold(0, u64::saturating_add)
     }
 
     /// Returns the processors of all workers outside evacuated domains in thousandths of a core, at
     /// least one core.
     fn total_cpu_millis(&self) -> f64 {
         let workers = self.workers.values().filter(|state| !state.evacuated);
-        let total: u64 = workers.map(|state| state.info.capacity.cpu_millis).sum();
-        total.max(1000) as f64
+        let total: ResourceVector = workers.map(|state| &state.info.capacity).sum();
+        total.cpu_millis.max(1000) as f64
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/crashes.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/crashes.rs
@@ -205,9 +205,10 @@
             let placement = self.placement_of(*task);
             let age =
                 placement.map_or(Duration::ZERO, |p| now.saturating_sub(p.started_at));
-            plan.reserved().cpu_millis * members * age.as_millis() as u64
+            let cpu_millis = plan.reserved().cpu_millis.saturating_mul(members);
+            cpu_millis.saturating_mul(age.as_millis() as u64)
         };
-        others.map(work).sum()
+        others.map(work).fold(0, u64::saturating_add)
     }
 
     /// Removes the workers from the offers for a suspected task on which a run of another job would be
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/gang_reservation.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/gang_reservation.rs
@@ -92,8 +92,10 @@
         if let Some(reason) = self.lapse_reason(key, unit, reservation, now) {
             self.events.push(SchedulerEvent::ReservationLapsed {
                 step: job.step_name(unit),
-                cpu_millis: reservation.size.cpu_millis
-                    * reservation.workers.len() as u64,
+                cpu_millis: reservation
+                    .size
+                    .cpu_millis
+                    .saturating_mul(reservation.workers.len() as u64),
                 held: now.saturating_sub(reservation.since),
                 reason,
             });
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/overdue_jobs.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/overdue_jobs.rs
@@ -33,7 +33,7 @@
     /// by itself may take any capacity, since it could never start otherwise.
     fn copies(&self, size: &ResourceVector, wanted: usize, gang: bool) -> usize {
         let together = if gang { wanted as u64 } else { 1 };
-        if size.cpu_millis == 0 || size.cpu_millis * together > self.limit {
+        if size.cpu_millis == 0 || size.cpu_millis.saturating_mul(together) > self.limit {
             return wanted;
         }
         wanted.min((self.left / size.cpu_millis) as usize)
@@ -69,9 +69,9 @@
     /// Returns the processors that overdue jobs may take now.
     fn overdue_room(&self, now: BootTime) -> OverdueRoom {
         let usable = || self.workers.values().filter(|state| state.usable(now));
-        let total: u64 = usable().map(|state| state.info.capacity.cpu_millis).sum();
-        let used: u64 = usable().map(|state| state.used.cpu_millis).sum();
-        let limit = (total as f64 * MAX_USED_SHARE) as u64;
-        OverdueRoom { limit, left: limit.saturating_sub(used) }
+        let total: ResourceVector = usable().map(|state| &state.info.capacity).sum();
+        let used: ResourceVector = usable().map(|state| &state.used).sum();
+        let limit = (total.cpu_millis as f64 * MAX_USED_SHARE) as u64;
+        OverdueRoom { limit, left: limit.saturating_sub(used.cpu_millis) }
     }
 }
