Count no capacity of entries without a worker

Seen: by reading. An odd entry with amounts that a VM can have and an address where no worker is gets no work, but admission counts its processors, so the owner accepts work for which there is no worker.

Cause: the total of admission had all listed workers.

Change: a worker that has never responded to this owner, and did not respond to the last calls, doesn't count.

Test: `an_entry_without_a_worker_adds_no_capacity`; it failed before.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
@@ -15,6 +15,7 @@
 use super::FleetScheduler;
 use super::job_lateness::JobLateness;
 use super::job_state::critical_path;
+use super::worker_state::WorkerState;
 
 /// The maximum share of the workers' processors that tasks use, since gangs leave gaps.
 const MAX_PACKED_SHARE: f64 = 0.85;
@@ -151,9 +152,10 @@
     }
 
     /// Returns the processors of all workers outside evacuated domains in thousandths of a core, at
-    /// least one core.
+    /// least one core. Entries behind which no worker has responded do not count.
     fn total_cpu_millis(&self) -> f64 {
-        let workers = self.workers.values().filter(|state| !state.evacuated);
+        let offers = |state: &&WorkerState| !state.evacuated && !state.is_unproven();
+        let workers = self.workers.values().filter(offers);
         let total: ResourceVector = workers.map(|state| &state.info.capacity).sum();
         total.cpu_millis.max(1000) as f64
     }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
@@ -165,6 +165,11 @@
         self.silent_since.is_some()
     }
 
+    /// Returns whether no worker has responded yet where the entry says, and the last calls failed.
+    pub(super) fn is_unproven(&self) -> bool {
+        self.incarnation.is_none() && self.is_silent()
+    }
+
     /// Returns whether tasks may be placed on the worker.
     pub(super) fn usable(&self, now: BootTime) -> bool {
         self.listed
--- a/crates/geraniumwinch-fleet/tests/extreme_amounts.rs
+++ b/crates/geraniumwinch-fleet/tests/extreme_amounts.rs
@@ -57,6 +57,24 @@
         assert!(cell.place().is_empty());
     }
 
+    /// Guards against an entry of another writer that lets the owner accept work for which there
+    /// is no worker.
+    an_entry_without_a_worker_adds_no_capacity(cell) {
+        let sound = cell.add_workers(&["a"]);
+        cell.accept("bulk", record(rules(1), vec![step(40, 16_000)]));
+        cell.scheduler.update_waiting_load(UNIX_TIME);
+        let job = record(rules(1), vec![step(1, 1000)]);
+        let before = cell.scheduler.admission_load(&job);
+        assert!(before > 1.0, "{before}");
+        let large = ResourceVector { cpu_millis: 10_000_000, ..GREATEST };
+        let listed = vec![worker_info("a"), sized("b", large)];
+        let added = cell.scheduler.set_workers(listed, cell.now);
+        assert_eq!((sound.len(), added.len()), (1, 1));
+        cell.scheduler.mark_silent(added[0], cell.now);
+        assert!(cell.scheduler.admission_load(&job) >= before);
+        assert!(cell.scheduler.backlog() > 1.0);
+    }
+
     /// Guards against an owner that ends over the sum of the demands of waiting tasks.
     the_greatest_demands_wait_and_count(cell) {
         cell.add_workers(&["a"]);
