--- a/crates/geraniumwinch-fleet/src/job_request.rs
+++ b/crates/geraniumwinch-fleet/src/job_request.rs
@@ -22,7 +22,7 @@
 impl JobSchedule {
     /// Returns the due time of an occurrence, counted from 0, as time since the Unix epoch.
     pub fn due(&self, occurrence: u32) -> Duration {
-        self.first + self.interval * occurrence
+        self.first.saturating_add(self.interval.saturating_mul(occurrence))
     }
 }
 
--- a/crates/geraniumwinch-fleet/tests/extreme_amounts.rs
+++ b/crates/geraniumwinch-fleet/tests/extreme_amounts.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use geraniumwinch_core::ResourceVector;
+use geraniumwinch_fleet::JobSchedule;
 use geraniumwinch_fleet::StepPlan;
 use geraniumwinch_fleet::WorkerInfo;
 use geraniumwinch_fleet::WorkerRecord;
@@ -88,4 +89,17 @@
         cell.accept("urgent", record(rules(0), vec![step(1, 1000)]));
         assert_eq!(cell.place().len(), 1, "other jobs go on");
     }
+
+    /// Guards against an owner, and each of its successors, that ends over the due times of a job.
+    the_greatest_due_times_are_never_due(cell) {
+        cell.add_workers(&["a"]);
+        let mut repeated = record(rules(1), vec![step(1, 1000)]);
+        let greatest = Duration::from_millis(u64::MAX);
+        repeated.request.schedule =
+            Some(JobSchedule { repeats: 50_000, first: greatest, interval: greatest });
+        cell.accept("repeated", repeated);
+        assert!(cell.place().is_empty());
+        cell.accept("other", record(rules(1), vec![step(1, 1000)]));
+        assert_eq!(cell.place().len(), 1, "other jobs go on");
+    }
 }
