--- a/crates/geraniumwinch-cell/src/cell_dispatcher/permission_calls.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/permission_calls.rs
@@ -105,7 +105,8 @@
         match allowed {
             Some(allowed) => {
                 let validity = scheduler.permission_validity(&step).unwrap_or_default();
-                let until = now + validity.saturating_sub(PERMISSION_MARGIN);
+                let until =
+                    now.saturating_add(validity.saturating_sub(PERMISSION_MARGIN));
                 let grants = allowed
                     .into_iter()
                     .map(|(worker, ticket)| PermissionGrant { worker, ticket, until })
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
@@ -11,6 +11,7 @@
 
 use crate::JobRecord;
 use crate::StepPlan;
+use crate::scaled_time::scaled_time;
 
 use super::FleetScheduler;
 use super::job_lateness::JobLateness;
@@ -128,8 +129,8 @@
         let ahead: f64 =
             self.waiting_load.work.range(..=priority).map(|(_, work)| work).sum();
         let promised = critical_path(record, |plan| plan.estimate);
-        let allowed =
-            promised.mul_f64(record.rules.stretch.max(1.0)) + record.rules.objective;
+        let allowed = scaled_time(promised, record.rules.stretch.max(1.0));
+        let allowed = allowed.saturating_add(record.rules.objective);
         let slack = allowed.saturating_sub(self.forecast(record).path).max(MIN_SLACK);
         ahead / self.capacity(priority, slack.as_secs_f64())
     }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/job_forecast.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/job_forecast.rs
@@ -6,6 +6,7 @@
 
 use crate::JobRecord;
 use crate::StepPlan;
+use crate::scaled_time::scaled_time;
 
 use super::job_state::critical_path;
 use super::learning::FleetLearning;
@@ -29,8 +30,9 @@
             singles: learning.ratio(queue, false),
             path: Duration::ZERO,
         };
-        let for_lateness =
-            |plan: &StepPlan| plan.estimate.mul_f64(forecast.ratio(plan).for_lateness());
+        let for_lateness = |plan: &StepPlan| {
+            scaled_time(plan.estimate, forecast.ratio(plan).for_lateness())
+        };
         forecast.path = critical_path(record, for_lateness);
         forecast
     }
@@ -38,7 +40,7 @@
     /// Returns the expected duration of a task of a step on an ordinary worker, as it counts in the
     /// sum of many tasks.
     pub(super) fn expected(&self, plan: &StepPlan) -> Duration {
-        plan.estimate.mul_f64(self.ratio(plan).total)
+        scaled_time(plan.estimate, self.ratio(plan).total)
     }
 
     /// Returns the ratio for the tasks of a step.
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
@@ -16,6 +16,7 @@
 use crate::TaskName;
 use crate::UnitProgress;
 use crate::WaitTally;
+use crate::scaled_time::scaled_time;
 
 use super::job_forecast::JobForecast;
 use super::job_lateness::JobLateness;
@@ -79,8 +80,9 @@
         let started = !record.progress.is_empty();
         let stored_phase = record.phase;
         let promised = critical_path(&record, |plan| plan.estimate);
-        let allowed = promised.mul_f64(record.rules.stretch.max(0.0));
-        let objective = record.accepted + allowed + record.rules.objective;
+        let allowed = scaled_time(promised, record.rules.stretch);
+        let allowed = allowed.saturating_add(record.rules.objective);
+        let objective = record.accepted.saturating_add(allowed);
         JobState {
             id,
             record,
@@ -133,11 +135,12 @@
     /// always count as in time.
     pub(super) fn lateness(&self, unix_time: Duration) -> JobLateness {
         let needed = if self.started { Duration::ZERO } else { self.forecast.path };
-        let end = unix_time + needed;
+        let end = unix_time.saturating_add(needed);
         let allowed = self.objective.saturating_sub(self.record.accepted);
+        let late = allowed.saturating_mul(LATE_FACTOR);
         if self.record.request.schedule.is_some() || end <= self.objective {
             JobLateness::InTime
-        } else if end <= self.record.accepted + allowed * LATE_FACTOR {
+        } else if end <= self.record.accepted.saturating_add(late) {
             JobLateness::Late
         } else {
             JobLateness::Overdue
@@ -201,7 +204,8 @@
     for step in &record.request.steps {
         let before = step.after.iter().filter_map(|&before| ends.get(before as usize));
         let begin = before.max().copied().unwrap_or_default();
-        ends.push(begin + call_time + duration(step));
+        let took = call_time.saturating_add(duration(step));
+        ends.push(begin.saturating_add(took));
     }
     ends.into_iter().max().unwrap_or_default()
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/learning.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/learning.rs
@@ -15,6 +15,7 @@
 use crate::SchedulerEvent;
 use crate::StepPlan;
 use crate::WorkerInfo;
+use crate::scaled_time::scaled_time;
 
 use super::FleetScheduler;
 use super::WorkerKey;
@@ -87,7 +88,7 @@
     pub(super) fn expected_run(&self, task: TaskRef, worker: WorkerKey) -> Duration {
         let job = &self.jobs[task.job];
         let speed = self.learning.speeds.speed(&self.workers[worker].info.id);
-        job.forecast.expected(job.plan(task.unit)).div_f64(speed)
+        scaled_time(job.forecast.expected(job.plan(task.unit)), speed.recip())
     }
 
     /// Adds a listed worker to the speed table; its kind is its labels but the rack.
@@ -196,7 +197,7 @@
             return;
         }
         let Some(ratio) = self.learning.durations.ratio(&run.class) else { return };
-        let expected = run.estimate.mul_f64(ratio.typical);
+        let expected = scaled_time(run.estimate, ratio.typical);
         let id = &self.workers[worker].info.id;
         self.learning.speeds.observe(id, expected, run.time, now);
     }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
@@ -166,7 +166,7 @@
                 account: account.clone(),
                 order,
                 call_time,
-                send_by: now + cost.validity,
+                send_by: now.saturating_add(cost.validity),
                 workers: workers.to_vec(),
             });
         }
--- a/crates/geraniumwinch-fleet/src/queue_rules.rs
+++ b/crates/geraniumwinch-fleet/src/queue_rules.rs
@@ -11,6 +11,9 @@
 /// The minimum duration that a worker is assumed to add to a call.
 const MIN_PER_WORKER: Duration = Duration::from_micros(1);
 
+/// The maximum duration of a call, so that sums of durations do not overflow.
+const MAX_CALL_TIME: Duration = Duration::from_secs(24 * 3600);
+
 /// The duration of calls to the permission service, and how long its permissions are valid.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct PermissionCost {
@@ -25,7 +28,8 @@
 impl PermissionCost {
     /// Returns the duration of a call that names the given number of workers.
     pub fn call_time(&self, workers: usize) -> Duration {
-        self.base + self.per_worker * workers as u32
+        let additional = self.per_worker.saturating_mul(workers as u32);
+        self.base.saturating_add(additional).min(MAX_CALL_TIME)
     }
 
     /// Returns the number of workers that add half of the fixed part to a call's duration. One call
--- a/crates/geraniumwinch-fleet/tests/extreme_amounts.rs
+++ b/crates/geraniumwinch-fleet/tests/extreme_amounts.rs
@@ -6,6 +6,8 @@
 
 use geraniumwinch_core::ResourceVector;
 use geraniumwinch_fleet::JobSchedule;
+use geraniumwinch_fleet::PermissionCost;
+use geraniumwinch_fleet::QueueRules;
 use geraniumwinch_fleet::StepPlan;
 use geraniumwinch_fleet::WorkerInfo;
 use geraniumwinch_fleet::WorkerRecord;
@@ -102,4 +104,30 @@
         cell.accept("other", record(rules(1), vec![step(1, 1000)]));
         assert_eq!(cell.place().len(), 1, "other jobs go on");
     }
+
+    /// Guards against an owner that ends over the objective of a queue.
+    the_greatest_objectives_are_kept(cell) {
+        cell.add_workers(&["a"]);
+        let permission = PermissionCost {
+            base: Duration::MAX,
+            per_worker: Duration::MAX,
+            validity: Duration::MAX,
+        };
+        for (stretch, objective) in
+            [(f64::MAX, Duration::MAX), (f64::INFINITY, Duration::ZERO), (f64::NAN, Duration::MAX)]
+        {
+            for permission in [None, Some(permission)] {
+                let rules = QueueRules { stretch, objective, permission, ..rules(1) };
+                let lasting = StepPlan { estimate: Duration::MAX, ..step(1, 1000) };
+                let second = StepPlan { after: vec![0], ..lasting.clone() };
+                let great = record(rules, vec![lasting, second]);
+                assert!(cell.scheduler.admission_load(&great) >= 0.0);
+                cell.accept(&format!("{stretch}-{}", permission.is_some()), great);
+                cell.scheduler.update_waiting_load(UNIX_TIME);
+                cell.place();
+            }
+        }
+        cell.accept("urgent", record(rules(0), vec![step(1, 1000)]));
+        assert_eq!(cell.place().len(), 1, "other jobs go on");
+    }
 }
