--- a/crates/geraniumwinch-cell/src/command_sender.rs
+++ b/crates/geraniumwinch-cell/src/command_sender.rs
@@ -97,7 +97,7 @@
         let clocks = self.clocks.borrow();
         let reading = clocks.get(&worker)?;
         let end = now.saturating_sub(reading.at) + self.lease;
-        Some(reading.clock_ms + end.as_millis() as u64)
+        Some(reading.clock_ms.saturating_add(end.as_millis() as u64))
     }
 
     /// Sends a command to start a task.
