--- a/crates/geraniumwinch-standins/src/fleet.rs
+++ b/crates/geraniumwinch-standins/src/fleet.rs
@@ -104,6 +104,7 @@
             .route("/operator", web::post().to(publish_configuration))
             .route("/evacuation", web::post().to(set_evacuation))
             .route("/forget", web::post().to(compact_history))
+            .route("/entries", web::post().to(write_entries))
             .route("/restart", web::post().to(restart_worker))
             .route("/worker-state", web::post().to(set_worker_state))
             .route("/worker-cores", web::post().to(set_worker_cores))
@@ -150,6 +151,17 @@
     HttpResponse::Ok().json(json!({}))
 }
 
+/// Writes entries of another writer to the list of workers, as pairs of an identifier and a value.
+async fn write_entries(
+    store: SharedStore,
+    entries: web::Json<Vec<(String, String)>>,
+) -> HttpResponse {
+    for (id, value) in entries.into_inner() {
+        lock(&store).put(&format!("servers/{id}"), value.as_bytes());
+    }
+    HttpResponse::Ok().json(json!({}))
+}
+
 /// Restarts a worker, which begins a new incarnation.
 async fn restart_worker(workers: SharedWorkers, index: web::Json<usize>) -> HttpResponse {
     lock(&workers[index.into_inner()]).restart();
--- a/crates/geraniumwinch-tests/src/fleet_cell.rs
+++ b/crates/geraniumwinch-tests/src/fleet_cell.rs
@@ -185,6 +185,17 @@
         self.post("/worker-cores", &json!({ "worker": index, "cores": cores })).await;
     }
 
+    /// Writes entries of another writer to the list of workers, as pairs of an identifier and a
+    /// value.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the stand-in does not take them.
+    pub async fn write_entries(&self, entries: &[(String, String)]) {
+        let response = self.post("/entries", &json!(entries)).await;
+        assert_eq!(response.status, 200, "the stand-in takes the entries");
+    }
+
     /// Requests the evacuation of a domain, or takes the domain back. Returns once the store has the
     /// change.
     pub async fn set_evacuation(&self, domain: &str, requested: bool) {
