Answer every request before a planned stop ends

Cause: `CellNode::stop` slept until a fixed moment and exited. Nothing counted the requests in progress, and their waits for the owner and the store did not know of the stop, so whatever took longer than what was left was cut.

Change: `ProcessShutdown` owns the moments of a stop. Requests are served as before while clients move. Then no connection is taken any more and new requests are refused at once as `process-stopping` (not run, Retry-After 0, since another process can take them); the waits of the forwarder end in time for a true response; what is left gets 504; and the process exits when each response is written to its connection, at the latest 0.5 s before its forced termination. All four listeners count their exchanges, so those of peers and permission calls for the owner end before the exit as well.

--- a/crates/geraniumwinch-cell/src/cell_node.rs
+++ b/crates/geraniumwinch-cell/src/cell_node.rs
@@ -1,6 +1,7 @@
 //! The cell process: its components, listeners and shutdown.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,6 +23,7 @@
 use crate::HttpListener;
 use crate::HttpRequest;
 use crate::HttpResponse;
+use crate::ProcessShutdown;
 use crate::RequestForwarder;
 use crate::catalog_watch::CatalogWatch;
 use crate::cell_error::SignalsSnafu;
@@ -37,8 +39,6 @@
 
 /// The maximum age of the owner's last response for this process to be ready.
 const READY_MAX_AGE: Duration = Duration::from_millis(1100);
-/// How long before its forced termination the process exits.
-const STOP_MARGIN: Duration = Duration::from_millis(1300);
 /// The maximum size of a peer request body in bytes.
 const MAX_PEER_BODY: usize = 4 * 1024 * 1024;
 /// The interval of the metrics upkeep, which keeps the memory of the histograms bounded.
@@ -53,7 +53,7 @@
     forwarder: RequestForwarder,
     metrics: PrometheusHandle,
     max_body: Rc<Cell<usize>>,
-    stopping: Cell<bool>,
+    shutdown: Rc<ProcessShutdown>,
 }
 
 impl CellNode {
@@ -70,11 +70,13 @@
             watch,
             peers.clone(),
         );
+        let shutdown = ProcessShutdown::new(Rc::clone(&ports.clock));
         let forwarder = RequestForwarder::new(
             ports.clone(),
             Rc::clone(&settings),
             Rc::clone(&election),
             peers,
+            Rc::clone(&shutdown),
         );
         Rc::new(CellNode {
             settings,
@@ -84,7 +86,7 @@
             forwarder,
             metrics: cell_metrics::install(),
             max_body: Rc::new(Cell::new(256 * 1024)),
-            stopping: Cell::new(false),
+            shutdown,
         })
     }
 
@@ -98,16 +100,16 @@
         &self.forwarder
     }
 
-    /// Returns whether the process is stopping.
-    pub fn stopping(&self) -> bool {
-        self.stopping.get()
+    /// Returns whether the process is about to exit and refuses new client requests.
+    pub fn refuses_requests(&self) -> bool {
+        self.shutdown.refuses_requests()
     }
 
     /// Returns whether the process is ready for new client connections.
     fn ready(&self) -> bool {
         let configured = self.catalog.current().is_some();
         configured
-            && !self.stopping.get()
+            && !self.shutdown.has_begun()
             && self.election.has_recent_contact(READY_MAX_AGE)
     }
 
@@ -134,10 +136,10 @@
         let metrics = self.handler(Self::handle_metrics);
         let peer_body = Rc::new(Cell::new(MAX_PEER_BODY));
         let body = || Rc::clone(&self.max_body);
-        HttpListener::new(settings.peer_address, peer_body, peers).start().await?;
-        HttpListener::new(settings.client_address, body(), clients).start().await?;
-        HttpListener::new(settings.readiness_address, body(), readiness).start().await?;
-        HttpListener::new(settings.metrics_address, body(), metrics).start().await?;
+        self.listen(settings.peer_address, peer_body, peers).await?;
+        self.listen(settings.client_address, body(), clients).await?;
+        self.listen(settings.readiness_address, body(), readiness).await?;
+        self.listen(settings.metrics_address, body(), metrics).await?;
         actix_rt::spawn(Rc::clone(&self.catalog).run());
         actix_rt::spawn(Rc::clone(&self.election.watch).run());
         actix_rt::spawn(Rc::clone(&self.election).run());
@@ -147,6 +149,17 @@
         Ok(())
     }
 
+    /// Serves an address.
+    async fn listen(
+        &self,
+        address: SocketAddr,
+        max_body: Rc<Cell<usize>>,
+        handler: HttpHandler,
+    ) -> Result<(), CellError> {
+        let shutdown = Rc::clone(&self.shutdown);
+        HttpListener::new(address, max_body, handler, shutdown).start().await
+    }
+
     /// Creates a handler from a method of the process.
     fn handler<F>(self: &Rc<Self>, handle: fn(Rc<Self>, HttpRequest) -> F) -> HttpHandler
     where
@@ -272,15 +285,32 @@
         }
     }
 
-    /// Stops gracefully: hands the ownership over and serves client requests until the clients have
-    /// moved to other processes.
+    /// Stops gracefully: hands the ownership over, serves client requests while the clients move to
+    /// other processes, and returns when the last response is written.
     async fn stop(&self) {
-        let grace = self.settings.stop_grace.saturating_sub(STOP_MARGIN);
-        log_event!(Info, "stop", grace_ms = grace.as_millis());
-        let deadline = tokio::time::Instant::now() + grace;
-        self.stopping.set(true);
-        self.election.stop().await;
-        tokio::time::sleep_until(deadline).await;
-        log_event!(Info, "stopped", name = self.settings.name);
+        let grace = self.settings.stop_grace;
+        self.shutdown.begin(grace);
+        log_event!(
+            Info,
+            "stop",
+            grace_ms = grace.as_millis(),
+            open = self.shutdown.open_exchanges()
+        );
+        let drained = async {
+            self.shutdown.await_refusals().await;
+            log_event!(Info, "drain", open = self.shutdown.open_exchanges());
+            self.shutdown.drain().await;
+        };
+        tokio::pin!(drained);
+        tokio::select! {
+            () = self.election.stop() => drained.await,
+            () = &mut drained => {}
+        }
+        log_event!(
+            Info,
+            "stopped",
+            name = self.settings.name,
+            open = self.shutdown.open_exchanges()
+        );
     }
 }
--- a/crates/geraniumwinch-cell/src/http_listener.rs
+++ b/crates/geraniumwinch-cell/src/http_listener.rs
@@ -14,24 +14,29 @@
 use actix_http::Request;
 use actix_http::Response;
 use actix_http::StatusCode;
-use actix_http::body::BoxBody;
 use actix_http::header;
 use actix_http::header::HeaderMap;
-use actix_service::IntoServiceFactory;
 use actix_service::Service;
 use actix_service::ServiceFactory;
 use actix_service::fn_service;
 use bytes::Bytes;
 use bytes::BytesMut;
+use futures_util::FutureExt;
 use futures_util::StreamExt;
 use futures_util::future::LocalBoxFuture;
 use geraniumwinch_core::log_event;
 use snafu::ResultExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpSocket;
+use tokio::net::TcpStream;
 
 use crate::CellError;
+use crate::ProcessShutdown;
 use crate::cell_error::ListenSnafu;
+use crate::connection_exchanges::ConnectionExchanges;
+use crate::connection_exchanges::OpenExchange;
+use crate::exchange_body::ExchangeBody;
+use crate::exchange_stream::ExchangeStream;
 
 /// How long an idle connection is kept open.
 const KEEP_ALIVE: Duration = Duration::from_secs(15);
@@ -98,6 +103,7 @@
     address: SocketAddr,
     handler: HttpHandler,
     max_body: Rc<Cell<usize>>,
+    shutdown: Rc<ProcessShutdown>,
 }
 
 impl HttpListener {
@@ -106,11 +112,12 @@
         address: SocketAddr,
         max_body: Rc<Cell<usize>>,
         handler: HttpHandler,
+        shutdown: Rc<ProcessShutdown>,
     ) -> Self {
-        HttpListener { address, handler, max_body }
+        HttpListener { address, handler, max_body, shutdown }
     }
 
-    /// Binds the address and serves it until the process exits.
+    /// Binds the address and serves it. Takes no further connections once the process refuses requests.
     ///
     /// # Errors
     ///
@@ -124,16 +131,19 @@
 
     /// Accepts and serves connections.
     async fn serve(self, listener: TcpListener) {
+        let shutdown = Rc::clone(&self.shutdown);
         let handler = self.handler;
         let max_body = self.max_body;
         let respond = move |request: Request| {
-            exchange(request, Rc::clone(&handler), max_body.get())
+            exchange(request, Rc::clone(&handler), max_body.get(), Rc::clone(&shutdown))
         };
         let service = HttpService::build()
             .keep_alive(KeepAlive::Timeout(KEEP_ALIVE))
             .client_request_timeout(HEADER_TIMEOUT)
-            .h1(fn_service(respond).into_factory())
-            .tcp()
+            .on_connect_ext(|stream: &ExchangeStream, data| {
+                data.insert(Rc::clone(&stream.exchanges));
+            })
+            .h1(fn_service(respond))
             .new_service(())
             .await;
         let Ok(service) = service else {
@@ -141,13 +151,17 @@
             return;
         };
         let service = Rc::new(service);
-        loop {
-            match listener.accept().await {
-                Ok((stream, _)) => {
+        while let Some(accepted) = next_connection(&listener, &self.shutdown).await {
+            match accepted {
+                Ok((stream, peer)) => {
                     // A connection without `TCP_NODELAY` is slower but usable.
                     let _ = stream.set_nodelay(true);
+                    let exchanges = ConnectionExchanges::new(Rc::clone(&self.shutdown));
+                    let stream = ExchangeStream::new(stream, exchanges);
                     let service = Rc::clone(&service);
-                    actix_rt::spawn(async move { service.call(stream).await });
+                    actix_rt::spawn(
+                        async move { service.call((stream, Some(peer))).await },
+                    );
                 }
                 Err(error) => {
                     log_event!(Warn, "accept-failed", error = error);
@@ -158,6 +172,19 @@
     }
 }
 
+/// Accepts a connection. Once the process refuses requests, returns only those that clients have already
+/// opened, and then `None`.
+async fn next_connection(
+    listener: &TcpListener,
+    shutdown: &ProcessShutdown,
+) -> Option<std::io::Result<(TcpStream, SocketAddr)>> {
+    tokio::select! {
+        biased;
+        accepted = listener.accept() => Some(accepted),
+        () = shutdown.await_refusals() => listener.accept().now_or_never(),
+    }
+}
+
 /// Binds an address and listens on it.
 fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket =
@@ -172,12 +199,29 @@
     mut request: Request,
     handler: HttpHandler,
     max_body: usize,
-) -> Result<Response<BoxBody>, Infallible> {
-    let Some(body) = read_body(&mut request, max_body).await else {
-        return Ok(Response::build(StatusCode::BAD_REQUEST)
-            .force_close()
-            .finish()
-            .map_into_boxed_body());
+    shutdown: Rc<ProcessShutdown>,
+) -> Result<Response<ExchangeBody>, Infallible> {
+    let connection = request.conn_data::<Rc<ConnectionExchanges>>().cloned();
+    let connection =
+        connection.unwrap_or_else(|| ConnectionExchanges::new(Rc::clone(&shutdown)));
+    let open = connection.begin();
+    let mut response = tokio::select! {
+        response = respond(&mut request, handler, max_body) => response,
+        // The handler's part may be done or not.
+        () = shutdown.await_cutoff() => HttpResponse::empty(504),
+    };
+    response.close |= shutdown.has_begun();
+    Ok(render(response, open))
+}
+
+/// Reads a request and has the handler respond to it.
+async fn respond(
+    request: &mut Request,
+    handler: HttpHandler,
+    max_body: usize,
+) -> HttpResponse {
+    let Some(body) = read_body(request, max_body).await else {
+        return HttpResponse { close: true, ..HttpResponse::empty(400) };
     };
     let head = request.head();
     let request = HttpRequest {
@@ -186,7 +230,7 @@
         headers: head.headers().clone(),
         body,
     };
-    Ok(render(handler(request).await))
+    handler(request).await
 }
 
 /// Reads a body. Returns `None` if it is truncated and `Some(None)` if it is too large.
@@ -205,7 +249,7 @@
 }
 
 /// Converts a response to the type of `actix-http`.
-fn render(response: HttpResponse) -> Response<BoxBody> {
+fn render(response: HttpResponse, exchange: OpenExchange) -> Response<ExchangeBody> {
     let status = StatusCode::from_u16(response.status)
         .unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut builder = Response::build(status);
@@ -213,11 +257,12 @@
         builder.insert_header((header::CONTENT_TYPE, response.content_type));
     }
     if let Some(time) = response.retry_after {
-        let seconds = time.as_millis().div_ceil(1000).max(1);
+        let seconds = time.as_millis().div_ceil(1000);
         builder.insert_header((header::RETRY_AFTER, seconds.to_string()));
     }
     if response.close {
         builder.force_close();
     }
-    builder.body(response.body).map_into_boxed_body()
+    let body = ExchangeBody::new(response.body, exchange);
+    builder.finish().set_body(body)
 }
--- a/crates/geraniumwinch-cell/src/request_forwarder.rs
+++ b/crates/geraniumwinch-cell/src/request_forwarder.rs
@@ -13,6 +13,7 @@
 use crate::CallError;
 use crate::CellPorts;
 use crate::CellSettings;
+use crate::ProcessShutdown;
 use crate::cell_metrics;
 use crate::owner_election::OwnerElection;
 use crate::owner_record::OwnerRecord;
@@ -66,6 +67,7 @@
     settings: Rc<CellSettings>,
     election: Rc<OwnerElection>,
     peers: PeerClient,
+    shutdown: Rc<ProcessShutdown>,
 }
 
 impl RequestForwarder {
@@ -74,8 +76,9 @@
         settings: Rc<CellSettings>,
         election: Rc<OwnerElection>,
         peers: PeerClient,
+        shutdown: Rc<ProcessShutdown>,
     ) -> Self {
-        RequestForwarder { ports, settings, election, peers }
+        RequestForwarder { ports, settings, election, peers, shutdown }
     }
 
     /// Submits a job. `client_timeout` is how long the client waits for the response.
@@ -164,19 +167,20 @@
     ///
     /// All requests are idempotent. A request that no owner can have received is refused early
     /// unless there is a new owner to try; one that an owner may have received is retried until the
-    /// client's timeout.
+    /// client's timeout or until the process, which stops, has to respond.
     async fn forward(
         &self,
         request: PeerRequest,
         client_timeout: Duration,
     ) -> ForwardResult<PeerReply> {
         let began = self.ports.clock.now();
-        let end =
+        let due =
             began + client_timeout - DEADLINE_MARGIN.min(client_timeout / MARGIN_DIVISOR);
         let mut maybe_received = false;
         let mut failed_epoch = None;
         loop {
             let now = self.ports.clock.now();
+            let end = self.shutdown.response_deadline().map_or(due, |at| at.min(due));
             let owner = self.election.watch.current();
             let untried =
                 owner.as_ref().is_some_and(|owner| Some(owner.epoch) != failed_epoch);
--- a/crates/geraniumwinch-cell/tests/http_listener.rs
+++ b/crates/geraniumwinch-cell/tests/http_listener.rs
@@ -8,8 +8,10 @@
 use std::sync::mpsc;
 use std::time::Duration;
 
+use geraniumwinch_cell::BootClock;
 use geraniumwinch_cell::HttpListener;
 use geraniumwinch_cell::HttpResponse;
+use geraniumwinch_cell::ProcessShutdown;
 
 /// The number of connections that clients open at once.
 const CONNECTIONS: usize = 400;
@@ -26,7 +28,9 @@
                 Box::pin(async { HttpResponse::empty(200) })
             };
             let max_body = Rc::new(Cell::new(1024));
-            let listener = HttpListener::new(address, max_body, Rc::new(respond));
+            let shutdown = ProcessShutdown::new(Rc::new(BootClock));
+            let listener =
+                HttpListener::new(address, max_body, Rc::new(respond), shutdown);
             listener.start().await.expect("the address is free");
             sender.send(address).expect("the test waits");
             std::thread::sleep(Duration::from_secs(10));
--- a/crates/geraniumwinch-core/src/error_kind.rs
+++ b/crates/geraniumwinch-core/src/error_kind.rs
@@ -38,6 +38,8 @@
 
 /// Retrying the call unchanged does not help.
 const NO_RETRY: Option<Duration> = None;
+/// Another process can take the call at once.
+const RETRY_NOW: Option<Duration> = Some(Duration::ZERO);
 /// The condition usually ends when the next slot is released.
 const SHORT_RETRY: Option<Duration> = Some(Duration::from_millis(250));
 /// The condition usually ends after a takeover or one or two heartbeats.
@@ -121,7 +123,7 @@
     /// The process has not received the configuration yet.
     ProcessStarting => "process-starting", 503, NotRun, ONE_SECOND;
     /// The process is stopping.
-    ProcessStopping => "process-stopping", 503, NotRun, SHORT_RETRY;
+    ProcessStopping => "process-stopping", 503, NotRun, RETRY_NOW;
     /// The failure domain is evacuated, and no other one took the work.
     DomainEvacuated => "domain-evacuated", 503, NotRun, LONG_RETRY;
     /// No failure domain of the fleet has this name.
--- a/crates/geraniumwinch-tests/src/fleet_cell.rs
+++ b/crates/geraniumwinch-tests/src/fleet_cell.rs
@@ -32,7 +32,7 @@
 /// The first proxy port in front of the store; each process has its own.
 const STORE_PROXY_PORT: u16 = 14_000;
 /// The host name of the queues.
-const HOST: &str = "queue.example";
+pub const FLEET_HOST: &str = "queue.example";
 
 /// A cell of real processes on a stand-in for the users' platform.
 pub struct FleetCell {
@@ -197,6 +197,11 @@
         self.addresses.entry(0, index, PORTS[0] + PROXY_OFFSET)
     }
 
+    /// Returns the address under which clients reach a process without the proxy.
+    pub fn process_address(&self, index: usize) -> std::net::SocketAddr {
+        self.addresses.entry(0, index, PORTS[0])
+    }
+
     /// Returns the URLs under which clients reach the processes through the proxy.
     pub fn proxied_urls(&self) -> Vec<String> {
         let url = |index| format!("http://{}", self.client_address(index));
@@ -270,7 +275,7 @@
         let route = |name: &str, public: bool| {
             let prefix = format!("/{name}/");
             json!({
-                "name": name, "hostname": HOST, "prefix": prefix, "kind": "unsafe",
+                "name": name, "hostname": FLEET_HOST, "prefix": prefix, "kind": "unsafe",
                 "target_duration_ms": 1000, "priority": 1, "service": "service",
                 "max_attempts": 2, "stretch": 2.0, "public": public,
                 "advice": { "decide_ms": 1.0, "per_item_ms": 0.1, "validity_ms": 2000 },
@@ -318,7 +323,8 @@
         body: &str,
     ) -> TestResponse {
         let url = format!("http://{}{path}", self.addresses.entry(0, index, PORTS[0]));
-        let mut headers = vec![("Host", HOST), ("Geraniumwinch-Deadline-Ms", "3000")];
+        let mut headers =
+            vec![("Host", FLEET_HOST), ("Geraniumwinch-Deadline-Ms", "3000")];
         headers.extend(key.map(|key| ("Authorization", key)));
         self.client.send(method, &url, &headers, body.to_owned()).await
     }
@@ -338,7 +344,7 @@
         let step = json!({ "count": 1, "cpu": 1000, "mem_mb": 64, "estimate_ms": 100 });
         let body = json!({ "spec": spec, "steps": [step] }).to_string();
         let headers = [
-            ("Host", HOST),
+            ("Host", FLEET_HOST),
             ("Geraniumwinch-Deadline-Ms", "3000"),
             ("Authorization", FLEET_KEY),
         ];
@@ -356,7 +362,7 @@
     ) -> FleetLoad {
         let url = |index| format!("http://{}", self.addresses.entry(0, index, PORTS[0]));
         let urls = (0..self.processes.len()).map(url).collect();
-        let (crashing, host) = (false, HOST);
+        let (crashing, host) = (false, FLEET_HOST);
         FleetLoad {
             seed,
             jobs,
