Answer requests that outlast the stop limit of the own interface

Callers saw: a request still in progress when the stop limit of its process had passed got no response; its connection just ended.

Cause: the HTTP server waits for open connections for the stop limit and then drops them, and nothing told the requests.

Change: a middleware answers what is in progress at the stop limit with 504 `answer-late` (run unknown), and the server waits 2 s longer for these responses to be written. Streamed responses that have begun are still cut, visibly.

`graceful_stops::a_request_that_outlasts_the_stop_limit_is_answered` failed before (status 0 in place of 504; stop limit 1.5 s, request of 6 s) and passes now, with the 5 other tests of the file.

--- a/crates/geraniumwinch-node/src/entry_server.rs
+++ b/crates/geraniumwinch-node/src/entry_server.rs
@@ -9,10 +9,16 @@
 use actix_web::HttpRequest;
 use actix_web::HttpResponse;
 use actix_web::HttpServer;
+use actix_web::body::BoxBody;
 use actix_web::dev::Server;
+use actix_web::dev::ServiceRequest;
+use actix_web::dev::ServiceResponse;
+use actix_web::error::InternalError;
 use actix_web::http::Method;
 use actix_web::http::header;
 use actix_web::http::header::HeaderMap;
+use actix_web::middleware::Next;
+use actix_web::middleware::from_fn;
 use actix_web::web;
 use geraniumwinch_config::KeyHash;
 use geraniumwinch_config::StalePolicy;
@@ -49,6 +55,9 @@
 /// How long an idle connection is kept open.
 const KEEP_ALIVE: Duration = Duration::from_secs(60);
 
+/// How long the server waits beyond the stop limit for the last responses to be written.
+const LAST_RESPONSES_TIME: Duration = Duration::from_secs(2);
+
 /// The state that the HTTP handlers share.
 #[derive(Clone)]
 pub(crate) struct EntryState {
@@ -76,7 +85,7 @@
         .workers(HTTP_THREADS)
         .keep_alive(KEEP_ALIVE)
         .disable_signals()
-        .shutdown_timeout(limit.as_secs().max(1))
+        .shutdown_timeout((limit + LAST_RESPONSES_TIME).as_secs())
         .bind(address)
         .context(HttpListenSnafu { address })?;
     Ok(server.run())
@@ -87,9 +96,9 @@
     state: EntryState,
 ) -> App<
     impl actix_web::dev::ServiceFactory<
-        actix_web::dev::ServiceRequest,
+        ServiceRequest,
         Config = (),
-        Response = actix_web::dev::ServiceResponse,
+        Response = ServiceResponse,
         Error = actix_web::Error,
         InitError = (),
     >,
@@ -99,6 +108,7 @@
     App::new()
         .app_data(web::Data::new(state))
         .app_data(payload)
+        .wrap(from_fn(respond_before_exit))
         .route("/healthz", web::get().to(health))
         .route("/metrics", web::get().to(metrics))
         .route("/v1/status", web::get().to(operator_handlers::status))
@@ -127,6 +137,22 @@
         .default_service(web::route().to(unknown_path))
 }
 
+/// Responds to a request that outlasts the stop limit, whose connection would end without a response.
+async fn respond_before_exit(
+    state: web::Data<EntryState>,
+    request: ServiceRequest,
+    next: Next<BoxBody>,
+) -> std::result::Result<ServiceResponse, actix_web::Error> {
+    tokio::select! {
+        response = next.call(request) => response,
+        () = state.shared.await_stop_cutoff() => {
+            let detail = "the process stops";
+            let refusal = RefusalResponse::new(ErrorKind::AnswerLate, detail);
+            Err(InternalError::from_response(detail, refusal.into_response()).into())
+        }
+    }
+}
+
 /// Responds to the health check of the platform's load balancer.
 ///
 /// A process that has just started can serve requests only once it has both a configuration and
--- a/crates/geraniumwinch-node/src/node_shared.rs
+++ b/crates/geraniumwinch-node/src/node_shared.rs
@@ -73,6 +73,8 @@
     pub(crate) store_down: AtomicBool,
     /// Whether the process is shutting down.
     pub(crate) stopping: AtomicBool,
+    /// When requests in progress have to be answered because the process exits; `None` before.
+    pub(crate) stop_cutoff: watch::Sender<Option<Instant>>,
     /// Whether the process has ever been in contact with an owner of its domain.
     pub(crate) joined: AtomicBool,
     /// Renders the metrics.
@@ -133,6 +135,16 @@
         self.stopping.load(Ordering::Relaxed)
     }
 
+    /// Waits until requests in progress have to be answered because the process exits.
+    pub(crate) async fn await_stop_cutoff(&self) {
+        let mut cutoff = self.stop_cutoff.subscribe();
+        let set = cutoff.wait_for(Option::is_some).await;
+        let cutoff = set.ok().and_then(|cutoff| *cutoff);
+        if let Some(cutoff) = cutoff {
+            tokio::time::sleep(cutoff.saturating_duration_since(self.now())).await;
+        }
+    }
+
     /// Records whether a call to the store succeeded.
     pub(crate) fn record_store_call(&self, succeeded: bool) {
         self.store_down.store(!succeeded, Ordering::Relaxed);
--- a/crates/geraniumwinch-node/src/node_supervisor.rs
+++ b/crates/geraniumwinch-node/src/node_supervisor.rs
@@ -104,6 +104,7 @@
         announced_revision: AtomicU64::new(0),
         store_down: AtomicBool::new(false),
         stopping: AtomicBool::new(false),
+        stop_cutoff: watch::channel(None).0,
         joined: AtomicBool::new(false),
         metrics: node_metrics::install(),
         clock,
@@ -169,8 +170,8 @@
 
 /// Stops without interrupting requests in progress.
 ///
-/// Hands the domain over, keeps serving during the notice period, closes the HTTP server, and waits
-/// up to the stop limit for the release of the held slots.
+/// Hands the domain over, keeps serving during the notice period, closes the HTTP server, which answers
+/// requests that outlast the stop limit without a result, and waits for the release of the held slots.
 async fn stop(
     shared: &Arc<NodeShared>,
     ownership: &mpsc::UnboundedSender<OwnershipRequest>,
@@ -183,6 +184,8 @@
         let _ = handed_over.await;
     }
     tokio::time::sleep(shared.settings.stop_notice).await;
+    let cutoff = shared.now() + shared.settings.stop_limit;
+    shared.stop_cutoff.send_replace(Some(cutoff));
     server.stop(true).await;
     let started = shared.now();
     while shared.held_slots.len() > 0
--- a/crates/geraniumwinch-tests/tests/graceful_stops.rs
+++ b/crates/geraniumwinch-tests/tests/graceful_stops.rs
@@ -101,6 +101,33 @@
     });
 }
 
+/// Guards against a request without a response because it was still in progress when the time that a
+/// stopping process waits for requests had passed (issue 40).
+#[test]
+fn a_request_that_outlasts_the_stop_limit_is_answered() {
+    run_test(async {
+        let plan = CellPlan::new(1, 2, 1, 1)
+            .setting("stop", "notice-ms", "200")
+            .setting("stop", "limit-ms", "1500");
+        let mut cell = TestCell::start(plan).await;
+        let url =
+            format!("{}/v1/queues/exchange/requests/price?ms=6000", cell.entry_url(0, 0));
+        let request = actix_rt::spawn(async move {
+            TestClient::default().send(Method::GET, &url, &[KEY], "").await
+        });
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        cell.entries[&(0, 0)].terminate();
+        let response = request.await.expect("the client task panicked");
+        assert_eq!((response.status, response.field("run")), (504, "unknown".to_owned()));
+        assert_eq!(response.header("connection"), Some("close"));
+        wait_until("the process has exited", async || {
+            cell.entries.get_mut(&(0, 0)).unwrap().exit_code().is_some()
+        })
+        .await;
+        assert_eq!(cell.entries.get_mut(&(0, 0)).unwrap().exit_code(), Some(0));
+    });
+}
+
 /// Guards against a process that attracted requests before it knew the owner of its domain, and
 /// refused them as `domain-unowned`.
 #[test]
