Soak of planned stops with clients that keep their connections

The new plan `stops` draws planned stops (SIGTERM, SIGKILL after the grace period), in series and at once, beside a slow store, disturbed links to it, slow processes and kills. Four clients a process send one request after the other on connections that they keep until the process is gone. Each request that was sent completely must get a complete response, unless its process was killed without notice or was gone within 200 ms.

Which jobs may be shown as cancelled is now recorded with the job instead of being computed from its index; the check is as strict as before.

--- a/crates/geraniumwinch-tests/src/fault_injector.rs
+++ b/crates/geraniumwinch-tests/src/fault_injector.rs
@@ -1,5 +1,6 @@
 //! Injects random faults, several at a time, into a cell on the users' platform.
 
+use std::collections::BTreeMap;
 use std::ops::Range;
 use std::time::Duration;
 use std::time::Instant;
@@ -9,8 +10,11 @@
 use rand::seq::IndexedRandom;
 use serde_json::Value;
 use serde_json::json;
+use tokio::task::JoinHandle;
 
 use crate::FleetCell;
+use crate::ProcessEnd;
+use crate::fleet_cell::STOP_GRACE;
 use crate::unix_millis;
 
 /// The modes in which the proxy disturbs connections.
@@ -35,6 +39,10 @@
 const FAULT_MS: Range<u64> = 200..4500;
 /// The duration of an evacuation in milliseconds, longer than it takes to come into effect.
 const EVACUATION_MS: Range<u64> = 5500..9000;
+/// The time for which a process is away after the grace period of its stop, in milliseconds.
+const DOWN_MS: Range<u64> = 0..1500;
+/// The delay of the store's responses while processes stop, in milliseconds.
+const STORE_DELAY_MS: Range<u64> = 250..1500;
 /// The failure domains of the workers.
 const DOMAINS: [&str; 2] = ["d0", "d1"];
 
@@ -57,6 +65,9 @@
     /// Evacuations of failure domains, beside faults of processes and of the store that delay no
     /// commands to workers.
     Evacuations,
+    /// Planned stops of processes, in series and at the same time, beside faults that delay responses:
+    /// a slow store, slow processes and processes that are killed.
+    Stops,
 }
 
 /// A fault to inject.
@@ -74,8 +85,11 @@
     ResetConnections,
     /// A worker is listed as leaving, and as ready when the fault is cleared.
     DrainWorker(u16),
-    /// A process is stopped gracefully, and restarted when the fault is cleared.
+    /// A process is stopped gracefully, and killed and restarted when the fault is cleared.
     Terminate(usize),
+    /// A process is stopped gracefully, killed after the grace period, and restarted when the fault is
+    /// cleared.
+    Stop(usize),
     /// The proxy disturbs the connections of a process to the store.
     DisturbStoreLink(usize, &'static str),
     /// The proxy drops the responses of a process to its clients, or loses their packets.
@@ -107,6 +121,10 @@
     version: u64,
     /// The evacuations so far.
     evacuations: Vec<Evacuation>,
+    /// The tasks that wait for the ends of stopping processes.
+    stops: BTreeMap<usize, JoinHandle<ProcessEnd>>,
+    /// The ends of processes in [`FaultPlan::Stops`] so far.
+    ends: Vec<ProcessEnd>,
 }
 
 /// An evacuation that was requested from the platform.
@@ -131,6 +149,8 @@
             active: Vec::new(),
             version: 1,
             evacuations: Vec::new(),
+            stops: BTreeMap::new(),
+            ends: Vec::new(),
         }
     }
 
@@ -144,17 +164,18 @@
         &self.evacuations
     }
 
+    /// Returns the ends so far of processes that were stopped with notice or killed.
+    pub fn ends(&self) -> &[ProcessEnd] {
+        &self.ends
+    }
+
     /// Injects and clears faults for the given duration.
     pub async fn inject_for(&mut self, cell: &mut FleetCell, duration: Duration) {
         let started = Instant::now();
         while started.elapsed() < duration {
             if self.active.len() < MAX_ACTIVE {
                 let fault = self.draw_fault();
-                let millis = match fault {
-                    FleetFault::Evacuate(_) => EVACUATION_MS,
-                    _ => FAULT_MS,
-                };
-                let fault_duration = Duration::from_millis(self.rng.random_range(millis));
+                let fault_duration = self.draw_duration(&fault);
                 self.inject(cell, fault, Instant::now() + fault_duration).await;
             }
             let pause = Duration::from_millis(self.rng.random_range(50..900));
@@ -169,11 +190,21 @@
         self.clear_expired(cell, far_future).await;
     }
 
+    fn draw_duration(&mut self, fault: &FleetFault) -> Duration {
+        let (least, millis) = match fault {
+            FleetFault::Evacuate(_) => (Duration::ZERO, EVACUATION_MS),
+            FleetFault::Stop(_) => (STOP_GRACE, DOWN_MS),
+            _ => (Duration::ZERO, FAULT_MS),
+        };
+        least + Duration::from_millis(self.rng.random_range(millis))
+    }
+
     fn draw_fault(&mut self) -> FleetFault {
         match self.plan {
             FaultPlan::Commands if self.rng.random_bool(0.5) => self.draw_command_fault(),
             FaultPlan::Fleet if self.rng.random_bool(0.5) => self.draw_fleet_fault(),
             FaultPlan::Evacuations => self.draw_evacuation_fault(),
+            FaultPlan::Stops => self.draw_stop_fault(),
             _ => self.draw_general_fault(),
         }
     }
@@ -193,6 +224,23 @@
         }
     }
 
+    fn draw_stop_fault(&mut self) -> FleetFault {
+        let rng = &mut self.rng;
+        let process = rng.random_range(0..self.processes);
+        let mode = MODES.choose(rng).copied().unwrap_or(MODES[0]);
+        match rng.random_range(0..12) {
+            0..=5 => FleetFault::Stop(process),
+            6 => FleetFault::Kill(process),
+            7 => FleetFault::Slow(process),
+            8 => FleetFault::DisturbStoreLink(process, mode),
+            9 => FleetFault::StandIn("store_lost", json!(true)),
+            _ => {
+                let delay_ms = rng.random_range(STORE_DELAY_MS);
+                FleetFault::StandIn("store_delay_ms", json!(delay_ms))
+            }
+        }
+    }
+
     fn draw_fleet_fault(&mut self) -> FleetFault {
         let rng = &mut self.rng;
         let process = rng.random_range(0..self.processes);
@@ -260,7 +308,14 @@
         }
         println!("fault {fault:?} until {:?}", end - Instant::now());
         match &fault {
-            FleetFault::Kill(index) => cell.kill(*index),
+            FleetFault::Kill(index) => {
+                let (at, planned) = (Instant::now(), false);
+                self.ends.push(ProcessEnd { index: *index, at, planned });
+                cell.kill(*index);
+            }
+            FleetFault::Stop(index) => {
+                self.stops.insert(*index, cell.stop(*index));
+            }
             FleetFault::KillAll => (0..self.processes).for_each(|index| cell.kill(index)),
             FleetFault::Freeze(index) => cell.process(*index).freeze(),
             FleetFault::Slow(index) => cell.process(*index).slow_down(SLOW_DUTY),
@@ -315,6 +370,7 @@
                     cell.kill(index);
                     cell.start_process(index);
                 }
+                FleetFault::Stop(index) => self.restart_stopped(cell, index).await,
                 FleetFault::RestartWorkerTwice(index) => cell.restart_worker(index).await,
                 FleetFault::Evacuate(domain) => self.take_back(cell, domain).await,
                 _ => {}
@@ -323,6 +379,14 @@
         self.apply_to_stand_ins(cell).await;
     }
 
+    /// Restarts a stopped process once it is gone.
+    async fn restart_stopped(&mut self, cell: &mut FleetCell, index: usize) {
+        let stop = self.stops.remove(&index).expect("the process was stopped");
+        let end = stop.await.expect("the task that stops a process panicked");
+        self.ends.push(end);
+        cell.start_process(index);
+    }
+
     /// Takes an evacuated domain back.
     async fn take_back(&mut self, cell: &FleetCell, domain: &'static str) {
         let returned_ms = Some(unix_millis());
@@ -371,7 +435,8 @@
         FleetFault::Kill(index)
         | FleetFault::Freeze(index)
         | FleetFault::Slow(index)
-        | FleetFault::Terminate(index) => Some(Some(*index)),
+        | FleetFault::Terminate(index)
+        | FleetFault::Stop(index) => Some(Some(*index)),
         FleetFault::KillAll => Some(None),
         _ => None,
     };
--- a/crates/geraniumwinch-tests/src/fleet_cell.rs
+++ b/crates/geraniumwinch-tests/src/fleet_cell.rs
@@ -1,16 +1,22 @@
 //! Cells of real processes on a stand-in for the users' platform.
 
+use std::cell::Cell;
 use std::path::Path;
 use std::path::PathBuf;
+use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use awc::http::Method;
 use serde_json::Value;
 use serde_json::json;
+use tokio::task::JoinHandle;
 
 use crate::CellAddresses;
 use crate::CellProcess;
+use crate::ConnectionLoad;
 use crate::FleetLoad;
+use crate::ProcessEnd;
 use crate::TestClient;
 use crate::TestResponse;
 use crate::wait_until;
@@ -31,6 +37,10 @@
 const PROXY_OFFSET: u16 = 10_000;
 /// The first proxy port in front of the store; each process has its own.
 const STORE_PROXY_PORT: u16 = 14_000;
+/// The time between the request of a graceful stop and the forced termination of a process.
+pub const STOP_GRACE: Duration = Duration::from_secs(4);
+/// The interval at which a stopping process is checked for its end.
+const END_POLL: Duration = Duration::from_millis(5);
 /// The host name of the queues.
 const HOST: &str = "queue.example";
 
@@ -247,11 +257,12 @@
         let evacuation = if self.evacuable { "evacuation-ms = 5000\n" } else { "" };
         format!(
             "[process]\nname = node-{index}\nfailure-domain = d{index}\n\
-             stop-grace-s = 4\n[vm]\ncpu-share = 1\n[listen]\ncallers = {clients}\n\
+             stop-grace-s = {}\n[vm]\ncpu-share = 1\n[listen]\ncallers = {clients}\n\
              readiness = {readiness}\npeers = {peers}\nmetrics = {metrics}\n\
              [platform]\nstore = {store}\npermissions = {permissions}\n\
              [workers]\nlease-ms = 6000\nheartbeat-ms = 1500\n{evacuation}\
-             [jobs]\nretention-s = 120\n"
+             [jobs]\nretention-s = 120\n",
+            STOP_GRACE.as_secs()
         )
     }
 
@@ -369,6 +380,18 @@
         }
     }
 
+    /// Creates a load of clients that keep their connections open until `stopped` is set.
+    pub fn connection_load(
+        &self,
+        seed: u64,
+        task_millis: u64,
+        stopped: Rc<Cell<bool>>,
+    ) -> ConnectionLoad {
+        let address = |index| self.addresses.entry(0, index, PORTS[0]);
+        let addresses = (0..self.processes.len()).map(address).collect();
+        ConnectionLoad { seed, task_millis, addresses, host: HOST, stopped }
+    }
+
     /// Returns the state of a job in the queue `/jobs/`, or `None` if the process does not report it.
     pub async fn state(&self, index: usize, id: &str) -> Option<String> {
         self.state_at(index, &format!("/jobs/{id}")).await
@@ -432,6 +455,25 @@
         }
     }
 
+    /// Stops a process like the platform: with SIGTERM, and with SIGKILL after the grace period. The
+    /// task ends when the process is gone, with its end.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process is not running.
+    pub fn stop(&mut self, index: usize) -> JoinHandle<ProcessEnd> {
+        let mut process = self.processes[index].take().expect("the process is running");
+        process.terminate();
+        let killed_at = Instant::now() + STOP_GRACE;
+        actix_rt::spawn(async move {
+            while process.exit_code().is_none() && Instant::now() < killed_at {
+                tokio::time::sleep(END_POLL).await;
+            }
+            process.kill();
+            ProcessEnd { index, at: Instant::now(), planned: true }
+        })
+    }
+
     /// Freezes a process for some time.
     ///
     /// # Panics
--- a/crates/geraniumwinch-tests/src/fleet_load.rs
+++ b/crates/geraniumwinch-tests/src/fleet_load.rs
@@ -27,6 +27,8 @@
     pub queue: &'static str,
     /// The HTTP status of each attempt to submit the job; 0 means no response.
     pub statuses: Vec<u16>,
+    /// Whether a cancellation is sent once the job is accepted.
+    pub cancel_sent: bool,
     /// Whether a cancellation was acknowledged.
     pub cancelled: bool,
     /// Whether the first task of each step crashes the workers that start it.
@@ -92,6 +94,7 @@
             id,
             queue,
             statuses: Vec::new(),
+            cancel_sent: number % 8 == 3,
             cancelled: false,
             crashing,
         };
@@ -105,7 +108,7 @@
             }
             tokio::time::sleep(RETRY_DELAY).await;
         }
-        if outcome.accepted() && number % 8 == 3 {
+        if outcome.accepted() && outcome.cancel_sent {
             outcome.cancelled = self.cancel(client, &path, &mut rng).await;
         }
         outcome
--- a/crates/geraniumwinch-tests/tests/platform_soak.rs
+++ b/crates/geraniumwinch-tests/tests/platform_soak.rs
@@ -1,14 +1,18 @@
 //! Runs random faults from a seed on the users' platform, and checks the runs that the workers
 //! report against the responses that the clients got.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use geraniumwinch_tests::Evacuation;
 use geraniumwinch_tests::FaultInjector;
 use geraniumwinch_tests::FaultPlan;
 use geraniumwinch_tests::FleetCell;
+use geraniumwinch_tests::ProcessEnd;
 use geraniumwinch_tests::ROTATED_KEY;
+use geraniumwinch_tests::SentRequest;
 use geraniumwinch_tests::SubmissionOutcome;
 use geraniumwinch_tests::holds_in_time;
 use geraniumwinch_tests::run_test;
@@ -75,6 +79,13 @@
     run_seed(seed, FaultPlan::Evacuations, true);
 }
 
+/// Guards against requests without a response on connections that stay open while their process stops:
+/// it exited at a fixed moment, whatever was in progress.
+#[test_case(950; "seed 950")]
+fn stopping_processes_answer_every_request_under(seed: u64) {
+    run_seed(seed, FaultPlan::Stops, false);
+}
+
 #[test]
 #[ignore = "a longer run for `make platform-soak`, which names the seed and may name the plan"]
 fn soak() {
@@ -84,6 +95,7 @@
         Ok("permitted") => (FaultPlan::Commands, false),
         Ok("fleet") => (FaultPlan::Fleet, false),
         Ok("evacuations") => (FaultPlan::Evacuations, true),
+        Ok("stops") => (FaultPlan::Stops, false),
         Ok("crashes") => (FaultPlan::Crashes, true),
         _ => (FaultPlan::Commands, true),
     };
@@ -107,15 +119,22 @@
         }
         load.crashing = plan == FaultPlan::Crashes;
         let load = actix_rt::spawn(async move { load.run().await });
+        let stopped = Rc::new(Cell::new(plan != FaultPlan::Stops));
+        let connections = cell.connection_load(seed, TASK_MILLIS, Rc::clone(&stopped));
+        let connections = actix_rt::spawn(async move { connections.run().await });
         let rng = SmallRng::seed_from_u64(seed);
         let mut injector = FaultInjector::new(rng, plan, PROCESSES, WORKERS);
         injector.inject_for(&mut cell, FAULT_PERIOD).await;
         injector.clear_all(&mut cell).await;
         println!("logs in {}", cell.log_dir().display());
-        let outcomes = load.await.expect("the load task panicked");
+        stopped.set(true);
+        let mut outcomes = load.await.expect("the load task panicked");
+        let (requests, jobs) = connections.await.expect("the load task panicked");
+        outcomes.extend(jobs);
         for index in 0..PROCESSES {
             cell.await_ready(index).await;
         }
+        check_responses(&requests, injector.ends());
         check_job_states(&cell, &outcomes).await;
         check_runs(&cell, &outcomes).await;
         check_crashes(&cell.runs().await);
@@ -124,6 +143,30 @@
     });
 }
 
+/// Checks that each request got a complete response, unless its process was killed without notice or
+/// was about to end when the request was sent.
+fn check_responses(requests: &[SentRequest], ends: &[ProcessEnd]) {
+    let unanswered = requests.iter().filter(|request| request.exchange.status.is_none());
+    let describe = |request: &SentRequest| {
+        let end = ProcessEnd::of(request, ends);
+        if end.is_some_and(|end| end.excuses(request)) {
+            return None;
+        }
+        let exchange = request.exchange;
+        let waited = exchange.ended - exchange.sent;
+        let left = end.map(|end| end.at - exchange.sent);
+        Some(format!(
+            "sent to {} {left:?} before its end, no response after {waited:?}",
+            request.process
+        ))
+    };
+    let broken: Vec<String> = unanswered.clone().filter_map(describe).collect();
+    let (sent, excused) = (requests.len(), unanswered.count() - broken.len());
+    let stops = ends.iter().filter(|end| end.planned).count();
+    println!("{sent} requests on open connections, {excused} excused, {stops} stops");
+    assert!(broken.is_empty(), "requests without a response: {broken:#?}");
+}
+
 /// Checks that each accepted job reaches a final state that agrees with the responses. A job may fail
 /// after two workers have crashed under one of its tasks, also if they were restarted by chance.
 async fn check_job_states(cell: &FleetCell, outcomes: &[SubmissionOutcome]) {
@@ -135,13 +178,12 @@
         let end = if outcome.crashing { "failed" } else { "completed" };
         let final_states: &[&str] =
             if outcome.cancelled { &["cancelled", end] } else { &[end] };
-        let cancel_sent = number % 8 == 3;
         let mut last_state = String::new();
         let ended = holds_in_time(async || {
             let state = cell.state_at(number % PROCESSES, &outcome.path()).await;
             last_state = state.unwrap_or_default();
             final_states.contains(&last_state.as_str())
-                || (cancel_sent && last_state == "cancelled")
+                || (outcome.cancel_sent && last_state == "cancelled")
                 || (last_state == "failed" && most_crashes(cell, &outcome.id).await >= 2)
         })
         .await;
