--- a/crates/geraniumwinch-standins/src/fleet.rs
+++ b/crates/geraniumwinch-standins/src/fleet.rs
@@ -5,6 +5,7 @@
 
 mod job_worker;
 mod kv_store;
+mod odd_entries;
 
 use std::sync::Mutex;
 
@@ -107,6 +108,7 @@
             .route("/restart", web::post().to(restart_worker))
             .route("/worker-state", web::post().to(set_worker_state))
             .route("/worker-cores", web::post().to(set_worker_cores))
+            .route("/odd-workers", web::post().to(list_odd_workers))
             .route("/account", web::get().to(show_runs))
     })
     .workers(1)
@@ -198,6 +200,12 @@
     HttpResponse::Ok().json(json!({}))
 }
 
+/// Writes or removes entries that name no usable worker.
+async fn list_odd_workers(store: SharedStore, listed: web::Json<bool>) -> HttpResponse {
+    lock(&store).list_odd_workers(listed.into_inner());
+    HttpResponse::Ok().json(json!({}))
+}
+
 /// Writes the operators' configuration to the store.
 async fn publish_configuration(store: SharedStore, body: web::Bytes) -> HttpResponse {
     lock(&store).put("op/config", &body);
--- a/crates/geraniumwinch-standins/src/fleet/kv_store.rs
+++ b/crates/geraniumwinch-standins/src/fleet/kv_store.rs
@@ -18,6 +18,7 @@
 
 use super::FleetFaults;
 use super::SharedStore;
+use super::odd_entries::odd_entries;
 
 /// The key prefix of the operators' requests to evacuate a domain.
 const EVACUATION_PREFIX: &str = "op/evacuate/";
@@ -118,6 +119,19 @@
         }
     }
 
+    /// Writes or removes entries among those of the workers that name no usable worker.
+    pub(super) fn list_odd_workers(&mut self, listed: bool) {
+        for (name, value) in odd_entries() {
+            let key = format!("servers/{name}");
+            if listed {
+                self.put(&key, value.as_bytes());
+            } else {
+                self.revision += 1;
+                self.remove(&key);
+            }
+        }
+    }
+
     /// Writes or removes the request to evacuate a domain.
     pub(super) fn set_evacuation(&mut self, domain: &str, requested: bool) {
         let key = format!("{EVACUATION_PREFIX}{domain}");
--- a/crates/geraniumwinch-tests/src/fault_injector.rs
+++ b/crates/geraniumwinch-tests/src/fault_injector.rs
@@ -58,7 +58,8 @@
     /// refused commands, and long delays across restarts.
     Commands,
     /// The general faults, and as often those of large fleets: slow processes, connections that are
-    /// reset, links that lose packets, responses that are lost, and workers that leave and join.
+    /// reset, links that lose packets, responses that are lost, workers that leave and join, and odd
+    /// entries in the list of workers.
     Fleet,
     /// The general faults, beside jobs that crash the workers that start them.
     Crashes,
@@ -85,6 +86,8 @@
     ResetConnections,
     /// A worker is listed as leaving, and as ready when the fault is cleared.
     DrainWorker(u16),
+    /// Entries that name no usable worker are listed, and removed when the fault is cleared.
+    ListOddWorkers,
     /// A process is stopped gracefully, and killed and restarted when the fault is cleared.
     Terminate(usize),
     /// A process is stopped gracefully, killed after the grace period, and restarted when the fault is
@@ -245,14 +248,15 @@
         let rng = &mut self.rng;
         let process = rng.random_range(0..self.processes);
         let worker = rng.random_range(0..self.workers);
-        match rng.random_range(0..8) {
+        match rng.random_range(0..9) {
             0..=1 => FleetFault::Slow(process),
             2 => FleetFault::ResetConnections,
             3 => FleetFault::DisturbStoreLink(process, "lossy"),
             4 => FleetFault::DisturbWorkerLink(worker, "lossy"),
             5 => FleetFault::DisturbClientLink(process, "drop-answers"),
             6 => FleetFault::DisturbClientLink(process, "lossy"),
-            _ => FleetFault::DrainWorker(worker),
+            7 => FleetFault::DrainWorker(worker),
+            _ => FleetFault::ListOddWorkers,
         }
     }
 
@@ -322,6 +326,7 @@
             FleetFault::DrainWorker(index) => {
                 cell.set_worker_state(*index, Some("draining")).await;
             }
+            FleetFault::ListOddWorkers => cell.list_odd_workers(true).await,
             FleetFault::ResetConnections => {
                 cell.set_rules(&[json!({ "mode": "cut" })]).await;
                 tokio::time::sleep(RESET_TIME).await;
@@ -363,6 +368,7 @@
                 }
                 FleetFault::Freeze(index) => cell.process(index).resume(),
                 FleetFault::Slow(index) => cell.process(index).end_slow_down(),
+                FleetFault::ListOddWorkers => cell.list_odd_workers(false).await,
                 FleetFault::DrainWorker(index) => {
                     cell.set_worker_state(index, Some("ready")).await;
                 }
--- a/crates/geraniumwinch-tests/src/fleet_cell.rs
+++ b/crates/geraniumwinch-tests/src/fleet_cell.rs
@@ -195,6 +195,11 @@
         self.post("/worker-cores", &json!({ "worker": index, "cores": cores })).await;
     }
 
+    /// Lists entries among those of the workers that name no usable worker, or removes them.
+    pub async fn list_odd_workers(&self, listed: bool) {
+        self.post("/odd-workers", &json!(listed)).await;
+    }
+
     /// Requests the evacuation of a domain, or takes the domain back. Returns once the store has the
     /// change.
     pub async fn set_evacuation(&self, domain: &str, requested: bool) {
@@ -496,6 +501,14 @@
         &self.log_dir
     }
 
+    /// Returns the panics in the logs of the processes.
+    pub fn panics(&self) -> Vec<String> {
+        let log =
+            |index| std::fs::read_to_string(self.log_path(index)).unwrap_or_default();
+        let logs = (0..self.processes.len()).map(log).collect::<String>();
+        logs.lines().filter(|line| line.contains("panicked")).map(str::to_owned).collect()
+    }
+
     /// Returns all runs that the workers have started.
     pub async fn runs(&self) -> Vec<Value> {
         let url = format!("http://{}/account", self.addresses.platform(PLATFORM_PORT));
--- a/crates/geraniumwinch-tests/tests/platform_soak.rs
+++ b/crates/geraniumwinch-tests/tests/platform_soak.rs
@@ -134,6 +134,8 @@
         for index in 0..PROCESSES {
             cell.await_ready(index).await;
         }
+        let panics = cell.panics();
+        assert!(panics.is_empty(), "processes panicked: {panics:#?}");
         check_responses(&requests, injector.ends());
         check_job_states(&cell, &outcomes).await;
         check_runs(&cell, &outcomes).await;
