--- a/crates/geraniumwinch-tests/src/fleet_cell.rs
+++ b/crates/geraniumwinch-tests/src/fleet_cell.rs
@@ -411,7 +411,7 @@
     ) -> ConnectionLoad {
         let address = |index| self.addresses.entry(0, index, PORTS[0]);
         let addresses = (0..self.processes.len()).map(address).collect();
-        ConnectionLoad { seed, task_millis, addresses, host: HOST, stopped }
+        ConnectionLoad { seed, task_millis, addresses, host: FLEET_HOST, stopped }
     }
 
     /// Returns the state of a job in the queue `/jobs/`, or `None` if the process does not report it.
--- a/crates/geraniumwinch-tests/tests/planned_stops.rs
+++ b/crates/geraniumwinch-tests/tests/planned_stops.rs
@@ -5,11 +5,11 @@
 use std::time::Instant;
 
 use futures_util::future::join_all;
-use geraniumwinch_tests::ExchangeEnd;
+use geraniumwinch_tests::ClientConnection;
 use geraniumwinch_tests::FLEET_HOST;
 use geraniumwinch_tests::FLEET_KEY;
 use geraniumwinch_tests::FleetCell;
-use geraniumwinch_tests::HeldConnection;
+use geraniumwinch_tests::RequestExchange;
 use geraniumwinch_tests::run_test;
 use geraniumwinch_tests::wait_until;
 use serde_json::json;
@@ -46,35 +46,36 @@
     format!("{number:016x}")
 }
 
-/// Returns the headers of a client that waits 3 s for the response.
-fn headers() -> [(&'static str, &'static str); 3] {
-    [
-        ("Host", FLEET_HOST),
-        ("Authorization", FLEET_KEY),
-        ("Geraniumwinch-Deadline-Ms", "3000"),
-    ]
+/// Returns the bytes of a request whose client waits 3 s for the response.
+fn request_bytes(method: &str, path: &str, body: &str) -> Vec<u8> {
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: {FLEET_HOST}\r\nAuthorization: {FLEET_KEY}\r\n\
+         Geraniumwinch-Deadline-Ms: 3000\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    (head + body).into_bytes()
 }
 
 /// Opens a connection and has the process answer a request on it, so that it is kept open.
-async fn open_connection(cell: &FleetCell, process: usize) -> HeldConnection {
-    let opened = HeldConnection::open(cell.process_address(process)).await;
+async fn open_connection(cell: &FleetCell, process: usize) -> ClientConnection {
+    let opened = ClientConnection::open(cell.process_address(process)).await;
     let mut connection = opened.expect("the process takes connections");
-    let end = connection.exchange("GET", "/jobs/", &headers(), "").await;
-    assert_eq!(end.status(), Some(200));
+    let exchange = connection.exchange(&request_bytes("GET", "/jobs/", "")).await;
+    assert_eq!(exchange.and_then(|exchange| exchange.status), Some(200));
     connection
 }
 
-/// Submits a job at a time and returns how the request ended.
+/// Submits a job at a time and returns the exchange, or `None` if the connection had ended before.
 async fn submit_at(
-    mut connection: HeldConnection,
+    mut connection: ClientConnection,
     at: Instant,
     number: u32,
-) -> ExchangeEnd {
+) -> Option<RequestExchange> {
     tokio::time::sleep_until(at.into()).await;
     let step = json!({ "count": 1, "cpu": 1000, "mem_mb": 64, "estimate_ms": 100 });
     let body = json!({ "spec": "20 done", "steps": [step] }).to_string();
     let path = format!("/jobs/{}", job_id(number));
-    connection.exchange("POST", &path, &headers(), &body).await
+    connection.exchange(&request_bytes("POST", &path, &body)).await
 }
 
 /// Makes the responses slow.
@@ -104,31 +105,41 @@
     (began.elapsed(), cell.process(process).exit_code())
 }
 
+/// Returns the HTTP status of a complete response.
+fn status(exchange: &Option<RequestExchange>) -> Option<u16> {
+    exchange.and_then(|exchange| exchange.status)
+}
+
 /// Checks that each request got a complete response before its connection ended.
-fn check_ends(ends: &[ExchangeEnd]) {
-    let cut = ends
+fn check_responses(exchanges: &[Option<RequestExchange>]) {
+    let waited = |exchange: &RequestExchange| exchange.ended - exchange.sent;
+    let unanswered = exchanges
         .iter()
-        .enumerate()
-        .filter(|(_, end)| matches!(end, ExchangeEnd::Cut(after) if *after > CLOSE_RACE));
-    let cut: Vec<_> = cut.collect();
-    assert!(cut.is_empty(), "requests without a response: {cut:?}");
-    let answered = ends.iter().filter(|end| end.status().is_some()).count();
-    assert!(answered >= REQUESTS as usize / 3, "too few were answered: {ends:?}");
+        .flatten()
+        .filter(|exchange| exchange.status.is_none() && waited(exchange) > CLOSE_RACE);
+    let waits: Vec<Duration> = unanswered.map(waited).collect();
+    assert!(waits.is_empty(), "requests without a response after {waits:?}");
+    let answered = exchanges.iter().filter(|exchange| status(exchange).is_some()).count();
+    assert!(answered >= REQUESTS as usize / 3, "too few were answered: {exchanges:?}");
 }
 
 /// Checks that accepted jobs complete and that jobs that were not accepted never run.
-async fn check_jobs(cell: &FleetCell, process: usize, ends: &[ExchangeEnd]) {
-    for (number, end) in (1..).zip(ends) {
-        if end.status() == Some(200) {
+async fn check_jobs(
+    cell: &FleetCell,
+    process: usize,
+    exchanges: &[Option<RequestExchange>],
+) {
+    for (number, exchange) in (1..).zip(exchanges) {
+        if status(exchange) == Some(200) {
             cell.await_state(process, &job_id(number), "completed").await;
         }
     }
     let runs = cell.runs().await;
-    for (number, end) in (1..).zip(ends) {
+    for (number, exchange) in (1..).zip(exchanges) {
         let id = job_id(number);
         let ran = runs.iter().any(|run| run["task"].to_string().contains(&id));
-        let refused = matches!(end.status(), Some(429 | 503));
-        assert!(!(refused && ran), "job {id} was refused and ran: {end:?}");
+        let refused = matches!(status(exchange), Some(429 | 503));
+        assert!(!(refused && ran), "job {id} was refused and ran: {exchange:?}");
     }
     cell.check_runs().await;
 }
@@ -162,16 +173,16 @@
         }
         let (_, code) = await_exit(&mut cell, stopped).await;
         let took = began.elapsed();
-        let ends: Vec<ExchangeEnd> = join_all(requests)
+        let exchanges: Vec<Option<RequestExchange>> = join_all(requests)
             .await
             .into_iter()
-            .map(|end| end.expect("the client task panicked"))
+            .map(|exchange| exchange.expect("the client task panicked"))
             .collect();
         assert_eq!(code, Some(0));
         assert!(took < GRACE, "the process exited after {took:?}");
-        check_ends(&ends);
+        check_responses(&exchanges);
         others(stopped).for_each(|other| cell.process(other).resume());
         cell.set_faults(json!({})).await;
-        check_jobs(&cell, (stopped + 1) % PROCESSES, &ends).await;
+        check_jobs(&cell, (stopped + 1) % PROCESSES, &exchanges).await;
     });
 }
