Read the VM list of the own interface row by row

Seen: with odd rows in the list of VMs (a number too large, negative or as text, deep nesting) the processes stopped following it: a worker that was marked as leaving beside them got all tasks of a job.

Cause: the list was decoded as a whole, so one odd row made it unreadable; amounts and slots had no bounds.

Change: each row is decoded on its own, also one that the decoder of the whole would refuse (nesting, 1e400). A row that can't be read, or whose amounts or slots no VM can have, is skipped, and `vm-rows-skipped` is logged when their number changes.

The stand-in of the list takes rows as text at `/odd-rows`.

--- a/crates/geraniumwinch-node/src/http_client.rs
+++ b/crates/geraniumwinch-node/src/http_client.rs
@@ -7,6 +7,7 @@
 use awc::Connector;
 use awc::http::StatusCode;
 use awc::http::header;
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 use crate::NodeError;
@@ -47,12 +48,12 @@
     }
 
     /// Gets a JSON document with its entity tag, or `None` if the tag is still the known one.
-    pub(crate) async fn get_if_changed(
+    pub(crate) async fn get_if_changed<T: DeserializeOwned>(
         &self,
         service: &'static str,
         url: &str,
         known: Option<String>,
-    ) -> Result<Option<(Value, Option<String>)>> {
+    ) -> Result<Option<(T, Option<String>)>> {
         let failed = |message: String| NodeError::Platform { service, message };
         let mut request = self.client.get(url);
         if let Some(tag) = known {
--- a/crates/geraniumwinch-node/src/vm_list.rs
+++ b/crates/geraniumwinch-node/src/vm_list.rs
@@ -1,5 +1,6 @@
 //! The platform's VM list.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 
@@ -9,9 +10,10 @@
 use geraniumwinch_core::Name;
 use geraniumwinch_core::ResourceVector;
 use geraniumwinch_core::WorkerSpec;
+use geraniumwinch_core::log_event;
 use serde::Deserialize;
+use serde_json::value::RawValue;
 
-use crate::NodeError;
 use crate::Result;
 use crate::http_client::HttpClient;
 
@@ -27,11 +29,16 @@
     fn read(&self, domain: &Name) -> LocalBoxFuture<'static, Result<DomainVms>>;
 }
 
+/// The maximum number of slots of an endpoint; more are an error of the row's writer.
+const MAX_SLOTS: u32 = 1 << 16;
+
 /// A VM list that is served as JSON.
 pub(crate) struct HttpVmList {
     client: HttpClient,
     url: String,
     cached: Rc<RefCell<Option<(String, DomainVms)>>>,
+    /// The number of rows of the last list that could not be used.
+    skipped: Rc<Cell<usize>>,
 }
 
 /// A VM in the list.
@@ -57,16 +64,33 @@
     leaving: bool,
 }
 
+impl VmRow {
+    /// Returns the resources of the VM.
+    fn capacity(&self) -> ResourceVector {
+        ResourceVector {
+            cpu_millis: self.cpu_millis,
+            memory_bytes: self.memory_bytes,
+            accelerators: self.accelerators,
+        }
+    }
+}
+
 /// The response of the VM list.
 #[derive(Debug, Deserialize)]
 struct VmRows {
-    vms: Vec<VmRow>,
+    /// Each row is decoded on its own, so that an odd one doesn't make the others unreadable.
+    vms: Vec<Box<RawValue>>,
 }
 
 impl HttpVmList {
     /// Creates a client for the list at a URL.
     pub(crate) fn new(client: HttpClient, url: &str) -> Self {
-        HttpVmList { client, url: url.to_owned(), cached: Rc::default() }
+        HttpVmList {
+            client,
+            url: url.to_owned(),
+            cached: Rc::default(),
+            skipped: Rc::default(),
+        }
     }
 }
 
@@ -76,16 +100,21 @@
         let url = format!("{}?domain={domain}", self.url);
         let domain = domain.clone();
         let cached = self.cached.clone();
+        let skipped = self.skipped.clone();
         async move {
             let known_tag = cached.borrow().as_ref().map(|(tag, _)| tag.clone());
             let response = client.get_if_changed("VM list", &url, known_tag).await?;
-            let Some((response, tag)) = response else {
+            let Some((rows, tag)): Option<(VmRows, _)> = response else {
                 let vms = cached.borrow().as_ref().map(|(_, vms)| vms.clone());
                 return Ok(vms.unwrap_or_default());
             };
-            let rows: VmRows = serde_json::from_value(response).map_err(|error| {
-                NodeError::Platform { service: "VM list", message: error.to_string() }
-            })?;
+            let listed = rows.vms.len();
+            let rows: Vec<VmRow> =
+                rows.vms.iter().filter_map(|row| decode_row(row)).collect();
+            let rows_skipped = listed - rows.len();
+            if skipped.replace(rows_skipped) != rows_skipped {
+                log_event!(Warn, "vm-rows-skipped", rows = rows_skipped, of = listed);
+            }
             let vms = group_by_kind(rows, &domain);
             *cached.borrow_mut() = tag.map(|tag| (tag, vms.clone()));
             Ok(vms)
@@ -94,20 +123,24 @@
     }
 }
 
+/// Decodes a row; `None` if it can't be read or can't be true of a VM.
+fn decode_row(row: &RawValue) -> Option<VmRow> {
+    let row: VmRow = serde_json::from_str(row.get()).ok()?;
+    let plausible =
+        row.capacity().fits(&ResourceVector::VM_MAX) && row.slots <= MAX_SLOTS;
+    plausible.then_some(row)
+}
+
 /// Separates the VMs of a domain by kind; unknown kinds are ignored.
-fn group_by_kind(rows: VmRows, domain: &Name) -> DomainVms {
+fn group_by_kind(rows: Vec<VmRow>, domain: &Name) -> DomainVms {
     let mut vms = DomainVms::default();
-    for row in rows.vms.into_iter().filter(|row| row.domain == *domain) {
+    for row in rows.into_iter().filter(|row| row.domain == *domain) {
         match row.kind.as_str() {
             "worker" => vms.workers.push(WorkerSpec {
+                capacity: row.capacity(),
                 name: row.name,
                 rack: row.rack.unwrap_or_else(|| "".into()),
                 address: row.address,
-                capacity: ResourceVector {
-                    cpu_millis: row.cpu_millis,
-                    memory_bytes: row.memory_bytes,
-                    accelerators: row.accelerators,
-                },
                 leaving: row.leaving,
             }),
             "endpoint" => vms.endpoints.push(EndpointSpec {
--- a/crates/geraniumwinch-standins/src/vm_list.rs
+++ b/crates/geraniumwinch-standins/src/vm_list.rs
@@ -26,6 +26,8 @@
     dropped: u64,
     lag: Duration,
     calls: u64,
+    /// Rows of another writer, as text that may be no JSON of a VM.
+    odd_rows: Vec<String>,
 }
 
 /// The injected faults.
@@ -45,6 +47,7 @@
             .app_data(web::JsonConfig::default().limit(16 * 1024 * 1024))
             .route("/vms", web::post().to(set_list))
             .route("/vms", web::get().to(get_list))
+            .route("/odd-rows", web::post().to(add_odd_rows))
             .route("/faults", web::post().to(set_faults))
             .route("/account", web::get().to(show_statistics))
     })
@@ -96,7 +99,20 @@
         |vm: &&Value| query.domain.as_deref().is_none_or(|domain| vm["domain"] == domain);
     let vms: Vec<&Value> =
         vms["vms"].as_array().into_iter().flatten().filter(in_domain).collect();
-    HttpResponse::Ok().insert_header(("ETag", etag)).json(json!({ "vms": vms }))
+    let mut rows: Vec<String> = vms.iter().map(|vm| vm.to_string()).collect();
+    rows.splice(0..0, list.odd_rows.iter().cloned());
+    let body = format!("{{\"vms\":[{}]}}", rows.join(","));
+    let mut response = HttpResponse::Ok();
+    response.insert_header(("ETag", etag)).content_type("application/json").body(body)
+}
+
+/// Adds rows of another writer to all later versions of the list, each as its text.
+async fn add_odd_rows(
+    list: web::Data<Mutex<ListState>>,
+    rows: web::Json<Vec<String>>,
+) -> HttpResponse {
+    lock(&list).odd_rows.extend(rows.into_inner());
+    HttpResponse::Ok().json(json!({}))
 }
 
 /// Replaces the injected faults.
--- a/crates/geraniumwinch-tests/src/test_cell.rs
+++ b/crates/geraniumwinch-tests/src/test_cell.rs
@@ -239,6 +239,14 @@
         TestClient::default().post_json(&url, &json!({ "vms": vms })).await;
     }
 
+    /// Adds rows of another writer to the VM list, each as its text.
+    pub async fn add_odd_rows(&self, rows: &[String]) {
+        let url = self.vm_list_url("/odd-rows");
+        TestClient::default().post_json(&url, &json!(rows)).await;
+        // A new version of the list shows them.
+        self.send_vm_list().await;
+    }
+
     /// Marks a VM as leaving in the VM list.
     pub async fn mark_leaving(&mut self, vm: &str) {
         self.leaving.push(vm.to_owned());
