--- a/crates/geraniumwinch-tests/tests/odd_vms.rs
+++ b/crates/geraniumwinch-tests/tests/odd_vms.rs
@@ -8,7 +8,6 @@
 use geraniumwinch_tests::TestClient;
 use geraniumwinch_tests::run_test;
 use geraniumwinch_tests::wait_until;
-use serde_json::Value;
 use serde_json::json;
 
 /// The time in which processes read the list several times.
