Give up an ownership that was claimed around the signal to stop

Seen (no caller reported it): a process whose claim was under way at SIGTERM took the ownership and kept it until it exited, so the cell lost its owner a second time within the same stop.

Cause: `OwnerElection::stop` resigns only as an owner, and a claim that is committed later did not look at the stop again.

Change: a stopping process does not serve an ownership that it has just claimed, and ends its lease at once.

--- a/crates/geraniumwinch-cell/src/owner_election.rs
+++ b/crates/geraniumwinch-cell/src/owner_election.rs
@@ -291,7 +291,8 @@
             revision,
         )
         .await;
-        if let Some(dispatcher) = dispatcher {
+        // The signal to stop may have arrived while the claim was under way.
+        if let Some(dispatcher) = dispatcher.filter(|_| !self.stopping.get()) {
             *self.dispatcher.borrow_mut() = Some(Rc::clone(&dispatcher));
             dispatcher.run().await;
             *self.dispatcher.borrow_mut() = None;
--- a/crates/geraniumwinch-tests/tests/planned_stops.rs
+++ b/crates/geraniumwinch-tests/tests/planned_stops.rs
@@ -29,6 +29,8 @@
 const CLOSE_RACE: Duration = Duration::from_millis(100);
 /// When the other processes are held back, from the signal on.
 const HOLD_BACK: Duration = Duration::from_millis(1900);
+/// How long after the vacancy a claim is under way.
+const CLAIM_DELAY: Duration = Duration::from_millis(150);
 
 /// What makes the responses slow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -175,3 +177,29 @@
         check_jobs(&cell, (stopped + 1) % PROCESSES, &ends).await;
     });
 }
+
+/// Guards against a stopping process that takes over an ownership which it was claiming at the signal, and
+/// keeps it until it exits.
+#[test]
+fn a_stopping_process_keeps_no_ownership_that_it_was_claiming() {
+    run_test(async {
+        let mut cell = FleetCell::start(PROCESSES, 2).await;
+        let owner = cell.await_owner().await;
+        slow_down(&cell, SlowPart::Store).await;
+        cell.kill(owner);
+        wait_until("the ownership is vacant", async || {
+            others(owner)
+                .any(|other| cell.process(other).log().contains("event=owner-none"))
+        })
+        .await;
+        tokio::time::sleep(CLAIM_DELAY).await;
+        others(owner).for_each(|other| cell.process(other).terminate());
+        for other in others(owner) {
+            await_exit(&mut cell, other).await;
+            let log = cell.process(other).log();
+            let taken = log.matches("event=ownership-taken").count();
+            let ended = log.matches("event=ownership-ended").count();
+            assert_eq!(taken, ended, "ownerships taken and ended by {other}");
+        }
+    });
+}
