Deliver responses that are ready at the cutoff of a stop

Callers saw (found in review, not reported): from the cutoff on, 504 (unknown) for requests that were refused or done.

Cause: the handler and the cutoff were awaited by a `select!` that picks at random among what is ready.

Change: the handler is polled first, in both servers. Only the cell's server has a test of it.

--- a/crates/geraniumwinch-cell/src/http_listener.rs
+++ b/crates/geraniumwinch-cell/src/http_listener.rs
@@ -206,6 +206,8 @@
         connection.unwrap_or_else(|| ConnectionExchanges::new(Rc::clone(&shutdown)));
     let open = connection.begin();
     let mut response = tokio::select! {
+        // A response that is ready is delivered, also after the cutoff.
+        biased;
         response = respond(&mut request, handler, max_body) => response,
         // The handler's part may be done or not.
         () = shutdown.await_cutoff() => HttpResponse::empty(504),
--- a/crates/geraniumwinch-cell/tests/process_shutdown.rs
+++ b/crates/geraniumwinch-cell/tests/process_shutdown.rs
@@ -136,3 +136,29 @@
         assert_eq!(shutdown.open_exchanges(), 0);
     });
 }
+
+/// Guards against "unknown" (504) for requests that were not run or are done: what the handler returns at
+/// once must be delivered also after the cutoff.
+#[test]
+fn ready_responses_are_delivered_after_the_cutoff() {
+    actix_rt::System::new().block_on(async {
+        let (address, shutdown) = start_server().await;
+        let mut streams = Vec::new();
+        for _ in 0..30 {
+            let mut stream = send(address, "/").await;
+            let mut head = [0; 1024];
+            assert!(stream.read(&mut head).await.expect("a response") > 0);
+            streams.push(stream);
+        }
+        shutdown.begin(GRACE);
+        shutdown.await_cutoff().await;
+        let mut statuses = Vec::new();
+        for mut stream in streams {
+            stream.write_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n").await.expect("sent");
+            let bytes = read_all(stream).await;
+            statuses.push(String::from_utf8_lossy(&bytes[9..12]).into_owned());
+        }
+        let unknown = statuses.iter().filter(|status| *status == "504").count();
+        assert_eq!(unknown, 0, "{unknown} of {} got 504", statuses.len());
+    });
+}
--- a/crates/geraniumwinch-node/src/entry_server.rs
+++ b/crates/geraniumwinch-node/src/entry_server.rs
@@ -144,6 +144,8 @@
     next: Next<BoxBody>,
 ) -> std::result::Result<ServiceResponse, actix_web::Error> {
     tokio::select! {
+        // A response that is ready is delivered, also at the cutoff.
+        biased;
         response = next.call(request) => response,
         () = state.shared.await_stop_cutoff() => {
             let detail = "the process stops";
