Answer open requests after a late wake-up at the end of a stop

Callers saw (found in review, not reported): no response when the process was too busy to run from before the cutoff until after its planned exit.

Cause: the cutoff and the end of the drain were due together, and the process exited although its forced termination was still ahead.

Change: responses get the same time from the moment at which the cutoff is processed, up to 100 ms before the forced termination. Nothing changes for a process that runs in time.

--- a/crates/geraniumwinch-cell/src/process_shutdown.rs
+++ b/crates/geraniumwinch-cell/src/process_shutdown.rs
@@ -13,8 +13,11 @@
 
 use crate::CellClock;
 
-/// How long before its forced termination the process exits at the latest.
+/// How long before its forced termination the process exits at the latest, unless it was too busy to run
+/// at the cutoff.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
+/// How long before its forced termination a process exits that was too busy to run at the cutoff.
+const LATE_EXIT_MARGIN: Duration = Duration::from_millis(100);
 /// How long before the exit requests that are still open are answered without a result.
 const CUTOFF_MARGIN: Duration = Duration::from_millis(400);
 /// How long before the exit responses are due.
@@ -29,8 +32,8 @@
 /// The planned shutdown of a process.
 pub struct ProcessShutdown {
     clock: Rc<dyn CellClock>,
-    /// When the process exits at the latest; `None` before the signal to stop.
-    exit_at: Cell<Option<BootTime>>,
+    /// When the process is terminated by force; `None` before the signal to stop.
+    terminated_at: Cell<Option<BootTime>>,
     begun: Notify,
     /// The number of exchanges that have begun.
     started: Cell<u64>,
@@ -43,7 +46,7 @@
     pub fn new(clock: Rc<dyn CellClock>) -> Rc<Self> {
         Rc::new(ProcessShutdown {
             clock,
-            exit_at: Cell::new(None),
+            terminated_at: Cell::new(None),
             begun: Notify::new(),
             started: Cell::new(0),
             ended: Cell::new(0),
@@ -52,14 +55,13 @@
 
     /// Begins the shutdown of a process that is terminated by force after `grace`.
     pub fn begin(&self, grace: Duration) {
-        let exit_at = self.clock.now() + grace.saturating_sub(EXIT_MARGIN);
-        self.exit_at.set(Some(exit_at));
+        self.terminated_at.set(Some(self.clock.now() + grace));
         self.begun.notify_waiters();
     }
 
     /// Returns whether the shutdown has begun.
     pub fn has_begun(&self) -> bool {
-        self.exit_at.get().is_some()
+        self.terminated_at.get().is_some()
     }
 
     /// Returns whether new requests are refused.
@@ -91,10 +93,10 @@
     /// Waits until requests are refused and all exchanges have ended, or until the process has to exit.
     pub async fn drain(&self) {
         self.await_refusals().await;
-        // A timeout needs no handling: the process has to exit either way.
-        let left = self.moment_before_exit(Duration::ZERO).unwrap_or_default();
-        let left = left.saturating_sub(self.clock.now());
-        let _ = tokio::time::timeout(left, self.await_quiet()).await;
+        tokio::select! {
+            () = self.await_quiet() => {}
+            () = self.await_exit() => {}
+        }
     }
 
     /// Counts the beginning of an exchange.
@@ -119,9 +121,20 @@
         }
     }
 
-    /// Returns the moment at a time before the exit; `None` before the shutdown.
+    /// Waits until the process has to exit. If it was too busy to run at the cutoff, the responses still
+    /// get [`CUTOFF_MARGIN`], as far as the forced termination leaves it.
+    async fn await_exit(&self) {
+        self.await_cutoff().await;
+        let now = self.clock.now();
+        let terminated_at = self.terminated_at.get().unwrap_or_default();
+        let left = terminated_at.saturating_sub(LATE_EXIT_MARGIN).saturating_sub(now);
+        tokio::time::sleep(left.min(CUTOFF_MARGIN)).await;
+    }
+
+    /// Returns the moment at a time before the planned exit; `None` before the shutdown.
     fn moment_before_exit(&self, margin: Duration) -> Option<BootTime> {
-        self.exit_at.get().map(|exit_at| exit_at.saturating_sub(margin))
+        let terminated_at = self.terminated_at.get();
+        terminated_at.map(|moment| moment.saturating_sub(EXIT_MARGIN + margin))
     }
 
     /// Waits for the moment at a time before the exit.
--- a/crates/geraniumwinch-cell/tests/process_shutdown.rs
+++ b/crates/geraniumwinch-cell/tests/process_shutdown.rs
@@ -162,3 +162,28 @@
         assert_eq!(unknown, 0, "{unknown} of {} got 504", statuses.len());
     });
 }
+
+/// Guards against an exit before requests are answered when the process was busy at the cutoff: the
+/// forced termination is still ahead.
+#[test]
+fn a_busy_process_answers_before_its_forced_termination() {
+    actix_rt::System::new().block_on(async {
+        let (address, shutdown) = start_server().await;
+        let began = Instant::now();
+        shutdown.begin(GRACE);
+        let mut idle = send(address, "/never").await;
+        // Busy from 0.5 s before the exit until 0.15 s after it, that is 0.35 s before the termination.
+        actix_rt::spawn(async {
+            tokio::time::sleep(Duration::from_millis(3000)).await;
+            std::thread::sleep(Duration::from_millis(650));
+        });
+        shutdown.drain().await;
+        let open = shutdown.open_exchanges();
+        let drained = began.elapsed();
+        let mut head = [0; 64];
+        let read = tokio::time::timeout(Duration::from_millis(100), idle.read(&mut head));
+        let answered = matches!(read.await, Ok(Ok(count)) if count > 0);
+        println!("drained after {drained:?}, open {open}, answered later: {answered}");
+        assert_eq!(open, 0, "drained after {drained:?} of {GRACE:?}");
+    });
+}
