Count a worker's capacity in admission until it is silent for long

Callers saw (found in review, not reported): refusals by a new owner while workers had missed one poll each.

Cause: an entry whose worker had not responded yet stopped counting as capacity with the first failed call.

Change: it stops counting after three status report intervals without a response, when the platform removes such entries, or at once if another worker responds there.

In that time an odd entry of plausible size counts as capacity.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
@@ -153,7 +153,7 @@
     }
 
     /// Returns the processors of all workers outside evacuated domains in thousandths of a core, at
-    /// least one core. Entries behind which no worker has responded do not count.
+    /// least one core. Entries behind which no worker has responded for long do not count.
     fn total_cpu_millis(&self) -> f64 {
         let offers = |state: &&WorkerState| !state.evacuated && !state.is_unproven();
         let workers = self.workers.values().filter(offers);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
@@ -107,6 +107,7 @@
     pub fn mark_silent(&mut self, worker: WorkerKey, now: BootTime) {
         if let Some(state) = self.workers.get_mut(worker) {
             state.silent_since.get_or_insert(now);
+            state.missed_at = now;
         }
     }
 
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use geraniumwinch_core::Name;
 use geraniumwinch_core::ResourceVector;
@@ -16,6 +17,11 @@
 use super::task_ref::JobKey;
 use super::task_ref::TaskRef;
 
+/// How long calls to a worker that has never responded have to fail until its entry does not count as
+/// capacity: three of the workers' status report intervals, the time after which an entry is removed whose
+/// worker reports no more.
+const UNPROVEN_SILENCE: Duration = Duration::from_millis(4500);
+
 /// The end of a run that was processed but may not be in the store yet.
 #[derive(Debug, Clone)]
 pub(super) struct UnstoredEnd {
@@ -93,6 +99,8 @@
     pub(super) fenced_since: BootTime,
     /// Since when the worker has not responded to calls; `None` if it has responded to the last one.
     pub(super) silent_since: Option<BootTime>,
+    /// When the worker last failed to respond to a call.
+    pub(super) missed_at: BootTime,
     /// When the worker responded again after it was last silent.
     pub(super) silent_until: BootTime,
     /// Whether another worker has responded at the address: the worker is gone, with all its runs.
@@ -141,6 +149,7 @@
             fence,
             fenced_since: BootTime::ZERO,
             silent_since: None,
+            missed_at: BootTime::ZERO,
             silent_until: BootTime::ZERO,
             replaced: false,
             leaving,
@@ -165,9 +174,12 @@
         self.silent_since.is_some()
     }
 
-    /// Returns whether no worker has responded yet where the entry says, and the last calls failed.
+    /// Returns whether no worker has responded yet where the entry says, and all calls have failed for
+    /// [`UNPROVEN_SILENCE`], or another worker has responded there.
     pub(super) fn is_unproven(&self) -> bool {
-        self.incarnation.is_none() && self.is_silent()
+        let silence = self.silent_since.map(|since| self.missed_at.saturating_sub(since));
+        let long_silent = silence.is_some_and(|silence| silence >= UNPROVEN_SILENCE);
+        self.incarnation.is_none() && (self.replaced || long_silent)
     }
 
     /// Returns whether tasks may be placed on the worker.
--- a/crates/geraniumwinch-fleet/tests/extreme_amounts.rs
+++ b/crates/geraniumwinch-fleet/tests/extreme_amounts.rs
@@ -74,6 +74,8 @@
         let added = cell.scheduler.set_workers(listed, cell.now);
         assert_eq!((sound.len(), added.len()), (1, 1));
         cell.scheduler.mark_silent(added[0], cell.now);
+        cell.wait(4_500);
+        cell.scheduler.mark_silent(added[0], cell.now);
         assert!(cell.scheduler.admission_load(&job) >= before);
         assert!(cell.scheduler.backlog() > 1.0);
     }
