Search only workers with room for a waiting step

Cause: by the owner's new counts, a pass of 250 to 300 waiting steps looked at 73,000 workers and took 40 to 50 ms, so that 5 to 8 passes a second were left for tasks of 0.6 s: each step tried all of its permissions for offers, for tasks to preempt and for what it waits for, and all workers for new permissions although all had been requested. Change: a pass looks at the workers with room or at the permissions, whichever are fewer; it computes once what urgent tasks may preempt; a step that has requested all workers doesn't search them again until one is added; nothing is ranked for a request that can't be sent.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod delayed_starts;
 mod evacuations;
+mod free_workers;
 mod gang_end;
 mod gang_fit;
 mod gang_reservation;
@@ -131,6 +132,8 @@
     /// The workers that were removed, in case they return.
     former_workers: HashMap<Name, FormerWorker>,
     worker_ids: HashMap<Name, WorkerKey>,
+    /// The number of workers that were ever added.
+    added_workers: u64,
     jobs: SlotMap<JobKey, JobState>,
     job_ids: HashMap<Name, JobKey>,
     /// The live jobs, by priority and order of acceptance.
@@ -170,6 +173,7 @@
             workers: SlotMap::with_key(),
             former_workers: HashMap::new(),
             worker_ids: HashMap::new(),
+            added_workers: 0,
             jobs: SlotMap::with_key(),
             job_ids: HashMap::new(),
             open_jobs: BTreeSet::new(),
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/permission_table.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/permission_table.rs
@@ -17,6 +17,13 @@
     pub(super) until: BootTime,
 }
 
+impl WorkerGrant {
+    /// Returns the state of the permission.
+    pub(super) fn state(&self, now: BootTime) -> PermissionState {
+        if self.until > now { PermissionState::Valid } else { PermissionState::Expired }
+    }
+}
+
 /// The decisions of the permission service for a unit, by worker.
 ///
 /// Placement looks at the grants of each waiting unit in each pass, so both lists are kept sorted by
@@ -33,8 +40,7 @@
     /// Returns the state of the permission for a worker.
     pub(super) fn state(&self, worker: WorkerKey, now: BootTime) -> PermissionState {
         match self.find(worker) {
-            Some(grant) if grant.until > now => PermissionState::Valid,
-            Some(_) => PermissionState::Expired,
+            Some(grant) => grant.state(now),
             None if self.is_requested(worker) => PermissionState::Denied,
             None => PermissionState::NotRequested,
         }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
@@ -10,6 +10,7 @@
 use crate::PermissionRequest;
 use crate::StepName;
 use crate::WorkerKey;
+use crate::run_command::is_long_call;
 
 use super::FleetScheduler;
 use super::PlacementRound;
@@ -30,7 +31,7 @@
 pub(super) const REQUEST_MIN: usize = 8;
 /// The maximum number of workers in one request. The service accepts up to 100, but several shorter
 /// calls from several VMs take less time.
-const REQUEST_MAX: usize = 60;
+pub(super) const REQUEST_MAX: usize = 60;
 /// The maximum number of concurrent requests for a step.
 const REQUEST_PARTS: usize = 4;
 /// The delay before a failed request is retried.
@@ -147,7 +148,7 @@
         let step = job.step_name(unit);
         let Some(cost) = job.record.rules.permission else { return Vec::new() };
         let state = &job.units[unit as usize];
-        if workers.is_empty() || state.open_requests > 0 || now < state.retry_after {
+        if workers.is_empty() || !state.may_request(now) {
             return Vec::new();
         }
         let part = workers.len().div_ceil(workers.len().div_ceil(REQUEST_MAX));
@@ -178,6 +179,40 @@
         requests
     }
 
+    /// Returns whether a unit could request permissions now and the VMs could send the request.
+    pub(super) fn may_request(
+        &self,
+        key: JobKey,
+        unit: u32,
+        now: BootTime,
+        round: &PlacementRound,
+    ) -> bool {
+        let job = &self.jobs[key];
+        let Some(cost) = job.record.rules.permission else { return false };
+        let affordable = |workers| !round.calls.is_used_up(cost.call_time(workers));
+        (affordable(1) || affordable(REQUEST_MAX))
+            && job.units[unit as usize].may_request(now)
+    }
+
+    /// Records that a unit would request permissions if there were capacity for the call. A long call
+    /// that can't be made says nothing of the account, since most jobs wait for theirs.
+    pub(super) fn turn_away(
+        &mut self,
+        key: JobKey,
+        unit: u32,
+        call_time: Duration,
+        now: BootTime,
+        round: &mut PlacementRound,
+    ) {
+        if is_long_call(call_time) {
+            return;
+        }
+        let rules = &self.jobs[key].record.rules;
+        let call = UnitCall { key, unit, priority: rules.priority, call_time };
+        let account = &self.jobs[key].record.account;
+        self.call_shares.admit(account, call, &mut round.calls, now);
+    }
+
     /// Returns the position of a job's requests in the order in which they are sent.
     fn call_order(&self, key: JobKey, unix_time: Duration) -> CallOrder {
         let job = &self.jobs[key];
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use geraniumwinch_core::Name;
+use geraniumwinch_core::ResourceVector;
+use slotmap::SecondaryMap;
 
 use crate::BootTime;
 use crate::CallBudget;
@@ -13,12 +15,13 @@
 use crate::RunStart;
 use crate::StepPlan;
 use crate::WorkerKey;
-use crate::run_command::is_long_call;
 
 use super::FleetScheduler;
+use super::free_workers::FreeWorkers;
 use super::job_lateness::JobLateness;
 use super::overdue_jobs::OverdueRoom;
 use super::permissions::PermissionState;
+use super::permissions::REQUEST_MAX;
 use super::permissions::REQUEST_MIN;
 use super::run_phase::RunPhase;
 use super::run_work::RunWork;
@@ -46,6 +49,12 @@
     pub(super) searching_gangs: BTreeMap<u32, usize>,
     /// What overdue jobs may still take; `None` before the first of them.
     pub(super) overdue_room: Option<OverdueRoom>,
+    /// The usable workers with free processors, those with the most first; `None` before the first
+    /// search for them.
+    pub(super) free_workers: Option<FreeWorkers>,
+    /// What urgent tasks may use of each worker if they preempt others; `None` before the first
+    /// search for it.
+    pub(super) urgent_room: Option<SecondaryMap<WorkerKey, ResourceVector>>,
 }
 
 impl FleetScheduler {
@@ -161,8 +170,13 @@
         if needed == 0 || partial || self.awaits_crash_record(key, unit, now) {
             return;
         }
-        self.pass_tally.searched += self.offering_workers(key, unit) as u64;
-        let mut offers = self.offers(key, unit, &plan, now);
+        let free = round.free_workers.get_or_insert_with(|| self.free_workers(now));
+        let (mut offers, searched) = self.offers(key, unit, &plan, free, now);
+        self.pass_tally.searched += searched as u64;
+        let simple = !plan.gang && !plan.same_rack && !self.has_suspects(key, unit);
+        if simple && !self.may_request(key, unit, now, round) {
+            offers.retain(|offer| offer.permission == PermissionState::Valid);
+        }
         self.rank_by_speed(key, unit, needed, &mut offers);
         self.avoid_endangered_runs(key, unit, &mut offers, now);
         if plan.same_rack {
@@ -200,7 +214,7 @@
         if !renewed {
             self.request_new_permissions(key, unit, &plan, left, now, round);
         }
-        self.preempt(key, unit, left, unix_time, now);
+        self.preempt(key, unit, left, now, round);
     }
 
     /// Starts waiting tasks of a unit, one on each entry of `chosen`. The members of a gang share
@@ -348,21 +362,26 @@
     ) {
         let job = &self.jobs[key];
         let state = &job.units[unit as usize];
-        let open = state.open_requests > 0 || now < state.retry_after;
         let Some(cost) = job.record.rules.permission else { return };
-        let unaffordable =
-            round.calls.long_calls == 0 && is_long_call(cost.call_time(REQUEST_MIN));
-        if open || unaffordable || now < state.next_request {
+        let exhausted = state.requested_all == self.added_workers;
+        if !state.may_request(now) || exhausted || now < state.next_request {
+            return;
+        }
+        let call_time = cost.call_time(REQUEST_MIN);
+        let longest = cost.call_time(REQUEST_MAX);
+        if round.calls.is_used_up(call_time) && round.calls.is_used_up(longest) {
+            self.turn_away(key, unit, call_time, now, round);
             return;
         }
         self.pass_tally.searched += self.workers.len() as u64;
         let mut candidates = Vec::new();
+        let mut requested_all = true;
         for (worker, state) in &self.workers {
-            let usable = state.usable(now) && self.is_eligible(key, plan, state);
-            if !usable
-                || self.permission(key, unit, worker, now)
-                    != PermissionState::NotRequested
-            {
+            if self.jobs[key].units[unit as usize].permissions.is_requested(worker) {
+                continue;
+            }
+            requested_all = false;
+            if !state.usable(now) || !self.is_eligible(key, plan, state) {
                 continue;
             }
             let now_fits = self.fits_for_request(key, unit, plan, worker, round);
@@ -372,7 +391,11 @@
             }
         }
         if candidates.is_empty() {
-            self.jobs[key].units[unit as usize].next_request = now + REQUEST_INTERVAL;
+            let state = &mut self.jobs[key].units[unit as usize];
+            state.next_request = now + REQUEST_INTERVAL;
+            if requested_all {
+                state.requested_all = self.added_workers;
+            }
             return;
         }
         let names =
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/preemption.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/preemption.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use geraniumwinch_core::ResourceVector;
+use slotmap::SecondaryMap;
 
 use crate::BootTime;
 use crate::LossCause;
@@ -22,6 +23,7 @@
 use super::task_ref::JobKey;
 use super::task_ref::TaskRef;
 use super::worker_offers::copies_that_fit;
+use super::worker_offers::has_room;
 
 /// The progress in percent up to which a task without checkpoints may be preempted.
 const PREEMPTIBLE_PERCENT: u32 = 15;
@@ -50,13 +52,13 @@
         key: JobKey,
         unit: u32,
         needed: usize,
-        unix_time: Duration,
         now: BootTime,
+        round: &mut PlacementRound,
     ) {
         let job = &self.jobs[key];
         if !job.is_urgent()
             || now < job.units[unit as usize].next_preemption
-            || job.lateness(unix_time) != JobLateness::InTime
+            || job.lateness(round.unix_time) != JobLateness::InTime
             || self.has_suspects(key, unit)
         {
             return;
@@ -64,7 +66,8 @@
         self.jobs[key].units[unit as usize].next_preemption = now + PREEMPTION_INTERVAL;
         let mut victims = Vec::new();
         let mut found = 0;
-        let permitted = self.permitted_workers(key, unit, now);
+        let room = round.urgent_room.get_or_insert_with(|| self.urgent_room(now));
+        let permitted = self.workers_with_room(key, unit, room, now);
         self.pass_tally.searched += permitted.len() as u64;
         for worker in permitted {
             if found >= needed {
@@ -136,6 +139,51 @@
         self.stop_victims(&victims, now);
     }
 
+    /// Returns what urgent tasks may use of each usable worker: what is free, being stopped or can be
+    /// preempted. A pass takes more of it than it adds, so a task that doesn't fit need not be tried.
+    fn urgent_room(&self, now: BootTime) -> SecondaryMap<WorkerKey, ResourceVector> {
+        let mut rooms = SecondaryMap::new();
+        for (worker, state) in &self.workers {
+            if !state.usable(now) {
+                continue;
+            }
+            let mut released = self.stopping_usage(worker);
+            for &task in &state.tasks {
+                if self.is_preemptible(task, URGENT_PRIORITY) {
+                    released.add(&self.jobs[task.job].plan(task.unit).reserved());
+                }
+            }
+            rooms.insert(worker, state.free_without(&released));
+        }
+        rooms
+    }
+
+    /// Returns the workers with a valid or expired permission for a unit that have room for one of
+    /// its tasks.
+    fn workers_with_room(
+        &self,
+        key: JobKey,
+        unit: u32,
+        rooms: &SecondaryMap<WorkerKey, ResourceVector>,
+        now: BootTime,
+    ) -> Vec<WorkerKey> {
+        let plan = self.jobs[key].plan(unit);
+        let size = plan.reserved();
+        let fits = |&worker: &WorkerKey| {
+            rooms.get(worker).is_some_and(|room| has_room(&size, room))
+        };
+        let is_usable = |&worker: &WorkerKey| {
+            let state = &self.workers[worker];
+            state.usable(now) && self.is_eligible(key, plan, state)
+        };
+        let permitted = |worker: &WorkerKey| {
+            self.jobs[key].record.rules.permission.is_none()
+                || self.jobs[key].units[unit as usize].permissions.find(*worker).is_some()
+        };
+        let roomy = rooms.keys().filter(fits);
+        roomy.filter(permitted).filter(is_usable).collect()
+    }
+
     /// Returns the usable workers with a valid or expired permission for a unit.
     fn permitted_workers(&self, key: JobKey, unit: u32, now: BootTime) -> Vec<WorkerKey> {
         let plan = self.jobs[key].plan(unit);
@@ -161,8 +209,8 @@
         let state = &self.workers[worker];
         let empty = self.fits(key, unit, plan, worker, &state.info.capacity) as usize;
         let limit = limit.min(empty);
-        let mut candidates =
-            self.preemption_candidates(worker, job.record.rules.priority);
+        let priority = job.record.rules.priority;
+        let mut candidates: Option<Vec<TaskRef>> = None;
         let mut released = self.stopping_usage(worker);
         let mut taken = ResourceVector::default();
         let mut options: Vec<PreemptionOption> = Vec::new();
@@ -176,6 +224,8 @@
                 options.push(PreemptionOption { worker, cost, victims });
                 continue;
             }
+            let candidates = candidates
+                .get_or_insert_with(|| self.preemption_candidates(worker, priority));
             let Some(task) = candidates.pop() else { break };
             let freed = self.jobs[task.job].plan(task.unit).reserved();
             released.add(&freed);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/unit_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/unit_state.rs
@@ -33,6 +33,9 @@
     pub(super) next_search: BootTime,
     /// The earliest time of the next choice of workers to request permission for.
     pub(super) next_request: BootTime,
+    /// The number of workers that had been listed when permissions had been requested for all of
+    /// them; 0 before.
+    pub(super) requested_all: u64,
     /// The earliest time of the next search for tasks to preempt.
     pub(super) next_preemption: BootTime,
     /// The earliest time of the next attempt to place tasks.
@@ -45,6 +48,12 @@
 }
 
 impl UnitState {
+    /// Returns whether the unit may send permission requests: none is open, and none has failed too
+    /// recently.
+    pub(super) fn may_request(&self, now: BootTime) -> bool {
+        self.open_requests == 0 && now >= self.retry_after
+    }
+
     /// Creates the unit of a step, which has a number within its job, with the progress from the record.
     pub(super) fn new(
         record: &JobRecord,
@@ -90,6 +99,7 @@
             reservation: None,
             next_search: BootTime::ZERO,
             next_request: BootTime::ZERO,
+            requested_all: 0,
             next_preemption: BootTime::ZERO,
             next_attempt: BootTime::ZERO,
             avoids_runs_until: None,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/waits.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/waits.rs
@@ -4,7 +4,6 @@
 use crate::WaitCause;
 
 use super::FleetScheduler;
-use super::permissions::PermissionState;
 use super::task_ref::JobKey;
 
 impl FleetScheduler {
@@ -30,8 +29,8 @@
         if job.record.rules.permission.is_none() {
             return Some(WaitCause::Capacity);
         }
-        let permitted = self.granted_workers(key, unit).into_iter().any(|worker| {
-            plan.gang || self.permission(key, unit, worker, now) == PermissionState::Valid
+        let permitted = state.permissions.grants().iter().any(|grant| {
+            (plan.gang || grant.until > now) && self.workers.contains_key(grant.worker)
         });
         let asks = state.open_requests > 0 || !permitted;
         Some(if asks { WaitCause::Permission } else { WaitCause::Capacity })
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_offers.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_offers.rs
@@ -7,6 +7,7 @@
 use crate::WorkerKey;
 
 use super::FleetScheduler;
+use super::free_workers::FreeWorkers;
 use super::permission_table::WorkerGrant;
 use super::permissions::PermissionState;
 use super::task_ref::JobKey;
@@ -27,26 +28,41 @@
 }
 
 impl FleetScheduler {
-    /// Returns the workers with free capacity for tasks of a unit, the preferred ones first. Tasks
-    /// that may crash their worker should end as little other work as possible.
+    /// Returns the workers with free capacity for tasks of a unit, the preferred ones first, and the
+    /// number of workers that were looked at. Tasks that may crash their worker should end as little
+    /// other work as possible.
     pub(super) fn offers(
         &self,
         key: JobKey,
         unit: u32,
         plan: &StepPlan,
+        free: &FreeWorkers,
         now: BootTime,
-    ) -> Vec<WorkerOffer> {
+    ) -> (Vec<WorkerOffer>, usize) {
         let mut offers = Vec::new();
         let job = &self.jobs[key];
+        let permissions = &job.units[unit as usize].permissions;
+        let roomy = free.with_room(plan.reserved().cpu_millis);
+        let granted = permissions.grants().len();
+        let searched;
         if job.record.rules.permission.is_none() {
-            let offer = |worker| self.offer(key, unit, plan, worker, now);
-            offers.extend(self.workers.keys().filter_map(offer));
+            searched = roomy.len();
+            let valid = PermissionState::Valid;
+            let offer = |worker| self.offer(key, unit, plan, worker, valid, now);
+            offers.extend(roomy.filter_map(offer));
         } else {
-            let grants = job.units[unit as usize].permissions.grants().iter();
-            let listed = grants.filter(|grant| self.workers.contains_key(grant.worker));
-            let offer =
-                |grant: &WorkerGrant| self.offer(key, unit, plan, grant.worker, now);
-            offers.extend(listed.filter_map(offer));
+            searched = roomy.len().min(granted);
+            let offer = |grant: &WorkerGrant| {
+                self.offer(key, unit, plan, grant.worker, grant.state(now), now)
+            };
+            if roomy.len() < granted {
+                let found = roomy.filter_map(|worker| permissions.find(worker));
+                offers.extend(found.filter_map(offer));
+            } else {
+                let grants = permissions.grants().iter();
+                let listed = grants.filter(|g| self.workers.contains_key(g.worker));
+                offers.extend(listed.filter_map(offer));
+            }
         }
         offers.sort_by_key(|offer| offer.rank);
         if self.has_suspects(key, unit) {
@@ -55,16 +71,7 @@
                 (young, self.work_at_risk(key, worker, now))
             });
         }
-        offers
-    }
-
-    /// Returns the number of workers that are looked at for offers for a unit.
-    pub(super) fn offering_workers(&self, key: JobKey, unit: u32) -> usize {
-        let job = &self.jobs[key];
-        match job.record.rules.permission {
-            None => self.workers.len(),
-            Some(_) => job.units[unit as usize].permissions.grants().len(),
-        }
+        (offers, searched)
     }
 
     /// Returns a worker's offer for tasks of a unit, or `None` if it has no free capacity for them
@@ -75,6 +82,7 @@
         unit: u32,
         plan: &StepPlan,
         worker: WorkerKey,
+        permission: PermissionState,
         now: BootTime,
     ) -> Option<WorkerOffer> {
         let state = &self.workers[worker];
@@ -94,15 +102,10 @@
         if fits == 0 {
             return None;
         }
-        let permission = self.permission(key, unit, worker, now);
         let remote =
             plan.affinity.as_ref().is_some_and(|r| !state.info.labels.contains(r));
         let rank = (state.failures > 0, interfering, remote, free.cpu_millis, worker);
-        let possible = !matches!(
-            permission,
-            PermissionState::Denied | PermissionState::NotRequested
-        );
-        possible.then_some(WorkerOffer { worker, fits, permission, rank })
+        Some(WorkerOffer { worker, fits, permission, rank })
     }
 
     /// Returns the tasks on a worker that would interfere with tasks of a step.
@@ -150,7 +153,7 @@
 }
 
 /// Returns whether a task of a size fits into the given free capacity.
-fn has_room(size: &ResourceVector, free: &ResourceVector) -> bool {
+pub(super) fn has_room(size: &ResourceVector, free: &ResourceVector) -> bool {
     size.cpu_millis <= free.cpu_millis
         && size.memory_bytes <= free.memory_bytes
         && size.accelerators <= free.accelerators
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
@@ -71,6 +71,7 @@
         let fence = former.map_or(0, |former| next_fence(former.fence));
         let key = self.workers.insert(WorkerState::new(info, fence, expiry));
         self.worker_ids.insert(id, key);
+        self.added_workers += 1;
         key
     }
 
