Search for gangs that don't fit less often the more of them wait

Cause: each gang that doesn't fit searches 350 workers for new permissions and its own for tasks to preempt every 120 ms, which is each pass once passes are that rare; the delay for other steps began at 200 of them. Change: the interval of a gang's searches grows with the number of gangs that stand before it, so that the searches of a second are bounded; the delay of steps that got nothing begins at 50 and grows faster. Urgent steps, and those whose permissions arrive, are exempt as before. Test: gangs_that_do_not_fit_are_searched_for_less_often_the_more_of_them_wait fails on the code before.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/free_workers.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/free_workers.rs
@@ -8,7 +8,7 @@
 
 use super::FleetScheduler;
 
-/// The usable workers at the begin of a pass by their free processors, those with the most first.
+/// The usable workers in a pass by their free processors, those with the most first.
 #[derive(Debug, Default)]
 pub(super) struct FreeWorkers {
     by_room: Vec<(u64, WorkerKey)>,
@@ -25,13 +25,19 @@
     }
 }
 
+impl FromIterator<(u64, WorkerKey)> for FreeWorkers {
+    /// Collects workers with their free processors in thousandths of a core.
+    fn from_iter<I: IntoIterator<Item = (u64, WorkerKey)>>(workers: I) -> Self {
+        let mut by_room: Vec<(u64, WorkerKey)> = workers.into_iter().collect();
+        by_room.sort_unstable_by(|a, b| b.cmp(a));
+        FreeWorkers { by_room }
+    }
+}
+
 impl FleetScheduler {
     /// Returns the usable workers by their free processors.
     pub(super) fn free_workers(&self, now: BootTime) -> FreeWorkers {
         let usable = self.workers.iter().filter(|(_, state)| state.usable(now));
-        let mut by_room: Vec<(u64, WorkerKey)> =
-            usable.map(|(worker, state)| (state.free().cpu_millis, worker)).collect();
-        by_room.sort_unstable_by(|a, b| b.cmp(a));
-        FreeWorkers { by_room }
+        usable.map(|(worker, state)| (state.free().cpu_millis, worker)).collect()
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -4,8 +4,6 @@
 use std::time::Duration;
 
 use geraniumwinch_core::Name;
-use geraniumwinch_core::ResourceVector;
-use slotmap::SecondaryMap;
 
 use crate::BootTime;
 use crate::CallBudget;
@@ -54,7 +52,7 @@
     pub(super) free_workers: Option<FreeWorkers>,
     /// What urgent tasks may use of each worker if they preempt others; `None` before the first
     /// search for it.
-    pub(super) urgent_room: Option<SecondaryMap<WorkerKey, ResourceVector>>,
+    pub(super) urgent_room: Option<FreeWorkers>,
 }
 
 impl FleetScheduler {
@@ -198,8 +196,9 @@
                 return;
             }
             let priority = self.jobs[key].record.rules.priority;
-            *round.searching_gangs.entry(priority).or_default() += 1;
-            if self.gang_search_due(key, unit, now) {
+            let position = round.searching_gangs.entry(priority).or_default();
+            *position += 1;
+            if self.gang_search_due(key, unit, *position, now) {
                 if !self.fits_after_preemption(key, unit, needed, now) {
                     self.request_new_permissions(key, unit, &plan, needed, now, round);
                 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement_backoff.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement_backoff.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 /// The number of waiting steps up to which each of them is attempted in every pass.
-const PROMPT_UNITS: usize = 200;
+const PROMPT_UNITS: usize = 50;
 /// The additional delay for each waiting step beyond them.
-const DELAY_PER_UNIT: Duration = Duration::from_micros(50);
+const DELAY_PER_UNIT: Duration = Duration::from_micros(500);
 /// The maximum delay of an attempt.
 const MAX_DELAY: Duration = Duration::from_millis(250);
 
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/preemption.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/preemption.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use geraniumwinch_core::ResourceVector;
-use slotmap::SecondaryMap;
 
 use crate::BootTime;
 use crate::LossCause;
@@ -17,13 +16,13 @@
 
 use super::FleetScheduler;
 use super::PlacementRound;
+use super::free_workers::FreeWorkers;
 use super::job_lateness::JobLateness;
 use super::job_state::URGENT_PRIORITY;
 use super::run_phase::RunPhase;
 use super::task_ref::JobKey;
 use super::task_ref::TaskRef;
 use super::worker_offers::copies_that_fit;
-use super::worker_offers::has_room;
 
 /// The progress in percent up to which a task without checkpoints may be preempted.
 const PREEMPTIBLE_PERCENT: u32 = 15;
@@ -32,6 +31,9 @@
 const PREEMPTION_INTERVAL: Duration = Duration::from_millis(20);
 /// The minimum time between two searches for workers for a gang that does not fit.
 const GANG_SEARCH_INTERVAL: Duration = Duration::from_millis(120);
+/// The time between two such searches for each gang that stands before it or searches itself. It bounds
+/// the searches of a second however many gangs wait.
+const SEARCH_INTERVAL_PER_GANG: Duration = Duration::from_millis(10);
 
 /// Capacity for one task on a worker, available once the victims have stopped.
 struct PreemptionOption {
@@ -80,18 +82,23 @@
         self.stop_victims(&victims, now);
     }
 
-    /// Returns whether to search for workers for a gang that does not fit now. The search takes
-    /// time, so it is not done in each pass.
+    /// Returns whether to search for workers for a gang that does not fit now and is the given one, from
+    /// 1, of its priority. The search takes time, so it is not done in each pass, and less often for
+    /// gangs that stand far behind.
     pub(super) fn gang_search_due(
         &mut self,
         key: JobKey,
         unit: u32,
+        position: usize,
         now: BootTime,
     ) -> bool {
+        let position = u32::try_from(position).unwrap_or(u32::MAX);
+        let interval =
+            SEARCH_INTERVAL_PER_GANG.saturating_mul(position).max(GANG_SEARCH_INTERVAL);
         let state = &mut self.jobs[key].units[unit as usize];
         let due = state.open_requests == 0 && now >= state.next_search;
         if due {
-            state.next_search = now + GANG_SEARCH_INTERVAL;
+            state.next_search = now + interval;
         }
         due
     }
@@ -139,23 +146,22 @@
         self.stop_victims(&victims, now);
     }
 
-    /// Returns what urgent tasks may use of each usable worker: what is free, being stopped or can be
-    /// preempted. A pass takes more of it than it adds, so a task that doesn't fit need not be tried.
-    fn urgent_room(&self, now: BootTime) -> SecondaryMap<WorkerKey, ResourceVector> {
-        let mut rooms = SecondaryMap::new();
-        for (worker, state) in &self.workers {
-            if !state.usable(now) {
-                continue;
-            }
-            let mut released = self.stopping_usage(worker);
-            for &task in &state.tasks {
-                if self.is_preemptible(task, URGENT_PRIORITY) {
-                    released.add(&self.jobs[task.job].plan(task.unit).reserved());
+    /// Returns the usable workers by what urgent tasks may use of them: what is free, being stopped or
+    /// can be preempted. A pass takes more of it than it adds, so a task that doesn't fit need not be
+    /// tried.
+    fn urgent_room(&self, now: BootTime) -> FreeWorkers {
+        let usable = self.workers.iter().filter(|(_, state)| state.usable(now));
+        usable
+            .map(|(worker, state)| {
+                let mut released = self.stopping_usage(worker);
+                for &task in &state.tasks {
+                    if self.is_preemptible(task, URGENT_PRIORITY) {
+                        released.add(&self.jobs[task.job].plan(task.unit).reserved());
+                    }
                 }
-            }
-            rooms.insert(worker, state.free_without(&released));
-        }
-        rooms
+                (state.free_without(&released).cpu_millis, worker)
+            })
+            .collect()
     }
 
     /// Returns the workers with a valid or expired permission for a unit that have room for one of
@@ -164,24 +170,23 @@
         &self,
         key: JobKey,
         unit: u32,
-        rooms: &SecondaryMap<WorkerKey, ResourceVector>,
+        room: &FreeWorkers,
         now: BootTime,
     ) -> Vec<WorkerKey> {
-        let plan = self.jobs[key].plan(unit);
-        let size = plan.reserved();
-        let fits = |&worker: &WorkerKey| {
-            rooms.get(worker).is_some_and(|room| has_room(&size, room))
-        };
-        let is_usable = |&worker: &WorkerKey| {
-            let state = &self.workers[worker];
-            state.usable(now) && self.is_eligible(key, plan, state)
-        };
-        let permitted = |worker: &WorkerKey| {
-            self.jobs[key].record.rules.permission.is_none()
-                || self.jobs[key].units[unit as usize].permissions.find(*worker).is_some()
-        };
-        let roomy = rooms.keys().filter(fits);
-        roomy.filter(permitted).filter(is_usable).collect()
+        let job = &self.jobs[key];
+        let plan = job.plan(unit);
+        let permissions = &job.units[unit as usize].permissions;
+        let open = job.record.rules.permission.is_none();
+        let mut workers: Vec<WorkerKey> = room
+            .with_room(plan.reserved().cpu_millis)
+            .filter(|&worker| open || permissions.find(worker).is_some())
+            .filter(|&worker| {
+                let state = &self.workers[worker];
+                state.usable(now) && self.is_eligible(key, plan, state)
+            })
+            .collect();
+        workers.sort_unstable();
+        workers
     }
 
     /// Returns the usable workers with a valid or expired permission for a unit.
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_offers.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_offers.rs
@@ -153,7 +153,7 @@
 }
 
 /// Returns whether a task of a size fits into the given free capacity.
-pub(super) fn has_room(size: &ResourceVector, free: &ResourceVector) -> bool {
+fn has_room(size: &ResourceVector, free: &ResourceVector) -> bool {
     size.cpu_millis <= free.cpu_millis
         && size.memory_bytes <= free.memory_bytes
         && size.accelerators <= free.accelerators
--- a/crates/geraniumwinch-fleet/tests/pass_cost.rs
+++ b/crates/geraniumwinch-fleet/tests/pass_cost.rs
@@ -7,6 +7,7 @@
 use geraniumwinch_fleet::PermissionCost;
 use geraniumwinch_fleet::PermissionGrant;
 use geraniumwinch_fleet::QueueRules;
+use geraniumwinch_fleet::StepPlan;
 
 use self::common::LONG_REQUESTS;
 use self::common::TestCell;
@@ -20,21 +21,24 @@
 /// The number of workers that each waiting step may look at on average.
 const MAX_SEARCHED: u64 = 2;
 
-/// Creates the rules of an urgent queue that requires permissions.
-fn permitted() -> QueueRules {
+/// The factor by which the work of passes may grow while the backlog grows tenfold.
+const MAX_GROWTH: u64 = 4;
+
+/// Creates the rules of a queue that requires permissions.
+fn permitted(priority: u32) -> QueueRules {
     let permission = Some(PermissionCost {
         base: Duration::from_millis(10),
         per_worker: Duration::from_micros(100),
         validity: Duration::from_secs(60),
     });
-    QueueRules { permission, ..rules(0) }
+    QueueRules { permission, ..rules(priority) }
 }
 
-/// Fills all workers with urgent tasks.
-fn fill(cell: &mut TestCell) {
+/// Starts an urgent task of a size on each worker.
+fn fill(cell: &mut TestCell, cpu_millis: u64) {
     let ids: Vec<String> = (0..WORKERS).map(|index| format!("w{index}")).collect();
     cell.add_workers(&ids.iter().map(String::as_str).collect::<Vec<&str>>());
-    cell.accept("full", record(rules(0), vec![step(WORKERS as u32, 16_000)]));
+    cell.accept("full", record(rules(0), vec![step(WORKERS as u32, cpu_millis)]));
     assert_eq!(cell.start_all().len(), WORKERS);
 }
 
@@ -60,15 +64,46 @@
     }
 }
 
+/// Returns how many workers the passes of a second look at for waiting gangs that don't fit.
+fn searched_for_gangs(gangs: usize) -> u64 {
+    let mut cell = TestCell::new(1);
+    fill(&mut cell, 12_000);
+    for index in 0..gangs {
+        let gang = StepPlan { gang: true, ..step(20, 8_000) };
+        cell.accept(&format!("gang-{index}"), record(permitted(1), vec![gang]));
+    }
+    allow_all(&mut cell);
+    // All of them have been searched for by now.
+    for _ in 0..40 {
+        cell.wait(50);
+        cell.place();
+    }
+    cell.scheduler.take_pass_tally();
+    for _ in 0..20 {
+        cell.wait(50);
+        cell.place();
+    }
+    cell.scheduler.take_pass_tally().searched
+}
+
+/// Load: a backlog of gangs that don't fit. Guards against passes that take ten times as long when ten
+/// times as many gangs wait, so that urgent jobs wait for the next pass.
+#[test]
+fn gangs_that_do_not_fit_are_searched_for_less_often_the_more_of_them_wait() {
+    let (few, many) = (searched_for_gangs(20), searched_for_gangs(200));
+    assert!(few > 0, "gangs are searched for");
+    assert!(many <= few * MAX_GROWTH, "{many} workers in place of {few}");
+}
+
 cases! {
     /// Load: a burst of urgent jobs on a full cell. Guards against passes that search all permitted
     /// workers for each waiting step, so that few passes are made and nothing is in time for long.
     a_pass_over_a_full_cell_searches_no_workers_for_each_waiting_step(cell) {
-        fill(&mut cell);
+        fill(&mut cell, 16_000);
         for jobs in [30, 300] {
             for index in 0..jobs {
                 let id = format!("job-{jobs}-{index}");
-                cell.accept(&id, record(permitted(), vec![step(1, 4_000)]));
+                cell.accept(&id, record(permitted(0), vec![step(1, 4_000)]));
             }
             allow_all(&mut cell);
             cell.wait(150);
