Start few tasks of overdue jobs while other steps wait

Cause: overdue jobs were limited by the workers' processors only. Each start costs the owner a command, an end, a record and often a permission call, and its time was short. Change: a pass in which other steps wait starts at most a few overdue tasks; at the usual load, passes are so frequent that this limits nothing, and without other steps there is no limit. Test: a_pass_starts_few_overdue_tasks_while_fresh_steps_wait fails on the code before (20 start).

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/overdue_jobs.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/overdue_jobs.rs
@@ -2,7 +2,8 @@
 //!
 //! A burst that could not be served in time leaves jobs whose results are of little use by now. They
 //! are still done, but only in capacity that the jobs after them do not need: if they took all that
-//! is free, each later job would have to wait for them and be late as well.
+//! is free, each later job would have to wait for them and be late as well. The same holds for the
+//! owner's time: while other steps wait, a pass starts only a few of their tasks.
 
 use std::time::Duration;
 
@@ -19,19 +20,29 @@
 /// The share of the usable workers' processors beyond which no overdue job is placed.
 const MAX_USED_SHARE: f64 = 0.75;
 
-/// The processors that overdue jobs may take in a placement pass, in thousandths of a core.
+/// The number of tasks of overdue jobs that a pass may start in which other steps wait. Each start takes
+/// some of the owner's time, which an owner that falls behind needs for the others.
+const MAX_TASKS_BESIDE_OTHERS: usize = 4;
+
+/// What overdue jobs may take in a placement pass.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct OverdueRoom {
-    /// What they may take at most, on idle workers.
+    /// The processors that they may take at most, on idle workers, in thousandths of a core.
     limit: u64,
-    /// What is left of it.
+    /// What is left of them.
     left: u64,
+    /// The number of tasks that may still start.
+    tasks: usize,
 }
 
 impl OverdueRoom {
     /// Returns how many of `wanted` tasks of a size may start. A task or gang that exceeds the limit
     /// by itself may take any capacity, since it could never start otherwise.
     fn copies(&self, size: &ResourceVector, wanted: usize, gang: bool) -> usize {
+        if self.tasks == 0 {
+            return 0;
+        }
+        let wanted = if gang { wanted } else { wanted.min(self.tasks) };
         let together = if gang { wanted as u64 } else { 1 };
         if size.cpu_millis == 0 || size.cpu_millis * together > self.limit {
             return wanted;
@@ -39,9 +50,15 @@
         wanted.min((self.left / size.cpu_millis) as usize)
     }
 
+    /// Returns whether nothing may start any more.
+    pub(super) fn is_used_up(&self) -> bool {
+        self.tasks == 0
+    }
+
     /// Counts a task that starts.
     pub(super) fn take(&mut self, size: &ResourceVector) {
         self.left = self.left.saturating_sub(size.cpu_millis);
+        self.tasks = self.tasks.saturating_sub(1);
     }
 }
 
@@ -72,6 +89,12 @@
         let total: u64 = usable().map(|state| state.info.capacity.cpu_millis).sum();
         let used: u64 = usable().map(|state| state.used.cpu_millis).sum();
         let limit = (total as f64 * MAX_USED_SHARE) as u64;
-        OverdueRoom { limit, left: limit.saturating_sub(used) }
+        // Overdue jobs come last, so all other steps of the pass are counted.
+        let tasks = if self.backoff.has_waiting_units() {
+            MAX_TASKS_BESIDE_OTHERS
+        } else {
+            usize::MAX
+        };
+        OverdueRoom { limit, left: limit.saturating_sub(used), tasks }
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -129,6 +129,8 @@
         self.pass_tally.visited += 1;
         if !self.is_overdue(key, unix_time) {
             self.backoff.count_unit();
+        } else if round.overdue_room.is_some_and(|room| room.is_used_up()) {
+            return;
         }
         let state = &self.jobs[key].units[unit as usize];
         if now < state.next_attempt {
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement_backoff.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement_backoff.rs
@@ -34,6 +34,11 @@
         self.current += 1;
     }
 
+    /// Returns whether a waiting step was counted in this pass.
+    pub(super) fn has_waiting_units(&self) -> bool {
+        self.current > 0
+    }
+
     /// Returns the delay before the next attempt of a step that got nothing.
     pub(super) fn delay(&self) -> Duration {
         let excess = self.last.saturating_sub(PROMPT_UNITS) as u32;
--- a/crates/geraniumwinch-fleet/tests/pass_cost.rs
+++ b/crates/geraniumwinch-fleet/tests/pass_cost.rs
@@ -21,6 +21,8 @@
 /// The number of workers that each waiting step may look at on average.
 const MAX_SEARCHED: u64 = 2;
 
+/// The number of tasks of overdue jobs that may start while a fresh step waits.
+const MAX_OVERDUE: usize = 4;
 /// The factor by which the work of passes may grow while the backlog grows tenfold.
 const MAX_GROWTH: u64 = 4;
 
@@ -116,4 +118,21 @@
             assert!(searched <= bound, "{searched} of at most {bound}");
         }
     }
+
+    /// Load: a burst that left overdue jobs behind, then the usual load. Guards against starts whose
+    /// results are of no use that take the owner's time from jobs that can be in time.
+    a_pass_starts_few_overdue_tasks_while_fresh_steps_wait(cell) {
+        let ids: Vec<String> = (0..WORKERS).map(|index| format!("w{index}")).collect();
+        cell.add_workers(&ids.iter().map(String::as_str).collect::<Vec<&str>>());
+        for index in 0..10 {
+            let mut overdue = record(rules(0), vec![step(2, 4_000)]);
+            overdue.accepted = UNIX_TIME - Duration::from_secs(600);
+            cell.accept(&format!("overdue-{index}"), overdue);
+        }
+        cell.accept("fresh", record(permitted(0), vec![step(1, 4_000)]));
+        let starts = cell.place().len();
+        assert!((1..=MAX_OVERDUE).contains(&starts), "{starts} overdue tasks start");
+        cell.scheduler.cancel("fresh", cell.now);
+        assert_eq!(cell.place().len(), 20 - starts, "all start once nothing fresh waits");
+    }
 }
