--- a/crates/geraniumwinch-cell/src/cell_node.rs
+++ b/crates/geraniumwinch-cell/src/cell_node.rs
@@ -25,6 +25,7 @@
 use crate::HttpResponse;
 use crate::ProcessShutdown;
 use crate::RequestForwarder;
+use crate::WorkKind;
 use crate::catalog_watch::CatalogWatch;
 use crate::cell_error::SignalsSnafu;
 use crate::cell_metrics;
@@ -136,10 +137,11 @@
         let metrics = self.handler(Self::handle_metrics);
         let peer_body = Rc::new(Cell::new(MAX_PEER_BODY));
         let body = || Rc::clone(&self.max_body);
-        self.listen(settings.peer_address, peer_body, peers).await?;
-        self.listen(settings.client_address, body(), clients).await?;
-        self.listen(settings.readiness_address, body(), readiness).await?;
-        self.listen(settings.metrics_address, body(), metrics).await?;
+        let (peer_work, client_work) = (Some(WorkKind::Peers), Some(WorkKind::Clients));
+        self.listen(settings.peer_address, peer_body, peers, peer_work).await?;
+        self.listen(settings.client_address, body(), clients, client_work).await?;
+        self.listen(settings.readiness_address, body(), readiness, None).await?;
+        self.listen(settings.metrics_address, body(), metrics, None).await?;
         actix_rt::spawn(Rc::clone(&self.catalog).run());
         actix_rt::spawn(Rc::clone(&self.election.watch).run());
         actix_rt::spawn(Rc::clone(&self.election).run());
@@ -149,15 +151,21 @@
         Ok(())
     }
 
-    /// Serves an address.
+    /// Serves an address. The time spent on its connections counts as `work`, if it is given.
     async fn listen(
         &self,
         address: SocketAddr,
         max_body: Rc<Cell<usize>>,
         handler: HttpHandler,
+        work: Option<WorkKind>,
     ) -> Result<(), CellError> {
         let shutdown = Rc::clone(&self.shutdown);
-        HttpListener::new(address, max_body, handler, shutdown).start().await
+        let listener = HttpListener::new(address, max_body, handler, shutdown);
+        let listener = match work {
+            Some(kind) => listener.metered(kind, &self.ports.meter),
+            None => listener,
+        };
+        listener.start().await
     }
 
     /// Creates a handler from a method of the process.
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod delayed_starts;
 mod evacuations;
+mod free_workers;
 mod gang_end;
 mod gang_fit;
 mod gang_reservation;
@@ -64,6 +65,7 @@
 use crate::JobPhase;
 use crate::JobRecord;
 use crate::LostWork;
+use crate::PassTally;
 use crate::RunLoss;
 use crate::RunStop;
 use crate::SchedulerEvent;
@@ -131,6 +133,8 @@
     /// The workers that were removed, in case they return.
     former_workers: HashMap<Name, FormerWorker>,
     worker_ids: HashMap<Name, WorkerKey>,
+    /// The number of workers that were ever added.
+    added_workers: u64,
     jobs: SlotMap<JobKey, JobState>,
     job_ids: HashMap<Name, JobKey>,
     /// The live jobs, by priority and order of acceptance.
@@ -151,6 +155,7 @@
     call_claims: CallClaims,
     call_shares: CallShares,
     lost_work: LostWork,
+    pass_tally: PassTally,
     /// Whether the worker records must be written again: those in the store may include workers
     /// that were removed, or the last write was rejected.
     records_outdated: bool,
@@ -169,6 +174,7 @@
             workers: SlotMap::with_key(),
             former_workers: HashMap::new(),
             worker_ids: HashMap::new(),
+            added_workers: 0,
             jobs: SlotMap::with_key(),
             job_ids: HashMap::new(),
             open_jobs: BTreeSet::new(),
@@ -184,6 +190,7 @@
             call_claims: CallClaims::default(),
             call_shares: CallShares::default(),
             lost_work: LostWork::default(),
+            pass_tally: PassTally::default(),
             records_outdated: false,
             stops: Vec::new(),
             events: Vec::new(),
@@ -286,6 +293,11 @@
         std::mem::take(&mut self.events)
     }
 
+    /// Returns and clears the counts of what placement passes have done.
+    pub fn take_pass_tally(&mut self) -> PassTally {
+        std::mem::take(&mut self.pass_tally)
+    }
+
     /// Returns a summary of the scheduler's state.
     pub fn counts(&self, now: BootTime) -> FleetCounts {
         let usable = || self.workers.values().filter(|state| state.usable(now));
