Keep the VMs' calls going between two placement passes

Callers saw: with nearly all VMs removed, accepted jobs that could run did not start. Cause: requests are made in passes only, for 150 ms ahead and VMs that are idle at that moment, and waiting requests were sent in passes only. With passes of 150 ms and the gap after them, a VM idled for two thirds of the time. Change: a pass requests calls until the end of the next one, long ones also for VMs that become free until then, and the end of a call sends the next waiting request.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -307,7 +307,9 @@
         let known =
             self.limits_version.get().is_some() && self.evacuations.permits_starts(now);
         if self.authority.may_start(now) && known {
-            let calls = self.permission_queue.budget(&self.permission_callers(now), now);
+            let callers = self.permission_callers(now);
+            let period = self.pacing.borrow().period();
+            let calls = self.permission_queue.budget(&callers, now, period);
             let round = scheduler.place(self.ports.clock.unix_time(), now, calls);
             starts = round.starts;
             requests = round.requests;
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/permission_calls.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/permission_calls.rs
@@ -67,7 +67,7 @@
             waiting = waiting,
             open = open,
             callers = callers.len(),
-            scarce = self.permission_queue.budget(&callers, now).scarce
+            scarce = self.permission_queue.is_scarce(&callers, now)
         );
     }
 
@@ -118,6 +118,7 @@
             }
         }
         drop(scheduler);
+        self.assign_requests(now);
         self.pass_due.notify_one();
     }
 
--- a/crates/geraniumwinch-cell/src/pass_pacing.rs
+++ b/crates/geraniumwinch-cell/src/pass_pacing.rs
@@ -17,6 +17,8 @@
 pub struct PassPacing {
     passes: u32,
     busy: Duration,
+    /// The duration of the last pass.
+    last: Duration,
 }
 
 impl PassPacing {
@@ -24,13 +26,25 @@
     pub fn record(&mut self, took: Duration) -> Duration {
         self.passes += 1;
         self.busy += took;
-        (took * GAP_FACTOR).clamp(MIN_GAP, MAX_GAP)
+        self.last = took;
+        gap_after(took)
+    }
+
+    /// Returns the expected time from the beginning of a pass to the end of the next one, if that
+    /// begins as soon as it may and both take as long as the last pass.
+    pub fn period(&self) -> Duration {
+        self.last * 2 + gap_after(self.last)
     }
 
     /// Returns and clears the number of passes and their total duration.
     pub fn take(&mut self) -> (u32, Duration) {
         let totals = (self.passes, self.busy);
-        *self = PassPacing::default();
+        (self.passes, self.busy) = Default::default();
         totals
     }
 }
+
+/// Returns the time to wait after a pass of the given duration.
+fn gap_after(took: Duration) -> Duration {
+    (took * GAP_FACTOR).clamp(MIN_GAP, MAX_GAP)
+}
--- a/crates/geraniumwinch-cell/src/permission_queue.rs
+++ b/crates/geraniumwinch-cell/src/permission_queue.rs
@@ -27,8 +27,8 @@
 const MAX_QUEUE_AHEAD: Duration = Duration::from_millis(40);
 /// How long a VM gets no calls after one failed.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(1200);
-/// How far ahead the time that VMs can spend on short calls is handed out.
-const BUDGET_AHEAD: Duration = Duration::from_millis(150);
+/// How far ahead the time that VMs can spend on short calls is handed out at least.
+const MIN_BUDGET_AHEAD: Duration = Duration::from_millis(150);
 /// How much longer than expected a VM's calls may take before it counts as unavailable.
 const LATE_CALL: Duration = Duration::from_millis(250);
 /// The share of VMs without calls below which calls are scarce.
@@ -60,12 +60,17 @@
         self.open == 0 && self.is_available(now)
     }
 
-    /// Returns the time that the VM can spend on short calls soon.
-    fn short_time(&self, now: BootTime) -> Duration {
+    /// Returns whether the VM can make a call before the given time.
+    fn is_idle_by(&self, time: BootTime, now: BootTime) -> bool {
+        self.is_idle(now) || (self.is_available(now) && self.busy_until < time)
+    }
+
+    /// Returns the time until `end` that the VM can spend on short calls.
+    fn short_time(&self, end: BootTime, now: BootTime) -> Duration {
         if self.long || !self.is_available(now) {
             return Duration::ZERO;
         }
-        (now + BUDGET_AHEAD).saturating_sub(self.busy_until.max(now))
+        end.saturating_sub(self.busy_until.max(now))
     }
 }
 
@@ -144,36 +149,59 @@
         ordered.into_iter().map(|(_, request)| request).collect()
     }
 
-    /// Returns the calls that the VMs can make soon beside those that are pending.
-    pub fn budget(&self, members: &[SocketAddr], now: BootTime) -> CallBudget {
+    /// Returns the calls that the VMs can make until the next pass beside those that are pending.
+    /// `period` is the expected time until that pass requests further ones.
+    pub fn budget(
+        &self,
+        members: &[SocketAddr],
+        now: BootTime,
+        period: Duration,
+    ) -> CallBudget {
         let loads = self.loads.borrow();
         let load = |member: &SocketAddr| loads.get(member).copied().unwrap_or_default();
-        let idle = members.iter().filter(|member| load(member).is_idle(now)).count();
+        let end = now + period.max(MIN_BUDGET_AHEAD);
         let short_time: Duration =
-            members.iter().map(|member| load(member).short_time(now)).sum();
+            members.iter().map(|member| load(member).short_time(end, now)).sum();
         let pending = self.pending.borrow();
         let (long, short): (Vec<&PermissionRequest>, Vec<&PermissionRequest>) =
             pending.iter().partition(|request| request.is_long());
         let waiting: Duration = short.iter().map(|request| request.call_time).sum();
-        let few_idle = (idle as f64) < members.len() as f64 * SCARCE_IDLE_SHARE;
         CallBudget {
-            long_calls: self.long_call_capacity(members, now).saturating_sub(long.len()),
+            long_calls: self
+                .long_call_capacity(members, now + period, now)
+                .saturating_sub(long.len()),
             short_time: short_time.saturating_sub(waiting),
-            scarce: few_idle || !pending.is_empty(),
+            scarce: self.is_scarce(members, now),
         }
     }
 
-    /// Returns the number of additional long calls that can be made at once.
-    fn long_call_capacity(&self, members: &[SocketAddr], now: BootTime) -> usize {
+    /// Returns whether calls are scarce: requests wait, or most VMs are busy.
+    pub fn is_scarce(&self, members: &[SocketAddr], now: BootTime) -> bool {
+        let loads = self.loads.borrow();
+        let load = |member: &SocketAddr| loads.get(member).copied().unwrap_or_default();
+        let idle = members.iter().filter(|member| load(member).is_idle(now)).count();
+        let few_idle = (idle as f64) < members.len() as f64 * SCARCE_IDLE_SHARE;
+        few_idle || !self.pending.borrow().is_empty()
+    }
+
+    /// Returns the number of additional long calls that can begin at the given time, which is now or
+    /// soon.
+    fn long_call_capacity(
+        &self,
+        members: &[SocketAddr],
+        time: BootTime,
+        now: BootTime,
+    ) -> usize {
         let loads = self.loads.borrow();
         let load = |member: &SocketAddr| loads.get(member).copied().unwrap_or_default();
-        let long = members.iter().filter(|member| load(member).long).count();
-        let idle = members.iter().filter(|member| load(member).is_idle(now));
+        let idle = |member: &SocketAddr| load(member).is_idle_by(time, now);
+        let long = members.iter().filter(|member| load(member).long && !idle(member));
         let short_calls = now < self.last_short.get() + SHORT_CALL_WINDOW;
         let share = if short_calls { RESERVED_SHARE } else { 0.0 };
         let reserved = (members.len() as f64 * share).ceil() as usize;
         let max_long = members.len().saturating_sub(reserved).max(1);
-        idle.count().min(max_long.saturating_sub(long))
+        let idle = members.iter().filter(|member| idle(member));
+        idle.count().min(max_long.saturating_sub(long.count()))
     }
 
     /// Chooses a VM for a call.
@@ -188,7 +216,7 @@
         let available = || members.iter().filter(|member| load(member).is_available(now));
         let idle = available().find(|member| load(member).open == 0).copied();
         if long {
-            return idle.filter(|_| self.long_call_capacity(members, now) > 0);
+            return idle.filter(|_| self.long_call_capacity(members, now, now) > 0);
         }
         idle.or_else(|| {
             available()
--- a/crates/geraniumwinch-cell/tests/permission_queue.rs
+++ b/crates/geraniumwinch-cell/tests/permission_queue.rs
@@ -1,5 +1,6 @@
 //! The queue of permission requests and the choice of VMs for the calls.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,8 +16,16 @@
 const BEGIN: BootTime = Duration::from_secs(100);
 /// The duration of a short call.
 const SHORT: Duration = Duration::from_millis(100);
+/// The duration of the shortest calls.
+const BRIEF: Duration = Duration::from_millis(20);
 /// The duration of a long call.
 const LONG: Duration = Duration::from_millis(600);
+/// The time between the ends of two short placement passes.
+const PASS_PERIOD: Duration = Duration::from_millis(10);
+/// The time between the ends of two passes over a large backlog.
+const SLOW_PASS_PERIOD: Duration = Duration::from_millis(450);
+/// The simulated time of runs, in milliseconds.
+const RUN_MILLIS: u64 = 9_000;
 /// How long after their creation requests are still of use.
 const VALIDITY: Duration = Duration::from_secs(2);
 
@@ -59,7 +68,61 @@
     assignment.calls.into_iter().map(|(_, request)| request.step.job).collect()
 }
 
+/// Runs a cell in which there is always a call to make, and returns the part of the VMs' time that
+/// calls took. Requests are only made in passes, which are `period` apart.
+fn busy_share(
+    queue: &PermissionQueue,
+    vms: &[SocketAddr],
+    call_time: Duration,
+    period: Duration,
+) -> f64 {
+    let mut open: Vec<(BootTime, SocketAddr)> = Vec::new();
+    let mut free_at = HashMap::new();
+    let mut next_pass = BEGIN;
+    let (mut busy, mut serial) = (Duration::ZERO, 0);
+    for millis in 0..RUN_MILLIS {
+        let now = BEGIN + Duration::from_millis(millis);
+        for (_, vm) in open.extract_if(.., |(end, _)| *end <= now) {
+            queue.end(vm, &"a".into(), true, now);
+        }
+        if now >= next_pass {
+            next_pass = now + period;
+            let budget = queue.budget(vms, now, period);
+            let calls = match call_time {
+                LONG => budget.long_calls as u128,
+                short => budget.short_time.as_millis().div_ceil(short.as_millis()),
+            };
+            let mut requests = many("a", calls as u64, call_time);
+            for request in &mut requests {
+                (request.order.serial, request.send_by) = (serial, now + VALIDITY);
+                serial += 1;
+            }
+            queue.push(requests);
+        }
+        for (vm, _) in queue.assign(vms, now, |_| RequestValue::Useful).calls {
+            let begins = now.max(free_at.get(&vm).copied().unwrap_or(now));
+            free_at.insert(vm, begins + call_time);
+            open.push((begins + call_time, vm));
+            busy += call_time;
+        }
+    }
+    busy.as_secs_f64() / (RUN_MILLIS as f64 / 1000.0 * vms.len() as f64)
+}
+
 cases! {
+    /// Failure: nearly all VMs are removed, and passes over the backlog are long. Guards against
+    /// callers that idle until the next pass (two VMs for 350 workers).
+    two_callers_make_short_calls_all_the_time(queue) {
+        let share = busy_share(&queue, &vms(2), BRIEF, SLOW_PASS_PERIOD);
+        assert!(share > 0.9, "the callers are busy for {share:.2} of the time");
+    }
+
+    /// Failure: as above, for calls that end between two passes.
+    two_callers_make_long_calls_all_the_time(queue) {
+        let share = busy_share(&queue, &vms(2), LONG, SLOW_PASS_PERIOD);
+        assert!(share > 0.9, "the callers are busy for {share:.2} of the time");
+    }
+
     /// Load: calls of several queues wait for the VMs.
     requests_are_sent_in_the_order_of_the_jobs(queue) {
         let mut overdue = request("a", 1, LONG);
@@ -138,12 +201,12 @@
 
     the_budget_shrinks_with_open_and_pending_calls(queue) {
         let vms = vms(4);
-        let idle = queue.budget(&vms, BEGIN);
+        let idle = queue.budget(&vms, BEGIN, PASS_PERIOD);
         assert_eq!((idle.long_calls, idle.scarce), (4, false));
         queue.push(many("a", 3, LONG));
-        assert_eq!(queue.budget(&vms, BEGIN).long_calls, 1);
+        assert_eq!(queue.budget(&vms, BEGIN, PASS_PERIOD).long_calls, 1);
         assert_eq!(assign(&queue, &vms, BEGIN).len(), 3);
-        let busy = queue.budget(&vms, BEGIN);
+        let busy = queue.budget(&vms, BEGIN, PASS_PERIOD);
         assert_eq!((busy.long_calls, busy.scarce), (1, true));
         assert_eq!(busy.short_time * 4, idle.short_time);
     }
