Say what the owner's time is spent on, by kind of work

What callers saw: too little of the benefit of urgent jobs after a burst, with an owner that was busy; only the time of its passes was known. Change: the owner counts the time of each poll of its tasks by kind of work, how late its timers are, the steps and workers that its passes look at, and whether what it starts can still be in time. One log line a second (work) and metrics. No decision changes.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -21,6 +21,7 @@
 
 use crate::CellPorts;
 use crate::CellSettings;
+use crate::WorkKind;
 use crate::catalog_watch::CatalogWatch;
 use crate::cell_metrics;
 use crate::command_sender::CommandSender;
@@ -82,6 +83,8 @@
     /// one.
     limits_version: Cell<Option<u64>>,
     resigned: Cell<bool>,
+    /// How late timers were at most since the last report.
+    lag: Cell<Duration>,
     shares: RefCell<ShareLimiter>,
 }
 
@@ -163,6 +166,7 @@
             commit_done,
             limits_version: Cell::new(None),
             resigned: Cell::new(false),
+            lag: Cell::default(),
             shares: RefCell::default(),
         });
         workers.into_iter().for_each(|worker| dispatcher.run_worker(worker));
@@ -171,20 +175,27 @@
 
     /// Runs until the ownership ends.
     pub(crate) async fn run(self: Rc<Self>) {
-        let journal = actix_rt::spawn(Rc::clone(&self.journal).run());
+        let journal = Rc::clone(&self.journal).run();
+        let journal = actix_rt::spawn(self.ports.meter.meter(WorkKind::Records, journal));
         let listing = actix_rt::spawn(Rc::clone(&self).list_workers());
         let evacuations = actix_rt::spawn(Rc::clone(&self.evacuations).run());
+        // What the process has done before its ownership is not the owner's work.
+        for kind in WorkKind::ALL {
+            self.ports.meter.take(kind);
+        }
         let mut expired = self.ports.clock.now();
         let mut reported = expired;
         while !self.authority.is_lost() {
             let began = self.ports.clock.now();
-            self.run_pass();
+            self.ports.meter.time(WorkKind::Passes, || self.run_pass());
             let took = self.ports.clock.now().saturating_sub(began);
             // A timeout needs no handling: a pass runs either way.
             let _ = tokio::time::timeout(PASS_INTERVAL, self.pass_due.notified()).await;
             let gap = self.pacing.borrow_mut().record(took);
+            let paused = self.ports.clock.now();
             tokio::time::sleep(gap).await;
             let now = self.ports.clock.now();
+            self.record_lag(now.saturating_sub(paused + gap));
             if now >= reported + REPORT_INTERVAL {
                 reported = now;
                 self.report_counts(now);
@@ -227,10 +238,43 @@
             backlog = format!("{:.2}", self.scheduler.borrow().backlog()),
             lost_calls = format!("{:.3}", self.sender.loss_ratio())
         );
+        self.report_work();
         let lost_work = self.scheduler.borrow_mut().take_lost_work();
         lost_work.into_iter().for_each(|(loss, tally)| log_lost_work(loss, tally));
     }
 
+    /// Records how late a timer was.
+    fn record_lag(&self, lag: Duration) {
+        self.lag.set(self.lag.get().max(lag));
+    }
+
+    /// Logs and counts what the time since the last report was spent on, and what passes did in it.
+    fn report_work(&self) {
+        let lag = self.lag.take();
+        let busy = WorkKind::ALL.map(|kind| self.ports.meter.take(kind));
+        let tally = self.scheduler.borrow_mut().take_pass_tally();
+        cell_metrics::count_work(&busy, lag, &tally);
+        let [_, clients, peers, commands, polls, permissions, records] =
+            busy.map(|time| time.as_millis());
+        log_event!(
+            Info,
+            "work",
+            lag_ms = lag.as_millis(),
+            clients_ms = clients,
+            peers_ms = peers,
+            commands_ms = commands,
+            polls_ms = polls,
+            permissions_ms = permissions,
+            records_ms = records,
+            visited = tally.visited,
+            attempted = tally.attempted,
+            searched = tally.searched,
+            started_in_time = tally.in_time,
+            started_late = tally.late,
+            started_overdue = tally.overdue
+        );
+    }
+
     /// Updates the metrics of what the scheduler has learned.
     fn report_learning(&self) {
         let scheduler = self.scheduler.borrow();
@@ -291,7 +335,7 @@
             worker,
             typical_wait: Cell::new(POLL_WAIT),
         };
-        actix_rt::spawn(worker_loop.run());
+        actix_rt::spawn(self.ports.meter.meter(WorkKind::Polls, worker_loop.run()));
     }
 
     /// Runs a scheduling pass: places tasks, sends commands, requests permissions and triggers
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/permission_calls.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/permission_calls.rs
@@ -12,6 +12,7 @@
 use geraniumwinch_fleet::PermissionRequest;
 
 use crate::CallError;
+use crate::WorkKind;
 use crate::cell_metrics;
 use crate::peer_message::PeerReply;
 use crate::peer_message::PeerRequest;
@@ -40,7 +41,8 @@
             scheduler.permission_dropped(&request.step);
         }
         for (member, request) in assignment.calls {
-            actix_rt::spawn(Rc::clone(self).request_permission(member, request));
+            let call = Rc::clone(self).request_permission(member, request);
+            actix_rt::spawn(self.ports.meter.meter(WorkKind::Permissions, call));
         }
     }
 
--- a/crates/geraniumwinch-cell/src/cell_metrics.rs
+++ b/crates/geraniumwinch-cell/src/cell_metrics.rs
@@ -11,6 +11,7 @@
 use geraniumwinch_fleet::EvacuationProgress;
 use geraniumwinch_fleet::FleetCounts;
 use geraniumwinch_fleet::LossTally;
+use geraniumwinch_fleet::PassTally;
 use geraniumwinch_fleet::PermissionCounts;
 use geraniumwinch_fleet::RunLoss;
 use metrics::counter;
@@ -19,6 +20,8 @@
 use metrics_exporter_prometheus::PrometheusBuilder;
 use metrics_exporter_prometheus::PrometheusHandle;
 
+use crate::WorkKind;
+
 metric_rows! {
     REFUSALS = "geraniumwinch_cell_refusals_total", "counter", "reason", "Callers' requests refused, by error kind.";
     RETRIES = "geraniumwinch_cell_retries_total", "counter", "reason", "Repeated attempts, by what is repeated and why.";
@@ -49,6 +52,11 @@
     EVACUATED_UNCERTAIN = "geraniumwinch_cell_evacuated_uncertain_workers", "gauge", "domain", "Workers of an evacuated domain where runs of a former owner, or runs that are being stopped, may exist.";
     EVACUATION_TIME = "geraniumwinch_cell_evacuations_checked_timestamp_seconds", "gauge", "", "When the store last said which domains are evacuated, in seconds since 1970.";
     WITHHELD_SINCE = "geraniumwinch_cell_starts_withheld_since_timestamp_seconds", "gauge", "", "Since when the owner starts nothing because it does not know which domains are evacuated, in seconds since 1970, or 0.";
+    BUSY = "geraniumwinch_cell_busy_microseconds_total", "counter", "work", "Time that the owner worked, by kind of work.";
+    LAG = "geraniumwinch_cell_owner_lag_seconds", "gauge", "", "How late the owner's timers were at most in the last second.";
+    PASS_STEPS = "geraniumwinch_cell_pass_steps_total", "counter", "state", "Waiting steps that passes visited, and those that they tried to place.";
+    SEARCHED = "geraniumwinch_cell_searched_workers_total", "counter", "", "Workers that passes looked at for waiting steps.";
+    STARTED = "geraniumwinch_cell_started_tasks_total", "counter", "lateness", "Tasks started, by whether their jobs could still meet their objective.";
     STORE_TIME = "geraniumwinch_cell_commit_seconds", "histogram", "", "Time that a transaction of the journal takes in seconds.";
     ACCEPT_TIME = "geraniumwinch_cell_accept_seconds", "histogram", "", "Time from a job's arrival to its answer in seconds.";
     START_WAIT = "geraniumwinch_cell_first_start_seconds", "histogram", "", "Time from a job's acceptance until a worker says that a task runs in seconds.";
@@ -85,6 +93,24 @@
     gauge!(HEARTBEAT_TIMEOUT).set(timeout.as_secs_f64());
 }
 
+/// Counts the owner's time by kind of work, and what its passes did.
+pub(crate) fn count_work(
+    busy: &[Duration; WorkKind::ALL.len()],
+    lag: Duration,
+    tally: &PassTally,
+) {
+    for (kind, time) in WorkKind::ALL.into_iter().zip(busy) {
+        counter!(BUSY, "work" => kind.as_str()).increment(time.as_micros() as u64);
+    }
+    gauge!(LAG).set(lag.as_secs_f64());
+    counter!(PASS_STEPS, "state" => "visited").increment(tally.visited);
+    counter!(PASS_STEPS, "state" => "attempted").increment(tally.attempted);
+    counter!(SEARCHED).increment(tally.searched);
+    counter!(STARTED, "lateness" => "in_time").increment(tally.in_time);
+    counter!(STARTED, "lateness" => "late").increment(tally.late);
+    counter!(STARTED, "lateness" => "overdue").increment(tally.overdue);
+}
+
 /// Counts a retry.
 pub(crate) fn count_retry(reason: &'static str) {
     counter!(RETRIES, "reason" => reason).increment(1);
--- a/crates/geraniumwinch-cell/src/cell_node.rs
+++ b/crates/geraniumwinch-cell/src/cell_node.rs
@@ -23,6 +23,7 @@
 use crate::HttpRequest;
 use crate::HttpResponse;
 use crate::RequestForwarder;
+use crate::WorkKind;
 use crate::catalog_watch::CatalogWatch;
 use crate::cell_error::SignalsSnafu;
 use crate::cell_metrics;
@@ -134,8 +135,15 @@
         let metrics = self.handler(Self::handle_metrics);
         let peer_body = Rc::new(Cell::new(MAX_PEER_BODY));
         let body = || Rc::clone(&self.max_body);
-        HttpListener::new(settings.peer_address, peer_body, peers).start().await?;
-        HttpListener::new(settings.client_address, body(), clients).start().await?;
+        let meter = &self.ports.meter;
+        HttpListener::new(settings.peer_address, peer_body, peers)
+            .metered(WorkKind::Peers, meter)
+            .start()
+            .await?;
+        HttpListener::new(settings.client_address, body(), clients)
+            .metered(WorkKind::Clients, meter)
+            .start()
+            .await?;
         HttpListener::new(settings.readiness_address, body(), readiness).start().await?;
         HttpListener::new(settings.metrics_address, body(), metrics).start().await?;
         actix_rt::spawn(Rc::clone(&self.catalog).run());
--- a/crates/geraniumwinch-cell/src/cell_ports.rs
+++ b/crates/geraniumwinch-cell/src/cell_ports.rs
@@ -6,6 +6,7 @@
 use crate::EvacuationReader;
 use crate::PermissionService;
 use crate::RecordStore;
+use crate::WorkMeter;
 use crate::WorkerDirectory;
 use crate::WorkerGateway;
 use crate::catalog::CatalogReader;
@@ -15,6 +16,8 @@
 pub struct CellPorts {
     /// The clock.
     pub clock: Rc<dyn CellClock>,
+    /// The meter of the time that the process works.
+    pub meter: Rc<WorkMeter>,
     /// The store.
     pub store: Rc<dyn RecordStore>,
     /// The gateway to the workers.
--- a/crates/geraniumwinch-cell/src/command_sender.rs
+++ b/crates/geraniumwinch-cell/src/command_sender.rs
@@ -23,6 +23,7 @@
 use crate::CommandError;
 use crate::RepeatTiming;
 use crate::StartCommand;
+use crate::WorkKind;
 use crate::WorkerTarget;
 use crate::cell_metrics;
 use crate::evacuation_watch::EvacuationWatch;
@@ -103,7 +104,7 @@
     /// Sends a command to start a task.
     pub(crate) fn start(self: &Rc<Self>, start: RunStart) {
         let sender = Rc::clone(self);
-        actix_rt::spawn(async move {
+        let work = async move {
             let (worker, task, run) = (start.worker, start.task.clone(), start.run);
             let (outcome, open) = sender.try_start(start).await;
             let now = sender.ports.clock.now();
@@ -117,7 +118,8 @@
             } else {
                 sender.scheduler.borrow_mut().start_answered(worker, &task, run);
             }
-        });
+        };
+        actix_rt::spawn(self.ports.meter.meter(WorkKind::Commands, work));
     }
 
     /// Starts a task. A command without a response is sent once more, unless its run has been reported,
@@ -350,7 +352,7 @@
     /// Sends a command to stop a run.
     pub(crate) fn stop(self: &Rc<Self>, stop: RunStop) {
         let sender = Rc::clone(self);
-        actix_rt::spawn(async move {
+        let work = async move {
             let Some(target) = sender.target(stop.worker) else { return };
             let result = sender.ports.workers.stop(target.clone(), stop.clone()).await;
             let result = sender.check_fence(stop.worker, &target, result);
@@ -366,7 +368,8 @@
                 Err(CommandError::Fenced) => sender.mark_ownership_lost(),
                 Err(_) => cell_metrics::count_retry("stop"),
             }
-        });
+        };
+        actix_rt::spawn(self.ports.meter.meter(WorkKind::Commands, work));
     }
 }
 
--- a/crates/geraniumwinch-cell/src/http_listener.rs
+++ b/crates/geraniumwinch-cell/src/http_listener.rs
@@ -31,6 +31,8 @@
 use tokio::net::TcpSocket;
 
 use crate::CellError;
+use crate::WorkKind;
+use crate::WorkMeter;
 use crate::cell_error::ListenSnafu;
 
 /// How long an idle connection is kept open.
@@ -98,6 +100,7 @@
     address: SocketAddr,
     handler: HttpHandler,
     max_body: Rc<Cell<usize>>,
+    meter: Option<(WorkKind, Rc<WorkMeter>)>,
 }
 
 impl HttpListener {
@@ -107,7 +110,13 @@
         max_body: Rc<Cell<usize>>,
         handler: HttpHandler,
     ) -> Self {
-        HttpListener { address, handler, max_body }
+        HttpListener { address, handler, max_body, meter: None }
+    }
+
+    /// Counts the time spent on the connections as a kind of work.
+    pub fn metered(mut self, kind: WorkKind, meter: &Rc<WorkMeter>) -> Self {
+        self.meter = Some((kind, Rc::clone(meter)));
+        self
     }
 
     /// Binds the address and serves it until the process exits.
@@ -147,7 +156,15 @@
                     // A connection without `TCP_NODELAY` is slower but usable.
                     let _ = stream.set_nodelay(true);
                     let service = Rc::clone(&service);
-                    actix_rt::spawn(async move { service.call(stream).await });
+                    let connection = async move { service.call(stream).await };
+                    match &self.meter {
+                        Some((kind, meter)) => {
+                            actix_rt::spawn(meter.meter(*kind, connection));
+                        }
+                        None => {
+                            actix_rt::spawn(connection);
+                        }
+                    }
                 }
                 Err(error) => {
                     log_event!(Warn, "accept-failed", error = error);
--- a/crates/geraniumwinch-cell/src/record_journal.rs
+++ b/crates/geraniumwinch-cell/src/record_journal.rs
@@ -22,6 +22,7 @@
 use tokio::sync::oneshot;
 
 use crate::CellPorts;
+use crate::WorkKind;
 use crate::owner_authority::OwnerAuthority;
 
 use self::commit_lane::CommitLane;
@@ -179,7 +180,8 @@
                     break;
                 }
                 self.lanes[lane].in_flight.set(true);
-                actix_rt::spawn(Rc::clone(&self).commit_in_lane(lane, batch));
+                let commit = Rc::clone(&self).commit_in_lane(lane, batch);
+                actix_rt::spawn(self.ports.meter.meter(WorkKind::Records, commit));
                 tokio::time::sleep(BATCH_GAP).await;
             }
         }
--- a/crates/geraniumwinch-cell/tests/repeated_calls/test_node.rs
+++ b/crates/geraniumwinch-cell/tests/repeated_calls/test_node.rs
@@ -24,6 +24,7 @@
 use geraniumwinch_cell::PollCommand;
 use geraniumwinch_cell::Result;
 use geraniumwinch_cell::StartCommand;
+use geraniumwinch_cell::WorkMeter;
 use geraniumwinch_cell::WorkerDirectory;
 use geraniumwinch_cell::WorkerGateway;
 use geraniumwinch_cell::WorkerTarget;
@@ -135,6 +136,7 @@
         let store = Rc::new(MemoryStore::default());
         let ports = CellPorts {
             clock: Rc::new(BootClock),
+            meter: WorkMeter::new(Rc::new(BootClock)),
             store: Rc::new(SharedStore(Rc::clone(&store))),
             workers: Rc::new(NoPlatform),
             directory: Rc::new(NoPlatform),
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -63,6 +63,7 @@
 use crate::JobPhase;
 use crate::JobRecord;
 use crate::LostWork;
+use crate::PassTally;
 use crate::RunLoss;
 use crate::RunStop;
 use crate::SchedulerEvent;
@@ -150,6 +151,7 @@
     call_claims: CallClaims,
     call_shares: CallShares,
     lost_work: LostWork,
+    pass_tally: PassTally,
     /// Whether the worker records must be written again: those in the store may include workers
     /// that were removed, or the last write was rejected.
     records_outdated: bool,
@@ -183,6 +185,7 @@
             call_claims: CallClaims::default(),
             call_shares: CallShares::default(),
             lost_work: LostWork::default(),
+            pass_tally: PassTally::default(),
             records_outdated: false,
             stops: Vec::new(),
             events: Vec::new(),
@@ -285,6 +288,11 @@
         std::mem::take(&mut self.events)
     }
 
+    /// Returns and clears the counts of what placement passes have done.
+    pub fn take_pass_tally(&mut self) -> PassTally {
+        std::mem::take(&mut self.pass_tally)
+    }
+
     /// Returns a summary of the scheduler's state.
     pub fn counts(&self, now: BootTime) -> FleetCounts {
         let usable = || self.workers.values().filter(|state| state.usable(now));
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -119,6 +119,7 @@
         now: BootTime,
         round: &mut PlacementRound,
     ) {
+        self.pass_tally.visited += 1;
         if !self.is_overdue(key, unix_time) {
             self.backoff.count_unit();
         }
@@ -127,6 +128,7 @@
             return;
         }
         let waiting = state.waiting;
+        self.pass_tally.attempted += 1;
         self.place_unit(key, unit, unix_time, now, round);
         let delay = self.backoff.delay();
         let urgent = self.jobs[key].is_urgent();
@@ -159,6 +161,7 @@
         if needed == 0 || partial || self.awaits_crash_record(key, unit, now) {
             return;
         }
+        self.pass_tally.searched += self.offering_workers(key, unit) as u64;
         let mut offers = self.offers(key, unit, &plan, now);
         self.rank_by_speed(key, unit, needed, &mut offers);
         self.avoid_endangered_runs(key, unit, &mut offers, now);
@@ -210,6 +213,7 @@
         now: BootTime,
         round: &mut PlacementRound,
     ) {
+        self.tally_starts(key, chosen.len(), round.unix_time);
         let state = &self.jobs[key].units[unit as usize];
         let mut indices: Vec<u32> = state
             .tasks
@@ -235,6 +239,16 @@
         }
     }
 
+    /// Counts tasks that are started, by the lateness of their job.
+    fn tally_starts(&mut self, key: JobKey, tasks: usize, unix_time: Duration) {
+        let count = match self.jobs[key].lateness(unix_time) {
+            JobLateness::InTime => &mut self.pass_tally.in_time,
+            JobLateness::Late => &mut self.pass_tally.late,
+            JobLateness::Overdue => &mut self.pass_tally.overdue,
+        };
+        *count += tasks as u64;
+    }
+
     /// Starts a task on a worker, and stops best-effort tasks there that would slow it down.
     fn start_task(
         &mut self,
@@ -341,6 +355,7 @@
         if open || unaffordable || now < state.next_request {
             return;
         }
+        self.pass_tally.searched += self.workers.len() as u64;
         let mut candidates = Vec::new();
         for (worker, state) in &self.workers {
             let usable = state.usable(now) && self.is_eligible(key, plan, state);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/preemption.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/preemption.rs
@@ -64,7 +64,9 @@
         self.jobs[key].units[unit as usize].next_preemption = now + PREEMPTION_INTERVAL;
         let mut victims = Vec::new();
         let mut found = 0;
-        for worker in self.permitted_workers(key, unit, now) {
+        let permitted = self.permitted_workers(key, unit, now);
+        self.pass_tally.searched += permitted.len() as u64;
+        for worker in permitted {
             if found >= needed {
                 break;
             }
@@ -112,7 +114,9 @@
             return;
         }
         let mut options = Vec::new();
-        for worker in self.permitted_workers(key, unit, now) {
+        let permitted = self.permitted_workers(key, unit, now);
+        self.pass_tally.searched += permitted.len() as u64;
+        for worker in permitted {
             options.extend(self.preemption_options(key, unit, worker, needed));
         }
         if options.len() < needed {
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_offers.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_offers.rs
@@ -58,6 +58,15 @@
         offers
     }
 
+    /// Returns the number of workers that are looked at for offers for a unit.
+    pub(super) fn offering_workers(&self, key: JobKey, unit: u32) -> usize {
+        let job = &self.jobs[key];
+        match job.record.rules.permission {
+            None => self.workers.len(),
+            Some(_) => job.units[unit as usize].permissions.grants().len(),
+        }
+    }
+
     /// Returns a worker's offer for tasks of a unit, or `None` if it has no free capacity for them
     /// or may not run them.
     fn offer(
