Refuse jobs whose permission calls the VMs can't make

Callers saw: with two VMs left for 350 workers, jobs were accepted ten times faster than two callers could ask for their permissions, and most never started. Cause: admission counted processors only. Change: admission also counts the calls that waiting steps need (learned by queue) against the callers that a priority has: what it used lately and what was idle. And it bounds the calls of all accepted jobs, overdue ones included, to six seconds of all callers.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
@@ -42,7 +42,7 @@
     /// account that has exceeded its share.
     fn refusal_reason(&self, record: &JobRecord) -> Option<ErrorKind> {
         let within_share = self.charge_share(&record.account);
-        let load = self.scheduler.borrow().admission_load(record);
+        let load = self.admission_load(record);
         if load > 1.0 {
             Some(ErrorKind::DeadlineUnmeetable)
         } else if !within_share && load > OVER_SHARE_MAX_LOAD {
@@ -52,6 +52,15 @@
         }
     }
 
+    /// Returns the load that a new job meets, by processors or by calls to the permission service.
+    fn admission_load(&self, record: &JobRecord) -> f64 {
+        let now = self.ports.clock.now();
+        let vms = self.permission_callers(now).len();
+        let available = self.permission_queue.available(record.rules.priority, vms, now);
+        let scheduler = self.scheduler.borrow();
+        scheduler.admission_load(record).max(scheduler.call_load(record, available, vms))
+    }
+
     /// Counts a new job of an account and returns whether the account is within its share.
     fn charge_share(&self, account: &Name) -> bool {
         let weight = self.catalog.current().and_then(|current| {
--- a/crates/geraniumwinch-cell/src/lib.rs
+++ b/crates/geraniumwinch-cell/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod boot_clock;
 mod call_client;
+mod call_usage;
 mod catalog;
 mod catalog_watch;
 mod cell_dispatcher;
@@ -45,6 +46,7 @@
 pub use self::call_client::CallClient;
 pub use self::call_client::CallRequest;
 pub use self::call_client::CallResponse;
+pub use self::call_usage::CallUsage;
 pub use self::catalog::CatalogAccount;
 pub use self::catalog::CatalogQueue;
 pub use self::catalog::CatalogReader;
--- a/crates/geraniumwinch-cell/src/permission_queue.rs
+++ b/crates/geraniumwinch-cell/src/permission_queue.rs
@@ -19,6 +19,8 @@
 use geraniumwinch_fleet::PermissionRequest;
 use geraniumwinch_fleet::RequestValue;
 
+use crate::CallUsage;
+
 /// The share of VMs that are reserved for short calls.
 const RESERVED_SHARE: f64 = 0.34;
 /// How long VMs stay reserved after the last short call.
@@ -34,6 +36,9 @@
 /// The share of VMs without calls below which calls are scarce.
 const SCARCE_IDLE_SHARE: f64 = 0.5;
 
+/// The class of calls for overdue jobs, which come after all others.
+const OVERDUE_CLASS: u32 = u32::MAX;
+
 /// The open calls of a VM.
 #[derive(Debug, Clone, Copy, Default)]
 struct MemberLoad {
@@ -90,6 +95,7 @@
     loads: RefCell<HashMap<SocketAddr, MemberLoad>>,
     /// The number of open calls of each account.
     open_calls: RefCell<HashMap<Name, usize>>,
+    usage: RefCell<CallUsage>,
     /// The time at which the last short call was assigned.
     last_short: Cell<BootTime>,
 }
@@ -232,6 +238,9 @@
         if !request.is_long() {
             self.last_short.set(now);
         }
+        let order = request.order;
+        let class = if order.overdue { OVERDUE_CLASS } else { order.priority };
+        self.usage.borrow_mut().record(class, request.call_time, now);
         *self.open_calls.borrow_mut().entry(request.account.clone()).or_default() += 1;
         let mut loads = self.loads.borrow_mut();
         let load = loads.entry(member).or_default();
@@ -271,6 +280,11 @@
         }
     }
 
+    /// Returns how many of the given number of VMs can make calls of a priority.
+    pub fn available(&self, priority: u32, vms: usize, now: BootTime) -> f64 {
+        self.usage.borrow().available(priority, vms, now)
+    }
+
     /// Returns the number of pending requests.
     pub fn pending_count(&self) -> usize {
         self.pending.borrow().len()
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -40,6 +40,7 @@
 mod timeouts;
 mod unit_state;
 mod unreported_runs;
+mod waiting_calls;
 mod waits;
 mod worker_offers;
 mod worker_state;
@@ -84,6 +85,7 @@
 use self::task_ref::JobKey;
 use self::task_ref::TaskRef;
 use self::task_state::TaskState;
+use self::waiting_calls::WaitingCalls;
 use self::worker_state::FormerWorker;
 use self::worker_state::WorkerState;
 
@@ -139,6 +141,9 @@
     dirty: HashMap<JobKey, BootTime>,
     accounts: AccountUsage,
     waiting_load: WaitingLoad,
+    waiting_calls: WaitingCalls,
+    /// The average time that the first calls to the permission service for a step take, by queue.
+    first_call_times: HashMap<Name, Duration>,
     backoff: PlacementBackoff,
     /// The load of the tasks that are placed outside evacuated domains, by priority.
     placed_load: BTreeMap<u32, PlacedLoad>,
@@ -176,6 +181,8 @@
             dirty: HashMap::new(),
             accounts: AccountUsage::default(),
             waiting_load: WaitingLoad::default(),
+            waiting_calls: WaitingCalls::default(),
+            first_call_times: HashMap::new(),
             backoff: PlacementBackoff::default(),
             placed_load: BTreeMap::new(),
             evacuated_domains: BTreeSet::new(),
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
@@ -13,6 +13,7 @@
 use super::FleetScheduler;
 use super::job_lateness::JobLateness;
 use super::job_state::critical_path;
+use super::waiting_calls::WaitingCalls;
 
 /// The maximum share of the workers' processors that tasks use, since gangs leave gaps.
 const MAX_PACKED_SHARE: f64 = 0.85;
@@ -79,6 +80,7 @@
     pub fn update_waiting_load(&mut self, unix_time: Duration) {
         self.refresh_forecasts();
         let mut load = WaitingLoad::default();
+        let mut calls = WaitingCalls::default();
         for &(priority, _, key) in &self.open_jobs {
             let job = &self.jobs[key];
             let in_time = job.lateness(unix_time) == JobLateness::InTime;
@@ -89,6 +91,7 @@
                 }
                 let plan = job.plan(unit);
                 if job.ready(unit) {
+                    calls.add(priority, in_time, self.waiting_call_time(key, unit));
                     load.demand += u64::from(waiting) * plan.reserved().cpu_millis;
                 }
                 if in_time {
@@ -98,6 +101,7 @@
             }
         }
         self.waiting_load = load;
+        self.waiting_calls = calls;
     }
 
     /// Adds a job that was accepted since the load was recomputed.
@@ -107,6 +111,7 @@
             |plan: &StepPlan| f64::from(plan.tasks) * work(plan, forecast.expected(plan));
         let work: f64 = record.request.steps.iter().map(work_of).sum();
         *self.waiting_load.work.entry(record.rules.priority).or_default() += work;
+        self.count_accepted_calls(record);
     }
 
     /// Returns the processors that waiting tasks request, relative to those of all workers.
@@ -122,11 +127,15 @@
         let priority = record.rules.priority;
         let ahead: f64 =
             self.waiting_load.work.range(..=priority).map(|(_, work)| work).sum();
+        ahead / self.capacity(priority, self.slack(record).as_secs_f64())
+    }
+
+    /// Returns how long a new job can wait without missing its objective.
+    pub(super) fn slack(&self, record: &JobRecord) -> Duration {
         let promised = critical_path(record, |plan| plan.estimate);
         let allowed =
             promised.mul_f64(record.rules.stretch.max(1.0)) + record.rules.objective;
-        let slack = allowed.saturating_sub(self.forecast(record).path).max(MIN_SLACK);
-        ahead / self.capacity(priority, slack.as_secs_f64())
+        allowed.saturating_sub(self.forecast(record).path).max(MIN_SLACK)
     }
 
     /// Returns the work of a priority and above that the workers can do within a time in seconds,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/permission_table.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/permission_table.rs
@@ -51,6 +51,11 @@
         self.requested.binary_search(&worker).is_ok()
     }
 
+    /// Returns whether the service has decided about no worker yet.
+    pub(super) fn is_empty(&self) -> bool {
+        self.requested.is_empty()
+    }
+
     /// Returns the grants, expired ones included.
     pub(super) fn grants(&self) -> &[WorkerGrant] {
         &self.grants
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
@@ -31,7 +31,7 @@
 pub(super) const REQUEST_MIN: usize = 8;
 /// The maximum number of workers in one request. The service accepts up to 100, but several shorter
 /// calls from several VMs take less time.
-const REQUEST_MAX: usize = 60;
+pub(super) const REQUEST_MAX: usize = 60;
 /// The maximum number of concurrent requests for a step.
 const REQUEST_PARTS: usize = 4;
 /// The delay before a failed request is retried.
@@ -151,7 +151,14 @@
         if workers.is_empty() || state.open_requests > 0 || now < state.retry_after {
             return Vec::new();
         }
+        let known = !state.permissions.is_empty();
         let part = workers.len().div_ceil(workers.len().div_ceil(REQUEST_MAX));
+        if !known {
+            let parts = workers.chunks(part);
+            let call_time = parts.map(|workers| cost.call_time(workers.len())).sum();
+            self.record_first_calls(key, call_time);
+        }
+        let job = &self.jobs[key];
         let gang = job.plan(unit).gang;
         let account = job.record.account.clone();
         let order = self.call_order(key, round.unix_time);
