Ask for fewer workers when a gang fits into free capacity

Callers saw: gangs waited for tens of seconds on a nearly idle fleet with two callers. Cause: a gang asks as on a full fleet, by total capacity: two or three calls of 0.8 s each, during which the first permissions expire and have to be renewed. Change: while calls are scarce and what is free suffices with a margin, the free capacity is what counts. Test: a_gang_asks_for_few_workers_of_a_free_cell failed before (57 workers for 20 tasks, 4 on each).

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
@@ -27,6 +27,10 @@
 const REQUEST_SURPLUS: f64 = 2.5;
 /// The same for a gang, measured by the total capacity of the workers, most of which is in use.
 const GANG_REQUEST_SURPLUS: f64 = 4.5;
+/// The same for a gang that fits into free capacity while calls are scarce.
+const FREE_REQUEST_SURPLUS: f64 = 1.5;
+/// The minimum share of workers that are assumed to be allowed.
+const MIN_SHARE: f64 = 0.05;
 /// The minimum number of workers to request permission for at first.
 pub(super) const REQUEST_MIN: usize = 8;
 /// The maximum number of workers in one request. The service accepts up to 100, but several shorter
@@ -102,8 +106,15 @@
         });
         let queue = &self.jobs[key].record.rules.queue;
         let share = self.expected_share(queue);
-        let surplus = if gang { GANG_REQUEST_SURPLUS } else { REQUEST_SURPLUS };
-        let wanted = needed as f64 * surplus / share.max(0.05);
+        let free: u32 = candidates.iter().map(|&(_, now_fits, _)| now_fits).sum();
+        let gang_needs = needed as f64 * FREE_REQUEST_SURPLUS / share.max(MIN_SHARE);
+        let fits_now = gang && round.calls.scarce && f64::from(free) >= gang_needs;
+        let surplus = match (gang, fits_now) {
+            (true, true) => FREE_REQUEST_SURPLUS,
+            (true, false) => GANG_REQUEST_SURPLUS,
+            (false, _) => REQUEST_SURPLUS,
+        };
+        let wanted = needed as f64 * surplus / share.max(MIN_SHARE);
         let cost = self.jobs[key].record.rules.permission;
         let cheap = cost.map_or(0, |cost| cost.cheap_workers()).min(REQUEST_MAX);
         let minimum = cheap.max(REQUEST_MIN);
@@ -120,7 +131,7 @@
             if enough || names.len() == limit {
                 break;
             }
-            covered += f64::from(if gang { ever_fits } else { now_fits });
+            covered += f64::from(if gang && !fits_now { ever_fits } else { now_fits });
             names.push(self.workers[worker].info.id.clone());
         }
         names
--- a/crates/geraniumwinch-fleet/tests/permission_scarcity.rs
+++ b/crates/geraniumwinch-fleet/tests/permission_scarcity.rs
@@ -142,6 +142,21 @@
         assert_eq!(requests(&mut cell, SCARCE).len(), 4);
     }
 
+    /// Failure: nearly all VMs are removed, and most of the workers are free. Guards against calls of
+    /// gangs that take longer than is needed.
+    a_gang_asks_for_few_workers_of_a_free_cell(cell) {
+        let ids: Vec<String> = (0..200).map(|index| format!("w{index}")).collect();
+        let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+        cell.add_workers(&ids);
+        let gang = StepPlan { gang: true, ..step(20, 4_000) };
+        let mut rules = permitted(1);
+        rules.permission.as_mut().expect("a cost").per_worker = Duration::from_millis(10);
+        cell.accept("gang", record(rules, vec![gang]));
+        let sent = requests(&mut cell, SCARCE);
+        let asked: usize = sent.iter().map(|request| request.workers.len()).sum();
+        assert!((15..=30).contains(&asked), "{asked} workers for 20 tasks, 4 on each");
+    }
+
     /// Load: more calls are due than the VMs can make. Those that start first are asked for first.
     requests_stop_at_the_budget(cell) {
         cell.add_workers(&["w", "v"]);
