Leave urgent jobs a part of the calls beside a backlog

Cause: the bound of six seconds of calls held for all priorities. Change: it binds a priority by the share of the callers' time that it and more urgent ones took lately, half of which it may take. Test: urgent_jobs_get_a_part_of_the_calls_beside_a_backlog (new interface; the bound refused these before).

--- a/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
@@ -56,9 +56,9 @@
     fn admission_load(&self, record: &JobRecord) -> f64 {
         let now = self.ports.clock.now();
         let vms = self.permission_callers(now).len();
-        let available = self.permission_queue.available(record.rules.priority, vms, now);
+        let capacity = self.permission_queue.capacity(record.rules.priority, vms, now);
         let scheduler = self.scheduler.borrow();
-        scheduler.admission_load(record).max(scheduler.call_load(record, available, vms))
+        scheduler.admission_load(record).max(scheduler.call_load(record, capacity))
     }
 
     /// Counts a new job of an account and returns whether the account is within its share.
