Refuse jobs that would be stored too late to be in time

Callers saw: an owner that fell behind accepted 230 urgent jobs a second, of which nearly all were late. Cause: admission did not count the owner's own delay. Change: the owner averages how long acceptance takes, and refuses a job whose slack is shorter. The average decays while nothing is accepted.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -19,6 +19,7 @@
 use geraniumwinch_fleet::WorkerKey;
 use tokio::sync::Notify;
 
+use crate::AcceptDelay;
 use crate::CellPorts;
 use crate::CellSettings;
 use crate::WorkKind;
@@ -88,6 +89,7 @@
     /// How late timers were at most since the last report.
     lag: Cell<Duration>,
     shares: RefCell<ShareLimiter>,
+    accept_delay: RefCell<AcceptDelay>,
 }
 
 impl CellDispatcher {
@@ -171,6 +173,7 @@
             resigned: Cell::new(false),
             lag: Cell::default(),
             shares: RefCell::default(),
+            accept_delay: RefCell::default(),
         });
         workers.into_iter().for_each(|worker| dispatcher.run_worker(worker));
         Some(dispatcher)
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
@@ -27,7 +27,11 @@
         {
             return PeerReply::Refused(kind);
         }
-        match self.journal.create(id, record).await {
+        let began = self.ports.clock.now();
+        let result = self.journal.create(id, record).await;
+        let now = self.ports.clock.now();
+        self.accept_delay.borrow_mut().record(now.saturating_sub(began), now);
+        match result {
             Ok(()) => {
                 self.pass_due.notify_one();
                 PeerReply::Accepted
@@ -52,13 +56,17 @@
         }
     }
 
-    /// Returns the load that a new job meets, by processors or by calls to the permission service.
+    /// Returns the load that a new job meets, by processors, by calls to the permission service, or by
+    /// the time that the owner takes to accept jobs.
     fn admission_load(&self, record: &JobRecord) -> f64 {
         let now = self.ports.clock.now();
         let vms = self.permission_callers(now).len();
         let capacity = self.permission_queue.capacity(record.rules.priority, vms, now);
         let scheduler = self.scheduler.borrow();
-        scheduler.admission_load(record).max(scheduler.call_load(record, capacity))
+        let delay = self.accept_delay.borrow().expected(now);
+        let delay_load = delay.as_secs_f64() / scheduler.slack(record).as_secs_f64();
+        let call_load = scheduler.call_load(record, capacity);
+        scheduler.admission_load(record).max(call_load).max(delay_load)
     }
 
     /// Counts a new job of an account and returns whether the account is within its share.
--- a/crates/geraniumwinch-cell/src/lib.rs
+++ b/crates/geraniumwinch-cell/src/lib.rs
@@ -4,6 +4,7 @@
 //! the cell; every process accepts client requests and forwards them to the owner. State that has
 //! to survive a process is kept in the platform's store.
 
+mod accept_delay;
 mod boot_clock;
 mod call_client;
 mod call_usage;
@@ -41,6 +42,7 @@
 mod worker_gateway;
 mod worker_loop;
 
+pub use self::accept_delay::AcceptDelay;
 pub use self::boot_clock::BootClock;
 pub use self::boot_clock::CellClock;
 pub use self::call_client::CallClient;
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
@@ -131,7 +131,7 @@
     }
 
     /// Returns how long a new job can wait without missing its objective.
-    pub(super) fn slack(&self, record: &JobRecord) -> Duration {
+    pub fn slack(&self, record: &JobRecord) -> Duration {
         let promised = critical_path(record, |plan| plan.estimate);
         let allowed =
             promised.mul_f64(record.rules.stretch.max(1.0)) + record.rules.objective;
