--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -19,6 +19,7 @@
 use geraniumwinch_fleet::WorkerKey;
 use tokio::sync::Notify;
 
+use crate::AcceptDelay;
 use crate::CellPorts;
 use crate::CellSettings;
 use crate::WorkKind;
@@ -73,6 +74,8 @@
     sender: Rc<CommandSender>,
     evacuations: Rc<EvacuationWatch>,
     permission_queue: PermissionQueue,
+    /// When pending permission requests were last assigned to VMs.
+    assigned_at: Cell<BootTime>,
     /// The permission counts at the last report.
     reported_permissions: Cell<PermissionCounts>,
     pub(crate) members: RefCell<MemberTable>,
@@ -86,6 +89,7 @@
     /// How late timers were at most since the last report.
     lag: Cell<Duration>,
     shares: RefCell<ShareLimiter>,
+    accept_delay: RefCell<AcceptDelay>,
 }
 
 impl CellDispatcher {
@@ -159,6 +163,7 @@
             sender,
             evacuations,
             permission_queue: PermissionQueue::default(),
+            assigned_at: Cell::default(),
             reported_permissions: Cell::default(),
             members: RefCell::default(),
             pacing: RefCell::default(),
@@ -168,6 +173,7 @@
             resigned: Cell::new(false),
             lag: Cell::default(),
             shares: RefCell::default(),
+            accept_delay: RefCell::default(),
         });
         workers.into_iter().for_each(|worker| dispatcher.run_worker(worker));
         Some(dispatcher)
@@ -351,7 +357,9 @@
         let known =
             self.limits_version.get().is_some() && self.evacuations.permits_starts(now);
         if self.authority.may_start(now) && known {
-            let calls = self.permission_queue.budget(&self.permission_callers(now), now);
+            let callers = self.permission_callers(now);
+            let period = self.pacing.borrow().period();
+            let calls = self.permission_queue.budget(&callers, now, period);
             let round = scheduler.place(self.ports.clock.unix_time(), now, calls);
             starts = round.starts;
             requests = round.requests;
--- a/crates/geraniumwinch-cell/src/lib.rs
+++ b/crates/geraniumwinch-cell/src/lib.rs
@@ -4,8 +4,10 @@
 //! the cell; every process accepts client requests and forwards them to the owner. State that has
 //! to survive a process is kept in the platform's store.
 
+mod accept_delay;
 mod boot_clock;
 mod call_client;
+mod call_usage;
 mod catalog;
 mod catalog_watch;
 mod cell_dispatcher;
@@ -44,11 +46,13 @@
 mod worker_gateway;
 mod worker_loop;
 
+pub use self::accept_delay::AcceptDelay;
 pub use self::boot_clock::BootClock;
 pub use self::boot_clock::CellClock;
 pub use self::call_client::CallClient;
 pub use self::call_client::CallRequest;
 pub use self::call_client::CallResponse;
+pub use self::call_usage::CallUsage;
 pub use self::catalog::CatalogAccount;
 pub use self::catalog::CatalogQueue;
 pub use self::catalog::CatalogReader;
