Choose no workers for permission requests that can't be sent

Cause: found by a bench of passes with a budget of calls like the owner's: 43,000 of 50,000 searches of all workers were for batch steps whose request was then turned away for want of calls, in each pass again. Change: once a request of an account is turned away in a pass, its further steps of that priority, with calls as long, don't search workers in it. Test: steps_whose_requests_can_not_be_sent_search_no_workers fails on the code before (8000 workers searched for one request).

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -30,6 +30,7 @@
 mod racks;
 mod replaced_workers;
 mod reports;
+mod request_size;
 mod run_phase;
 mod run_work;
 mod scarce_calls;
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
@@ -17,6 +17,7 @@
 use super::call_shares::UnitCall;
 use super::job_lateness::JobLateness;
 use super::permission_table::WorkerGrant;
+use super::request_size::RequestSize;
 use super::task_ref::JobKey;
 
 /// The share of workers that are assumed to be allowed for a queue before the first response.
@@ -100,6 +101,28 @@
             let speed = self.request_speed(key, gang, worker);
             std::cmp::Reverse((now > 0, speed, now, ever))
         });
+        let size = self.request_size(key, gang, needed, round);
+        let mut covered = 0.0;
+        let mut names = Vec::new();
+        for (worker, now_fits, ever_fits) in candidates {
+            let enough = covered >= size.wanted && names.len() >= size.minimum;
+            if enough || names.len() == size.limit {
+                break;
+            }
+            covered += f64::from(if gang { ever_fits } else { now_fits });
+            names.push(self.workers[worker].info.id.clone());
+        }
+        names
+    }
+
+    /// Returns how many workers a request for `needed` tasks names.
+    pub(super) fn request_size(
+        &self,
+        key: JobKey,
+        gang: bool,
+        needed: usize,
+        round: &PlacementRound,
+    ) -> RequestSize {
         let queue = &self.jobs[key].record.rules.queue;
         let share = self.expected_share(queue);
         let surplus = if gang { GANG_REQUEST_SURPLUS } else { REQUEST_SURPLUS };
@@ -113,17 +136,7 @@
             (true, false) => REQUEST_MAX,
             _ => REQUEST_MAX * REQUEST_PARTS,
         };
-        let mut covered = 0.0;
-        let mut names = Vec::new();
-        for (worker, now_fits, ever_fits) in candidates {
-            let enough = covered >= wanted && names.len() >= minimum;
-            if enough || names.len() == limit {
-                break;
-            }
-            covered += f64::from(if gang { ever_fits } else { now_fits });
-            names.push(self.workers[worker].info.id.clone());
-        }
-        names
+        RequestSize { wanted, minimum, limit }
     }
 
     /// Returns the share of workers that are likely to be allowed for a queue.
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -1,6 +1,7 @@
 //! Placement of waiting tasks on workers.
 
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use geraniumwinch_core::Name;
@@ -13,6 +14,7 @@
 use crate::RunStart;
 use crate::StepPlan;
 use crate::WorkerKey;
+use crate::run_command::is_long_call;
 
 use super::FleetScheduler;
 use super::free_workers::FreeWorkers;
@@ -47,6 +49,9 @@
     pub(super) searching_gangs: BTreeMap<u32, usize>,
     /// What overdue jobs may still take; `None` before the first of them.
     pub(super) overdue_room: Option<OverdueRoom>,
+    /// The accounts whose requests could not be sent in this pass, by priority and whether the calls
+    /// are long.
+    pub(super) turned_away: HashSet<(Name, u32, bool)>,
     /// The usable workers with free processors, those with the most first; `None` before the first
     /// search for them.
     pub(super) free_workers: Option<FreeWorkers>,
@@ -374,6 +379,15 @@
             self.turn_away(key, unit, call_time, now, round);
             return;
         }
+        let most = self.request_size(key, plan.gang, needed, round).most();
+        let class = (
+            job.record.account.clone(),
+            job.record.rules.priority,
+            is_long_call(cost.call_time(most)),
+        );
+        if round.turned_away.contains(&class) {
+            return;
+        }
         self.pass_tally.searched += self.workers.len() as u64;
         let mut candidates = Vec::new();
         let mut requested_all = true;
@@ -402,6 +416,9 @@
         let names =
             self.choose_workers_to_request(key, plan.gang, needed, candidates, round);
         let requests = self.request_permissions(key, unit, &names, now, round);
+        if requests.is_empty() && !names.is_empty() {
+            round.turned_away.insert(class);
+        }
         round.requests.extend(requests);
     }
 }
--- a/crates/geraniumwinch-fleet/tests/pass_cost.rs
+++ b/crates/geraniumwinch-fleet/tests/pass_cost.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use geraniumwinch_fleet::CallBudget;
 use geraniumwinch_fleet::PermissionCost;
 use geraniumwinch_fleet::PermissionGrant;
 use geraniumwinch_fleet::QueueRules;
@@ -135,4 +136,27 @@
         cell.scheduler.cancel("fresh", cell.now);
         assert_eq!(cell.place().len(), 20 - starts, "all start once nothing fresh waits");
     }
+
+    /// Load: more waiting steps than the VMs can make calls for. Guards against passes that choose
+    /// workers for each of them, only to find that no further call can be made.
+    steps_whose_requests_can_not_be_sent_search_no_workers(cell) {
+        fill(&mut cell, 8_000);
+        let permission = Some(PermissionCost {
+            base: Duration::from_millis(104),
+            per_worker: Duration::from_micros(1_430),
+            validity: Duration::from_secs(2),
+        });
+        for index in 0..200 {
+            let rules = QueueRules { permission, ..rules(2) };
+            let batch = record(rules, vec![step(WORKERS as u32, 4_000)]);
+            cell.accept(&format!("batch-{index}"), batch);
+        }
+        cell.scheduler.take_pass_tally();
+        let short_time = Duration::from_secs(1);
+        let budget = CallBudget { long_calls: 1, short_time, scarce: false };
+        let requests = cell.scheduler.place(UNIX_TIME, cell.now, budget).requests;
+        assert_eq!(requests.len(), 1, "one long call can be made");
+        let searched = cell.scheduler.take_pass_tally().searched;
+        assert!(searched <= 4 * WORKERS as u64, "{searched} workers for one request");
+    }
 }
