--- a/crates/geraniumwinch-cell/src/call_usage.rs
+++ b/crates/geraniumwinch-cell/src/call_usage.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use geraniumwinch_fleet::BootTime;
-use geraniumwinch_fleet::CallCapacity;
 
 /// The time constant of the averages.
 const AVERAGING_TIME: Duration = Duration::from_secs(2);
@@ -31,9 +30,9 @@
         *self.averages.entry(priority).or_default() += added;
     }
 
-    /// Returns what a number of VMs can do for the calls of a priority.
-    pub fn capacity(&self, priority: u32, count: usize, now: BootTime) -> CallCapacity {
-        let vms = count as f64;
+    /// Returns how many of the given number of VMs can make calls of a priority.
+    pub fn available(&self, priority: u32, vms: usize, now: BootTime) -> f64 {
+        let vms = vms as f64;
         let all: f64 = self.averages.values().sum::<f64>() * self.kept_share(now);
         // Calls of VMs that were lost since count until they are forgotten.
         let scale = self.kept_share(now) * if all > vms { vms / all } else { 1.0 };
@@ -41,11 +40,7 @@
         let own = self.averages.get(&priority).copied().unwrap_or_default();
         let unused = vms - all.min(vms);
         let claimable = (vms - urgent * scale) * CLAIMABLE_SHARE;
-        CallCapacity {
-            vms: count,
-            available: (unused + own * scale).max(claimable),
-            used_share: (urgent + own) * scale / vms.max(1.0),
-        }
+        (unused + own * scale).max(claimable)
     }
 
     /// Returns the share of the averages that is left since they were updated.
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
@@ -61,11 +61,11 @@
     fn admission_load(&self, record: &JobRecord) -> f64 {
         let now = self.ports.clock.now();
         let vms = self.permission_callers(now).len();
-        let capacity = self.permission_queue.capacity(record.rules.priority, vms, now);
+        let available = self.permission_queue.available(record.rules.priority, vms, now);
         let scheduler = self.scheduler.borrow();
         let delay = self.accept_delay.borrow().expected(now);
         let delay_load = delay.as_secs_f64() / scheduler.slack(record).as_secs_f64();
-        let call_load = scheduler.call_load(record, capacity);
+        let call_load = scheduler.call_load(record, available, vms);
         scheduler.admission_load(record).max(call_load).max(delay_load)
     }
 
--- a/crates/geraniumwinch-cell/src/permission_queue.rs
+++ b/crates/geraniumwinch-cell/src/permission_queue.rs
@@ -16,7 +16,6 @@
 use geraniumwinch_core::Name;
 use geraniumwinch_fleet::BootTime;
 use geraniumwinch_fleet::CallBudget;
-use geraniumwinch_fleet::CallCapacity;
 use geraniumwinch_fleet::PermissionRequest;
 use geraniumwinch_fleet::RequestValue;
 
@@ -281,9 +280,9 @@
         }
     }
 
-    /// Returns what a number of VMs can do for the calls of a priority.
-    pub fn capacity(&self, priority: u32, vms: usize, now: BootTime) -> CallCapacity {
-        self.usage.borrow().capacity(priority, vms, now)
+    /// Returns how many of the given number of VMs can make calls of a priority.
+    pub fn available(&self, priority: u32, vms: usize, now: BootTime) -> f64 {
+        self.usage.borrow().available(priority, vms, now)
     }
 
     /// Returns the number of pending requests.
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/waiting_calls.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/waiting_calls.rs
@@ -6,7 +6,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::CallCapacity;
 use crate::JobRecord;
 use crate::PermissionCost;
 
@@ -17,9 +16,6 @@
 
 /// The time within which the VMs should be able to make the calls of all accepted jobs.
 const MAX_CALL_BACKLOG: Duration = Duration::from_secs(6);
-/// The share of the VMs' time that a priority may take while the calls of the jobs behind it take
-/// longer.
-const BACKLOG_SHARE: f64 = 0.5;
 /// The weight of a new step in the moving average of the time that first calls take.
 const CALL_TIME_GAIN: f64 = 0.1;
 /// The minimum number of VMs that admission assumes.
@@ -46,11 +42,12 @@
 
 impl FleetScheduler {
     /// Returns the time that the calls take that are made before those of a new job, relative to the
-    /// time that its objective allows it to wait.
+    /// time that its objective allows it to wait. `available` is the number of VMs that can make calls
+    /// of its priority, and `vms` that of all.
     ///
-    /// A result above 1 means that the job would miss its objective, or that it would keep the VMs
-    /// from making the calls of all accepted jobs within a few seconds.
-    pub fn call_load(&self, record: &JobRecord, capacity: CallCapacity) -> f64 {
+    /// A result above 1 means that the job would miss its objective, or that the VMs could not make
+    /// the calls of all accepted jobs within a few seconds.
+    pub fn call_load(&self, record: &JobRecord, available: f64, vms: usize) -> f64 {
         if record.rules.permission.is_none() {
             return 0.0;
         }
@@ -59,10 +56,9 @@
         let ahead: Duration =
             calls.in_time.range(..=priority).map(|(_, time)| time).sum();
         let slack = self.slack(record).as_secs_f64();
-        let wait = ahead.as_secs_f64() / capacity.available.max(MIN_VMS) / slack;
-        let backlog = calls.all.as_secs_f64() / (capacity.vms as f64).max(MIN_VMS);
-        let taken = (capacity.used_share / BACKLOG_SHARE).min(1.0);
-        wait.max(backlog / MAX_CALL_BACKLOG.as_secs_f64() * taken)
+        let wait = ahead.as_secs_f64() / available.max(MIN_VMS) / slack;
+        let backlog = calls.all.as_secs_f64() / (vms as f64).max(MIN_VMS);
+        wait.max(backlog / MAX_CALL_BACKLOG.as_secs_f64())
     }
 
     /// Returns the time that the calls take which a unit's waiting tasks need.
--- a/crates/geraniumwinch-fleet/src/lib.rs
+++ b/crates/geraniumwinch-fleet/src/lib.rs
@@ -5,7 +5,6 @@
 //! that depends on it.
 
 mod call_budget;
-mod call_capacity;
 mod fleet_error;
 mod fleet_scheduler;
 mod job_record;
@@ -26,7 +25,6 @@
 mod worker_report;
 
 pub use self::call_budget::CallBudget;
-pub use self::call_capacity::CallCapacity;
 pub use self::fleet_error::FleetError;
 pub use self::fleet_error::Result;
 pub use self::fleet_scheduler::EvacuationProgress;
