Search for a gang at least once a second, wherever it stands

Callers would have seen: a gang that had stood behind 1,999 others asked for new, empty workers 17 s after those were gone (found by review, one run of its test). Cause: the interval of a gang's searches grew with its position without a maximum. Change: it is at most a second. a_gang_that_stood_far_behind_asks_for_new_workers_soon failed before.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/preemption.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/preemption.rs
@@ -31,9 +31,10 @@
 const PREEMPTION_INTERVAL: Duration = Duration::from_millis(20);
 /// The minimum time between two searches for workers for a gang that does not fit.
 const GANG_SEARCH_INTERVAL: Duration = Duration::from_millis(120);
-/// The time between two such searches for each gang that stands before it or searches itself. It bounds
-/// the searches of a second however many gangs wait.
+/// The time between two such searches for each gang that stands before it or searches itself.
 const SEARCH_INTERVAL_PER_GANG: Duration = Duration::from_millis(10);
+/// The maximum time between two such searches, after which a gang sees what became free meanwhile.
+const MAX_SEARCH_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Capacity for one task on a worker, available once the victims have stopped.
 struct PreemptionOption {
@@ -93,8 +94,9 @@
         now: BootTime,
     ) -> bool {
         let position = u32::try_from(position).unwrap_or(u32::MAX);
-        let interval =
-            SEARCH_INTERVAL_PER_GANG.saturating_mul(position).max(GANG_SEARCH_INTERVAL);
+        let interval = SEARCH_INTERVAL_PER_GANG
+            .saturating_mul(position)
+            .clamp(GANG_SEARCH_INTERVAL, MAX_SEARCH_INTERVAL);
         let state = &mut self.jobs[key].units[unit as usize];
         let due = state.open_requests == 0 && now >= state.next_search;
         if due {
--- a/crates/geraniumwinch-fleet/tests/pass_cost.rs
+++ b/crates/geraniumwinch-fleet/tests/pass_cost.rs
@@ -9,6 +9,7 @@
 use geraniumwinch_fleet::PermissionGrant;
 use geraniumwinch_fleet::QueueRules;
 use geraniumwinch_fleet::StepPlan;
+use geraniumwinch_fleet::WorkerKey;
 
 use self::common::LONG_REQUESTS;
 use self::common::TestCell;
@@ -160,3 +161,55 @@
         assert!(searched <= 4 * WORKERS as u64, "{searched} workers for one request");
     }
 }
+
+/// Returns how long the last of some waiting gangs takes to ask for new, free workers once the others
+/// have been cancelled.
+fn time_to_request(gangs: usize) -> Duration {
+    let mut cell = TestCell::new(1);
+    let ids: Vec<String> = (0..WORKERS).map(|index| format!("w{index}")).collect();
+    let mut keys =
+        cell.add_workers(&ids.iter().map(String::as_str).collect::<Vec<&str>>());
+    cell.accept("full", record(rules(1), vec![step(WORKERS as u32, 12_000)]));
+    assert_eq!(cell.start_all().len(), WORKERS);
+    for index in 0..gangs {
+        let gang = StepPlan { gang: true, ..step(20, 8_000) };
+        cell.accept(&format!("gang-{index}"), record(permitted(1), vec![gang]));
+    }
+    allow_all(&mut cell);
+    let keep = |cell: &mut TestCell, keys: &[WorkerKey]| {
+        keys.iter().for_each(|&key| cell.scheduler.extend_lease(key, cell.now));
+        cell.wait(50);
+    };
+    for _ in 0..60 {
+        keep(&mut cell, &keys);
+        allow_all(&mut cell);
+    }
+    for index in 0..gangs - 1 {
+        cell.scheduler.cancel(&format!("gang-{index}"), cell.now);
+    }
+    let mut all = ids.clone();
+    all.extend((0..WORKERS).map(|index| format!("n{index}")));
+    keys.extend(cell.add_workers(&all.iter().map(String::as_str).collect::<Vec<&str>>()));
+    assert_eq!(keys.len(), 2 * WORKERS);
+    let began = cell.now;
+    loop {
+        let round = cell.scheduler.place(UNIX_TIME, cell.now, LONG_REQUESTS);
+        let waited = cell.now - began;
+        if !round.requests.is_empty()
+            || !round.starts.is_empty()
+            || waited > Duration::from_secs(20)
+        {
+            return waited;
+        }
+        keep(&mut cell, &keys);
+    }
+}
+
+/// Load: a long backlog of gangs that don't fit ends, and free workers are added. Guards against a gang
+/// that waits beside free capacity because it stood far behind before.
+#[test]
+fn a_gang_that_stood_far_behind_asks_for_new_workers_soon() {
+    let (alone, behind) = (time_to_request(1), time_to_request(2000));
+    let bound = Duration::from_secs(3);
+    assert!(alone < bound && behind < bound, "alone {alone:?}, behind {behind:?}");
+}
