Reserve no VM of two for short calls

Callers saw: with two VMs left, accepted gangs did not start in time although one VM often idled. Change: fewer than three VMs make calls of all kinds.

--- a/crates/geraniumwinch-cell/src/permission_queue.rs
+++ b/crates/geraniumwinch-cell/src/permission_queue.rs
@@ -23,6 +23,9 @@
 
 /// The share of VMs that are reserved for short calls.
 const RESERVED_SHARE: f64 = 0.34;
+/// The minimum number of VMs of which some are reserved. Fewer make calls of all kinds, since each of
+/// them is a large part of what the cell can do.
+const MIN_RESERVING_VMS: usize = 3;
 /// How long VMs stay reserved after the last short call.
 const SHORT_CALL_WINDOW: Duration = Duration::from_secs(2);
 /// The maximum expected wait of a short call that is assigned to a VM whose open calls are short.
@@ -204,7 +207,10 @@
         let long = members.iter().filter(|member| load(member).long && !idle(member));
         let short_calls = now < self.last_short.get() + SHORT_CALL_WINDOW;
         let share = if short_calls { RESERVED_SHARE } else { 0.0 };
-        let reserved = (members.len() as f64 * share).ceil() as usize;
+        let reserved = match members.len() {
+            0..MIN_RESERVING_VMS => 0,
+            vms => (vms as f64 * share).ceil() as usize,
+        };
         let max_long = members.len().saturating_sub(reserved).max(1);
         let idle = members.iter().filter(|member| idle(member));
         idle.count().min(max_long.saturating_sub(long.count()))
--- a/crates/geraniumwinch-cell/tests/permission_queue.rs
+++ b/crates/geraniumwinch-cell/tests/permission_queue.rs
@@ -123,6 +123,19 @@
         assert!(share > 0.9, "the callers are busy for {share:.2} of the time");
     }
 
+    /// Failure: as above, with a short call now and then. Guards against a VM of two that idles for
+    /// short calls while long ones wait.
+    two_callers_make_two_long_calls_after_a_short_one(queue) {
+        let vms = vms(2);
+        queue.push(vec![request("urgent", 0, SHORT)]);
+        let short = queue.assign(&vms, BEGIN, |_| RequestValue::Useful).calls.remove(0);
+        queue.end(short.0, &"urgent".into(), true, BEGIN + SHORT);
+        let now = BEGIN + SHORT;
+        assert_eq!(queue.budget(&vms, now, PASS_PERIOD).long_calls, 2);
+        queue.push(many("bulk", 2, LONG));
+        assert_eq!(assign(&queue, &vms, now).len(), 2);
+    }
+
     /// Load: calls of several queues wait for the VMs.
     requests_are_sent_in_the_order_of_the_jobs(queue) {
         let mut overdue = request("a", 1, LONG);
