--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
@@ -7,12 +7,16 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use geraniumwinch_core::ResourceVector;
+
 use crate::JobRecord;
 use crate::StepPlan;
+use crate::scaled_time::scaled_time;
 
 use super::FleetScheduler;
 use super::job_lateness::JobLateness;
 use super::job_state::critical_path;
+use super::worker_state::WorkerState;
 
 /// The maximum share of the workers' processors that tasks use, since gangs leave gaps.
 const MAX_PACKED_SHARE: f64 = 0.85;
@@ -34,7 +38,7 @@
 impl PlacedLoad {
     /// Adds a placed task that is expected to take the given time.
     pub(super) fn add_task(&mut self, plan: &StepPlan, expected: Duration) {
-        self.cpu_millis += plan.reserved().cpu_millis;
+        self.cpu_millis = self.cpu_millis.saturating_add(plan.reserved().cpu_millis);
         self.work += work(plan, expected);
     }
 
@@ -89,7 +93,9 @@
                 }
                 let plan = job.plan(unit);
                 if job.ready(unit) {
-                    load.demand += u64::from(waiting) * plan.reserved().cpu_millis;
+                    let demand =
+                        plan.reserved().cpu_millis.saturating_mul(waiting.into());
+                    load.demand = load.demand.saturating_add(demand);
                 }
                 if in_time {
                     *load.work.entry(priority).or_default() +=
@@ -123,8 +129,8 @@
         let ahead: f64 =
             self.waiting_load.work.range(..=priority).map(|(_, work)| work).sum();
         let promised = critical_path(record, |plan| plan.estimate);
-        let allowed =
-            promised.mul_f64(record.rules.stretch.max(1.0)) + record.rules.objective;
+        let allowed = scaled_time(promised, record.rules.stretch.max(1.0));
+        let allowed = allowed.saturating_add(record.rules.objective);
         let slack = allowed.saturating_sub(self.forecast(record).path).max(MIN_SLACK);
         ahead / self.capacity(priority, slack.as_secs_f64())
     }
@@ -142,14 +148,16 @@
     /// Returns the processors of all tasks that are placed outside evacuated domains, in thousandths
     /// of a core.
     pub(super) fn placed_cpu_millis(&self) -> u64 {
-        self.placed_load.values().map(|placed_load| placed_load.cpu_millis).sum()
+        let amounts = self.placed_load.values().map(|load| load.cpu_millis);
+        amounts.fold(0, u64::saturating_add)
     }
 
     /// Returns the processors of all workers outside evacuated domains in thousandths of a core, at
-    /// least one core.
+    /// least one core. Entries behind which no worker has responded do not count.
     fn total_cpu_millis(&self) -> f64 {
-        let workers = self.workers.values().filter(|state| !state.evacuated);
-        let total: u64 = workers.map(|state| state.info.capacity.cpu_millis).sum();
-        total.max(1000) as f64
+        let offers = |state: &&WorkerState| !state.evacuated && !state.is_unproven();
+        let workers = self.workers.values().filter(offers);
+        let total: ResourceVector = workers.map(|state| &state.info.capacity).sum();
+        total.cpu_millis.max(1000) as f64
     }
 }
--- a/crates/geraniumwinch-tests/src/fleet_cell.rs
+++ b/crates/geraniumwinch-tests/src/fleet_cell.rs
@@ -42,7 +42,7 @@
 /// The interval at which a stopping process is checked for its end.
 const END_POLL: Duration = Duration::from_millis(5);
 /// The host name of the queues.
-const HOST: &str = "queue.example";
+pub const FLEET_HOST: &str = "queue.example";
 
 /// A cell of real processes on a stand-in for the users' platform.
 pub struct FleetCell {
@@ -195,6 +195,17 @@
         self.post("/worker-cores", &json!({ "worker": index, "cores": cores })).await;
     }
 
+    /// Writes entries of another writer to the list of workers, as pairs of an identifier and a
+    /// value.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the stand-in does not take them.
+    pub async fn write_entries(&self, entries: &[(String, String)]) {
+        let response = self.post("/entries", &json!(entries)).await;
+        assert_eq!(response.status, 200, "the stand-in takes the entries");
+    }
+
     /// Lists entries among those of the workers that name no usable worker, or removes them.
     pub async fn list_odd_workers(&self, listed: bool) {
         self.post("/odd-workers", &json!(listed)).await;
@@ -212,6 +223,11 @@
         self.addresses.entry(0, index, PORTS[0] + PROXY_OFFSET)
     }
 
+    /// Returns the address under which clients reach a process without the proxy.
+    pub fn process_address(&self, index: usize) -> std::net::SocketAddr {
+        self.addresses.entry(0, index, PORTS[0])
+    }
+
     /// Returns the URLs under which clients reach the processes through the proxy.
     pub fn proxied_urls(&self) -> Vec<String> {
         let url = |index| format!("http://{}", self.client_address(index));
@@ -286,7 +302,7 @@
         let route = |name: &str, public: bool| {
             let prefix = format!("/{name}/");
             json!({
-                "name": name, "hostname": HOST, "prefix": prefix, "kind": "unsafe",
+                "name": name, "hostname": FLEET_HOST, "prefix": prefix, "kind": "unsafe",
                 "target_duration_ms": 1000, "priority": 1, "service": "service",
                 "max_attempts": 2, "stretch": 2.0, "public": public,
                 "advice": { "decide_ms": 1.0, "per_item_ms": 0.1, "validity_ms": 2000 },
@@ -334,7 +350,8 @@
         body: &str,
     ) -> TestResponse {
         let url = format!("http://{}{path}", self.addresses.entry(0, index, PORTS[0]));
-        let mut headers = vec![("Host", HOST), ("Geraniumwinch-Deadline-Ms", "3000")];
+        let mut headers =
+            vec![("Host", FLEET_HOST), ("Geraniumwinch-Deadline-Ms", "3000")];
         headers.extend(key.map(|key| ("Authorization", key)));
         self.client.send(method, &url, &headers, body.to_owned()).await
     }
@@ -354,7 +371,7 @@
         let step = json!({ "count": 1, "cpu": 1000, "mem_mb": 64, "estimate_ms": 100 });
         let body = json!({ "spec": spec, "steps": [step] }).to_string();
         let headers = [
-            ("Host", HOST),
+            ("Host", FLEET_HOST),
             ("Geraniumwinch-Deadline-Ms", "3000"),
             ("Authorization", FLEET_KEY),
         ];
@@ -372,7 +389,7 @@
     ) -> FleetLoad {
         let url = |index| format!("http://{}", self.addresses.entry(0, index, PORTS[0]));
         let urls = (0..self.processes.len()).map(url).collect();
-        let (crashing, host) = (false, HOST);
+        let (crashing, host) = (false, FLEET_HOST);
         FleetLoad {
             seed,
             jobs,
