--- a/crates/geraniumwinch-cell/src/cell_dispatcher/permission_calls.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/permission_calls.rs
@@ -12,6 +12,7 @@
 use geraniumwinch_fleet::PermissionRequest;
 
 use crate::CallError;
+use crate::WorkKind;
 use crate::cell_metrics;
 use crate::peer_message::PeerReply;
 use crate::peer_message::PeerRequest;
@@ -21,6 +22,9 @@
 
 /// The additional time for a call that is made by a peer.
 const PEER_CALL_SLACK: Duration = Duration::from_millis(500);
+/// The minimum time between two assignments of pending requests beside those of passes. It is below
+/// the time for which short calls queue at a VM.
+const ASSIGN_INTERVAL: Duration = Duration::from_millis(20);
 /// How much earlier than on the worker a permission is considered expired here.
 const PERMISSION_MARGIN: Duration = Duration::from_millis(80);
 
@@ -30,6 +34,7 @@
         if self.permission_queue.pending_count() == 0 {
             return;
         }
+        self.assigned_at.set(now);
         let unix_time = self.ports.clock.unix_time();
         let members = self.permission_callers(now);
         let mut scheduler = self.scheduler.borrow_mut();
@@ -40,7 +45,15 @@
             scheduler.permission_dropped(&request.step);
         }
         for (member, request) in assignment.calls {
-            actix_rt::spawn(Rc::clone(self).request_permission(member, request));
+            let call = Rc::clone(self).request_permission(member, request);
+            actix_rt::spawn(self.ports.meter.meter(WorkKind::Permissions, call));
+        }
+    }
+
+    /// Assigns pending requests after a call, unless that was done just before.
+    fn assign_between_passes(self: &Rc<Self>, now: BootTime) {
+        if now >= self.assigned_at.get() + ASSIGN_INTERVAL {
+            self.assign_requests(now);
         }
     }
 
@@ -67,7 +80,7 @@
             waiting = waiting,
             open = open,
             callers = callers.len(),
-            scarce = self.permission_queue.budget(&callers, now).scarce
+            scarce = self.permission_queue.is_scarce(&callers, now)
         );
     }
 
@@ -119,6 +132,7 @@
             }
         }
         drop(scheduler);
+        self.assign_between_passes(now);
         self.pass_due.notify_one();
     }
 
--- a/crates/geraniumwinch-cell/src/http_listener.rs
+++ b/crates/geraniumwinch-cell/src/http_listener.rs
@@ -32,6 +32,8 @@
 
 use crate::CellError;
 use crate::ProcessShutdown;
+use crate::WorkKind;
+use crate::WorkMeter;
 use crate::cell_error::ListenSnafu;
 use crate::connection_exchanges::ConnectionExchanges;
 use crate::connection_exchanges::OpenExchange;
@@ -104,6 +106,7 @@
     handler: HttpHandler,
     max_body: Rc<Cell<usize>>,
     shutdown: Rc<ProcessShutdown>,
+    meter: Option<(WorkKind, Rc<WorkMeter>)>,
 }
 
 impl HttpListener {
@@ -114,7 +117,13 @@
         handler: HttpHandler,
         shutdown: Rc<ProcessShutdown>,
     ) -> Self {
-        HttpListener { address, handler, max_body, shutdown }
+        HttpListener { address, handler, max_body, shutdown, meter: None }
+    }
+
+    /// Counts the time spent on the connections as a kind of work.
+    pub fn metered(mut self, kind: WorkKind, meter: &Rc<WorkMeter>) -> Self {
+        self.meter = Some((kind, Rc::clone(meter)));
+        self
     }
 
     /// Binds the address and serves it. Takes no further connections once the process refuses requests.
@@ -159,9 +168,16 @@
                     let exchanges = ConnectionExchanges::new(Rc::clone(&self.shutdown));
                     let stream = ExchangeStream::new(stream, exchanges);
                     let service = Rc::clone(&service);
-                    actix_rt::spawn(
-                        async move { service.call((stream, Some(peer))).await },
-                    );
+                    let connection =
+                        async move { service.call((stream, Some(peer))).await };
+                    match &self.meter {
+                        Some((kind, meter)) => {
+                            actix_rt::spawn(meter.meter(*kind, connection));
+                        }
+                        None => {
+                            actix_rt::spawn(connection);
+                        }
+                    }
                 }
                 Err(error) => {
                     log_event!(Warn, "accept-failed", error = error);
--- a/crates/geraniumwinch-cell/src/lib.rs
+++ b/crates/geraniumwinch-cell/src/lib.rs
@@ -4,8 +4,10 @@
 //! the cell; every process accepts client requests and forwards them to the owner. State that has
 //! to survive a process is kept in the platform's store.
 
+mod accept_delay;
 mod boot_clock;
 mod call_client;
+mod call_usage;
 mod catalog;
 mod catalog_watch;
 mod cell_dispatcher;
@@ -21,6 +23,7 @@
 mod exchange_stream;
 mod http_listener;
 mod member_table;
+mod metered_work;
 mod owner_authority;
 mod owner_contact;
 mod owner_election;
@@ -38,14 +41,18 @@
 mod response_times;
 mod tracked_body;
 mod vm_size;
+mod work_kind;
+mod work_meter;
 mod worker_gateway;
 mod worker_loop;
 
+pub use self::accept_delay::AcceptDelay;
 pub use self::boot_clock::BootClock;
 pub use self::boot_clock::CellClock;
 pub use self::call_client::CallClient;
 pub use self::call_client::CallRequest;
 pub use self::call_client::CallResponse;
+pub use self::call_usage::CallUsage;
 pub use self::catalog::CatalogAccount;
 pub use self::catalog::CatalogQueue;
 pub use self::catalog::CatalogReader;
@@ -83,6 +90,8 @@
 pub use self::request_forwarder::RequestForwarder;
 pub use self::response_times::ResponseTimes;
 pub use self::vm_size::VmSize;
+pub use self::work_kind::WorkKind;
+pub use self::work_meter::WorkMeter;
 pub use self::worker_gateway::CommandError;
 pub use self::worker_gateway::CommandResult;
 pub use self::worker_gateway::PermissionService;
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -9,6 +9,7 @@
 mod crashes;
 mod delayed_starts;
 mod evacuations;
+mod free_workers;
 mod gang_end;
 mod gang_fit;
 mod gang_reservation;
@@ -29,6 +30,7 @@
 mod racks;
 mod replaced_workers;
 mod reports;
+mod request_size;
 mod run_phase;
 mod run_work;
 mod scarce_calls;
@@ -40,6 +42,7 @@
 mod timeouts;
 mod unit_state;
 mod unreported_runs;
+mod waiting_calls;
 mod waits;
 mod worker_offers;
 mod worker_state;
@@ -64,6 +67,7 @@
 use crate::JobPhase;
 use crate::JobRecord;
 use crate::LostWork;
+use crate::PassTally;
 use crate::RunLoss;
 use crate::RunStop;
 use crate::SchedulerEvent;
@@ -84,6 +88,7 @@
 use self::task_ref::JobKey;
 use self::task_ref::TaskRef;
 use self::task_state::TaskState;
+use self::waiting_calls::WaitingCalls;
 use self::worker_state::FormerWorker;
 use self::worker_state::WorkerState;
 
@@ -131,6 +136,8 @@
     /// The workers that were removed, in case they return.
     former_workers: HashMap<Name, FormerWorker>,
     worker_ids: HashMap<Name, WorkerKey>,
+    /// The number of workers that were ever added.
+    added_workers: u64,
     jobs: SlotMap<JobKey, JobState>,
     job_ids: HashMap<Name, JobKey>,
     /// The live jobs, by priority and order of acceptance.
@@ -139,6 +146,9 @@
     dirty: HashMap<JobKey, BootTime>,
     accounts: AccountUsage,
     waiting_load: WaitingLoad,
+    waiting_calls: WaitingCalls,
+    /// The average time that the first calls to the permission service for a step take, by queue.
+    first_call_times: HashMap<Name, Duration>,
     backoff: PlacementBackoff,
     /// The load of the tasks that are placed outside evacuated domains, by priority.
     placed_load: BTreeMap<u32, PlacedLoad>,
@@ -151,6 +161,7 @@
     call_claims: CallClaims,
     call_shares: CallShares,
     lost_work: LostWork,
+    pass_tally: PassTally,
     /// Whether the worker records must be written again: those in the store may include workers
     /// that were removed, or the last write was rejected.
     records_outdated: bool,
@@ -169,12 +180,15 @@
             workers: SlotMap::with_key(),
             former_workers: HashMap::new(),
             worker_ids: HashMap::new(),
+            added_workers: 0,
             jobs: SlotMap::with_key(),
             job_ids: HashMap::new(),
             open_jobs: BTreeSet::new(),
             dirty: HashMap::new(),
             accounts: AccountUsage::default(),
             waiting_load: WaitingLoad::default(),
+            waiting_calls: WaitingCalls::default(),
+            first_call_times: HashMap::new(),
             backoff: PlacementBackoff::default(),
             placed_load: BTreeMap::new(),
             evacuated_domains: BTreeSet::new(),
@@ -184,6 +198,7 @@
             call_claims: CallClaims::default(),
             call_shares: CallShares::default(),
             lost_work: LostWork::default(),
+            pass_tally: PassTally::default(),
             records_outdated: false,
             stops: Vec::new(),
             events: Vec::new(),
@@ -286,6 +301,11 @@
         std::mem::take(&mut self.events)
     }
 
+    /// Returns and clears the counts of what placement passes have done.
+    pub fn take_pass_tally(&mut self) -> PassTally {
+        std::mem::take(&mut self.pass_tally)
+    }
+
     /// Returns a summary of the scheduler's state.
     pub fn counts(&self, now: BootTime) -> FleetCounts {
         let usable = || self.workers.values().filter(|state| state.usable(now));
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
@@ -16,6 +16,7 @@
 use super::FleetScheduler;
 use super::job_lateness::JobLateness;
 use super::job_state::critical_path;
+use super::waiting_calls::WaitingCalls;
 use super::worker_state::WorkerState;
 
 /// The maximum share of the workers' processors that tasks use, since gangs leave gaps.
@@ -83,6 +84,7 @@
     pub fn update_waiting_load(&mut self, unix_time: Duration) {
         self.refresh_forecasts();
         let mut load = WaitingLoad::default();
+        let mut calls = WaitingCalls::default();
         for &(priority, _, key) in &self.open_jobs {
             let job = &self.jobs[key];
             let in_time = job.lateness(unix_time) == JobLateness::InTime;
@@ -96,6 +98,7 @@
                     let demand =
                         plan.reserved().cpu_millis.saturating_mul(waiting.into());
                     load.demand = load.demand.saturating_add(demand);
+                    calls.add(priority, in_time, self.waiting_call_time(key, unit));
                 }
                 if in_time {
                     *load.work.entry(priority).or_default() +=
@@ -104,6 +107,7 @@
             }
         }
         self.waiting_load = load;
+        self.waiting_calls = calls;
     }
 
     /// Adds a job that was accepted since the load was recomputed.
@@ -113,6 +117,7 @@
             |plan: &StepPlan| f64::from(plan.tasks) * work(plan, forecast.expected(plan));
         let work: f64 = record.request.steps.iter().map(work_of).sum();
         *self.waiting_load.work.entry(record.rules.priority).or_default() += work;
+        self.count_accepted_calls(record);
     }
 
     /// Returns the processors that waiting tasks request, relative to those of all workers.
@@ -128,11 +133,15 @@
         let priority = record.rules.priority;
         let ahead: f64 =
             self.waiting_load.work.range(..=priority).map(|(_, work)| work).sum();
+        ahead / self.capacity(priority, self.slack(record).as_secs_f64())
+    }
+
+    /// Returns how long a new job can wait without missing its objective.
+    pub fn slack(&self, record: &JobRecord) -> Duration {
         let promised = critical_path(record, |plan| plan.estimate);
         let allowed = scaled_time(promised, record.rules.stretch.max(1.0));
         let allowed = allowed.saturating_add(record.rules.objective);
-        let slack = allowed.saturating_sub(self.forecast(record).path).max(MIN_SLACK);
-        ahead / self.capacity(priority, slack.as_secs_f64())
+        allowed.saturating_sub(self.forecast(record).path).max(MIN_SLACK)
     }
 
     /// Returns the work of a priority and above that the workers can do within a time in seconds,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
@@ -10,12 +10,14 @@
 use crate::PermissionRequest;
 use crate::StepName;
 use crate::WorkerKey;
+use crate::run_command::is_long_call;
 
 use super::FleetScheduler;
 use super::PlacementRound;
 use super::call_shares::UnitCall;
 use super::job_lateness::JobLateness;
 use super::permission_table::WorkerGrant;
+use super::request_size::RequestSize;
 use super::task_ref::JobKey;
 
 /// The share of workers that are assumed to be allowed for a queue before the first response.
@@ -26,11 +28,15 @@
 const REQUEST_SURPLUS: f64 = 2.5;
 /// The same for a gang, measured by the total capacity of the workers, most of which is in use.
 const GANG_REQUEST_SURPLUS: f64 = 4.5;
+/// The same for a gang that fits into free capacity while calls are scarce.
+const FREE_REQUEST_SURPLUS: f64 = 1.5;
+/// The minimum share of workers that are assumed to be allowed.
+const MIN_SHARE: f64 = 0.05;
 /// The minimum number of workers to request permission for at first.
 pub(super) const REQUEST_MIN: usize = 8;
 /// The maximum number of workers in one request. The service accepts up to 100, but several shorter
 /// calls from several VMs take less time.
-const REQUEST_MAX: usize = 60;
+pub(super) const REQUEST_MAX: usize = 60;
 /// The maximum number of concurrent requests for a step.
 const REQUEST_PARTS: usize = 4;
 /// The delay before a failed request is retried.
@@ -99,10 +105,37 @@
             let speed = self.request_speed(key, gang, worker);
             std::cmp::Reverse((now > 0, speed, now, ever))
         });
+        let size = self.request_size(key, gang, needed, round);
+        let share = self.expected_share(&self.jobs[key].record.rules.queue);
+        let free: u32 = candidates.iter().map(|&(_, now_fits, _)| now_fits).sum();
+        let gang_needs = needed as f64 * FREE_REQUEST_SURPLUS / share.max(MIN_SHARE);
+        let fits_now = gang && round.calls.scarce && f64::from(free) >= gang_needs;
+        let wanted = if fits_now { gang_needs } else { size.wanted };
+        let mut covered = 0.0;
+        let mut names = Vec::new();
+        for (worker, now_fits, ever_fits) in candidates {
+            let enough = covered >= wanted && names.len() >= size.minimum;
+            if enough || names.len() == size.limit {
+                break;
+            }
+            covered += f64::from(if gang && !fits_now { ever_fits } else { now_fits });
+            names.push(self.workers[worker].info.id.clone());
+        }
+        names
+    }
+
+    /// Returns how many workers a request for `needed` tasks names.
+    pub(super) fn request_size(
+        &self,
+        key: JobKey,
+        gang: bool,
+        needed: usize,
+        round: &PlacementRound,
+    ) -> RequestSize {
         let queue = &self.jobs[key].record.rules.queue;
         let share = self.expected_share(queue);
         let surplus = if gang { GANG_REQUEST_SURPLUS } else { REQUEST_SURPLUS };
-        let wanted = needed as f64 * surplus / share.max(0.05);
+        let wanted = needed as f64 * surplus / share.max(MIN_SHARE);
         let cost = self.jobs[key].record.rules.permission;
         let cheap = cost.map_or(0, |cost| cost.cheap_workers()).min(REQUEST_MAX);
         let minimum = cheap.max(REQUEST_MIN);
@@ -112,17 +145,7 @@
             (true, false) => REQUEST_MAX,
             _ => REQUEST_MAX * REQUEST_PARTS,
         };
-        let mut covered = 0.0;
-        let mut names = Vec::new();
-        for (worker, now_fits, ever_fits) in candidates {
-            let enough = covered >= wanted && names.len() >= minimum;
-            if enough || names.len() == limit {
-                break;
-            }
-            covered += f64::from(if gang { ever_fits } else { now_fits });
-            names.push(self.workers[worker].info.id.clone());
-        }
-        names
+        RequestSize { wanted, minimum, limit }
     }
 
     /// Returns the share of workers that are likely to be allowed for a queue.
@@ -147,10 +170,17 @@
         let step = job.step_name(unit);
         let Some(cost) = job.record.rules.permission else { return Vec::new() };
         let state = &job.units[unit as usize];
-        if workers.is_empty() || state.open_requests > 0 || now < state.retry_after {
+        if workers.is_empty() || !state.may_request(now) {
             return Vec::new();
         }
+        let known = !state.permissions.is_empty();
         let part = workers.len().div_ceil(workers.len().div_ceil(REQUEST_MAX));
+        if !known {
+            let parts = workers.chunks(part);
+            let call_time = parts.map(|workers| cost.call_time(workers.len())).sum();
+            self.record_first_calls(key, call_time);
+        }
+        let job = &self.jobs[key];
         let gang = job.plan(unit).gang;
         let account = job.record.account.clone();
         let order = self.call_order(key, round.unix_time);
@@ -178,6 +208,40 @@
         requests
     }
 
+    /// Returns whether a unit could request permissions now and the VMs could send the request.
+    pub(super) fn may_request(
+        &self,
+        key: JobKey,
+        unit: u32,
+        now: BootTime,
+        round: &PlacementRound,
+    ) -> bool {
+        let job = &self.jobs[key];
+        let Some(cost) = job.record.rules.permission else { return false };
+        let affordable = |workers| !round.calls.is_used_up(cost.call_time(workers));
+        (affordable(1) || affordable(REQUEST_MAX))
+            && job.units[unit as usize].may_request(now)
+    }
+
+    /// Records that a unit would request permissions if there were capacity for the call. A long call
+    /// that can't be made says nothing of the account, since most jobs wait for theirs.
+    pub(super) fn turn_away(
+        &mut self,
+        key: JobKey,
+        unit: u32,
+        call_time: Duration,
+        now: BootTime,
+        round: &mut PlacementRound,
+    ) {
+        if is_long_call(call_time) {
+            return;
+        }
+        let rules = &self.jobs[key].record.rules;
+        let call = UnitCall { key, unit, priority: rules.priority, call_time };
+        let account = &self.jobs[key].record.account;
+        self.call_shares.admit(account, call, &mut round.calls, now);
+    }
+
     /// Returns the position of a job's requests in the order in which they are sent.
     fn call_order(&self, key: JobKey, unix_time: Duration) -> CallOrder {
         let job = &self.jobs[key];
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -1,6 +1,7 @@
 //! Placement of waiting tasks on workers.
 
 use std::collections::BTreeMap;
+use std::collections::HashSet;
 use std::time::Duration;
 
 use geraniumwinch_core::Name;
@@ -16,9 +17,11 @@
 use crate::run_command::is_long_call;
 
 use super::FleetScheduler;
+use super::free_workers::FreeWorkers;
 use super::job_lateness::JobLateness;
 use super::overdue_jobs::OverdueRoom;
 use super::permissions::PermissionState;
+use super::permissions::REQUEST_MAX;
 use super::permissions::REQUEST_MIN;
 use super::run_phase::RunPhase;
 use super::run_work::RunWork;
@@ -46,6 +49,15 @@
     pub(super) searching_gangs: BTreeMap<u32, usize>,
     /// What overdue jobs may still take; `None` before the first of them.
     pub(super) overdue_room: Option<OverdueRoom>,
+    /// The accounts whose requests could not be sent in this pass, by priority and whether the calls
+    /// are long.
+    pub(super) turned_away: HashSet<(Name, u32, bool)>,
+    /// The usable workers with free processors, those with the most first; `None` before the first
+    /// search for them.
+    pub(super) free_workers: Option<FreeWorkers>,
+    /// What urgent tasks may use of each worker if they preempt others; `None` before the first
+    /// search for it.
+    pub(super) urgent_room: Option<FreeWorkers>,
 }
 
 impl FleetScheduler {
@@ -119,14 +131,18 @@
         now: BootTime,
         round: &mut PlacementRound,
     ) {
+        self.pass_tally.visited += 1;
         if !self.is_overdue(key, unix_time) {
             self.backoff.count_unit();
+        } else if round.overdue_room.is_some_and(|room| room.is_used_up()) {
+            return;
         }
         let state = &self.jobs[key].units[unit as usize];
         if now < state.next_attempt {
             return;
         }
         let waiting = state.waiting;
+        self.pass_tally.attempted += 1;
         self.place_unit(key, unit, unix_time, now, round);
         let delay = self.backoff.delay();
         let urgent = self.jobs[key].is_urgent();
@@ -159,7 +175,13 @@
         if needed == 0 || partial || self.awaits_crash_record(key, unit, now) {
             return;
         }
-        let mut offers = self.offers(key, unit, &plan, now);
+        let free = round.free_workers.get_or_insert_with(|| self.free_workers(now));
+        let (mut offers, searched) = self.offers(key, unit, &plan, free, now);
+        self.pass_tally.searched += searched as u64;
+        let simple = !plan.gang && !plan.same_rack && !self.has_suspects(key, unit);
+        if simple && !self.may_request(key, unit, now, round) {
+            offers.retain(|offer| offer.permission == PermissionState::Valid);
+        }
         self.rank_by_speed(key, unit, needed, &mut offers);
         self.avoid_endangered_runs(key, unit, &mut offers, now);
         if plan.same_rack {
@@ -181,8 +203,9 @@
                 return;
             }
             let priority = self.jobs[key].record.rules.priority;
-            *round.searching_gangs.entry(priority).or_default() += 1;
-            if self.gang_search_due(key, unit, now) {
+            let position = round.searching_gangs.entry(priority).or_default();
+            *position += 1;
+            if self.gang_search_due(key, unit, *position, now) {
                 if !self.fits_after_preemption(key, unit, needed, now) {
                     self.request_new_permissions(key, unit, &plan, needed, now, round);
                 }
@@ -197,7 +220,7 @@
         if !renewed {
             self.request_new_permissions(key, unit, &plan, left, now, round);
         }
-        self.preempt(key, unit, left, unix_time, now);
+        self.preempt(key, unit, left, now, round);
     }
 
     /// Starts waiting tasks of a unit, one on each entry of `chosen`. The members of a gang share
@@ -210,6 +233,7 @@
         now: BootTime,
         round: &mut PlacementRound,
     ) {
+        self.tally_starts(key, chosen.len(), round.unix_time);
         let state = &self.jobs[key].units[unit as usize];
         let mut indices: Vec<u32> = state
             .tasks
@@ -235,6 +259,16 @@
         }
     }
 
+    /// Counts tasks that are started, by the lateness of their job.
+    fn tally_starts(&mut self, key: JobKey, tasks: usize, unix_time: Duration) {
+        let count = match self.jobs[key].lateness(unix_time) {
+            JobLateness::InTime => &mut self.pass_tally.in_time,
+            JobLateness::Late => &mut self.pass_tally.late,
+            JobLateness::Overdue => &mut self.pass_tally.overdue,
+        };
+        *count += tasks as u64;
+    }
+
     /// Starts a task on a worker, and stops best-effort tasks there that would slow it down.
     fn start_task(
         &mut self,
@@ -334,20 +368,35 @@
     ) {
         let job = &self.jobs[key];
         let state = &job.units[unit as usize];
-        let open = state.open_requests > 0 || now < state.retry_after;
         let Some(cost) = job.record.rules.permission else { return };
-        let unaffordable =
-            round.calls.long_calls == 0 && is_long_call(cost.call_time(REQUEST_MIN));
-        if open || unaffordable || now < state.next_request {
+        let exhausted = state.requested_all == self.added_workers;
+        if !state.may_request(now) || exhausted || now < state.next_request {
+            return;
+        }
+        let call_time = cost.call_time(REQUEST_MIN);
+        let longest = cost.call_time(REQUEST_MAX);
+        if round.calls.is_used_up(call_time) && round.calls.is_used_up(longest) {
+            self.turn_away(key, unit, call_time, now, round);
             return;
         }
+        let most = self.request_size(key, plan.gang, needed, round).most();
+        let class = (
+            job.record.account.clone(),
+            job.record.rules.priority,
+            is_long_call(cost.call_time(most)),
+        );
+        if round.turned_away.contains(&class) {
+            return;
+        }
+        self.pass_tally.searched += self.workers.len() as u64;
         let mut candidates = Vec::new();
+        let mut requested_all = true;
         for (worker, state) in &self.workers {
-            let usable = state.usable(now) && self.is_eligible(key, plan, state);
-            if !usable
-                || self.permission(key, unit, worker, now)
-                    != PermissionState::NotRequested
-            {
+            if self.jobs[key].units[unit as usize].permissions.is_requested(worker) {
+                continue;
+            }
+            requested_all = false;
+            if !state.usable(now) || !self.is_eligible(key, plan, state) {
                 continue;
             }
             let now_fits = self.fits_for_request(key, unit, plan, worker, round);
@@ -357,12 +406,19 @@
             }
         }
         if candidates.is_empty() {
-            self.jobs[key].units[unit as usize].next_request = now + REQUEST_INTERVAL;
+            let state = &mut self.jobs[key].units[unit as usize];
+            state.next_request = now + REQUEST_INTERVAL;
+            if requested_all {
+                state.requested_all = self.added_workers;
+            }
             return;
         }
         let names =
             self.choose_workers_to_request(key, plan.gang, needed, candidates, round);
         let requests = self.request_permissions(key, unit, &names, now, round);
+        if requests.is_empty() && !names.is_empty() {
+            round.turned_away.insert(class);
+        }
         round.requests.extend(requests);
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement_backoff.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement_backoff.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 /// The number of waiting steps up to which each of them is attempted in every pass.
-const PROMPT_UNITS: usize = 200;
+const PROMPT_UNITS: usize = 50;
 /// The additional delay for each waiting step beyond them.
-const DELAY_PER_UNIT: Duration = Duration::from_micros(50);
+const DELAY_PER_UNIT: Duration = Duration::from_micros(500);
 /// The maximum delay of an attempt.
 const MAX_DELAY: Duration = Duration::from_millis(250);
 
@@ -34,6 +34,11 @@
         self.current += 1;
     }
 
+    /// Returns whether a waiting step was counted in this pass.
+    pub(super) fn has_waiting_units(&self) -> bool {
+        self.current > 0
+    }
+
     /// Returns the delay before the next attempt of a step that got nothing.
     pub(super) fn delay(&self) -> Duration {
         let excess = self.last.saturating_sub(PROMPT_UNITS) as u32;
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/preemption.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/preemption.rs
@@ -16,6 +16,7 @@
 
 use super::FleetScheduler;
 use super::PlacementRound;
+use super::free_workers::FreeWorkers;
 use super::job_lateness::JobLateness;
 use super::job_state::URGENT_PRIORITY;
 use super::run_phase::RunPhase;
@@ -30,6 +31,10 @@
 const PREEMPTION_INTERVAL: Duration = Duration::from_millis(20);
 /// The minimum time between two searches for workers for a gang that does not fit.
 const GANG_SEARCH_INTERVAL: Duration = Duration::from_millis(120);
+/// The time between two such searches for each gang that stands before it or searches itself.
+const SEARCH_INTERVAL_PER_GANG: Duration = Duration::from_millis(10);
+/// The maximum time between two such searches, after which a gang sees what became free meanwhile.
+const MAX_SEARCH_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Capacity for one task on a worker, available once the victims have stopped.
 struct PreemptionOption {
@@ -50,13 +55,13 @@
         key: JobKey,
         unit: u32,
         needed: usize,
-        unix_time: Duration,
         now: BootTime,
+        round: &mut PlacementRound,
     ) {
         let job = &self.jobs[key];
         if !job.is_urgent()
             || now < job.units[unit as usize].next_preemption
-            || job.lateness(unix_time) != JobLateness::InTime
+            || job.lateness(round.unix_time) != JobLateness::InTime
             || self.has_suspects(key, unit)
         {
             return;
@@ -64,7 +69,10 @@
         self.jobs[key].units[unit as usize].next_preemption = now + PREEMPTION_INTERVAL;
         let mut victims = Vec::new();
         let mut found = 0;
-        for worker in self.permitted_workers(key, unit, now) {
+        let room = round.urgent_room.get_or_insert_with(|| self.urgent_room(now));
+        let permitted = self.workers_with_room(key, unit, room, now);
+        self.pass_tally.searched += permitted.len() as u64;
+        for worker in permitted {
             if found >= needed {
                 break;
             }
@@ -75,18 +83,24 @@
         self.stop_victims(&victims, now);
     }
 
-    /// Returns whether to search for workers for a gang that does not fit now. The search takes
-    /// time, so it is not done in each pass.
+    /// Returns whether to search for workers for a gang that does not fit now and is the given one, from
+    /// 1, of its priority. The search takes time, so it is not done in each pass, and less often for
+    /// gangs that stand far behind.
     pub(super) fn gang_search_due(
         &mut self,
         key: JobKey,
         unit: u32,
+        position: usize,
         now: BootTime,
     ) -> bool {
+        let position = u32::try_from(position).unwrap_or(u32::MAX);
+        let interval = SEARCH_INTERVAL_PER_GANG
+            .saturating_mul(position)
+            .clamp(GANG_SEARCH_INTERVAL, MAX_SEARCH_INTERVAL);
         let state = &mut self.jobs[key].units[unit as usize];
         let due = state.open_requests == 0 && now >= state.next_search;
         if due {
-            state.next_search = now + GANG_SEARCH_INTERVAL;
+            state.next_search = now + interval;
         }
         due
     }
@@ -112,7 +126,9 @@
             return;
         }
         let mut options = Vec::new();
-        for worker in self.permitted_workers(key, unit, now) {
+        let permitted = self.permitted_workers(key, unit, now);
+        self.pass_tally.searched += permitted.len() as u64;
+        for worker in permitted {
             options.extend(self.preemption_options(key, unit, worker, needed));
         }
         if options.len() < needed {
@@ -132,6 +148,49 @@
         self.stop_victims(&victims, now);
     }
 
+    /// Returns the usable workers by what urgent tasks may use of them: what is free, being stopped or
+    /// can be preempted. A pass takes more of it than it adds, so a task that doesn't fit need not be
+    /// tried.
+    fn urgent_room(&self, now: BootTime) -> FreeWorkers {
+        let usable = self.workers.iter().filter(|(_, state)| state.usable(now));
+        usable
+            .map(|(worker, state)| {
+                let mut released = self.stopping_usage(worker);
+                for &task in &state.tasks {
+                    if self.is_preemptible(task, URGENT_PRIORITY) {
+                        released.add(&self.jobs[task.job].plan(task.unit).reserved());
+                    }
+                }
+                (state.free_without(&released).cpu_millis, worker)
+            })
+            .collect()
+    }
+
+    /// Returns the workers with a valid or expired permission for a unit that have room for one of
+    /// its tasks.
+    fn workers_with_room(
+        &self,
+        key: JobKey,
+        unit: u32,
+        room: &FreeWorkers,
+        now: BootTime,
+    ) -> Vec<WorkerKey> {
+        let job = &self.jobs[key];
+        let plan = job.plan(unit);
+        let permissions = &job.units[unit as usize].permissions;
+        let open = job.record.rules.permission.is_none();
+        let mut workers: Vec<WorkerKey> = room
+            .with_room(plan.reserved().cpu_millis)
+            .filter(|&worker| open || permissions.find(worker).is_some())
+            .filter(|&worker| {
+                let state = &self.workers[worker];
+                state.usable(now) && self.is_eligible(key, plan, state)
+            })
+            .collect();
+        workers.sort_unstable();
+        workers
+    }
+
     /// Returns the usable workers with a valid or expired permission for a unit.
     fn permitted_workers(&self, key: JobKey, unit: u32, now: BootTime) -> Vec<WorkerKey> {
         let plan = self.jobs[key].plan(unit);
@@ -157,8 +216,8 @@
         let state = &self.workers[worker];
         let empty = self.fits(key, unit, plan, worker, &state.info.capacity) as usize;
         let limit = limit.min(empty);
-        let mut candidates =
-            self.preemption_candidates(worker, job.record.rules.priority);
+        let priority = job.record.rules.priority;
+        let mut candidates: Option<Vec<TaskRef>> = None;
         let mut released = self.stopping_usage(worker);
         let mut taken = ResourceVector::default();
         let mut options: Vec<PreemptionOption> = Vec::new();
@@ -172,6 +231,8 @@
                 options.push(PreemptionOption { worker, cost, victims });
                 continue;
             }
+            let candidates = candidates
+                .get_or_insert_with(|| self.preemption_candidates(worker, priority));
             let Some(task) = candidates.pop() else { break };
             let freed = self.jobs[task.job].plan(task.unit).reserved();
             released.add(&freed);
--- a/crates/geraniumwinch-fleet/tests/permission_scarcity.rs
+++ b/crates/geraniumwinch-fleet/tests/permission_scarcity.rs
@@ -142,6 +142,21 @@
         assert_eq!(requests(&mut cell, SCARCE).len(), 4);
     }
 
+    /// Failure: nearly all VMs are removed, and most of the workers are free. Guards against calls of
+    /// gangs that take longer than is needed.
+    a_gang_asks_for_few_workers_of_a_free_cell(cell) {
+        let ids: Vec<String> = (0..200).map(|index| format!("w{index}")).collect();
+        let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+        cell.add_workers(&ids);
+        let gang = StepPlan { gang: true, ..step(20, 4_000) };
+        let mut rules = permitted(1);
+        rules.permission.as_mut().expect("a cost").per_worker = Duration::from_millis(10);
+        cell.accept("gang", record(rules, vec![gang]));
+        let sent = requests(&mut cell, SCARCE);
+        let asked: usize = sent.iter().map(|request| request.workers.len()).sum();
+        assert!((15..=30).contains(&asked), "{asked} workers for 20 tasks, 4 on each");
+    }
+
     /// Load: more calls are due than the VMs can make. Those that start first are asked for first.
     requests_stop_at_the_budget(cell) {
         cell.add_workers(&["w", "v"]);
@@ -165,6 +180,16 @@
         assert_eq!(jobs(&next), ["quiet-0"]);
     }
 
+    /// Failure: nearly all VMs are removed while many jobs wait. Guards against passes that choose
+    /// workers for calls that can't be made.
+    no_workers_are_searched_for_calls_that_cannot_be_made(cell) {
+        cell.add_workers(&["w", "v"]);
+        (0..200).for_each(|index| cell.accept(&format!("job-{index}"), single(0)));
+        let none = CallBudget { long_calls: 0, short_time: Duration::ZERO, scarce: true };
+        assert!(requests(&mut cell, none).is_empty());
+        assert_eq!(cell.scheduler.take_pass_tally().searched, 0);
+    }
+
     /// Failure: the VM that should make a call is lost, or the queue of calls is too long.
     a_dropped_request_may_be_made_again_at_once(cell) {
         cell.add_workers(&["w"]);
