--- a/crates/geraniumwinch-fleet/tests/pass_cost.rs
+++ b/crates/geraniumwinch-fleet/tests/pass_cost.rs
@@ -163,13 +163,13 @@
 }
 
 /// Returns how long the last of some waiting gangs takes to ask for new, free workers once the others
-/// have been cancelled.
-fn time_to_request(gangs: usize) -> Duration {
+/// have been cancelled. Tasks of the priority `running` fill the former workers.
+fn time_to_request(gangs: usize, running: u32) -> Duration {
     let mut cell = TestCell::new(1);
     let ids: Vec<String> = (0..WORKERS).map(|index| format!("w{index}")).collect();
     let mut keys =
         cell.add_workers(&ids.iter().map(String::as_str).collect::<Vec<&str>>());
-    cell.accept("full", record(rules(1), vec![step(WORKERS as u32, 12_000)]));
+    cell.accept("full", record(rules(running), vec![step(WORKERS as u32, 12_000)]));
     assert_eq!(cell.start_all().len(), WORKERS);
     for index in 0..gangs {
         let gang = StepPlan { gang: true, ..step(20, 8_000) };
@@ -209,7 +209,15 @@
 /// that waits beside free capacity because it stood far behind before.
 #[test]
 fn a_gang_that_stood_far_behind_asks_for_new_workers_soon() {
-    let (alone, behind) = (time_to_request(1), time_to_request(2000));
+    let (alone, behind) = (time_to_request(1, 1), time_to_request(2000, 1));
     let bound = Duration::from_secs(3);
     assert!(alone < bound && behind < bound, "alone {alone:?}, behind {behind:?}");
 }
+
+/// Guards against a gang that waits for the end of more urgent tasks on the workers that it is allowed on
+/// while other workers are empty.
+#[test]
+fn a_gang_asks_for_empty_workers_beside_urgent_tasks() {
+    let waited = time_to_request(1, 0);
+    assert!(waited < Duration::from_secs(1), "the first request after {waited:?}");
+}
