Ask workers for reports about once a pass while passes are rare

Cause: a worker was asked again 15 ms after its report, so each single end made a response that the owner handled, while the next pass, which uses them, was 50 to 150 ms away. Change: the time between two reports of a worker follows the time between passes, from 15 ms as before up to 100 ms.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -79,7 +79,7 @@
     /// The permission counts at the last report.
     reported_permissions: Cell<PermissionCounts>,
     pub(crate) members: RefCell<MemberTable>,
-    pacing: RefCell<PassPacing>,
+    pacing: Rc<RefCell<PassPacing>>,
     pass_due: Rc<Notify>,
     commit_done: Rc<Notify>,
     /// The version of the configuration whose limits the scheduler uses; `None` before the first
@@ -166,7 +166,7 @@
             assigned_at: Cell::default(),
             reported_permissions: Cell::default(),
             members: RefCell::default(),
-            pacing: RefCell::default(),
+            pacing: Rc::default(),
             pass_due,
             commit_done,
             limits_version: Cell::new(None),
@@ -338,6 +338,7 @@
             sender: Rc::clone(&self.sender),
             pass_due: Rc::clone(&self.pass_due),
             commit_done: Rc::clone(&self.commit_done),
+            pacing: Rc::clone(&self.pacing),
             worker,
             typical_wait: Cell::new(POLL_WAIT),
         };
--- a/crates/geraniumwinch-cell/src/pass_pacing.rs
+++ b/crates/geraniumwinch-cell/src/pass_pacing.rs
@@ -1,7 +1,8 @@
-//! The times of the owner's scheduling passes.
+//! The times of the owner's scheduling passes, and of the worker reports between them.
 //!
 //! It addresses a backlog that makes passes long: whatever they take, worker reports and client requests
-//! must get most of the processor, since the owner would otherwise fall behind for good.
+//! must get most of the processor, since the owner would otherwise fall behind for good. What a worker
+//! reports is used by the next pass, so a worker reports less often while passes are rare.
 
 use std::time::Duration;
 
@@ -11,6 +12,10 @@
 const GAP_FACTOR: u32 = 2;
 /// The maximum time between two passes.
 const MAX_GAP: Duration = Duration::from_secs(1);
+/// The minimum time between two reports of a worker.
+const MIN_REPORT_GAP: Duration = Duration::from_millis(15);
+/// The maximum time between two reports of a worker, which holds up the end of a job at most.
+const MAX_REPORT_GAP: Duration = Duration::from_millis(100);
 
 /// Paces the owner's scheduling passes and sums up their durations.
 #[derive(Debug, Default)]
@@ -36,6 +41,12 @@
         self.last * 2 + gap_after(self.last)
     }
 
+    /// Returns the time to wait before a worker that has reported is asked again: about that until the
+    /// next pass.
+    pub fn report_gap(&self) -> Duration {
+        gap_after(self.last).clamp(MIN_REPORT_GAP, MAX_REPORT_GAP)
+    }
+
     /// Returns and clears the number of passes and their total duration.
     pub fn take(&mut self) -> (u32, Duration) {
         let totals = (self.passes, self.busy);
--- a/crates/geraniumwinch-cell/src/worker_loop.rs
+++ b/crates/geraniumwinch-cell/src/worker_loop.rs
@@ -18,6 +18,7 @@
 
 use crate::CellPorts;
 use crate::CommandError;
+use crate::PassPacing;
 use crate::PollCommand;
 use crate::cell_metrics;
 use crate::command_sender::CommandSender;
@@ -26,8 +27,6 @@
 
 /// How long a worker may wait for a run to end before it responds.
 pub(crate) const POLL_WAIT: Duration = Duration::from_millis(1000);
-/// The delay between a response and the next call.
-const POLL_GAP: Duration = Duration::from_millis(15);
 /// The maximum wait until the ended runs of a report are stored. A worker responds immediately
 /// while it has unacknowledged ends, so an earlier call would return nothing new.
 const STORE_WAIT: Duration = Duration::from_millis(120);
@@ -44,6 +43,8 @@
     pub(crate) sender: Rc<CommandSender>,
     pub(crate) pass_due: Rc<Notify>,
     pub(crate) commit_done: Rc<Notify>,
+    /// The pacing of the passes that use the reports.
+    pub(crate) pacing: Rc<RefCell<PassPacing>>,
     pub(crate) worker: WorkerKey,
     /// How long the responses to the latest polls took on average.
     pub(crate) typical_wait: Cell<Duration>,
@@ -70,7 +71,7 @@
                     }
                     silent = false;
                     self.await_stored().await;
-                    POLL_GAP
+                    self.pacing.borrow().report_gap()
                 }
                 Err(CommandError::Fenced) => {
                     self.sender.mark_ownership_lost();
