Say 0 s in Retry-After only where callers may return at once

What callers would have seen: a refusal with a delay below a millisecond told them to come back at once. Cause: the delay was cut to whole milliseconds before it was rounded up, and the minimum of a second had been taken out so that a stopping process can say 0. Change: both servers round the delay itself up; only none is 0.

--- a/crates/geraniumwinch-cell/src/http_listener.rs
+++ b/crates/geraniumwinch-cell/src/http_listener.rs
@@ -275,7 +275,7 @@
         builder.insert_header((header::CONTENT_TYPE, response.content_type));
     }
     if let Some(time) = response.retry_after {
-        let seconds = time.as_millis().div_ceil(1000);
+        let seconds = time.as_micros().div_ceil(1_000_000);
         builder.insert_header((header::RETRY_AFTER, seconds.to_string()));
     }
     if response.close {
--- a/crates/geraniumwinch-cell/src/pass_pacing.rs
+++ b/crates/geraniumwinch-cell/src/pass_pacing.rs
@@ -14,7 +14,7 @@
 const MAX_GAP: Duration = Duration::from_secs(1);
 /// The minimum time between two reports of a worker.
 const MIN_REPORT_GAP: Duration = Duration::from_millis(15);
-/// The maximum time between two reports of a worker, which holds up the end of a job at most.
+/// The maximum time between two reports of a worker, by which the end of a job may be delayed.
 const MAX_REPORT_GAP: Duration = Duration::from_millis(100);
 
 /// Paces the owner's scheduling passes and sums up their durations.
--- a/crates/geraniumwinch-node/src/refusal_response.rs
+++ b/crates/geraniumwinch-node/src/refusal_response.rs
@@ -59,7 +59,7 @@
         let mut response = HttpResponse::build(status);
         if let Some(time) = self.retry_after {
             // The header is in whole seconds; the body has the delay in milliseconds.
-            let seconds = time.as_millis().div_ceil(1000);
+            let seconds = time.as_micros().div_ceil(1_000_000);
             response.insert_header((header::RETRY_AFTER, seconds.to_string()));
         }
         response.json(RefusalBody {
