Review: an accepted job is unknown soon after its end

Cause: the retention of an ended job counts from its acceptance, so a job that took longer than twice the retention is dropped within ten seconds of its end. Case: review/1, a job of two occurrences 63 s apart, with status_s 30. The stand-ins of the cases come with it.

--- /dev/null
+++ b/review/standins/src/cases.rs
@@ -0,0 +1,40 @@
+//! The cases.
+
+mod cancelled_orders;
+mod forgotten_job;
+mod frozen_entry;
+mod given_up_service;
+mod held_end;
+
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use crate::record::Record;
+
+/// The result of a case: whether the rule was broken, or why the case couldn't run.
+pub type CaseResult = Result<bool, String>;
+
+/// Runs a case.
+pub fn run(name: &str, record: Arc<Record>, trouble: bool) -> CaseResult {
+    match name {
+        "forgotten-job" => forgotten_job::run(record, trouble),
+        "given-up-service" => given_up_service::run(record, trouble),
+        "held-end" => held_end::run(record, trouble),
+        "cancelled-orders" => cancelled_orders::run(record, trouble),
+        "frozen-entry" => frozen_entry::run(record, trouble),
+        name => Err(format!("no case `{name}`")),
+    }
+}
+
+/// Waits until a condition holds, for at most `limit`.
+fn wait_for(limit: Duration, mut condition: impl FnMut() -> bool) -> bool {
+    let steps = limit.as_millis() / 20;
+    for _ in 0..steps {
+        if condition() {
+            return true;
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    condition()
+}
