Review: accepted best-effort work never runs beside a service

Cause: a best-effort task is never placed on a worker with a latency-sensitive task, and is stopped when one starts there; nothing bounds the wait. Case: review/5, a service with one task on each worker.

--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -2,9 +2,9 @@
 
 mod cancelled_orders;
 mod forgotten_job;
-mod frozen_entry;
 mod given_up_service;
 mod held_end;
+mod starved_filler;
 
 use std::sync::Arc;
 use std::thread;
@@ -21,8 +21,8 @@
         "forgotten-job" => forgotten_job::run(record, trouble),
         "given-up-service" => given_up_service::run(record, trouble),
         "held-end" => held_end::run(record, trouble),
+        "starved-filler" => starved_filler::run(record, trouble),
         "cancelled-orders" => cancelled_orders::run(record, trouble),
-        "frozen-entry" => frozen_entry::run(record, trouble),
         name => Err(format!("no case `{name}`")),
     }
 }
