Review: a task runs on two workers after a restart

Cause: a run whose start got no response is given up once a stop was acknowledged, which excludes the start in that incarnation of the worker only; the next one executes the delayed command.

--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -2,8 +2,8 @@
 
 mod cancelled_orders;
 mod forgotten_job;
-mod given_up_service;
 mod held_end;
+mod late_order;
 mod starved_filler;
 
 use std::sync::Arc;
@@ -19,7 +19,7 @@
 pub fn run(name: &str, record: Arc<Record>, trouble: bool) -> CaseResult {
     match name {
         "forgotten-job" => forgotten_job::run(record, trouble),
-        "given-up-service" => given_up_service::run(record, trouble),
+        "late-order" => late_order::run(record, trouble),
         "held-end" => held_end::run(record, trouble),
         "starved-filler" => starved_filler::run(record, trouble),
         "cancelled-orders" => cancelled_orders::run(record, trouble),
--- a/review/standins/src/cases/held_end.rs
+++ b/review/standins/src/cases/held_end.rs
@@ -70,7 +70,7 @@
     let executor = Arc::clone(&cell.executors[first.executor]);
     executor.crash();
     thread::sleep(DOWN);
-    executor.begin_life("a");
+    executor.begin_life();
     record.note(&format!("{} is back under its id", executor.id));
     let until = record.now() + WATCH;
     while record.now() < until {
