--- a/review/standins/src/cases/late_order.rs
+++ b/review/standins/src/cases/late_order.rs
@@ -21,10 +21,10 @@
 const TASKS: usize = 20;
 const WORK_MS: u64 = 12_000;
 /// When the order is carried out, counted from its arrival; 2 to 12 s are allowed.
-const DELAY: Duration = Duration::from_millis(6000);
+const DELAY: Duration = Duration::from_millis(8000);
 /// When the executor crashes and is back, counted from the same moment.
-const CRASH_AT: Duration = Duration::from_millis(4000);
-const BACK_AT: Duration = Duration::from_millis(5940);
+const CRASH_AT: Duration = Duration::from_millis(6000);
+const BACK_AT: Duration = Duration::from_millis(7940);
 /// How long the runs are watched after that.
 const WATCH: Duration = Duration::from_secs(4);
 
@@ -57,7 +57,7 @@
         let runs = cell.runs(JOB);
         runs.into_iter().filter(|run| run.task == affected).collect()
     };
-    if !wait_for(Duration::from_secs(4), || !of_task().is_empty()) {
+    if !wait_for(Duration::from_secs(7), || !of_task().is_empty()) {
         return Err("the task has not started elsewhere".to_owned());
     }
     let first = *first.lock().unwrap_or_else(|error| error.into_inner());
