--- a/review/standins/src/cases/held_end.rs
+++ b/review/standins/src/cases/held_end.rs
@@ -21,10 +21,10 @@
 /// The number of tasks: one order in twenty is left without an answer.
 const TASKS: usize = 20;
 /// How long each task works.
-const WORK_MS: u64 = 5000;
+const WORK_MS: u64 = 4000;
 /// The time from the listing of the end to the crash, over `contact_ms`: no disruption is near the
 /// listing.
-const CRASH_DELAY: Duration = Duration::from_millis(4000);
+const CRASH_DELAY: Duration = Duration::from_millis(5500);
 /// How long the executor is down.
 const DOWN: Duration = Duration::from_millis(2000);
 /// How long the job is watched after the crash.
