Finish a task when its end is reported, and delay only the acknowledgement

Cause: while the next incarnation of a worker may execute a copy of a start command that got no response, up to 13 s on queues without permission, the end of the run was postponed as a whole. It was kept in memory beside the placement and neither applied nor stored, and a new incarnation dropped it, so that the task waited again. Whether work is done and whether the worker may be told so were one state (`RunPhase::Held`).

Change: an end is applied, stored and shown when it is reported. Only its acknowledgement waits, with what is known of the copies of its start (`StartCopies`); responses that arrive after the report settle it. The capacity is free at once; a worker that restarts keeps it for the copy until it was called with the raised fence. The same mends a gang that ran again as a whole, a next step that waited 13 s, and an end that was lost with owner and worker.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -36,6 +36,7 @@
 mod scarce_calls;
 mod speed_ranking;
 mod stalled_runs;
+mod start_copies;
 mod task_placement;
 mod task_ref;
 mod task_state;
@@ -407,11 +408,11 @@
         Some(placement)
     }
 
-    /// Stops a placed task, unless it is already being stopped or its run has ended. Its work is lost
+    /// Stops a placed task, unless it is already being stopped. Its work is lost
     /// for the given reason; for a member of a broken gang it may not be known yet.
     fn stop(&mut self, task: TaskRef, loss: impl Into<Option<RunLoss>>, now: BootTime) {
         let Some(placement) = self.placement_of_mut(task) else { return };
-        if matches!(placement.phase, RunPhase::Stopping(_) | RunPhase::Held) {
+        if matches!(placement.phase, RunPhase::Stopping(_)) {
             return;
         }
         placement.phase = RunPhase::Stopping(None);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/command_responses.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/command_responses.rs
@@ -22,9 +22,11 @@
         run: u64,
         now: BootTime,
     ) {
-        let Some(task) = self.find_run(worker, name, run) else { return };
-        if let Some(placement) = self.placement_of_mut(task) {
-            placement.unanswered_at = Some(now);
+        if let Some(copies) = self.copies_mut(worker, name, run) {
+            copies.record_unanswered(now);
+        }
+        let task = self.find_run(worker, name, run);
+        if let Some(placement) = task.and_then(|task| self.placement_of_mut(task)) {
             placement.started_at = now;
         }
     }
@@ -32,9 +34,8 @@
     /// Records that all copies of a start command got a response after all, so that the worker executes
     /// none of them later.
     pub fn start_answered(&mut self, worker: WorkerKey, name: &TaskName, run: u64) {
-        let Some(task) = self.find_run(worker, name, run) else { return };
-        if let Some(placement) = self.placement_of_mut(task) {
-            placement.unanswered_at = None;
+        if let Some(copies) = self.copies_mut(worker, name, run) {
+            copies.record_answered();
         }
     }
 
@@ -55,10 +56,10 @@
         outcome: StartOutcome,
         now: BootTime,
     ) {
-        let Some(task) = self.find_run(worker, name, run) else { return };
-        if let Some(placement) = self.placement_of_mut(task) {
-            placement.awaiting_outcome = false;
+        if let Some(copies) = self.copies_mut(worker, name, run) {
+            copies.record_outcome();
         }
+        let Some(task) = self.find_run(worker, name, run) else { return };
         match outcome {
             StartOutcome::Started => self.confirm_start(task, now),
             StartOutcome::Unknown => self.start_unknown(worker, task, now),
@@ -107,7 +108,7 @@
             unit.permissions.expire(worker, now);
         }
         let unanswered =
-            self.placement_of(task).is_some_and(|p| p.unanswered_at.is_some());
+            self.placement_of(task).is_some_and(|p| p.copies.is_unanswered());
         if unanswered {
             self.start_unknown(worker, task, now);
             return;
@@ -133,7 +134,12 @@
     }
 
     /// Returns the task that is placed on a worker with the given run number.
-    fn find_run(&self, worker: WorkerKey, name: &TaskName, run: u64) -> Option<TaskRef> {
+    pub(super) fn find_run(
+        &self,
+        worker: WorkerKey,
+        name: &TaskName,
+        run: u64,
+    ) -> Option<TaskRef> {
         let task = self.find_task(name)?;
         let placement = self.placement_of(task)?;
         (placement.worker == worker && placement.run == run).then_some(task)
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/crashes.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/crashes.rs
@@ -18,7 +18,6 @@
 
 use super::FleetScheduler;
 use super::WorkerKey;
-use super::run_phase::RunPhase;
 use super::task_ref::JobKey;
 use super::task_ref::TaskRef;
 use super::worker_offers::WorkerOffer;
@@ -57,14 +56,14 @@
         lost
     }
 
-    /// Returns the run of a placed task as lost, unless its end is known.
+    /// Returns the run of a placed task as lost.
     pub(super) fn lost_run(&self, task: TaskRef, now: BootTime) -> Option<LostRun> {
         let placement = self.placement_of(task)?;
         let silent_since = self.workers[placement.worker].silent_since;
         let age = silent_since.unwrap_or(now).saturating_sub(placement.started_at);
         let (run, confirmed) = (placement.run, placement.confirmed);
         let crash = RunCrash::new(run, age, confirmed);
-        (placement.phase != RunPhase::Held).then_some(LostRun { task, crash })
+        Some(LostRun { task, crash })
     }
 
     /// Records the crash of a worker under its lost runs, and gives up the jobs of tasks that have
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/delayed_starts.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/delayed_starts.rs
@@ -14,7 +14,7 @@
 use super::task_ref::TaskRef;
 
 /// The maximum time after which a worker still executes a command that got no response.
-const MAX_COMMAND_DELAY: Duration = Duration::from_secs(13);
+pub(super) const MAX_COMMAND_DELAY: Duration = Duration::from_secs(13);
 
 impl FleetScheduler {
     /// Returns whether a placement's start command may be executed by another incarnation of its
@@ -31,8 +31,7 @@
         let permission = self.jobs[task.job].record.rules.permission;
         let validity = permission.map_or(MAX_COMMAND_DELAY, |cost| cost.validity);
         let delay = validity.min(MAX_COMMAND_DELAY);
-        placement.awaiting_outcome
-            || placement.unanswered_at.is_some_and(|at| after < at + delay)
+        placement.copies.may_execute(after, delay)
     }
 
     /// Returns whether another incarnation of a silent worker may still execute a placement's start
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/held_ends.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/held_ends.rs
@@ -1,78 +1,91 @@
 //! Ends of runs that are acknowledged late.
 //!
-//! While another incarnation of the worker may still execute a copy of a run's start command, the end
-//! of the run stays unacknowledged and its job unfinished. If the worker restarts meanwhile, the end
-//! is forgotten and the run counts as lost; otherwise a task could run again after it was reported
-//! as done.
+//! A run that is done is done for good: its task is finished and stored at once. Yet while another
+//! incarnation of the worker may execute a copy of the run's start command, the worker is not told that
+//! its end was noted, so that a second execution does not follow an acknowledged end.
+
+use geraniumwinch_core::ResourceVector;
 
 use crate::BootTime;
 use crate::EndedRun;
 use crate::RunOutcome;
+use crate::TaskName;
 
 use super::FleetScheduler;
 use super::WorkerKey;
-use super::run_phase::RunPhase;
+use super::delayed_starts::MAX_COMMAND_DELAY;
+use super::start_copies::StartCopies;
 use super::task_ref::TaskRef;
 
+/// The start command of a run that is done, of which a copy may be executed by the next incarnation of
+/// its worker.
+#[derive(Debug, Clone)]
+pub(super) struct OpenStart {
+    task: TaskName,
+    run: u64,
+    copies: StartCopies,
+}
+
 impl FleetScheduler {
-    /// Returns whether the end of a task's current run can't be acknowledged yet.
+    /// Returns the start command of a run that is done, unless all of its copies are known to be
+    /// excluded in the next incarnation of the worker as well.
     ///
     /// Where queues require permission, a ticket keeps other incarnations from executing the start.
-    pub(super) fn must_hold(
+    pub(super) fn open_start(
         &self,
         worker: WorkerKey,
         task: TaskRef,
         ended: &EndedRun,
         now: BootTime,
-    ) -> bool {
-        let Some(placement) = self.placement_of(task) else { return false };
+    ) -> Option<OpenStart> {
+        let placement = self.placement_of(task)?;
         let permission = &self.jobs[task.job].record.rules.permission;
-        ended.outcome == RunOutcome::Done
+        let open = ended.outcome == RunOutcome::Done
             && permission.is_none()
             && placement.worker == worker
             && placement.run == ended.run
-            && self.may_start_later(task, placement, now)
+            && self.may_start_later(task, placement, now);
+        let copies = placement.copies;
+        open.then(|| OpenStart { task: ended.task.clone(), run: ended.run, copies })
     }
 
-    /// Keeps the place of a task whose run has ended.
-    pub(super) fn hold_run(&mut self, task: TaskRef, now: BootTime) {
-        if let Some(placement) = self.placement_of_mut(task) {
-            placement.phase = RunPhase::Held;
-            placement.since = now;
-        }
-    }
-
-    /// Counts the held runs of a worker's former incarnation as lost unless they are reported.
-    pub(super) fn forget_held_ends(&mut self, worker: WorkerKey) {
-        let tasks: Vec<TaskRef> = self.workers[worker].tasks.iter().copied().collect();
-        for task in tasks {
-            if let Some(placement) = self.placement_of_mut(task)
-                && placement.phase == RunPhase::Held
-            {
-                placement.phase = RunPhase::Running;
-            }
+    /// Returns the copies of the start command of a run that is placed on a worker, or whose end there
+    /// is acknowledged late.
+    pub(super) fn copies_mut(
+        &mut self,
+        worker: WorkerKey,
+        name: &TaskName,
+        run: u64,
+    ) -> Option<&mut StartCopies> {
+        if let Some(task) = self.find_run(worker, name, run) {
+            return self.placement_of_mut(task).map(|placement| &mut placement.copies);
         }
+        let ends = &mut self.workers.get_mut(worker)?.unstored_ends;
+        let mut open = ends.iter_mut().filter_map(|end| end.open_start.as_mut());
+        let open = open.find(|open| open.run == run && open.task == *name);
+        open.map(|open| &mut open.copies)
     }
 
-    /// Processes the postponed ends of a worker's runs that can be acknowledged now.
+    /// Allows the ends of a worker's runs to be acknowledged whose start commands are no longer open.
     pub(super) fn release_held_ends(&mut self, worker: WorkerKey, now: BootTime) {
-        for index in 0..self.workers[worker].unstored_ends.len() {
-            let Some(ended) = self.workers[worker].unstored_ends[index].held.clone()
-            else {
-                continue;
-            };
-            let task = self.find_task(&ended.task);
-            if task.is_some_and(|task| self.must_hold(worker, task, &ended, now)) {
-                continue;
-            }
-            if let Some(task) = task {
-                self.process_task_end(worker, task, &ended, now);
-            }
-            let job = task.map(|task| (task.job, self.jobs[task.job].version));
-            let end = &mut self.workers[worker].unstored_ends[index];
-            end.held = None;
-            end.job = job;
+        let state = &mut self.workers[worker];
+        let replaced = state.replaced;
+        for end in &mut state.unstored_ends {
+            end.open_start.take_if(|open| {
+                replaced || !open.copies.may_execute(now, MAX_COMMAND_DELAY)
+            });
         }
         self.advance_ends(worker);
     }
+
+    /// Returns the resources that a worker's next incarnation may use for copies of the start commands
+    /// of runs that were done in the present one.
+    pub(super) fn open_start_usage(&self, worker: WorkerKey) -> ResourceVector {
+        let ends = &self.workers[worker].unstored_ends;
+        let open = ends.iter().filter_map(|end| end.open_start.as_ref());
+        let tasks = open.filter_map(|open| self.find_task(&open.task));
+        let mut usage = ResourceVector::default();
+        tasks.for_each(|task| usage.add(&self.jobs[task.job].plan(task.unit).reserved()));
+        usage
+    }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/learning.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/learning.rs
@@ -164,7 +164,7 @@
         let affinity = &self.jobs[task.job].plan(task.unit).affinity;
         let near = affinity.as_ref().is_none_or(|rack| worker.info.labels.contains(rack));
         let heard = !worker.is_silent() && worker.silent_until < begin;
-        let certain = placement.unanswered_at.is_none();
+        let certain = !placement.copies.is_unanswered();
         (placement.whole && certain && near && heard).then_some(begin)
     }
 
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -25,6 +25,7 @@
 use super::permissions::REQUEST_MIN;
 use super::run_phase::RunPhase;
 use super::run_work::RunWork;
+use super::start_copies::StartCopies;
 use super::task_placement::TaskPlacement;
 use super::task_ref::JobKey;
 use super::task_ref::TaskRef;
@@ -305,8 +306,7 @@
             percent: 0,
             progressed: now,
             confirmed: false,
-            awaiting_outcome: true,
-            unanswered_at: None,
+            copies: StartCopies::pending(),
             whole: checkpoint.is_none(),
             expected: self.expected_run(task, worker),
             work: RunWork::default(),
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
@@ -18,6 +18,7 @@
 use super::next_fence;
 use super::run_phase::RunPhase;
 use super::run_work::RunWork;
+use super::start_copies::StartCopies;
 use super::task_placement::TaskPlacement;
 use super::task_ref::TaskRef;
 use super::worker_state::UnstoredEnd;
@@ -39,9 +40,11 @@
         let Some(state) = self.workers.get(worker) else { return };
         let former = state.incarnation;
         let mut lost = Vec::new();
+        let mut orphans = ResourceVector::default();
         if former != Some(report.incarnation) {
             if former.is_some() {
                 lost = self.take_lost_runs(worker, now);
+                orphans = self.open_start_usage(worker);
             }
             self.begin_incarnation(worker, report.incarnation, now);
         }
@@ -54,7 +57,6 @@
             self.process_end(worker, ended, now);
         }
         let mut matched = BTreeSet::new();
-        let mut orphans = ResourceVector::default();
         let mut unknown = false;
         for running in &report.running {
             match self.match_run(worker, running, now) {
@@ -84,7 +86,6 @@
             state.fence = next_fence(state.fence);
             let id = state.info.id.clone();
             self.events.push(SchedulerEvent::Restarted { worker: id, incarnation });
-            self.forget_held_ends(worker);
         }
     }
 
@@ -126,24 +127,18 @@
         }
         self.workers[worker].processed_end = ended.number;
         let task = self.find_task(&ended.task);
-        let mut end = UnstoredEnd { number: ended.number, job: None, held: None };
-        match task {
-            Some(task) if self.must_hold(worker, task, ended, now) => {
-                self.hold_run(task, now);
-                end.held = Some(ended.clone());
-            }
-            Some(task) => {
-                self.process_task_end(worker, task, ended, now);
-                end.job = Some((task.job, self.jobs[task.job].version));
-            }
-            None => {}
+        let mut end = UnstoredEnd { number: ended.number, job: None, open_start: None };
+        if let Some(task) = task {
+            end.open_start = self.open_start(worker, task, ended, now);
+            self.process_task_end(worker, task, ended, now);
+            end.job = Some((task.job, self.jobs[task.job].version));
         }
         self.workers[worker].unstored_ends.push_back(end);
         self.advance_ends(worker);
     }
 
     /// Processes an ended run of a known task.
-    pub(super) fn process_task_end(
+    fn process_task_end(
         &mut self,
         worker: WorkerKey,
         task: TaskRef,
@@ -300,8 +295,7 @@
             percent: running.percent,
             progressed: now,
             confirmed: true,
-            awaiting_outcome: false,
-            unanswered_at: None,
+            copies: StartCopies::default(),
             whole: false,
             expected: self.expected_run(task, worker),
             work: RunWork::default(),
@@ -352,8 +346,6 @@
             let expected = match placement.phase {
                 RunPhase::Running => placement.since < sent,
                 RunPhase::Stopping(Some(responded)) => responded < sent,
-                // Only the run's own worker can end it, and it has.
-                RunPhase::Held => false,
                 RunPhase::Starting | RunPhase::Unknown | RunPhase::Stopping(None) => {
                     false
                 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/run_phase.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/run_phase.rs
@@ -14,7 +14,4 @@
     /// The task is being stopped; holds the time of the worker's response to the stop command, if
     /// it has responded.
     Stopping(Option<BootTime>),
-    /// The worker has reported that the run is done, and the task keeps its place until the end can
-    /// be acknowledged.
-    Held,
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/task_placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/task_placement.rs
@@ -7,6 +7,7 @@
 use super::WorkerKey;
 use super::run_phase::RunPhase;
 use super::run_work::RunWork;
+use super::start_copies::StartCopies;
 
 /// The placement of a task that runs or may run.
 #[derive(Debug, Clone, Copy)]
@@ -26,11 +27,8 @@
     pub(super) progressed: BootTime,
     /// Whether the worker has confirmed the run.
     pub(super) confirmed: bool,
-    /// Whether the outcome of the start command is not known yet.
-    pub(super) awaiting_outcome: bool,
-    /// When the last copy of the start command remained without a response, if any did. The worker
-    /// may execute that copy later.
-    pub(super) unanswered_at: Option<BootTime>,
+    /// The copies of the start command.
+    pub(super) copies: StartCopies,
     /// Whether the run does all of its task's work and was started by this owner: it neither resumed
     /// from a checkpoint nor was adopted.
     pub(super) whole: bool,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
@@ -8,12 +8,12 @@
 use geraniumwinch_core::ResourceVector;
 
 use crate::BootTime;
-use crate::EndedRun;
 use crate::PossibleRuns;
 use crate::WorkerInfo;
 
 use super::FENCES_PER_EPOCH;
 use super::crashes::LostRun;
+use super::held_ends::OpenStart;
 use super::task_ref::JobKey;
 use super::task_ref::TaskRef;
 
@@ -30,8 +30,8 @@
     /// The job whose record covers the end, with the version from which on it does; `None` if the
     /// task is unknown.
     pub(super) job: Option<(JobKey, u64)>,
-    /// The end itself while its processing is postponed.
-    pub(super) held: Option<EndedRun>,
+    /// The start command of the run, while the end must not be acknowledged because of it.
+    pub(super) open_start: Option<OpenStart>,
 }
 
 /// A time in which only one job may start tasks on a worker, since one of its tasks is suspected of
@@ -272,7 +272,7 @@
     /// Advances `stored_end` past the ends that the store holds according to `is_stored`.
     pub(super) fn advance_stored(&mut self, is_stored: impl Fn(&UnstoredEnd) -> bool) {
         while let Some(end) = self.unstored_ends.front() {
-            if end.held.is_some() || !is_stored(end) {
+            if end.open_start.is_some() || !is_stored(end) {
                 return;
             }
             self.stored_end = end.number;
