Check a start again when its turn to be sent has come

Cause: the limit of three open commands to a worker stood in the client of `platform/`, behind all decisions. Ownership, evacuation, token, lease and the wish to start were checked, the lease was extended, and then the command waited for a permit, which each command without a response holds for 600 ms. Nothing was checked when the permit came, and stops waited behind the starts that they were to prevent. Late execution isn't needed for it: a lost response suffices.

Change: the limit is part of the cell (`CommandSlots`). A start first waits for its slot and is then checked (`check_start`): owner, evacuation, run still wanted, ticket, worker listed, accepting, responsive and recorded for the next owner. Only then are token and lease fixed and the lease extended. What fails the check has had no effect, so the task waits anew at once. Stops go first, one at a time for a run, and withdraw a start that waits. The time after which a start counts as unanswered begins when it is sent. New outcomes of starts: unwanted, worker-closed, not-owner; `waiting_commands` in `event=board`.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -242,6 +242,7 @@
             passes = passes,
             pass_ms = busy.as_millis(),
             backlog = format!("{:.2}", self.scheduler.borrow().backlog()),
+            waiting_commands = self.sender.waiting_commands(),
             lost_calls = format!("{:.3}", self.sender.loss_ratio())
         );
         self.report_work();
@@ -370,12 +371,12 @@
         let due = scheduler.has_due_writes(now);
         scheduler.update_waiting_load(self.ports.clock.unix_time());
         drop(scheduler);
-        for start in starts {
-            self.sender.start(start);
-        }
         for stop in stops {
             self.sender.stop(stop);
         }
+        for start in starts {
+            self.sender.start(start);
+        }
         events.iter().for_each(log_scheduler_event);
         self.permission_queue.push(requests);
         self.assign_requests(now);
--- a/crates/geraniumwinch-cell/src/command_sender.rs
+++ b/crates/geraniumwinch-cell/src/command_sender.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use futures_util::future::Either;
 use futures_util::future::LocalBoxFuture;
 use futures_util::future::select;
+use geraniumwinch_core::Name;
 use geraniumwinch_core::log_event;
 use geraniumwinch_fleet::BootTime;
 use geraniumwinch_fleet::FleetScheduler;
@@ -21,6 +23,9 @@
 use crate::CallError;
 use crate::CellPorts;
 use crate::CommandError;
+use crate::CommandRun;
+use crate::CommandSlot;
+use crate::CommandSlots;
 use crate::RepeatTiming;
 use crate::StartCommand;
 use crate::WorkKind;
@@ -48,6 +53,9 @@
     evacuations: Rc<EvacuationWatch>,
     clocks: RefCell<HashMap<WorkerKey, ClockReading>>,
     timing: RefCell<RepeatTiming>,
+    slots: Rc<CommandSlots>,
+    /// The runs whose stop commands wait for a slot or for their response.
+    open_stops: RefCell<HashSet<CommandRun>>,
     lease: Duration,
     pass_due: Rc<Notify>,
 }
@@ -73,6 +81,8 @@
             evacuations,
             clocks,
             timing: RefCell::default(),
+            slots: Rc::default(),
+            open_stops: RefCell::default(),
             lease,
             pass_due,
         }
@@ -127,7 +137,9 @@
     ///
     /// Returns the outcome, and a copy that has got no response yet but is no longer needed for it.
     async fn try_start(&self, start: RunStart) -> (StartOutcome, Option<StartCall<'_>>) {
-        let mut first = self.send_start(start.clone()).boxed_local();
+        // The time until the response is due begins when the command has its slot.
+        let slot = self.await_slot(&start).await;
+        let mut first = self.send_start(start.clone(), slot).boxed_local();
         // Without a ticket, nothing keeps a later incarnation from executing an open copy, so the first
         // one is given its whole time.
         let delay = match start.ticket {
@@ -153,7 +165,7 @@
             return (StartOutcome::Unknown, open);
         }
         cell_metrics::count_retry("start");
-        let second = self.send_start(start.clone()).boxed_local();
+        let second = self.start_in_turn(start.clone()).boxed_local();
         let (result, open) = match open {
             Some(first) => self.await_either(&start, first, second).await,
             None => (second.await, None),
@@ -251,6 +263,7 @@
                     error = error
                 );
             }
+            Err(error) if error.was_withheld() => {}
             Err(_) => {
                 log_event!(
                     Warn,
@@ -284,24 +297,61 @@
             || self.scheduler.borrow().is_evacuated(worker)
     }
 
-    /// Sends a start command once.
-    async fn send_start(&self, start: RunStart) -> CommandResult<()> {
+    /// Waits for a slot for a start command. Returns `None` if the start is withdrawn meanwhile.
+    async fn await_slot(&self, start: &RunStart) -> Option<CommandSlot> {
+        let address = self.target(start.worker)?.address;
+        self.slots.acquire_start(&address, CommandRun::from(start)).await
+    }
+
+    /// Sends a start command once, when it has a slot.
+    async fn start_in_turn(&self, start: RunStart) -> CommandResult<()> {
+        let slot = self.await_slot(&start).await;
+        self.send_start(start, slot).await
+    }
+
+    /// Checks whether a start command may be sent now to the address of its slot. Whatever was decided
+    /// before may have changed while it waited.
+    fn check_start(
+        &self,
+        start: &RunStart,
+        address: &Name,
+        now: BootTime,
+    ) -> CommandResult<WorkerTarget> {
+        let target =
+            self.target(start.worker).filter(|target| target.address == *address);
+        if !self.authority.may_start(now) {
+            Err(CommandError::NotOwner)
+        } else if self.withholds_start(start.worker, now) {
+            Err(CommandError::Withheld)
+        } else if !self.wants_start(start) {
+            Err(CommandError::Unwanted)
+        } else if start.is_expired(now) {
+            Err(CommandError::NotPermitted)
+        } else if !self.scheduler.borrow().accepts_starts(start.worker) {
+            Err(CommandError::WorkerClosed)
+        } else {
+            target.ok_or(CommandError::WorkerClosed)
+        }
+    }
+
+    /// Sends a start command once, if it is still to be sent now that it has a slot.
+    async fn send_start(
+        &self,
+        start: RunStart,
+        slot: Option<CommandSlot>,
+    ) -> CommandResult<()> {
         let now = self.ports.clock.now();
         let worker = start.worker;
-        if self.withholds_start(worker, now) {
-            return Err(CommandError::Withheld);
-        }
-        let target = self.target(worker).filter(|_| self.authority.may_start(now));
-        let lease_end_ms = self.lease_end(worker, now);
-        let (Some(target), Some(lease_end_ms)) = (target, lease_end_ms) else {
-            let message =
-                "the ownership has expired, or the worker is unknown or has not reported"
-                    .to_owned();
+        let slot = slot.ok_or(CommandError::Unwanted)?;
+        let target = self.check_start(&start, slot.address(), now)?;
+        let Some(lease_end_ms) = self.lease_end(worker, now) else {
+            let message = "the worker has not reported".to_owned();
             return Err(CommandError::Call(CallError::NotSent { message }));
         };
         self.scheduler.borrow_mut().extend_lease(worker, now);
         let command = StartCommand { start, lease_end_ms };
         let result = self.ports.workers.start(target.clone(), command).await;
+        drop(slot);
         if result.is_ok() {
             let answered = self.ports.clock.now();
             let took = answered.saturating_sub(now);
@@ -349,28 +399,57 @@
         self.authority.report_lost("worker");
     }
 
-    /// Sends a command to stop a run.
+    /// Sends a command to stop a run, unless no start of it was sent or an earlier stop is on its way.
     pub(crate) fn stop(self: &Rc<Self>, stop: RunStop) {
+        let run = CommandRun::from(&stop);
+        if self.withdraw_start(&run) || !self.open_stops.borrow_mut().insert(run.clone())
+        {
+            return;
+        }
         let sender = Rc::clone(self);
         let work = async move {
-            let Some(target) = sender.target(stop.worker) else { return };
-            let result = sender.ports.workers.stop(target.clone(), stop.clone()).await;
-            let result = sender.check_fence(stop.worker, &target, result);
-            let outcome =
-                result.as_ref().map_or_else(CommandError::as_str, |()| "stopped");
-            log_event!(Info, "stop", task = stop.task, run = stop.run, outcome = outcome);
-            match result {
-                Ok(()) => {
-                    let now = sender.ports.clock.now();
-                    let mut scheduler = sender.scheduler.borrow_mut();
-                    scheduler.stop_response(stop.worker, &stop.task, stop.run, now);
-                }
-                Err(CommandError::Fenced) => sender.mark_ownership_lost(),
-                Err(_) => cell_metrics::count_retry("stop"),
-            }
+            sender.send_stop(stop).await;
+            sender.open_stops.borrow_mut().remove(&run);
         };
         actix_rt::spawn(self.ports.meter.meter(WorkKind::Commands, work));
     }
+
+    /// Withdraws a start command that waits for a slot. Returns whether no copy of it was sent before,
+    /// so that there is nothing to stop.
+    fn withdraw_start(&self, run: &CommandRun) -> bool {
+        let Some(target) = self.target(run.worker) else { return false };
+        let scheduler = self.scheduler.borrow();
+        self.slots.withdraw(&target.address, run)
+            && !scheduler.is_start_unanswered(run.worker, &run.task, run.run)
+    }
+
+    /// Sends a command to stop a run once, when it has a slot.
+    async fn send_stop(&self, stop: RunStop) {
+        let Some(WorkerTarget { address, .. }) = self.target(stop.worker) else { return };
+        let Some(slot) = self.slots.acquire_stop(&address).await else { return };
+        // What runs is decided by a later owner, and at another address by the next stop.
+        let target = self.target(stop.worker).filter(|target| target.address == address);
+        let Some(target) = target.filter(|_| !self.authority.is_lost()) else { return };
+        let result = self.ports.workers.stop(target.clone(), stop.clone()).await;
+        drop(slot);
+        let result = self.check_fence(stop.worker, &target, result);
+        let outcome = result.as_ref().map_or_else(CommandError::as_str, |()| "stopped");
+        log_event!(Info, "stop", task = stop.task, run = stop.run, outcome = outcome);
+        match result {
+            Ok(()) => {
+                let now = self.ports.clock.now();
+                let mut scheduler = self.scheduler.borrow_mut();
+                scheduler.stop_response(stop.worker, &stop.task, stop.run, now);
+            }
+            Err(CommandError::Fenced) => self.mark_ownership_lost(),
+            Err(_) => cell_metrics::count_retry("stop"),
+        }
+    }
+
+    /// Returns the number of commands that wait for a slot.
+    pub(crate) fn waiting_commands(&self) -> usize {
+        self.slots.waiting()
+    }
 }
 
 /// Returns whether a command got no response, so that its worker may execute it later.
--- a/crates/geraniumwinch-cell/src/worker_gateway.rs
+++ b/crates/geraniumwinch-cell/src/worker_gateway.rs
@@ -64,11 +64,28 @@
     Unhealthy,
     /// The command was not sent, since its worker's failure domain is evacuated or may be.
     Withheld,
+    /// The command was not sent, since its run was stopped, reported or released before.
+    Unwanted,
+    /// The command was not sent, since its worker takes no more tasks.
+    WorkerClosed,
+    /// The command was not sent, since the ownership has ended or may have.
+    NotOwner,
     /// The call returned no usable response.
     Call(CallError),
 }
 
 impl CommandError {
+    /// Returns whether the owner has decided not to send the command, so that it has no effect.
+    pub fn was_withheld(&self) -> bool {
+        matches!(
+            self,
+            CommandError::Withheld
+                | CommandError::Unwanted
+                | CommandError::WorkerClosed
+                | CommandError::NotOwner
+        )
+    }
+
     /// Returns the outcome label for logs and metrics.
     pub fn as_str(&self) -> &'static str {
         match self {
@@ -80,6 +97,9 @@
             CommandError::OtherIncarnation => "other-lifetime",
             CommandError::Unhealthy => "unhealthy",
             CommandError::Withheld => "withheld",
+            CommandError::Unwanted => "unwanted",
+            CommandError::WorkerClosed => "worker-closed",
+            CommandError::NotOwner => "not-owner",
             CommandError::Call(error) if error.had_no_effect() => "not-sent",
             CommandError::Call(_) => "no-answer",
         }
--- a/crates/geraniumwinch-cell/tests/repeated_calls/test_node.rs
+++ b/crates/geraniumwinch-cell/tests/common/test_node.rs
@@ -1,4 +1,4 @@
-//! A cell process in the test's own process, on a store in memory and without workers.
+//! A cell process in the test's own process, on a store in memory.
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -38,8 +38,8 @@
 use geraniumwinch_fleet::WorkerInfo;
 use geraniumwinch_fleet::WorkerReport;
 
-use crate::memory_store::MemoryStore;
-use crate::memory_store::SharedStore;
+use super::memory_store::MemoryStore;
+use super::memory_store::SharedStore;
 
 /// How long a client waits for a response.
 pub const CLIENT_TIMEOUT: Duration = Duration::from_secs(3);
@@ -48,6 +48,26 @@
 /// The maximum wait for a condition.
 const MAX_WAIT: Duration = Duration::from_secs(10);
 
+/// Runs a test on a single thread.
+pub fn run_test(test: impl Future<Output = ()>) {
+    actix_rt::System::new().block_on(test);
+}
+
+/// The platform of a process, except for its store.
+pub trait TestPlatform:
+    WorkerGateway + PermissionService + WorkerDirectory + CatalogReader + EvacuationReader
+{
+}
+
+impl<P> TestPlatform for P where
+    P: WorkerGateway
+        + PermissionService
+        + WorkerDirectory
+        + CatalogReader
+        + EvacuationReader
+{
+}
+
 /// A platform without workers and configuration.
 struct NoPlatform;
 
@@ -116,7 +136,7 @@
     }
 }
 
-/// A cell process in the test's own process, on a store in memory and without workers.
+/// A cell process in the test's own process, on a store in memory.
 pub struct TestNode {
     /// The store.
     pub store: Rc<MemoryStore>,
@@ -124,27 +144,35 @@
 }
 
 impl TestNode {
-    /// Starts a process and waits until it owns the cell.
+    /// Starts a process without workers and waits until it owns the cell.
     pub async fn start() -> TestNode {
         let node = TestNode::start_without_owner().await;
         node.await_owner().await;
         node
     }
 
-    /// Starts a process.
+    /// Starts a process without workers.
     pub async fn start_without_owner() -> TestNode {
-        let store = Rc::new(MemoryStore::default());
+        TestNode::start_on(Rc::new(NoPlatform), Rc::default(), settings())
+    }
+
+    /// Starts a process on a platform and a store.
+    pub fn start_on(
+        platform: Rc<impl TestPlatform + 'static>,
+        store: Rc<MemoryStore>,
+        settings: CellSettings,
+    ) -> TestNode {
         let ports = CellPorts {
             clock: Rc::new(BootClock),
             meter: WorkMeter::new(Rc::new(BootClock)),
             store: Rc::new(SharedStore(Rc::clone(&store))),
-            workers: Rc::new(NoPlatform),
-            directory: Rc::new(NoPlatform),
-            permissions: Rc::new(NoPlatform),
-            catalogs: Rc::new(NoPlatform),
-            evacuations: Rc::new(NoPlatform),
+            workers: platform.clone(),
+            directory: platform.clone(),
+            permissions: platform.clone(),
+            catalogs: platform.clone(),
+            evacuations: platform,
         };
-        let node = CellNode::new(settings(), ports, CallClient::new());
+        let node = CellNode::new(settings, ports, CallClient::new());
         let handler = Rc::new(|_| async { HttpResponse::empty(404) }.boxed_local());
         actix_rt::spawn(Rc::clone(&node).run(handler, PathBuf::new()));
         TestNode { store, node }
@@ -158,13 +186,22 @@
         .await;
     }
 
-    /// Submits a job.
+    /// Submits a job without steps.
     pub async fn submit(&self, id: &str) -> std::result::Result<(), ErrorKind> {
+        self.submit_request(id, request()).await
+    }
+
+    /// Submits a job.
+    pub async fn submit_request(
+        &self,
+        id: &str,
+        request: JobRequest,
+    ) -> std::result::Result<(), ErrorKind> {
         let submission = JobSubmission {
             id: id.into(),
             rules: rules(),
             account: "account".into(),
-            request: request(),
+            request,
         };
         self.node.forwarder().submit(submission, CLIENT_TIMEOUT).await
     }
@@ -213,7 +250,8 @@
     JobRequest { spec: "".into(), steps: Vec::new(), schedule: None }
 }
 
-fn settings() -> CellSettings {
+/// Returns the settings of a process on free ports.
+pub fn settings() -> CellSettings {
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
     CellSettings {
         name: "process".into(),
--- a/crates/geraniumwinch-cell/tests/repeated_calls/main.rs
+++ b/crates/geraniumwinch-cell/tests/repeated_calls.rs
@@ -1,8 +1,7 @@
 //! What clients are told about calls that the store or an owner may have executed although their
 //! responses were lost.
 
-mod memory_store;
-mod test_node;
+mod common;
 
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -17,10 +16,11 @@
 use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 
-use self::memory_store::MemoryStore;
-use self::test_node::TestNode;
-use self::test_node::stored_job;
-use self::test_node::wait_until;
+use self::common::memory_store::MemoryStore;
+use self::common::test_node::TestNode;
+use self::common::test_node::run_test;
+use self::common::test_node::stored_job;
+use self::common::test_node::wait_until;
 
 const JOB: &str = "0000000000000001";
 /// The key of the owner record.
@@ -34,11 +34,6 @@
 /// The prefix of the fence records.
 const FENCE_PREFIX: &str = "cell/seal/";
 
-/// Runs a test on a single thread.
-fn run_test(test: impl Future<Output = ()>) {
-    actix_rt::System::new().block_on(test);
-}
-
 /// Returns whether a transaction writes a job.
 fn writes_job(transaction: &StoreTransaction) -> bool {
     transaction.writes.iter().any(|write| write.key.starts_with("job/"))
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/command_responses.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/command_responses.rs
@@ -9,6 +9,7 @@
 use super::WorkerKey;
 use super::run_phase::RunPhase;
 use super::task_ref::TaskRef;
+use super::worker_state::WorkerState;
 
 impl FleetScheduler {
     /// Records that a copy of a start command got no response.
@@ -47,6 +48,24 @@
         placement.is_some_and(|p| p.phase == RunPhase::Starting)
     }
 
+    /// Returns whether start commands may be sent to a worker now: it is listed, accepts tasks, responds
+    /// and is not evacuated, and the store records that any job's tasks may run there.
+    pub fn accepts_starts(&self, worker: WorkerKey) -> bool {
+        self.workers.get(worker).is_some_and(WorkerState::accepts_starts)
+    }
+
+    /// Returns whether a copy of the start command of a placed run was sent and got no response.
+    pub fn is_start_unanswered(
+        &self,
+        worker: WorkerKey,
+        name: &TaskName,
+        run: u64,
+    ) -> bool {
+        let task = self.find_run(worker, name, run);
+        let placement = task.and_then(|task| self.placement_of(task));
+        placement.is_some_and(|placement| placement.copies.is_unanswered())
+    }
+
     /// Handles the outcome of a command to start a task: the response to its last copy.
     pub fn start_outcome(
         &mut self,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/permission_table.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/permission_table.rs
@@ -3,6 +3,7 @@
 use geraniumwinch_core::Name;
 
 use crate::BootTime;
+use crate::StartTicket;
 
 use super::WorkerKey;
 use super::permissions::PermissionState;
@@ -22,6 +23,11 @@
     pub(super) fn state(&self, now: BootTime) -> PermissionState {
         if self.until > now { PermissionState::Valid } else { PermissionState::Expired }
     }
+
+    /// Returns the proof of the permission for a start.
+    pub(super) fn start_ticket(&self) -> StartTicket {
+        StartTicket { text: self.ticket.clone(), until: self.until }
+    }
 }
 
 /// The decisions of the permission service for a unit, by worker.
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -20,6 +20,7 @@
 use super::free_workers::FreeWorkers;
 use super::job_lateness::JobLateness;
 use super::overdue_jobs::OverdueRoom;
+use super::permission_table::WorkerGrant;
 use super::permissions::PermissionState;
 use super::permissions::REQUEST_MAX;
 use super::permissions::REQUEST_MIN;
@@ -283,7 +284,7 @@
         let job = &self.jobs[task.job];
         let grant = job.units[task.unit as usize].permissions.find(worker);
         let ticket =
-            grant.filter(|grant| grant.until > now).map(|grant| grant.ticket.clone());
+            grant.filter(|grant| grant.until > now).map(WorkerGrant::start_ticket);
         if ticket.is_some() {
             let id = &self.workers[worker].info.id;
             self.permission_ledger.record_use(task.job, task.unit, id);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
@@ -182,14 +182,20 @@
         self.incarnation.is_none() && (self.replaced || long_silent)
     }
 
-    /// Returns whether tasks may be placed on the worker.
-    pub(super) fn usable(&self, now: BootTime) -> bool {
+    /// Returns whether start commands may be sent to the worker, also for tasks that were placed there
+    /// before.
+    pub(super) fn accepts_starts(&self) -> bool {
         self.listed
             && !self.evacuated
             && self.recorded_runs == RecordedRuns::AnyJob
             && self.info.accepting
             && !self.is_silent()
             && self.incarnation.is_some()
+    }
+
+    /// Returns whether tasks may be placed on the worker.
+    pub(super) fn usable(&self, now: BootTime) -> bool {
+        self.accepts_starts()
             && !self.orphan_size_unknown
             && self.quarantine <= now
             // No higher token is left to tell its next incarnation apart.
--- a/crates/geraniumwinch-fleet/src/lib.rs
+++ b/crates/geraniumwinch-fleet/src/lib.rs
@@ -56,6 +56,7 @@
 pub use self::run_command::RunStart;
 pub use self::run_command::RunStop;
 pub use self::run_command::StartOutcome;
+pub use self::run_command::StartTicket;
 pub use self::run_outcome::RunOutcome;
 pub use self::scheduler_event::SchedulerEvent;
 pub use self::share_limiter::ShareLimiter;
--- a/crates/geraniumwinch-fleet/src/run_command.rs
+++ b/crates/geraniumwinch-fleet/src/run_command.rs
@@ -25,8 +25,24 @@
     pub spec: Name,
     /// The checkpoint to resume from, if there is one.
     pub checkpoint: Option<Name>,
-    /// The ticket that proves the permission, if the queue requires one.
-    pub ticket: Option<Name>,
+    /// The proof of the permission, if the queue requires one.
+    pub ticket: Option<StartTicket>,
+}
+
+/// The proof that a step may run on a worker.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StartTicket {
+    /// What the worker is shown.
+    pub text: Name,
+    /// When the ticket expires.
+    pub until: BootTime,
+}
+
+impl RunStart {
+    /// Returns whether the permission of the start has expired.
+    pub fn is_expired(&self, now: BootTime) -> bool {
+        self.ticket.as_ref().is_some_and(|ticket| ticket.until <= now)
+    }
 }
 
 /// A command to stop a run.
--- a/crates/geraniumwinch-fleet/tests/load.rs
+++ b/crates/geraniumwinch-fleet/tests/load.rs
@@ -367,7 +367,7 @@
         assert!(round.starts.is_empty());
         allow(&mut cell, &round.requests[0], &["v"]);
         let starts = cell.place();
-        assert_eq!(starts[0].ticket.as_deref(), Some("ticket"));
+        assert_eq!(starts[0].ticket.as_ref().map(|ticket| &*ticket.text), Some("ticket"));
         assert_eq!(
             cell.scheduler.worker_info(starts[0].worker).map(|info| &*info.id),
             Some("v")
