Look for a job again after the wait of its cancellation

A client that cancels a job which the owner doesn't know is answered "no such job" once the ownership is confirmed. A submission that arrived during that wait was being stored by then, was accepted afterwards, and ran.

The cancellation waited for a submission in progress only before it had the ownership confirmed; after that wait it looked at the stored jobs alone.

Change: it waits for a submission in progress after the confirmation, too. The own interface has no such path: its dispatcher gives out the job's identifier.

Evidence: `a_job_that_arrives_while_its_cancellation_waits_is_cancelled` gave (accepted, unknown) before and (accepted, cancelled) now.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher/job_lookup.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/job_lookup.rs
@@ -34,6 +34,8 @@
             if let Err(reply) = self.confirm_ownership(now).await {
                 return reply;
             }
+            // The job may have arrived while the ownership was being confirmed.
+            self.await_submission(job).await;
             if !cancel() {
                 return PeerReply::State(None);
             }
--- a/crates/geraniumwinch-cell/tests/common/memory_store.rs
+++ b/crates/geraniumwinch-cell/tests/common/memory_store.rs
@@ -48,6 +48,8 @@
     reads_lost: Cell<bool>,
     /// Whether renewals get no response.
     renewals_lost: Cell<bool>,
+    /// The delay before the response to a renewal.
+    renewal_delay: Cell<Duration>,
 }
 
 impl MemoryStore {
@@ -79,6 +81,11 @@
         self.renewals_lost.set(lost);
     }
 
+    /// Delays the responses to renewals.
+    pub fn delay_renewals(&self, delay: Duration) {
+        self.renewal_delay.set(delay);
+    }
+
     /// Writes an item.
     pub fn put(&self, key: &str, value: Vec<u8>) {
         self.write(key, value, 0, self.next_revision());
@@ -261,7 +268,12 @@
     fn renew_lease(&self, lease: u64) -> LocalBoxFuture<'static, Result<bool>> {
         let exists = self.0.leases.borrow().contains(&lease);
         let lost = self.0.renewals_lost.get();
-        async move { if lost { Err(no_response()) } else { Ok(exists) } }.boxed_local()
+        let delay = self.0.renewal_delay.get();
+        async move {
+            tokio::time::sleep(delay).await;
+            if lost { Err(no_response()) } else { Ok(exists) }
+        }
+        .boxed_local()
     }
 
     fn revoke_lease(&self, lease: u64) -> LocalBoxFuture<'static, Result<()>> {
--- a/crates/geraniumwinch-cell/tests/repeated_calls.rs
+++ b/crates/geraniumwinch-cell/tests/repeated_calls.rs
@@ -98,6 +98,23 @@
     });
 }
 
+/// Guards against a job that runs after its cancellation was answered with "no such job": it arrived
+/// while the owner had its ownership confirmed (issue 46).
+#[test]
+fn a_job_that_arrives_while_its_cancellation_waits_is_cancelled() {
+    run_test(async {
+        let node = TestNode::start().await;
+        node.store.delay_renewals(Duration::from_millis(200));
+        node.store.delay_commits(Duration::from_millis(400));
+        let submission = async {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            node.submit(JOB).await
+        };
+        let results = join(submission, node.cancel(JOB)).await;
+        assert_eq!(results, (Ok(()), Ok(true)));
+    });
+}
+
 /// Guards against a cell without an owner until the lease of a claim ends that was committed
 /// without a response and could not be read back.
 #[test]
