Bound the delays of repeated calls for good

Cause: the decayed number of lost calls never becomes 0, so the odds in `poll_delay` become infinite, and `Duration::mul_f64` panics.

Change: decayed losses below a billionth of a call are none, and the product is bounded before it becomes a duration (`scaled_time`, moved from `fleet` to `core`). The same for response times, the expected wait of requests and learned durations; the hold of learned ends saturates.

--- a/crates/geraniumwinch-cell/src/repeat_timing.rs
+++ b/crates/geraniumwinch-cell/src/repeat_timing.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use geraniumwinch_core::scaled_time;
 use geraniumwinch_fleet::BootTime;
 
 use crate::ResponseTimes;
@@ -20,6 +21,8 @@
 /// How many needless polls are made for one that replaces a lost poll. A poll costs far less than the
 /// ends that stay unseen without it.
 const NEEDLESS_POLLS: f64 = 8.0;
+/// The number of lost calls below which decayed ones count as none.
+const MIN_LOST_CALLS: f64 = 1e-9;
 
 /// Decides when a call to a worker that has got no response yet is repeated.
 #[derive(Debug, Default)]
@@ -69,7 +72,7 @@
             return overdue;
         }
         let odds = (1.0 - lost) / (lost * NEEDLESS_POLLS);
-        let delay = typical.mul_f64(odds.ln().max(0.0));
+        let delay = scaled_time(typical, odds.ln());
         delay.clamp(self.command_delay(), overdue)
     }
 
@@ -90,5 +93,8 @@
         let factor = (-age.as_secs_f64() / HALF_LIFE.as_secs_f64()).exp2();
         self.lost *= factor;
         self.calls *= factor;
+        if self.lost < MIN_LOST_CALLS {
+            self.lost = 0.0;
+        }
     }
 }
--- a/crates/geraniumwinch-cell/src/response_times.rs
+++ b/crates/geraniumwinch-cell/src/response_times.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use geraniumwinch_core::scaled_time;
+
 /// The weights of a new response time in the moving averages of the times and of their deviations.
 const TIME_GAIN: f64 = 0.125;
 const DEVIATION_GAIN: f64 = 0.25;
@@ -29,7 +31,7 @@
     /// response.
     pub fn late_after(&self, min: Duration, max: Duration) -> Duration {
         let Some((mean, deviation)) = self.averages else { return max };
-        let late = Duration::from_secs_f64(mean + deviation * MAX_DEVIATIONS);
+        let late = scaled_time(Duration::from_secs(1), mean + deviation * MAX_DEVIATIONS);
         late.clamp(min, max)
     }
 }
--- a/crates/geraniumwinch-cell/tests/repeat_timing.rs
+++ b/crates/geraniumwinch-cell/tests/repeat_timing.rs
@@ -58,6 +58,31 @@
         assert!(timing.loss_ratio() < 0.001);
     }
 
+    /// Guards against a panic of all loops that poll workers, 85 minutes after the last lost call: the
+    /// share of lost calls decayed until the delay was infinite (issue 47).
+    a_loss_is_forgotten_for_good(timing) {
+        const INTERVAL_MS: u64 = 20;
+        const DAY_MS: u64 = 24 * 60 * 60 * 1000;
+        timing.record_loss(Duration::ZERO);
+        for step in 1..=DAY_MS / INTERVAL_MS {
+            timing.record_command(Duration::from_millis(5), Duration::from_millis(step * INTERVAL_MS));
+            if step % 50 == 0 {
+                let delay = timing.poll_delay(TYPICAL, WAIT);
+                assert!(delay <= timing.overdue(WAIT), "{delay:?}");
+            }
+        }
+        assert_eq!(timing.loss_ratio(), 0.0);
+        assert_eq!(timing.poll_delay(TYPICAL, WAIT), timing.overdue(WAIT));
+    }
+
+    /// Guards against a panic where responses take extremely long.
+    a_delay_is_bounded_for_any_response_time(timing) {
+        record_second(&mut timing, 1, 20);
+        assert_eq!(timing.poll_delay(Duration::MAX, WAIT), timing.overdue(WAIT));
+        timing.record_command(Duration::MAX, Duration::from_secs(3));
+        assert_eq!(timing.command_delay(), Duration::from_millis(600));
+    }
+
     /// Guards against polling workers with few runs as often as busy ones.
     a_worker_that_answers_rarely_is_polled_later(timing) {
         record_second(&mut timing, 1, 20);
--- a/crates/geraniumwinch-core/src/ratio_estimate.rs
+++ b/crates/geraniumwinch-core/src/ratio_estimate.rs
@@ -105,8 +105,12 @@
         observed: Duration,
         now: Duration,
     ) -> bool {
-        let hold = (estimate * HOLD_FACTOR).saturating_sub(observed);
-        self.held.push(Reverse(HeldEnd { due: now + hold, estimate, observed }));
+        let hold = estimate.saturating_mul(HOLD_FACTOR).saturating_sub(observed);
+        self.held.push(Reverse(HeldEnd {
+            due: now.saturating_add(hold),
+            estimate,
+            observed,
+        }));
         self.ends += 1;
         while let Some(Reverse(end)) = self.held.peek()
             && (end.due <= now || self.held.len() > MAX_HELD)
--- a/crates/geraniumwinch-fleet/src/scaled_time.rs
+++ b/crates/geraniumwinch-core/src/scaled_time.rs
@@ -4,7 +4,7 @@
 
 /// Returns a time multiplied by a factor, at most [`Duration::MAX`]. A factor that is negative or no
 /// number gives zero.
-pub(crate) fn scaled_time(time: Duration, factor: f64) -> Duration {
+pub fn scaled_time(time: Duration, factor: f64) -> Duration {
     let seconds = time.as_secs_f64() * factor.max(0.0);
     if seconds >= Duration::MAX.as_secs_f64() {
         return Duration::MAX;
--- a/crates/geraniumwinch-core/src/slot_allocator/request_queue.rs
+++ b/crates/geraniumwinch-core/src/slot_allocator/request_queue.rs
@@ -9,6 +9,7 @@
 use crate::ErrorKind;
 use crate::TeamKey;
 use crate::TeamLedger;
+use crate::scaled_time;
 
 use super::QueuePolicy;
 use super::SlotOutcome;
@@ -91,7 +92,10 @@
     /// Estimates the waiting time of a new request from the queue length and the mean service time.
     fn expected_wait(&self, slots: u32) -> Duration {
         let mean = self.mean_service.unwrap_or(0.0);
-        Duration::from_secs_f64(self.len() as f64 * mean / f64::from(slots.max(1)))
+        scaled_time(
+            Duration::from_secs(1),
+            self.len() as f64 * mean / f64::from(slots.max(1)),
+        )
     }
 
     /// Updates the mean service time with an observation.
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
@@ -8,10 +8,10 @@
 use std::time::Duration;
 
 use geraniumwinch_core::ResourceVector;
+use geraniumwinch_core::scaled_time;
 
 use crate::JobRecord;
 use crate::StepPlan;
-use crate::scaled_time::scaled_time;
 
 use super::FleetScheduler;
 use super::job_lateness::JobLateness;
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/job_forecast.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/job_forecast.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use geraniumwinch_core::DurationRatio;
+use geraniumwinch_core::scaled_time;
 
 use crate::JobRecord;
 use crate::StepPlan;
-use crate::scaled_time::scaled_time;
 
 use super::job_state::critical_path;
 use super::learning::FleetLearning;
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use geraniumwinch_core::Name;
+use geraniumwinch_core::scaled_time;
 
 use crate::BootTime;
 use crate::JobPhase;
@@ -16,7 +17,6 @@
 use crate::TaskName;
 use crate::UnitProgress;
 use crate::WaitTally;
-use crate::scaled_time::scaled_time;
 
 use super::job_forecast::JobForecast;
 use super::job_lateness::JobLateness;
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/learning.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/learning.rs
@@ -8,6 +8,7 @@
 use geraniumwinch_core::Name;
 use geraniumwinch_core::RatioChange;
 use geraniumwinch_core::SpeedTable;
+use geraniumwinch_core::scaled_time;
 
 use crate::BootTime;
 use crate::JobRecord;
@@ -15,7 +16,6 @@
 use crate::SchedulerEvent;
 use crate::StepPlan;
 use crate::WorkerInfo;
-use crate::scaled_time::scaled_time;
 
 use super::FleetScheduler;
 use super::WorkerKey;
@@ -204,7 +204,7 @@
 
     /// Updates the durations of a queue with a run.
     fn learn_duration(&mut self, run: &MeasuredRun, now: BootTime) {
-        let observed = run.time.mul_f64(run.speed);
+        let observed = scaled_time(run.time, run.speed);
         let durations = &mut self.learning.durations;
         let change = durations.observe(&run.class, run.estimate, observed, now);
         if let Some(RatioChange { former, current }) = change {
--- a/crates/geraniumwinch-fleet/src/lib.rs
+++ b/crates/geraniumwinch-fleet/src/lib.rs
@@ -15,7 +15,6 @@
 mod queue_rules;
 mod run_command;
 mod run_outcome;
-mod scaled_time;
 mod scheduler_event;
 mod share_limiter;
 mod step_plan;
