Let no task of a cell process end unnoticed

Cause: tasks were spawned and nobody waited for them.

Change: each task is guarded. A panic is logged (`event=task-panicked`) and counted (`geraniumwinch_cell_panics_total`). Loops of the process are started anew. The state that a task of the owner has left may be half changed, so the process gives up the ownership and does not claim it for 3 s; the next owner begins with what the store and the workers say. A request whose handling panics is answered as unknown.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use geraniumwinch_core::ErrorKind;
 use geraniumwinch_core::log_event;
 use geraniumwinch_fleet::BootTime;
 use geraniumwinch_fleet::FleetScheduler;
@@ -37,6 +38,8 @@
 use crate::peer_service::PeerClient;
 use crate::permission_queue::PermissionQueue;
 use crate::record_journal::RecordJournal;
+use crate::task_guard::catch_owner_panic;
+use crate::task_guard::spawn_owner_task;
 use crate::worker_loop::POLL_WAIT;
 use crate::worker_loop::WorkerLoop;
 
@@ -182,13 +185,31 @@
     /// Runs until the ownership ends.
     pub(crate) async fn run(self: Rc<Self>) {
         let journal = Rc::clone(&self.journal).run();
-        let journal = actix_rt::spawn(self.ports.meter.meter(WorkKind::Records, journal));
-        let listing = actix_rt::spawn(Rc::clone(&self).list_workers());
-        let evacuations = actix_rt::spawn(Rc::clone(&self.evacuations).run());
+        let journal = self.ports.meter.meter(WorkKind::Records, journal);
+        let journal = spawn_owner_task("journal", &self.authority, journal);
+        let listing = Rc::clone(&self).list_workers();
+        let listing = spawn_owner_task("worker-list", &self.authority, listing);
+        let evacuations = Rc::clone(&self.evacuations).run();
+        let evacuations = spawn_owner_task("evacuations", &self.authority, evacuations);
         // What the process has done before its ownership is not the owner's work.
         for kind in WorkKind::ALL {
             self.ports.meter.take(kind);
         }
+        // A panic has ended the ownership.
+        let _ = catch_owner_panic("passes", &self.authority, self.run_passes()).await;
+        listing.abort();
+        evacuations.abort();
+        self.evacuations.end();
+        self.journal.wake();
+        if journal.await.is_err() {
+            log_event!(Error, "child-failed", child = "journal");
+        }
+        self.journal.fail_waiters();
+        self.commit_done.notify_waiters();
+    }
+
+    /// Runs scheduling passes until the ownership ends.
+    async fn run_passes(self: &Rc<Self>) {
         let mut expired = self.ports.clock.now();
         let mut reported = expired;
         while !self.authority.is_lost() {
@@ -212,14 +233,6 @@
                 self.expire_records();
             }
         }
-        listing.abort();
-        evacuations.abort();
-        self.evacuations.end();
-        self.journal.wake();
-        if journal.await.is_err() {
-            log_event!(Error, "child-failed", child = "journal");
-        }
-        self.commit_done.notify_waiters();
     }
 
     /// Logs the scheduler's counts and updates the metrics.
@@ -343,7 +356,8 @@
             worker,
             typical_wait: Cell::new(POLL_WAIT),
         };
-        actix_rt::spawn(self.ports.meter.meter(WorkKind::Polls, worker_loop.run()));
+        let polls = self.ports.meter.meter(WorkKind::Polls, worker_loop.run());
+        spawn_owner_task("worker-loop", &self.authority, polls);
     }
 
     /// Runs a scheduling pass: places tasks, sends commands, requests permissions and triggers
@@ -394,8 +408,15 @@
         }
     }
 
-    /// Handles a request that only the owner can serve.
+    /// Handles a request that only the owner can serve. After a panic it is not known what has become of
+    /// the request.
     pub(crate) async fn handle(&self, request: PeerRequest) -> PeerReply {
+        let work = self.handle_now(request);
+        let reply = catch_owner_panic("request", &self.authority, work).await;
+        reply.unwrap_or(PeerReply::Refused(ErrorKind::StoreUnknown))
+    }
+
+    async fn handle_now(&self, request: PeerRequest) -> PeerReply {
         let now = self.ports.clock.now();
         if self.authority.is_lost() || self.resigned.get() {
             return PeerReply::NotOwner;
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/permission_calls.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/permission_calls.rs
@@ -17,6 +17,7 @@
 use crate::peer_message::PeerReply;
 use crate::peer_message::PeerRequest;
 use crate::peer_message::PermissionMessage;
+use crate::task_guard::spawn_owner_task;
 
 use super::CellDispatcher;
 
@@ -46,7 +47,8 @@
         }
         for (member, request) in assignment.calls {
             let call = Rc::clone(self).request_permission(member, request);
-            actix_rt::spawn(self.ports.meter.meter(WorkKind::Permissions, call));
+            let call = self.ports.meter.meter(WorkKind::Permissions, call);
+            spawn_owner_task("permission-call", &self.authority, call);
         }
     }
 
--- a/crates/geraniumwinch-cell/src/cell_metrics.rs
+++ b/crates/geraniumwinch-cell/src/cell_metrics.rs
@@ -24,6 +24,7 @@
 
 metric_rows! {
     REFUSALS = "geraniumwinch_cell_refusals_total", "counter", "reason", "Callers' requests refused, by error kind.";
+    PANICS = "geraniumwinch_cell_panics_total", "counter", "task", "Panics, by the task of the process that they ended.";
     RETRIES = "geraniumwinch_cell_retries_total", "counter", "reason", "Repeated attempts, by what is repeated and why.";
     STARTS = "geraniumwinch_cell_starts_total", "counter", "outcome", "Orders to start a task, by outcome.";
     ENDS = "geraniumwinch_cell_ends_total", "counter", "end", "Runs that ended, by how.";
@@ -111,6 +112,11 @@
     counter!(STARTED, "lateness" => "overdue").increment(tally.overdue);
 }
 
+/// Counts a panic.
+pub(crate) fn count_panic(task: &'static str) {
+    counter!(PANICS, "task" => task).increment(1);
+}
+
 /// Counts a retry.
 pub(crate) fn count_retry(reason: &'static str) {
     counter!(RETRIES, "reason" => reason).increment(1);
--- a/crates/geraniumwinch-cell/src/cell_node.rs
+++ b/crates/geraniumwinch-cell/src/cell_node.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use futures_util::future::LocalBoxFuture;
 use geraniumwinch_core::log_event;
 use geraniumwinch_fleet::PermissionRequest;
@@ -37,6 +38,7 @@
 use crate::peer_message::PermissionMessage;
 use crate::peer_service;
 use crate::peer_service::PeerClient;
+use crate::task_guard::spawn_loop;
 
 /// The maximum age of the owner's last response for this process to be ready.
 const READY_MAX_AGE: Duration = Duration::from_millis(1100);
@@ -142,15 +144,24 @@
         self.listen(settings.client_address, body(), clients, client_work).await?;
         self.listen(settings.readiness_address, body(), readiness, None).await?;
         self.listen(settings.metrics_address, body(), metrics, None).await?;
-        actix_rt::spawn(Rc::clone(&self.catalog).run());
-        actix_rt::spawn(Rc::clone(&self.election.watch).run());
-        actix_rt::spawn(Rc::clone(&self.election).run());
-        actix_rt::spawn(Rc::clone(&self).refresh_limits());
+        self.spawn_loops();
         self.await_stop(&settings_file).await?;
         self.stop().await;
         Ok(())
     }
 
+    /// Spawns the loops that run until the process exits.
+    fn spawn_loops(self: &Rc<Self>) {
+        let catalog = Rc::clone(&self.catalog);
+        spawn_loop("catalog", move || Rc::clone(&catalog).run().boxed_local());
+        let watch = Rc::clone(&self.election.watch);
+        spawn_loop("owner-watch", move || Rc::clone(&watch).run().boxed_local());
+        let election = Rc::clone(&self.election);
+        spawn_loop("election", move || Rc::clone(&election).run().boxed_local());
+        let node = Rc::clone(self);
+        spawn_loop("upkeep", move || Rc::clone(&node).refresh_limits().boxed_local());
+    }
+
     /// Serves an address. The time spent on its connections counts as `work`, if it is given.
     async fn listen(
         &self,
--- a/crates/geraniumwinch-cell/src/command_sender.rs
+++ b/crates/geraniumwinch-cell/src/command_sender.rs
@@ -33,6 +33,7 @@
 use crate::cell_metrics;
 use crate::evacuation_watch::EvacuationWatch;
 use crate::owner_authority::OwnerAuthority;
+use crate::task_guard::spawn_owner_task;
 use crate::worker_gateway::CommandResult;
 
 /// The delay before a start command without a response is retried.
@@ -129,7 +130,7 @@
                 sender.scheduler.borrow_mut().start_answered(worker, &task, run);
             }
         };
-        actix_rt::spawn(self.ports.meter.meter(WorkKind::Commands, work));
+        self.spawn(work);
     }
 
     /// Starts a task. A command without a response is sent once more, unless its run has been reported,
@@ -411,7 +412,13 @@
             sender.send_stop(stop).await;
             sender.open_stops.borrow_mut().remove(&run);
         };
-        actix_rt::spawn(self.ports.meter.meter(WorkKind::Commands, work));
+        self.spawn(work);
+    }
+
+    /// Spawns the task of a command.
+    fn spawn(&self, work: impl Future<Output = ()> + 'static) {
+        let work = self.ports.meter.meter(WorkKind::Commands, work);
+        spawn_owner_task("command", &self.authority, work);
     }
 
     /// Withdraws a start command that waits for a slot. Returns whether no copy of it was sent before,
--- a/crates/geraniumwinch-cell/src/http_listener.rs
+++ b/crates/geraniumwinch-cell/src/http_listener.rs
@@ -39,6 +39,8 @@
 use crate::connection_exchanges::OpenExchange;
 use crate::exchange_body::ExchangeBody;
 use crate::exchange_stream::ExchangeStream;
+use crate::task_guard::catch_panic;
+use crate::task_guard::spawn_loop;
 
 /// How long an idle connection is kept open.
 const KEEP_ALIVE: Duration = Duration::from_secs(15);
@@ -134,15 +136,19 @@
     pub async fn start(self) -> Result<(), CellError> {
         let address = self.address;
         let listener = listen(address).context(ListenSnafu { address })?;
-        actix_rt::spawn(self.serve(listener));
+        let server = Rc::new((self, listener));
+        spawn_loop("listener", move || {
+            let server = Rc::clone(&server);
+            async move { server.0.serve(&server.1).await }.boxed_local()
+        });
         Ok(())
     }
 
     /// Accepts and serves connections.
-    async fn serve(self, listener: TcpListener) {
+    async fn serve(&self, listener: &TcpListener) {
         let shutdown = Rc::clone(&self.shutdown);
-        let handler = self.handler;
-        let max_body = self.max_body;
+        let handler = Rc::clone(&self.handler);
+        let max_body = Rc::clone(&self.max_body);
         let respond = move |request: Request| {
             exchange(request, Rc::clone(&handler), max_body.get(), Rc::clone(&shutdown))
         };
@@ -160,7 +166,7 @@
             return;
         };
         let service = Rc::new(service);
-        while let Some(accepted) = next_connection(&listener, &self.shutdown).await {
+        while let Some(accepted) = next_connection(listener, &self.shutdown).await {
             match accepted {
                 Ok((stream, peer)) => {
                     // A connection without `TCP_NODELAY` is slower but usable.
@@ -170,6 +176,7 @@
                     let service = Rc::clone(&service);
                     let connection =
                         async move { service.call((stream, Some(peer))).await };
+                    let connection = catch_panic("connection", connection);
                     match &self.meter {
                         Some((kind, meter)) => {
                             actix_rt::spawn(meter.meter(*kind, connection));
--- a/crates/geraniumwinch-cell/src/lib.rs
+++ b/crates/geraniumwinch-cell/src/lib.rs
@@ -41,6 +41,7 @@
 mod repeat_timing;
 mod request_forwarder;
 mod response_times;
+mod task_guard;
 mod tracked_body;
 mod vm_size;
 mod work_kind;
--- a/crates/geraniumwinch-cell/src/owner_authority.rs
+++ b/crates/geraniumwinch-cell/src/owner_authority.rs
@@ -20,6 +20,8 @@
     ttl: Duration,
     renewed_at: Cell<BootTime>,
     lost: Cell<bool>,
+    /// Whether a task of the owner has panicked.
+    panicked: Cell<bool>,
     renewal_requested: Notify,
     /// Notified after each renewal and when the ownership is known to have ended.
     changed: Notify,
@@ -34,9 +36,18 @@
         renewed_at: BootTime,
     ) -> Self {
         let renewed_at = Cell::new(renewed_at);
-        let lost = Cell::new(false);
+        let (lost, panicked) = (Cell::new(false), Cell::new(false));
         let (renewal_requested, changed) = (Notify::new(), Notify::new());
-        OwnerAuthority { epoch, lease, ttl, renewed_at, lost, renewal_requested, changed }
+        OwnerAuthority {
+            epoch,
+            lease,
+            ttl,
+            renewed_at,
+            lost,
+            panicked,
+            renewal_requested,
+            changed,
+        }
     }
 
     /// Records that the lease was renewed by a call sent at `sent`.
@@ -89,6 +100,17 @@
         self.mark_lost();
     }
 
+    /// Gives up the ownership after a task of the owner has panicked.
+    pub(crate) fn report_panic(&self) {
+        self.panicked.set(true);
+        self.report_lost("panic");
+    }
+
+    /// Returns whether a task of the owner has panicked.
+    pub(crate) fn has_panicked(&self) -> bool {
+        self.panicked.get()
+    }
+
     /// Returns whether the ownership is known to have ended.
     pub(crate) fn is_lost(&self) -> bool {
         self.lost.get()
--- a/crates/geraniumwinch-cell/src/owner_election.rs
+++ b/crates/geraniumwinch-cell/src/owner_election.rs
@@ -33,6 +33,8 @@
 use crate::peer_message::PeerReply;
 use crate::peer_message::PeerRequest;
 use crate::peer_service::PeerClient;
+use crate::task_guard::catch_owner_panic;
+use crate::task_guard::spawn_owner_task;
 
 /// The time to live of an ownership that is not renewed.
 pub(crate) const OWNER_TTL: Duration = Duration::from_millis(3000);
@@ -54,7 +56,7 @@
 const STARTUP_GRACE: Duration = Duration::from_millis(3000);
 /// The minimum number of known processes for which a majority is meaningful.
 const MIN_QUORUM_MEMBERS: usize = 3;
-/// How long a process does not claim after it has resigned.
+/// How long a process does not claim after it has resigned or panicked, so that another one can.
 const CLAIM_COOLDOWN: Duration = Duration::from_millis(3000);
 
 /// Takes part in the election of the cell's owner.
@@ -284,9 +286,9 @@
             revision = revision,
             vm_cpu_millis = self.size.cpu_millis(),
         );
-        let renewal =
-            actix_rt::spawn(Rc::clone(self).renew_until_lost(Rc::clone(&authority)));
-        let loading = CellDispatcher::take_over(
+        let renewal = Rc::clone(self).renew_until_lost(Rc::clone(&authority));
+        let renewal = spawn_owner_task("renewal", &authority, renewal);
+        let take_over = CellDispatcher::take_over(
             self.ports.clone(),
             Rc::clone(&self.settings),
             Rc::clone(&self.catalog),
@@ -294,11 +296,12 @@
             Rc::clone(&authority),
             revision,
         );
+        let loading = catch_owner_panic("takeover", &authority, take_over);
         // The signal to stop may have arrived during the claim, or may arrive during the loading.
         let dispatcher = tokio::select! {
             biased;
             () = self.await_stop() => None,
-            dispatcher = loading => dispatcher,
+            dispatcher = loading => dispatcher.flatten(),
         };
         if let Some(dispatcher) = dispatcher {
             *self.dispatcher.borrow_mut() = Some(Rc::clone(&dispatcher));
@@ -312,8 +315,11 @@
         // If this call fails, the record expires with its lease.
         let _ = self.ports.store.revoke_lease(authority.lease).await;
         let now = self.ports.clock.now();
-        self.claim_not_before
-            .set(self.claim_not_before.get().max(now + HEARTBEAT_RETRY_DELAY));
+        let pause = match authority.has_panicked() {
+            true => CLAIM_COOLDOWN,
+            false => HEARTBEAT_RETRY_DELAY,
+        };
+        self.claim_not_before.set(self.claim_not_before.get().max(now + pause));
     }
 
     /// Waits until the process has to stop.
--- a/crates/geraniumwinch-cell/src/record_journal.rs
+++ b/crates/geraniumwinch-cell/src/record_journal.rs
@@ -24,6 +24,8 @@
 use crate::CellPorts;
 use crate::WorkKind;
 use crate::owner_authority::OwnerAuthority;
+use crate::task_guard::catch_owner_panic;
+use crate::task_guard::spawn_owner_task;
 
 use self::commit_lane::CommitLane;
 use self::journal_batch::BatchOutcome;
@@ -181,7 +183,8 @@
                 }
                 self.lanes[lane].in_flight.set(true);
                 let commit = Rc::clone(&self).commit_in_lane(lane, batch);
-                actix_rt::spawn(self.ports.meter.meter(WorkKind::Records, commit));
+                let commit = self.ports.meter.meter(WorkKind::Records, commit);
+                spawn_owner_task("journal-lane", &self.authority, commit);
                 tokio::time::sleep(BATCH_GAP).await;
             }
         }
@@ -209,10 +212,11 @@
 
     /// Commits a batch in a lane and reports the result.
     async fn commit_in_lane(self: Rc<Self>, lane: usize, batch: JournalBatch) {
-        let outcome = self.commit(&self.lanes[lane], &batch).await;
-        self.finish_batch(batch, outcome);
+        let commit = self.commit(&self.lanes[lane], &batch);
+        let outcome = catch_owner_panic("commit", &self.authority, commit).await;
         self.lanes[lane].in_flight.set(false);
         self.wake.notify_one();
+        self.finish_batch(batch, outcome.unwrap_or(BatchOutcome::Unknown));
     }
 
     /// Collects the contents of the next transaction.
@@ -300,7 +304,7 @@
     }
 
     /// Fails the remaining submissions after the ownership has ended.
-    fn fail_waiters(&self) {
+    pub(crate) fn fail_waiters(&self) {
         let queued: Vec<NewJob> = self.queue.borrow_mut().drain(..).collect();
         for job in queued {
             self.complete_waiters(&job.id, Err(ErrorKind::DomainUnowned));
--- a/crates/geraniumwinch-cell/tests/common/memory_store.rs
+++ b/crates/geraniumwinch-cell/tests/common/memory_store.rs
@@ -48,6 +48,8 @@
     reads_lost: Cell<bool>,
     /// Whether renewals get no response.
     renewals_lost: Cell<bool>,
+    /// Whether the next renewal panics.
+    renewal_panics: Cell<bool>,
     /// The delay before the response to a renewal.
     renewal_delay: Cell<Duration>,
 }
@@ -81,6 +83,16 @@
         self.renewals_lost.set(lost);
     }
 
+    /// Has the next renewal panic.
+    pub fn panic_at_renewal(&self) {
+        self.renewal_panics.set(true);
+    }
+
+    /// Returns whether a renewal is to panic that has not been made yet.
+    pub fn awaits_panic(&self) -> bool {
+        self.renewal_panics.get()
+    }
+
     /// Delays the responses to renewals.
     pub fn delay_renewals(&self, delay: Duration) {
         self.renewal_delay.set(delay);
@@ -266,6 +278,7 @@
     }
 
     fn renew_lease(&self, lease: u64) -> LocalBoxFuture<'static, Result<bool>> {
+        assert!(!self.0.renewal_panics.take(), "a renewal of the test's store panics");
         let exists = self.0.leases.borrow().contains(&lease);
         let lost = self.0.renewals_lost.get();
         let delay = self.0.renewal_delay.get();
--- a/crates/geraniumwinch-cell/tests/common/mod.rs
+++ b/crates/geraniumwinch-cell/tests/common/mod.rs
@@ -3,5 +3,5 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub mod memory_store;
-pub mod silent_worker;
 pub mod test_node;
+pub mod test_worker;
--- a/crates/geraniumwinch-cell/tests/common/test_node.rs
+++ b/crates/geraniumwinch-cell/tests/common/test_node.rs
@@ -19,6 +19,7 @@
 use geraniumwinch_cell::EvacuationReader;
 use geraniumwinch_cell::HttpResponse;
 use geraniumwinch_cell::JobCatalog;
+use geraniumwinch_cell::JobStatus;
 use geraniumwinch_cell::JobSubmission;
 use geraniumwinch_cell::PermissionService;
 use geraniumwinch_cell::PollCommand;
@@ -30,6 +31,7 @@
 use geraniumwinch_cell::WorkerTarget;
 use geraniumwinch_core::ErrorKind;
 use geraniumwinch_core::Name;
+use geraniumwinch_fleet::JobPhase;
 use geraniumwinch_fleet::JobRecord;
 use geraniumwinch_fleet::JobRequest;
 use geraniumwinch_fleet::PermissionRequest;
@@ -211,6 +213,12 @@
         self.node.forwarder().cancel(id.into(), CLIENT_TIMEOUT).await
     }
 
+    /// Returns whether a job is shown as completed.
+    pub async fn is_completed(&self, id: &str) -> bool {
+        let status = self.node.forwarder().query(id.into(), CLIENT_TIMEOUT).await;
+        matches!(status, Ok(Some(JobStatus::Ended(JobPhase::Completed))))
+    }
+
     /// Returns whether a job exists.
     pub async fn exists(&self, id: &str) -> std::result::Result<bool, ErrorKind> {
         let status = self.node.forwarder().query(id.into(), CLIENT_TIMEOUT).await;
--- a/crates/geraniumwinch-cell/tests/common/test_worker.rs
+++ b/crates/geraniumwinch-cell/tests/common/test_worker.rs
@@ -1,4 +1,5 @@
-//! A platform whose only worker executes start commands and responds to none of them.
+//! A platform with one worker, which may leave start commands without a response, and whose calls may
+//! panic.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -40,6 +41,8 @@
 pub const EVACUATION_PREFIX: &str = "evacuation/";
 /// The failure domain of the worker.
 pub const DOMAIN: &str = "domain";
+/// How long a run takes on a worker that responds.
+const RUN_TIME: Duration = Duration::from_millis(200);
 /// The timeout of a start command.
 const COMMAND_TIMEOUT: Duration = Duration::from_millis(600);
 /// The interval at which a poll checks for ended runs.
@@ -53,23 +56,74 @@
     /// The numbers of start and of stop commands that were received.
     starts: usize,
     stops: usize,
-    running: Vec<(TaskName, u64)>,
+    /// The runs and when they are done; one that runs until it is stopped has no such time.
+    running: Vec<(TaskName, u64, Option<Instant>)>,
     ended: Vec<EndedRun>,
 }
 
-/// A platform whose only worker executes start commands and responds to none of them. It responds to all
-/// other commands.
+/// A call of the process to its platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PortCall {
+    /// A command to start a task.
+    Start,
+    /// A poll of the worker.
+    Poll,
+    /// A read of the list of workers.
+    List,
+    /// The decoding of a configuration.
+    Catalog,
+    /// The decoding of an evacuation request.
+    Evacuation,
+}
+
+/// A platform with one worker, which executes all commands.
 #[derive(Debug)]
-pub struct SilentWorker {
+pub struct TestWorker {
     runs: Rc<RefCell<WorkerRuns>>,
+    /// Whether the worker responds to start commands. Its runs are done after [`RUN_TIME`] then.
+    responds: bool,
+    /// The call that panics next.
+    panicking: Cell<Option<PortCall>>,
     /// Whether the worker accepts tasks according to its entry.
     accepting: Cell<bool>,
 }
 
-impl SilentWorker {
-    /// Creates an idle worker.
-    pub fn new() -> Rc<Self> {
-        Rc::new(SilentWorker { runs: Rc::default(), accepting: Cell::new(true) })
+impl TestWorker {
+    /// Creates a worker that responds to no start command. Its runs last until they are stopped.
+    pub fn silent() -> Rc<Self> {
+        TestWorker::new(false)
+    }
+
+    /// Creates a worker that responds to all commands.
+    pub fn responsive() -> Rc<Self> {
+        TestWorker::new(true)
+    }
+
+    fn new(responds: bool) -> Rc<Self> {
+        Rc::new(TestWorker {
+            runs: Rc::default(),
+            responds,
+            panicking: Cell::default(),
+            accepting: Cell::new(true),
+        })
+    }
+
+    /// Has the next call of a kind panic.
+    pub fn panic_at(&self, call: PortCall) {
+        self.panicking.set(Some(call));
+    }
+
+    /// Returns whether the call that is to panic has done so.
+    pub fn has_panicked(&self) -> bool {
+        self.panicking.get().is_none()
+    }
+
+    /// Panics if a call is to.
+    fn enter(&self, call: PortCall) {
+        if self.panicking.get() == Some(call) {
+            self.panicking.set(None);
+            panic!("a call of the test's platform panics: {call:?}");
+        }
     }
 
     /// Lists the worker as one that accepts no tasks.
@@ -94,33 +148,57 @@
 }
 
 impl WorkerRuns {
-    /// Begins a run, unless it is there.
-    fn begin(&mut self, start: RunStart) {
+    /// Begins a run, unless it is or was there.
+    fn begin(&mut self, start: RunStart, done_at: Option<Instant>) {
         self.starts += 1;
-        let run = (start.task, start.run);
-        if !self.running.contains(&run) {
-            self.running.push(run);
+        let same = |task: &TaskName, run: u64| *task == start.task && run == start.run;
+        let running = self.running.iter().any(|(task, run, _)| same(task, *run));
+        if !running && !self.ended.iter().any(|end| same(&end.task, end.run)) {
+            self.running.push((start.task, start.run, done_at));
         }
     }
 
-    /// Ends a run, if it is there.
-    fn end(&mut self, stop: RunStop) {
+    /// Stops a run, if it is there.
+    fn stop(&mut self, stop: &RunStop) {
         self.stops += 1;
-        let position = self
-            .running
-            .iter()
-            .position(|(task, run)| (task, *run) == (&stop.task, stop.run));
-        if let Some(position) = position {
-            self.running.remove(position);
-            let number = self.ended.len() as u64 + 1;
-            let (task, run, outcome) = (stop.task, stop.run, RunOutcome::Stopped);
-            self.ended.push(EndedRun { number, task, run, outcome, checkpoint: None });
+        let stopped = |task: &TaskName, run: u64| *task == stop.task && run == stop.run;
+        self.end_runs(RunOutcome::Stopped, |task, run, _| stopped(task, run));
+    }
+
+    /// Ends the runs that are done.
+    fn end_done(&mut self) {
+        let now = Instant::now();
+        self.end_runs(RunOutcome::Done, |_, _, done_at| {
+            done_at.is_some_and(|at| at <= now)
+        });
+    }
+
+    /// Ends some runs.
+    fn end_runs(
+        &mut self,
+        outcome: RunOutcome,
+        ends: impl Fn(&TaskName, u64, Option<Instant>) -> bool,
+    ) {
+        let running = std::mem::take(&mut self.running);
+        for (task, run, done_at) in running {
+            if ends(&task, run, done_at) {
+                let number = self.ended.len() as u64 + 1;
+                self.ended.push(EndedRun {
+                    number,
+                    task,
+                    run,
+                    outcome,
+                    checkpoint: None,
+                });
+            } else {
+                self.running.push((task, run, done_at));
+            }
         }
     }
 
     /// Returns the report with the ends after `acknowledged`.
     fn report(&self, acknowledged: u64) -> WorkerReport {
-        let running = self.running.iter().map(|(task, run)| RunningRun {
+        let running = self.running.iter().map(|(task, run, _)| RunningRun {
             task: task.clone(),
             run: *run,
             checkpoint: None,
@@ -136,15 +214,20 @@
     }
 }
 
-impl WorkerGateway for SilentWorker {
+impl WorkerGateway for TestWorker {
     fn start(
         &self,
         _: WorkerTarget,
         command: StartCommand,
     ) -> LocalBoxFuture<'static, CommandResult<()>> {
-        let runs = Rc::clone(&self.runs);
+        self.enter(PortCall::Start);
+        let (runs, responds) = (Rc::clone(&self.runs), self.responds);
         async move {
-            runs.borrow_mut().begin(command.start);
+            let done_at = responds.then(|| Instant::now() + RUN_TIME);
+            runs.borrow_mut().begin(command.start, done_at);
+            if responds {
+                return Ok(());
+            }
             tokio::time::sleep(COMMAND_TIMEOUT).await;
             let message = "timed out".to_owned();
             Err(CommandError::Call(CallError::NoResponse { message }))
@@ -159,7 +242,7 @@
     ) -> LocalBoxFuture<'static, CommandResult<()>> {
         let runs = Rc::clone(&self.runs);
         async move {
-            runs.borrow_mut().end(stop);
+            runs.borrow_mut().stop(&stop);
             Ok(())
         }
         .boxed_local()
@@ -170,10 +253,12 @@
         _: WorkerTarget,
         command: PollCommand,
     ) -> LocalBoxFuture<'static, CommandResult<WorkerReport>> {
+        self.enter(PortCall::Poll);
         let runs = Rc::clone(&self.runs);
         async move {
             let end = Instant::now() + command.wait;
             loop {
+                runs.borrow_mut().end_done();
                 let report = runs.borrow().report(command.acknowledged);
                 if !report.ended.is_empty() || Instant::now() >= end {
                     return Ok(report);
@@ -185,7 +270,7 @@
     }
 }
 
-impl PermissionService for SilentWorker {
+impl PermissionService for TestWorker {
     fn request(
         &self,
         _: PermissionRequest,
@@ -194,8 +279,9 @@
     }
 }
 
-impl WorkerDirectory for SilentWorker {
+impl WorkerDirectory for TestWorker {
     fn list(&self) -> LocalBoxFuture<'static, Result<Vec<WorkerInfo>>> {
+        self.enter(PortCall::List);
         let info = WorkerInfo {
             id: "worker".into(),
             service: "service".into(),
@@ -215,22 +301,24 @@
     }
 }
 
-impl CatalogReader for SilentWorker {
+impl CatalogReader for TestWorker {
     fn key(&self) -> &'static str {
         CATALOG_KEY
     }
 
     fn decode(&self, _: &[u8]) -> Result<JobCatalog> {
+        self.enter(PortCall::Catalog);
         Ok(JobCatalog::new(1, Vec::new(), Vec::new(), RequestLimits::default()))
     }
 }
 
-impl EvacuationReader for SilentWorker {
+impl EvacuationReader for TestWorker {
     fn prefix(&self) -> &'static str {
         EVACUATION_PREFIX
     }
 
     fn domain(&self, key: &str) -> Option<Name> {
+        self.enter(PortCall::Evacuation);
         key.strip_prefix(EVACUATION_PREFIX).map(Name::from)
     }
 }
--- a/crates/geraniumwinch-cell/tests/waiting_commands.rs
+++ b/crates/geraniumwinch-cell/tests/waiting_commands.rs
@@ -13,14 +13,14 @@
 use geraniumwinch_fleet::StepPlan;
 
 use self::common::memory_store::MemoryStore;
-use self::common::silent_worker::CATALOG_KEY;
-use self::common::silent_worker::DOMAIN;
-use self::common::silent_worker::EVACUATION_PREFIX;
-use self::common::silent_worker::SilentWorker;
 use self::common::test_node::TestNode;
 use self::common::test_node::run_test;
 use self::common::test_node::settings;
 use self::common::test_node::wait_until;
+use self::common::test_worker::CATALOG_KEY;
+use self::common::test_worker::DOMAIN;
+use self::common::test_worker::EVACUATION_PREFIX;
+use self::common::test_worker::TestWorker;
 
 const JOB: &str = "0000000000000001";
 /// The number of tasks of the job: far more than commands are sent at the same time.
@@ -37,7 +37,7 @@
 /// A job whose start commands wait.
 struct WaitingJob {
     node: TestNode,
-    worker: Rc<SilentWorker>,
+    worker: Rc<TestWorker>,
 }
 
 impl WaitingJob {
@@ -45,7 +45,7 @@
     async fn start() -> WaitingJob {
         let store = Rc::new(MemoryStore::default());
         store.put(CATALOG_KEY, Vec::new());
-        let worker = SilentWorker::new();
+        let worker = TestWorker::silent();
         let settings =
             CellSettings { evacuation_bound: Some(EVACUATION_BOUND), ..settings() };
         let node = TestNode::start_on(Rc::clone(&worker), store, settings);
