--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -411,12 +411,12 @@
     /// Handles a request that only the owner can serve. After a panic it is not known what has become of
     /// the request.
     pub(crate) async fn handle(&self, request: PeerRequest) -> PeerReply {
-        let work = self.handle_now(request);
+        let work = self.serve(request);
         let reply = catch_owner_panic("request", &self.authority, work).await;
         reply.unwrap_or(PeerReply::Refused(ErrorKind::StoreUnknown))
     }
 
-    async fn handle_now(&self, request: PeerRequest) -> PeerReply {
+    async fn serve(&self, request: PeerRequest) -> PeerReply {
         let now = self.ports.clock.now();
         if self.authority.is_lost() || self.resigned.get() {
             return PeerReply::NotOwner;
--- a/crates/geraniumwinch-cell/tests/common/test_node.rs
+++ b/crates/geraniumwinch-cell/tests/common/test_node.rs
@@ -31,12 +31,14 @@
 use geraniumwinch_cell::WorkerTarget;
 use geraniumwinch_core::ErrorKind;
 use geraniumwinch_core::Name;
+use geraniumwinch_core::ResourceVector;
 use geraniumwinch_fleet::JobPhase;
 use geraniumwinch_fleet::JobRecord;
 use geraniumwinch_fleet::JobRequest;
 use geraniumwinch_fleet::PermissionRequest;
 use geraniumwinch_fleet::QueueRules;
 use geraniumwinch_fleet::RunStop;
+use geraniumwinch_fleet::StepPlan;
 use geraniumwinch_fleet::WorkerInfo;
 use geraniumwinch_fleet::WorkerReport;
 
@@ -254,6 +256,15 @@
     }
 }
 
+/// Creates the request of a job of small tasks, which fit on a worker together.
+pub fn job_request(tasks: u32) -> JobRequest {
+    let demand =
+        ResourceVector { cpu_millis: 100, memory_bytes: 1 << 20, accelerators: 0 };
+    let estimate = Duration::from_millis(500);
+    let step = StepPlan { tasks, demand, estimate, ..StepPlan::default() };
+    JobRequest { spec: "spec".into(), steps: vec![step], schedule: None }
+}
+
 fn request() -> JobRequest {
     JobRequest { spec: "".into(), steps: Vec::new(), schedule: None }
 }
--- a/crates/geraniumwinch-cell/tests/panics.rs
+++ b/crates/geraniumwinch-cell/tests/panics.rs
@@ -9,13 +9,11 @@
 use std::time::Duration;
 
 use geraniumwinch_cell::CellSettings;
-use geraniumwinch_core::ResourceVector;
-use geraniumwinch_fleet::JobRequest;
-use geraniumwinch_fleet::StepPlan;
 use test_case::test_case;
 
 use self::common::memory_store::MemoryStore;
 use self::common::test_node::TestNode;
+use self::common::test_node::job_request;
 use self::common::test_node::run_test;
 use self::common::test_node::settings;
 use self::common::test_node::wait_until;
@@ -28,18 +26,11 @@
 const JOB: &str = "0000000000000001";
 /// The job that is submitted afterwards.
 const NEXT_JOB: &str = "0000000000000002";
+/// The number of tasks of a job.
+const TASKS: u32 = 4;
 /// The time within which a request to evacuate a domain is in effect.
 const EVACUATION_BOUND: Duration = Duration::from_secs(5);
 
-/// Creates the request of a job with four tasks.
-fn request() -> JobRequest {
-    let demand =
-        ResourceVector { cpu_millis: 100, memory_bytes: 1 << 20, accelerators: 0 };
-    let estimate = Duration::from_millis(200);
-    let step = StepPlan { tasks: 4, demand, estimate, ..StepPlan::default() };
-    JobRequest { spec: "spec".into(), steps: vec![step], schedule: None }
-}
-
 /// Starts a process with a responsive worker.
 async fn start() -> (TestNode, Rc<TestWorker>) {
     let store = Rc::new(MemoryStore::default());
@@ -54,7 +45,8 @@
 
 /// Checks that a job that was accepted before a panic ends, and one that is submitted after it.
 async fn check_jobs(node: &TestNode) {
-    wait_until(async || node.submit_request(NEXT_JOB, request()).await.is_ok()).await;
+    wait_until(async || node.submit_request(NEXT_JOB, job_request(TASKS)).await.is_ok())
+        .await;
     for job in [JOB, NEXT_JOB] {
         wait_until(async || node.is_completed(job).await).await;
     }
@@ -70,7 +62,8 @@
 fn jobs_end_after_a_panic_of(call: PortCall) {
     run_test(async {
         let (node, worker) = start().await;
-        wait_until(async || node.submit_request(JOB, request()).await.is_ok()).await;
+        wait_until(async || node.submit_request(JOB, job_request(TASKS)).await.is_ok())
+            .await;
         // The second panic shows that the task is there again after the first.
         for other_job in ["0000000000000003", "0000000000000004"] {
             worker.panic_at(call);
@@ -78,7 +71,7 @@
                 node.store.put(CATALOG_KEY, Vec::new());
                 node.store.put(&format!("{EVACUATION_PREFIX}other"), Vec::new());
                 // It may be refused while there is no owner.
-                let _ = node.submit_request(other_job, request()).await;
+                let _ = node.submit_request(other_job, job_request(TASKS)).await;
                 worker.has_panicked()
             })
             .await;
@@ -92,7 +85,8 @@
 fn jobs_end_after_a_panic_of_a_transaction() {
     run_test(async {
         let (node, _worker) = start().await;
-        wait_until(async || node.submit_request(JOB, request()).await.is_ok()).await;
+        wait_until(async || node.submit_request(JOB, job_request(TASKS)).await.is_ok())
+            .await;
         let panicked = Rc::new(Cell::new(false));
         node.store.on_commit(move |_, _| {
             assert!(panicked.replace(true), "a transaction of the test's store panics");
@@ -107,7 +101,8 @@
 fn jobs_end_after_a_panic_of_the_renewal() {
     run_test(async {
         let (node, _worker) = start().await;
-        wait_until(async || node.submit_request(JOB, request()).await.is_ok()).await;
+        wait_until(async || node.submit_request(JOB, job_request(TASKS)).await.is_ok())
+            .await;
         for _ in 0..2 {
             node.store.panic_at_renewal();
             wait_until(async || !node.store.awaits_panic()).await;
--- a/crates/geraniumwinch-cell/tests/waiting_commands.rs
+++ b/crates/geraniumwinch-cell/tests/waiting_commands.rs
@@ -8,12 +8,10 @@
 use std::time::Duration;
 
 use geraniumwinch_cell::CellSettings;
-use geraniumwinch_core::ResourceVector;
-use geraniumwinch_fleet::JobRequest;
-use geraniumwinch_fleet::StepPlan;
 
 use self::common::memory_store::MemoryStore;
 use self::common::test_node::TestNode;
+use self::common::test_node::job_request;
 use self::common::test_node::run_test;
 use self::common::test_node::settings;
 use self::common::test_node::wait_until;
@@ -50,7 +48,8 @@
             CellSettings { evacuation_bound: Some(EVACUATION_BOUND), ..settings() };
         let node = TestNode::start_on(Rc::clone(&worker), store, settings);
         node.await_owner().await;
-        wait_until(async || node.submit_request(JOB, request()).await.is_ok()).await;
+        wait_until(async || node.submit_request(JOB, job_request(TASKS)).await.is_ok())
+            .await;
         wait_until(async || worker.starts() > 0).await;
         WaitingJob { node, worker }
     }
@@ -64,15 +63,6 @@
     }
 }
 
-/// Creates the request of a job with [`TASKS`] tasks that fit on the worker together.
-fn request() -> JobRequest {
-    let demand =
-        ResourceVector { cpu_millis: 100, memory_bytes: 1 << 20, accelerators: 0 };
-    let estimate = Duration::from_millis(500);
-    let step = StepPlan { tasks: TASKS, demand, estimate, ..StepPlan::default() };
-    JobRequest { spec: "spec".into(), steps: vec![step], schedule: None }
-}
-
 /// Guards against tasks of a cancelled job that start seconds after the cancellation was acknowledged,
 /// and against stops that wait behind the starts that they are to prevent (review/4).
 #[test]
