Count the retention of a job from its end

Cause: `expire_jobs` counted from the acceptance.

Change: it counts from when the end was found in the store, by the time since boot. A new owner counts from its first look.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -306,10 +306,10 @@
 
     /// Removes the records of jobs that can no longer be queried.
     fn expire_records(&self) {
-        let unix_time = self.ports.clock.unix_time();
-        let retention = self.settings.job_retention * 2;
+        let now = self.ports.clock.now();
+        let retention = self.settings.job_retention.saturating_add(EXPIRE_INTERVAL);
         let expired =
-            self.scheduler.borrow_mut().expire_jobs(unix_time, retention, EXPIRE_LIMIT);
+            self.scheduler.borrow_mut().expire_jobs(now, retention, EXPIRE_LIMIT);
         if !expired.is_empty() {
             self.journal.remove(expired);
         }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
@@ -51,6 +51,8 @@
     pub(super) serial: u64,
     /// When the job was accepted; `None` if it was read from the store by a new owner.
     pub(super) accepted_at: Option<BootTime>,
+    /// When the end of the job was found to be in the store.
+    pub(super) ended_by: Option<BootTime>,
     /// The version whose record is the first to hold all crashes under tasks, and until when these tasks
     /// wait for it.
     pub(super) crash_write: (u64, BootTime),
@@ -92,6 +94,7 @@
             writing: false,
             serial,
             accepted_at: None,
+            ended_by: None,
             crash_write: (0, BootTime::ZERO),
             started,
             uncertain_until: BootTime::ZERO,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/persistence.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/persistence.rs
@@ -121,24 +121,24 @@
         });
     }
 
-    /// Removes up to `limit` ended jobs that were accepted more than `retention` ago, and returns
-    /// them so that the caller can remove their records from the store. `now` is the time since the
-    /// Unix epoch.
+    /// Removes up to `limit` jobs whose ends have been in the store for `retention`, and returns them so
+    /// that the caller can remove their records from the store. To be called regularly: the time counts
+    /// from the first call that finds the end there.
     pub fn expire_jobs(
         &mut self,
-        now: Duration,
+        now: BootTime,
         retention: Duration,
         limit: usize,
     ) -> Vec<Name> {
         let mut expired = Vec::new();
-        for (key, job) in &self.jobs {
-            let ended = !job.live() && job.stored_version == job.version;
-            let old = job.record.accepted + retention <= now;
-            if ended && old && !self.dirty.contains_key(&key) {
-                expired.push(key);
+        for (key, job) in &mut self.jobs {
+            let stored = job.stored_version == job.version;
+            if job.live() || !stored || self.dirty.contains_key(&key) {
+                continue;
             }
-            if expired.len() == limit {
-                break;
+            let ended_by = *job.ended_by.get_or_insert(now);
+            if ended_by.saturating_add(retention) <= now && expired.len() < limit {
+                expired.push(key);
             }
         }
         let idle: Vec<JobKey> = expired
--- a/crates/geraniumwinch-fleet/tests/long_uptime.rs
+++ b/crates/geraniumwinch-fleet/tests/long_uptime.rs
@@ -119,7 +119,7 @@
             cell.report(worker, Vec::new(), done.collect());
             cell.store_all();
             assert_eq!(cell.phase(&id), Some(JobPhase::Completed));
-            let expired = cell.scheduler.expire_jobs(unix_time, RETENTION, 100);
+            let expired = cell.scheduler.expire_jobs(cell.now, RETENTION, 100);
             assert!(expired.len() < GAPS.len(), "{} jobs were kept", expired.len());
             cell.scheduler.take_events();
         }
