Count the work of a schedule when it is due

Cause: admission counted the tasks of all occurrences as waiting now.

Change: an occurrence counts once it is due, in work, demand and permission calls, and a job that is not due yet does not count at its acceptance. Placement and admission ask the same `JobRequest::is_due`.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
@@ -16,6 +16,7 @@
 use super::FleetScheduler;
 use super::job_lateness::JobLateness;
 use super::job_state::critical_path;
+use super::unit_state::UnitState;
 use super::waiting_calls::WaitingCalls;
 use super::worker_state::WorkerState;
 
@@ -89,8 +90,8 @@
             let job = &self.jobs[key];
             let in_time = job.lateness(unix_time) == JobLateness::InTime;
             for unit in 0..job.units.len() as u32 {
-                let waiting = job.units[unit as usize].waiting;
-                if waiting == 0 {
+                let UnitState { waiting, occurrence, .. } = job.units[unit as usize];
+                if waiting == 0 || !job.record.request.is_due(occurrence, unix_time) {
                     continue;
                 }
                 let plan = job.plan(unit);
@@ -110,8 +111,11 @@
         self.waiting_calls = calls;
     }
 
-    /// Adds a job that was accepted since the load was recomputed.
+    /// Adds a job that was accepted since the load was recomputed, unless it is not due yet.
     pub(super) fn count_accepted(&mut self, record: &JobRecord) {
+        if !record.request.is_due(0, record.accepted) {
+            return;
+        }
         let forecast = self.forecast(record);
         let work_of =
             |plan: &StepPlan| f64::from(plan.tasks) * work(plan, forecast.expected(plan));
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -118,9 +118,8 @@
     fn due(&self, key: JobKey, unit: u32, unix_time: Duration) -> bool {
         let job = &self.jobs[key];
         let state = &job.units[unit as usize];
-        let schedule = job.record.request.schedule;
         state.waiting > 0
-            && schedule.is_none_or(|schedule| schedule.due(state.occurrence) <= unix_time)
+            && job.record.request.is_due(state.occurrence, unix_time)
             && job.ready(unit)
     }
 
--- a/crates/geraniumwinch-fleet/src/job_request.rs
+++ b/crates/geraniumwinch-fleet/src/job_request.rs
@@ -38,6 +38,11 @@
 }
 
 impl JobRequest {
+    /// Returns whether an occurrence is due at a time since the Unix epoch.
+    pub fn is_due(&self, occurrence: u32, unix_time: Duration) -> bool {
+        self.schedule.is_none_or(|schedule| schedule.due(occurrence) <= unix_time)
+    }
+
     /// Returns the number of occurrences.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.repeats)
--- a/crates/geraniumwinch-fleet/tests/load.rs
+++ b/crates/geraniumwinch-fleet/tests/load.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use geraniumwinch_fleet::EndedRun;
+use geraniumwinch_fleet::JobSchedule;
 use geraniumwinch_fleet::PermissionCost;
 use geraniumwinch_fleet::PermissionGrant;
 use geraniumwinch_fleet::QueueRules;
@@ -307,6 +308,25 @@
         assert_eq!(starts.len(), 2, "the next step gets the capacity");
     }
 
+    /// Guards against an idle cell that is closed to everybody by a job whose many occurrences are due
+    /// much later (found by review).
+    work_that_is_not_due_does_not_raise_the_admission_load(cell) {
+        cell.add_workers(&["w"]);
+        let mut daily = record(rules(1), vec![step(4, 2_000)]);
+        let hour = Duration::from_secs(3600);
+        daily.request.schedule =
+            Some(JobSchedule { repeats: 365, first: UNIX_TIME + hour, interval: hour * 24 });
+        cell.accept("daily", daily);
+        let new = record(rules(1), vec![step(1, 1_000)]);
+        assert_eq!(cell.scheduler.admission_load(&new), 0.0);
+        cell.scheduler.update_waiting_load(UNIX_TIME);
+        assert_eq!(cell.scheduler.admission_load(&new), 0.0);
+        assert_eq!(cell.scheduler.backlog(), 0.0);
+        cell.scheduler.update_waiting_load(UNIX_TIME + hour);
+        assert!(cell.scheduler.admission_load(&new) > 0.0, "the first occurrence is due");
+        assert!(cell.scheduler.admission_load(&new) < 1.0, "the others are not");
+    }
+
     waiting_work_raises_the_admission_load(cell) {
         cell.add_workers(&["w"]);
         let new = record(rules(1), vec![step(1, 4_000)]);
