--- a/review/standins-2/src/cases/shared_crashes.rs
+++ b/review/standins-2/src/cases/shared_crashes.rs
@@ -15,8 +15,13 @@
 use super::place;
 
 const EXECUTORS_PER_ZONE: usize = 3;
-/// The submissions, each with two tasks of 4 cores that take 8 s.
+/// The submissions, each with two tasks of 4 cores: the first ones last, the others take 8 s.
 const JOBS: usize = 9;
+const LASTING_JOBS: usize = 4;
+/// A time beyond the end of the case.
+const LASTING_MS: u64 = 600_000;
+/// How long after the crashes the submissions are asked for.
+const FINISH: Duration = Duration::from_secs(14);
 /// How long the executors of a zone are down.
 const DOWN: Duration = Duration::from_secs(1);
 /// The time between their return and the crash of the other zone.
@@ -32,9 +37,15 @@
     let bed = Bed::start(root, record, places)?;
     let ids: Vec<String> =
         (1..=JOBS).map(|job| format!("00000000000000c{job}")).collect();
-    let step = json!({ "count": 2, "cpu": 4000, "mem_mb": 100, "estimate_ms": 8000 });
-    for id in &ids {
-        bed.submit(id, &json!({ "spec": "8000 done", "steps": [step] }))?;
+    for (number, id) in ids.iter().enumerate() {
+        let lasting = number < LASTING_JOBS;
+        let time = if lasting { LASTING_MS } else { 8000 };
+        let mut step =
+            json!({ "count": 2, "cpu": 4000, "mem_mb": 100, "estimate_ms": 8000 });
+        if lasting {
+            step["long_running"] = json!(true);
+        }
+        bed.submit(id, &json!({ "spec": format!("{time} done"), "steps": [step] }))?;
     }
     thread::sleep(Duration::from_secs(2));
     if trouble {
@@ -43,9 +54,10 @@
         thread::sleep(PAUSE);
         crash_zone(&bed, busiest_zone(&bed, 1));
     }
+    thread::sleep(FINISH);
     let mut failed = 0;
     for id in &ids {
-        let state = bed.await_end(id, Duration::from_secs(30));
+        let state = bed.state(id).unwrap_or_default();
         record.say(&format!("{id} is shown as {state}"));
         failed += usize::from(state == "failed");
     }
--- a/review/standins-2/src/record.rs
+++ b/review/standins-2/src/record.rs
@@ -33,6 +33,7 @@
     /// Writes a line there and to the standard output.
     pub fn say(&self, text: &str) {
         self.line(text);
-        println!("{text}");
+        // Nobody may be reading any more.
+        let _ = writeln!(std::io::stdout(), "{text}");
     }
 }
