--- a/review/standins-2/src/bed.rs
+++ b/review/standins-2/src/bed.rs
@@ -1,6 +1,7 @@
 //! A small deployment: the store, executors, and the project's own processes with the settings that the
 //! platform renders from the template of the deploy file.
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -129,7 +130,7 @@
             store_server,
             stopped: AtomicBool::new(false),
         };
-        bed.store.put("op/config", &configuration());
+        bed.publish(1, SERVICE);
         for index in 0..ZONES.len() {
             let node = bed.create_node(index)?;
             bed.nodes.push(node);
@@ -140,6 +141,15 @@
         Ok(bed)
     }
 
+    /// Writes a version of the operator's configuration, which sends the queue to a service.
+    pub fn publish(&self, version: u64, service: &str) {
+        self.record
+            .line(&format!("operator: version {version}, the queue goes to {service}"));
+        let services: BTreeSet<&str> =
+            self.executors.iter().map(|e| e.place().service.as_str()).collect();
+        self.store.put("op/config", &configuration(version, service, &services));
+    }
+
     /// Renders the template of the deploy file for a process.
     fn create_node(&self, index: usize) -> Result<Node, String> {
         let [front, readiness, peers, metrics] = free_addresses()?;
@@ -385,18 +395,22 @@
 }
 
 /// Returns the operator's configuration: one queue without advice, and one tenant without a cap.
-fn configuration() -> Value {
+fn configuration(version: u64, service: &str, services: &BTreeSet<&str>) -> Value {
+    let services = services.iter().map(|name| {
+        json!({
+            "name": name, "health_path": "/health", "max_conns": 64, "protocol": "h1",
+            "tls": false, "admission_check": false, "standby": false,
+        })
+    });
+    let services: Vec<Value> = services.collect();
     json!({
-        "version": 1,
+        "version": version,
         "routes": [{
             "name": "r-queue", "hostname": HOST, "prefix": PREFIX, "kind": "unsafe",
             "timeout_ms": 3000, "target_duration_ms": 3000, "priority": 2,
-            "service": SERVICE, "max_attempts": 4, "stretch": 4.0, "public": false,
-        }],
-        "services": [{
-            "name": SERVICE, "health_path": "/health", "max_conns": 64, "protocol": "h1",
-            "tls": false, "admission_check": false, "standby": false,
+            "service": service, "max_attempts": 4, "stretch": 4.0, "public": false,
         }],
+        "services": services,
         "limits": {
             "max_header_bytes": 16384, "max_body_bytes": 262144,
             "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
--- a/review/standins-2/src/executor.rs
+++ b/review/standins-2/src/executor.rs
@@ -192,6 +192,20 @@
         });
     }
 
+    /// Reports that it is about to leave.
+    pub fn drain(&self) {
+        self.state.lock().expect("lock").state = "draining";
+        self.record.line(&format!("executor {} drains", self.place.name));
+        self.report();
+    }
+
+    /// Leaves for good; everything that runs there ends, and its entry is removed.
+    pub fn leave(&self) {
+        self.crash();
+        let id = self.state.lock().expect("lock").id.clone();
+        self.store.remove(&format!("servers/{id}"));
+    }
+
     fn server(&self) -> Arc<Server> {
         let server = self.server.lock().expect("lock");
         Arc::clone(server.as_ref().expect("a started server"))
