Stand-ins of the second review: own loopback addresses, and an end after 115 s

Ports of parallel runs could collide: one of four trials that ran at the same time found its port taken. Each run now has loopback addresses of its own, and a run that takes too long ends its processes and exits with 2.

--- a/review/standins-2/src/bed.rs
+++ b/review/standins-2/src/bed.rs
@@ -31,6 +31,7 @@
 use crate::http::Reply;
 use crate::http::Server;
 use crate::http::call;
+use crate::http::own_address;
 use crate::record::Record;
 use crate::store::Store;
 
@@ -54,6 +55,21 @@
 const PREFIX: &str = "/queue/";
 const KEY: &str = "review-key";
 
+/// The processes that this one has started.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends all processes that were started, for a case that takes too long.
+pub fn kill_started() {
+    for &process in STARTED.lock().expect("lock").iter() {
+        let _ = kill(Pid::from_raw(process as i32), Signal::SIGKILL);
+    }
+}
+
+/// Removes a process that has ended, whose number may be used again.
+fn forget_started(process: u32) {
+    STARTED.lock().expect("lock").retain(|&started| started != process);
+}
+
 /// The result of a case: whether the rule held, or why the case couldn't run.
 pub type Verdict = Result<bool, String>;
 
@@ -152,7 +168,7 @@
 
     /// Renders the template of the deploy file for a process.
     fn create_node(&self, index: usize) -> Result<Node, String> {
-        let [front, readiness, peers, metrics] = free_addresses()?;
+        let [front, readiness, peers, metrics] = free_addresses(index)?;
         let template = fs::read_to_string(self.root.join("deploy/cell.ini"))
             .map_err(|error| error.to_string())?;
         let store = self.store_server.address().to_string();
@@ -202,6 +218,7 @@
             .spawn()
             .map_err(|error| error.to_string())?;
         self.record.line(&format!("process {index} starts"));
+        STARTED.lock().expect("lock").push(child.id());
         *slot = Some(child);
         Ok(())
     }
@@ -230,6 +247,7 @@
         }
         let _ = kill(Pid::from_raw(child.id() as i32), Signal::SIGKILL);
         let _ = child.wait();
+        forget_started(child.id());
         *slot = None;
         *node.kills.lock().expect("lock") += 1;
         self.record.line(&format!("process {index} had {memory} KiB and is killed"));
@@ -345,6 +363,7 @@
             if let Some(mut child) = node.child.lock().expect("lock").take() {
                 let _ = child.kill();
                 let _ = child.wait();
+                forget_started(child.id());
             }
         }
         if std::env::var_os("KEEP_LOGS").is_none() {
@@ -383,11 +402,12 @@
     Ok(command.split(' ').map(str::to_owned).collect())
 }
 
-/// Returns free loopback addresses.
-fn free_addresses() -> Result<[SocketAddr; 4], String> {
+/// Returns free loopback addresses for a process.
+fn free_addresses(index: usize) -> Result<[SocketAddr; 4], String> {
+    let ip = own_address(1 + index as u8);
     let mut listeners = Vec::new();
     for _ in 0..4 {
-        let listener = TcpListener::bind("127.0.0.1:0");
+        let listener = TcpListener::bind((ip, 0));
         listeners.push(listener.map_err(|error| error.to_string())?);
     }
     let address = |index: usize| listeners[index].local_addr().expect("a bound address");
--- a/review/standins-2/src/http.rs
+++ b/review/standins-2/src/http.rs
@@ -4,6 +4,7 @@
 use std::io::BufReader;
 use std::io::Read;
 use std::io::Write;
+use std::net::Ipv4Addr;
 use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -53,6 +54,13 @@
     Close,
 }
 
+/// Returns a loopback address that only this process uses, so that the ports of its outgoing connections
+/// and those of other processes don't collide with the ports of its servers.
+pub fn own_address(last: u8) -> Ipv4Addr {
+    let process = std::process::id();
+    Ipv4Addr::new(127, 1 + (process / 250 % 250) as u8, (process % 250) as u8, 1 + last)
+}
+
 type Handler = Arc<dyn Fn(Request) -> Reply + Send + Sync>;
 
 /// A server that can be taken down and brought up again at its address.
@@ -66,7 +74,7 @@
 impl Server {
     /// Serves a free loopback port.
     pub fn start(handler: impl Fn(Request) -> Reply + Send + Sync + 'static) -> Server {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let listener = TcpListener::bind((own_address(0), 0)).expect("a free port");
         let address = listener.local_addr().expect("a bound address");
         let server = Server { address, handler: Arc::new(handler), open: Arc::default() };
         server.accept(listener);
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -16,9 +16,14 @@
 use std::path::Path;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
 
 use self::record::Record;
 
+/// How long a case may take.
+const MAX_TIME: Duration = Duration::from_secs(115);
+
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let [case, folder] = arguments.as_slice() else {
@@ -32,6 +37,13 @@
     let record = Arc::new(record);
     let trouble = std::env::var("TROUBLE").as_deref() != Ok("0");
     record.say(&format!("case {case}, trouble: {trouble}"));
+    let late = Arc::clone(&record);
+    thread::spawn(move || {
+        thread::sleep(MAX_TIME);
+        late.say("the case couldn't run: it takes too long");
+        bed::kill_started();
+        std::process::exit(2);
+    });
     let run = || cases::run(case, Path::new("."), &record, trouble);
     let verdict = catch_unwind(AssertUnwindSafe(run));
     match verdict.unwrap_or_else(|_| Err("a stand-in panicked".to_owned())) {
