--- a/review/standins-2/src/executor.rs
+++ b/review/standins-2/src/executor.rs
@@ -26,10 +26,10 @@
 pub const MAX_HOLD_MS: u64 = 6000;
 /// The interval of status reports.
 const HEARTBEAT: Duration = Duration::from_millis(1500);
-/// The silence after which an entry is removed, in status report intervals.
-const ENTRY_INTERVALS: u32 = 3;
 /// The most ends in an answer.
 const ENDS_AT_A_TIME: usize = 500;
+/// How long a call stays open that gets no answer.
+const UNANSWERED: Duration = Duration::from_secs(10);
 /// The interval at which runs are looked at.
 const TICK: Duration = Duration::from_millis(5);
 
@@ -58,7 +58,9 @@
     born_ms: u64,
     clock: Instant,
     up: bool,
-    silent_since: Option<Instant>,
+    /// Whether the next order to start a task gets no answer, and that order.
+    delays_order: bool,
+    delayed_order: Option<Value>,
     state: &'static str,
     seq_no: u64,
     token: u64,
@@ -105,7 +107,8 @@
             born_ms: unix_ms(),
             clock: Instant::now(),
             up: true,
-            silent_since: None,
+            delays_order: false,
+            delayed_order: None,
             state: "ready",
             seq_no: 0,
             token: 0,
@@ -155,19 +158,31 @@
             state.runs[index].ended = Some((now, "crashed"));
         }
         state.up = false;
-        state.silent_since = Some(Instant::now());
         self.record.line(&format!("executor {} crashes", state.id));
         self.changed.notify_all();
         drop(state);
         self.server().go_down();
     }
 
-    /// Starts again after a crash, at the same address: under a new id, like the next life of a machine.
+    /// Leaves the next order to start a task unanswered, and keeps it to carry it out later.
+    pub fn delay_order(&self) {
+        self.state.lock().expect("lock").delays_order = true;
+    }
+
+    /// Answers all orders from now on.
+    pub fn answer_orders(&self) {
+        self.state.lock().expect("lock").delays_order = false;
+    }
+
+    /// Returns whether an order was left unanswered.
+    pub fn has_delayed_order(&self) -> bool {
+        self.state.lock().expect("lock").delayed_order.is_some()
+    }
+
+    /// Starts again after a crash under the same id, and carries a delayed order out at once.
     pub fn restart(&self) {
         let mut state = self.state.lock().expect("lock");
-        let former = state.id.clone();
         state.lives += 1;
-        state.id = format!("{}-{}", self.place.name, state.lives);
         state.born_ms = unix_ms();
         state.clock = Instant::now();
         state.up = true;
@@ -177,19 +192,15 @@
         state.ended.clear();
         state.last_number = 0;
         state.closed.clear();
-        let silent_since = state.silent_since.take();
-        self.record.line(&format!("executor {} starts, after {former}", state.id));
+        let delayed = state.delayed_order.take();
+        self.record.line(&format!("executor {} starts again", state.id));
         drop(state);
         self.server().come_back();
+        if let Some(order) = delayed {
+            self.record.line(&format!("a delayed order is carried out: {order}"));
+            let _ = self.start_run(&order);
+        }
         self.report();
-        // The platform removes the former life's entry after three status report intervals.
-        let (store, key) = (Arc::clone(&self.store), format!("servers/{former}"));
-        let left = HEARTBEAT * ENTRY_INTERVALS;
-        let left = left.saturating_sub(silent_since.map_or(left, |at| at.elapsed()));
-        thread::spawn(move || {
-            thread::sleep(left);
-            store.remove(&key);
-        });
     }
 
     /// Reports that it is about to leave.
@@ -284,6 +295,10 @@
                 return Reply::Answer(421, json!({}));
             }
         }
+        if request.path == "/-/run-start" && self.keep_order(&body) {
+            thread::sleep(UNANSWERED);
+            return Reply::Close;
+        }
         match request.path.as_str() {
             "/-/run-start" => self.start_run(&body),
             "/-/run-stop" => self.stop_run(&body),
@@ -292,6 +307,17 @@
         }
     }
 
+    /// Keeps an order that is to be carried out later; returns whether it is.
+    fn keep_order(&self, body: &Value) -> bool {
+        let mut state = self.state.lock().expect("lock");
+        if !std::mem::take(&mut state.delays_order) {
+            return false;
+        }
+        self.record.line(&format!("executor {} leaves unanswered: {body}", state.id));
+        state.delayed_order = Some(body.clone());
+        true
+    }
+
     fn start_run(&self, body: &Value) -> Reply {
         let task = body["task"].as_str().unwrap_or_default().to_owned();
         let run = body["run"].as_u64().unwrap_or(0);
