--- a/crates/geraniumwinch-cell/src/catalog.rs
+++ b/crates/geraniumwinch-cell/src/catalog.rs
@@ -87,6 +87,11 @@
         Some(&self.accounts[position].limit.account)
     }
 
+    /// Returns the rules of all queues.
+    pub fn queue_rules(&self) -> Vec<QueueRules> {
+        self.queues.iter().map(|queue| queue.rules.clone()).collect()
+    }
+
     /// Returns the limits of all accounts.
     pub fn account_limits(&self) -> Vec<AccountLimit> {
         self.accounts.iter().map(|account| account.limit.clone()).collect()
--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -43,6 +43,7 @@
 use crate::worker_loop::POLL_WAIT;
 use crate::worker_loop::WorkerLoop;
 
+use self::loading::load_catalog;
 use self::loading::load_fences;
 use self::loading::load_jobs;
 use self::loading::load_workers;
@@ -85,9 +86,8 @@
     pacing: Rc<RefCell<PassPacing>>,
     pass_due: Rc<Notify>,
     commit_done: Rc<Notify>,
-    /// The version of the configuration whose limits the scheduler uses; `None` before the first
-    /// one.
-    limits_version: Cell<Option<u64>>,
+    /// The version of the configuration that the scheduler uses; `None` before the first one.
+    applied_version: Cell<Option<u64>>,
     resigned: Cell<bool>,
     /// How late timers were at most since the last report.
     lag: Cell<Duration>,
@@ -122,13 +122,15 @@
             Rc::clone(&pass_due),
             settings.evacuation_bound,
         ));
-        let (jobs, fences, workers, evacuated) = tokio::join!(
+        let (jobs, fences, workers, evacuated, catalog_read) = tokio::join!(
             load_jobs(&ports, &authority, &scheduler, uncertain_until),
             load_fences(&ports, &authority),
             load_workers(&ports, &authority, &scheduler, uncertain_until),
             evacuations.load(),
+            load_catalog(&ports, &authority, &catalog),
         );
         let (jobs, fences, workers, ()) = (jobs?, fences?, workers?, evacuated?);
+        let () = catalog_read?;
         let commit_done = Rc::new(Notify::new());
         let journal = Rc::new(RecordJournal::new(
             ports.clone(),
@@ -172,12 +174,14 @@
             pacing: Rc::default(),
             pass_due,
             commit_done,
-            limits_version: Cell::new(None),
+            applied_version: Cell::new(None),
             resigned: Cell::new(false),
             lag: Cell::default(),
             shares: RefCell::default(),
             accept_delay: RefCell::default(),
         });
+        // Reports are judged by the rules in force.
+        dispatcher.apply_catalog();
         workers.into_iter().for_each(|worker| dispatcher.run_worker(worker));
         Some(dispatcher)
     }
@@ -237,8 +241,10 @@
 
     /// Logs the scheduler's counts and updates the metrics.
     fn report_counts(&self, now: BootTime) {
+        let unix_time = self.ports.clock.unix_time();
+        let stranded = self.scheduler.borrow_mut().update_stranded_steps(unix_time);
         let counts = self.scheduler.borrow().counts(now);
-        cell_metrics::set_counts(counts);
+        cell_metrics::set_counts(counts, stranded);
         cell_metrics::set_lost_calls(self.sender.loss_ratio());
         self.report_learning();
         self.evacuations.report_progress(now);
@@ -247,6 +253,7 @@
             Info,
             "board",
             live_jobs = counts.live_jobs,
+            stranded_steps = stranded,
             placed = counts.placed,
             usable_workers = counts.usable_workers,
             workers = counts.workers,
@@ -364,14 +371,14 @@
     /// writes.
     fn run_pass(self: &Rc<Self>) {
         let now = self.ports.clock.now();
-        self.update_limits();
+        self.apply_catalog();
         let mut scheduler = self.scheduler.borrow_mut();
         scheduler.sweep(now);
         let mut requests = Vec::new();
         let mut starts = Vec::new();
         // Without a configuration, the limits of the accounts are unknown.
         let known =
-            self.limits_version.get().is_some() && self.evacuations.permits_starts(now);
+            self.applied_version.get().is_some() && self.evacuations.permits_starts(now);
         if self.authority.may_start(now) && known {
             let callers = self.permission_callers(now);
             let period = self.pacing.borrow().period();
@@ -399,12 +406,15 @@
         }
     }
 
-    /// Applies the account limits of a new configuration.
-    fn update_limits(&self) {
+    /// Applies the account limits and the rules of queues of a new configuration.
+    fn apply_catalog(&self) {
         let Some(current) = self.catalog.current() else { return };
         let version = Some(current.catalog.version);
-        if version != self.limits_version.replace(version) {
-            self.scheduler.borrow_mut().set_limits(current.catalog.account_limits());
+        if version != self.applied_version.replace(version) {
+            let now = self.ports.clock.now();
+            let mut scheduler = self.scheduler.borrow_mut();
+            scheduler.set_limits(current.catalog.account_limits());
+            scheduler.set_queues(current.catalog.queue_rules(), now);
         }
     }
 
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
@@ -21,6 +21,8 @@
         }
         let SubmitMessage { id, rules, account, request } = message;
         let unix_time = self.ports.clock.unix_time();
+        // The process that took the request may have another version of the configuration.
+        let rules = self.scheduler.borrow().rules_in_force(rules);
         let record = JobRecord::new(rules, account, unix_time, request);
         if !self.journal.is_pending(&id)
             && let Some(kind) = self.refusal_reason(&record)
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/loading.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/loading.rs
@@ -11,6 +11,7 @@
 use geraniumwinch_fleet::WorkerKey;
 
 use crate::CellPorts;
+use crate::catalog_watch::CatalogWatch;
 use crate::owner_authority::OwnerAuthority;
 use crate::owner_record::FENCE_PREFIX;
 use crate::owner_record::JOB_PREFIX;
@@ -77,6 +78,20 @@
     Some(count)
 }
 
+/// Reads the configuration, so that it is no older than that of the former owner.
+pub(super) async fn load_catalog(
+    ports: &CellPorts,
+    authority: &OwnerAuthority,
+    catalog: &CatalogWatch,
+) -> Option<()> {
+    let key = ports.catalogs.key();
+    let item = read_until_lost!(ports, authority, ports.store.get(key));
+    if let Some(item) = item {
+        catalog.apply_if_newer(&item.value, "takeover");
+    }
+    Some(())
+}
+
 /// Reads the revisions of the fence records of all journal lanes.
 pub(super) async fn load_fences(
     ports: &CellPorts,
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
@@ -140,6 +140,25 @@
                 total = format!("{:.2}", ratio.total)
             );
         }
+        SchedulerEvent::QueueChanged { queue, service, jobs } => {
+            log_event!(
+                Info,
+                "queue-changed",
+                queue = queue,
+                service = service,
+                jobs = jobs
+            );
+        }
+        SchedulerEvent::Stranded { step, queue, service, reason } => {
+            log_event!(
+                Warn,
+                "step-stranded",
+                step = step,
+                queue = queue,
+                service = service,
+                reason = reason
+            );
+        }
         SchedulerEvent::Quarantined { worker } => {
             log_event!(Warn, "worker-quarantined", worker = worker);
         }
--- a/crates/geraniumwinch-cell/src/cell_metrics.rs
+++ b/crates/geraniumwinch-cell/src/cell_metrics.rs
@@ -39,6 +39,7 @@
     CATALOG_TIME = "geraniumwinch_cell_catalog_checked_timestamp_seconds", "gauge", "", "When the store last said which configuration is in force, in seconds since 1970.";
     LIST_TIME = "geraniumwinch_cell_workers_listed_timestamp_seconds", "gauge", "", "When the owner last read the list of workers, in seconds since 1970.";
     LIVE_JOBS = "geraniumwinch_cell_live_jobs", "gauge", "", "Jobs that are not ended, at the owner.";
+    STRANDED = "geraniumwinch_cell_stranded_steps", "gauge", "", "Due steps that no listed worker could run, at the owner.";
     PLACED = "geraniumwinch_cell_placed_tasks", "gauge", "", "Tasks that may run, at the owner.";
     USABLE = "geraniumwinch_cell_usable_workers", "gauge", "", "Workers that take tasks, at the owner.";
     DURATION_RATIO = "geraniumwinch_cell_duration_ratio", "gauge", "queue, gang", "Learned ratio of durations to the clients' estimates for typical tasks of a queue, at the owner; 1 until enough ends are known.";
@@ -219,8 +220,9 @@
 }
 
 /// Sets the owner's gauges of jobs, tasks and workers.
-pub(crate) fn set_counts(counts: FleetCounts) {
+pub(crate) fn set_counts(counts: FleetCounts, stranded: usize) {
     gauge!(LIVE_JOBS).set(counts.live_jobs as f64);
+    gauge!(STRANDED).set(stranded as f64);
     gauge!(PLACED).set(counts.placed as f64);
     gauge!(USABLE).set(counts.usable_workers as f64);
 }
--- a/crates/geraniumwinch-core/src/resource_vector.rs
+++ b/crates/geraniumwinch-core/src/resource_vector.rs
@@ -54,6 +54,15 @@
         rest
     }
 
+    /// Returns the greater amount of each resource.
+    pub fn max(&self, other: &ResourceVector) -> ResourceVector {
+        ResourceVector {
+            cpu_millis: self.cpu_millis.max(other.cpu_millis),
+            memory_bytes: self.memory_bytes.max(other.memory_bytes),
+            accelerators: self.accelerators.max(other.accelerators),
+        }
+    }
+
     /// Returns the smaller amount of each resource.
     pub fn min(&self, other: &ResourceVector) -> ResourceVector {
         ResourceVector {
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -27,6 +27,7 @@
 mod placement;
 mod placement_backoff;
 mod preemption;
+mod queue_changes;
 mod racks;
 mod replaced_workers;
 mod reports;
@@ -37,6 +38,7 @@
 mod speed_ranking;
 mod stalled_runs;
 mod start_copies;
+mod stranded_steps;
 mod task_placement;
 mod task_ref;
 mod task_state;
@@ -69,6 +71,7 @@
 use crate::JobRecord;
 use crate::LostWork;
 use crate::PassTally;
+use crate::QueueRules;
 use crate::RunLoss;
 use crate::RunStop;
 use crate::SchedulerEvent;
@@ -139,6 +142,8 @@
     worker_ids: HashMap<Name, WorkerKey>,
     /// The number of workers that were ever added.
     added_workers: u64,
+    /// The rules of the queues in the newest configuration; empty before the first one.
+    queues: HashMap<Name, QueueRules>,
     jobs: SlotMap<JobKey, JobState>,
     job_ids: HashMap<Name, JobKey>,
     /// The live jobs, by priority and order of acceptance.
@@ -182,6 +187,7 @@
             former_workers: HashMap::new(),
             worker_ids: HashMap::new(),
             added_workers: 0,
+            queues: HashMap::new(),
             jobs: SlotMap::with_key(),
             job_ids: HashMap::new(),
             open_jobs: BTreeSet::new(),
@@ -246,8 +252,9 @@
     }
 
     /// Adds a job that has just been stored; does nothing if the job is already known.
-    pub fn accept(&mut self, id: Name, record: JobRecord, now: BootTime) {
+    pub fn accept(&mut self, id: Name, mut record: JobRecord, now: BootTime) {
         if !self.job_ids.contains_key(&id) {
+            record.rules = self.rules_in_force(record.rules);
             self.count_accepted(&record);
             let key = self.insert(id, record);
             self.jobs[key].accepted_at = Some(now);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/call_shares.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/call_shares.rs
@@ -56,12 +56,21 @@
     pub(super) call_time: Duration,
 }
 
+/// An open call of a unit.
+#[derive(Debug, Clone, Copy)]
+struct OpenCall {
+    /// The priority with which it was admitted.
+    priority: u32,
+    /// The expected duration.
+    call_time: Duration,
+}
+
 /// The open calls by priority and length.
 #[derive(Debug, Default)]
 pub(super) struct CallShares {
     classes: HashMap<(u32, bool), CallClass>,
-    /// The expected durations of each unit's open calls.
-    open: HashMap<(JobKey, u32), Vec<Duration>>,
+    /// Each unit's open calls.
+    open: HashMap<(JobKey, u32), Vec<OpenCall>>,
 }
 
 impl CallShares {
@@ -93,15 +102,15 @@
             return false;
         }
         *class.open.entry(account.clone()).or_default() += call_time;
-        self.open.entry((key, unit)).or_default().push(call_time);
+        self.open.entry((key, unit)).or_default().push(OpenCall { priority, call_time });
         true
     }
 
     /// Records the end of one of a unit's calls. Which of them ended doesn't matter, since all end
     /// before the unit makes further ones.
-    pub(super) fn end(&mut self, key: JobKey, unit: u32, account: &Name, priority: u32) {
+    pub(super) fn end(&mut self, key: JobKey, unit: u32, account: &Name) {
         let Some(open) = self.open.get_mut(&(key, unit)) else { return };
-        let Some(call_time) = open.pop() else { return };
+        let Some(OpenCall { priority, call_time }) = open.pop() else { return };
         if open.is_empty() {
             self.open.remove(&(key, unit));
         }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/completion.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/completion.rs
@@ -24,6 +24,7 @@
             RunOutcome::Done if gang => self.finish_gang(task, now),
             RunOutcome::Done => self.finish_task(task, now),
             RunOutcome::Failed => self.count_failure(task, run, now),
+            _ if self.is_exhausted(task) => self.end_job(task.job, JobPhase::Failed, now),
             _ => {}
         }
         if gang && outcome != RunOutcome::Done {
@@ -73,15 +74,21 @@
             return;
         }
         state.failed_runs.push(run);
-        let failures = state.failed_runs.len();
-        let exhausted = failures >= job.record.rules.max_attempts.max(1) as usize;
-        let live = job.live();
         self.mark_dirty(task.job, now);
-        if exhausted && live {
+        if self.is_exhausted(task) {
             self.end_job(task.job, JobPhase::Failed, now);
         }
     }
 
+    /// Returns whether a task of a live job, or its gang, has failed as often as its queue allows.
+    pub(super) fn is_exhausted(&self, task: TaskRef) -> bool {
+        let job = &self.jobs[task.job];
+        let index = if job.plan(task.unit).gang { 0 } else { task.index };
+        let state = self.task_state(TaskRef { index, ..task });
+        let attempts = job.record.rules.attempts();
+        job.live() && !state.done && state.failed_runs.len() >= attempts
+    }
+
     /// Stops all placed members of a gang after one of them has ended.
     pub(super) fn break_gang(&mut self, task: TaskRef, now: BootTime) {
         let loss = self.gang_loss(task);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/delayed_starts.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/delayed_starts.rs
@@ -11,7 +11,6 @@
 
 use super::FleetScheduler;
 use super::task_placement::TaskPlacement;
-use super::task_ref::TaskRef;
 
 /// The maximum time after which a worker still executes a command that got no response.
 pub(super) const MAX_COMMAND_DELAY: Duration = Duration::from_secs(13);
@@ -21,30 +20,22 @@
     /// worker after the given time. A worker that was replaced has no other incarnation.
     pub(super) fn may_start_later(
         &self,
-        task: TaskRef,
         placement: &TaskPlacement,
         after: BootTime,
     ) -> bool {
-        if self.workers[placement.worker].replaced {
-            return false;
-        }
-        let permission = self.jobs[task.job].record.rules.permission;
-        let validity = permission.map_or(MAX_COMMAND_DELAY, |cost| cost.validity);
-        let delay = validity.min(MAX_COMMAND_DELAY);
-        placement.copies.may_execute(after, delay)
+        !self.workers[placement.worker].replaced && placement.copies.may_execute(after)
     }
 
     /// Returns whether another incarnation of a silent worker may still execute a placement's start
     /// command, or may be running the task because it has.
     pub(super) fn may_run_after_expiry(
         &self,
-        task: TaskRef,
         placement: &TaskPlacement,
         now: BootTime,
     ) -> bool {
         // A restarted worker lists itself, so one that is still missing is taken to be gone.
         let listed = self.workers[placement.worker].listed;
         let executed = if listed { now.saturating_sub(self.lease) } else { now };
-        self.may_start_later(task, placement, executed)
+        self.may_start_later(placement, executed)
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/evacuations.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/evacuations.rs
@@ -98,7 +98,7 @@
     }
 
     /// Counts the load of placed tasks again, without those on evacuated workers.
-    fn recount_placed_load(&mut self) {
+    pub(super) fn recount_placed_load(&mut self) {
         self.placed_load.clear();
         for state in self.workers.values().filter(|state| !state.evacuated) {
             for task in &state.tasks {
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/gang_reservation.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/gang_reservation.rs
@@ -163,8 +163,10 @@
     /// Returns whether a worker could run tasks of a unit, apart from free capacity and the expiry
     /// of its permission.
     fn may_take(&self, key: JobKey, unit: u32, worker: WorkerKey, now: BootTime) -> bool {
+        let plan = self.jobs[key].plan(unit);
         self.workers.get(worker).is_some_and(|state| {
             state.usable(now)
+                && self.is_eligible(key, plan, state)
                 && self.permission(key, unit, worker, now) != PermissionState::Denied
         })
     }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/held_ends.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/held_ends.rs
@@ -13,7 +13,6 @@
 
 use super::FleetScheduler;
 use super::WorkerKey;
-use super::delayed_starts::MAX_COMMAND_DELAY;
 use super::start_copies::StartCopies;
 use super::task_ref::TaskRef;
 
@@ -30,7 +29,7 @@
     /// Returns the start command of a run that is done, unless all of its copies are known to be
     /// excluded in the next incarnation of the worker as well.
     ///
-    /// Where queues require permission, a ticket keeps other incarnations from executing the start.
+    /// A ticket keeps other incarnations from executing the start.
     pub(super) fn open_start(
         &self,
         worker: WorkerKey,
@@ -39,12 +38,11 @@
         now: BootTime,
     ) -> Option<OpenStart> {
         let placement = self.placement_of(task)?;
-        let permission = &self.jobs[task.job].record.rules.permission;
         let open = ended.outcome == RunOutcome::Done
-            && permission.is_none()
+            && !placement.copies.has_ticket()
             && placement.worker == worker
             && placement.run == ended.run
-            && self.may_start_later(task, placement, now);
+            && self.may_start_later(placement, now);
         let copies = placement.copies;
         open.then(|| OpenStart { task: ended.task.clone(), run: ended.run, copies })
     }
@@ -71,9 +69,7 @@
         let state = &mut self.workers[worker];
         let replaced = state.replaced;
         for end in &mut state.unstored_ends {
-            end.open_start.take_if(|open| {
-                replaced || !open.copies.may_execute(now, MAX_COMMAND_DELAY)
-            });
+            end.open_start.take_if(|open| replaced || !open.copies.may_execute(now));
         }
         self.advance_ends(worker);
     }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
@@ -81,10 +81,7 @@
         let units = create_units(&record);
         let started = !record.progress.is_empty();
         let stored_phase = record.phase;
-        let promised = critical_path(&record, |plan| plan.estimate);
-        let allowed = scaled_time(promised, record.rules.stretch);
-        let allowed = allowed.saturating_add(record.rules.objective);
-        let objective = record.accepted.saturating_add(allowed);
+        let objective = objective(&record);
         JobState {
             id,
             record,
@@ -193,6 +190,14 @@
     }
 }
 
+/// Returns when a job should be done, as time since the Unix epoch.
+pub(super) fn objective(record: &JobRecord) -> Duration {
+    let promised = critical_path(record, |plan| plan.estimate);
+    let allowed = scaled_time(promised, record.rules.stretch);
+    let allowed = allowed.saturating_add(record.rules.objective);
+    record.accepted.saturating_add(allowed)
+}
+
 /// Returns the duration of a job's critical path, including one permission request for each step, if
 /// the tasks of a step take as long as `duration` returns.
 pub(super) fn critical_path(
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/permission_table.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/permission_table.rs
@@ -1,5 +1,7 @@
 //! The decisions of the permission service for a unit.
 
+use std::time::Duration;
+
 use geraniumwinch_core::Name;
 
 use crate::BootTime;
@@ -95,6 +97,13 @@
         }
     }
 
+    /// Has all grants expire earlier by some time.
+    pub(super) fn shorten(&mut self, time: Duration) {
+        for grant in &mut self.grants {
+            grant.until = grant.until.saturating_sub(time);
+        }
+    }
+
     /// Returns the position of a worker's grant, or where it would be inserted.
     fn position(&self, worker: WorkerKey) -> Result<usize, usize> {
         self.grants.binary_search_by_key(&worker, |grant| grant.worker)
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/permissions.rs
@@ -321,7 +321,6 @@
         if state.open_requests == 0 {
             self.call_claims.release(key, unit);
         }
-        let rules = &self.jobs[key].record.rules;
-        self.call_shares.end(key, unit, &self.jobs[key].record.account, rules.priority);
+        self.call_shares.end(key, unit, &self.jobs[key].record.account);
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -115,7 +115,7 @@
 
     /// Returns whether a unit has waiting tasks, is due by its schedule, and has all of its
     /// dependencies done.
-    fn due(&self, key: JobKey, unit: u32, unix_time: Duration) -> bool {
+    pub(super) fn due(&self, key: JobKey, unit: u32, unix_time: Duration) -> bool {
         let job = &self.jobs[key];
         let state = &job.units[unit as usize];
         state.waiting > 0
@@ -281,9 +281,10 @@
         round: &mut PlacementRound,
     ) {
         let job = &self.jobs[task.job];
+        let validity = job.record.rules.permission.map(|cost| cost.validity);
         let grant = job.units[task.unit as usize].permissions.find(worker);
-        let ticket =
-            grant.filter(|grant| grant.until > now).map(WorkerGrant::start_ticket);
+        let grant = grant.filter(|grant| validity.is_some() && grant.until > now);
+        let ticket = grant.map(WorkerGrant::start_ticket);
         if ticket.is_some() {
             let id = &self.workers[worker].info.id;
             self.permission_ledger.record_use(task.job, task.unit, id);
@@ -306,7 +307,7 @@
             percent: 0,
             progressed: now,
             confirmed: false,
-            copies: StartCopies::pending(),
+            copies: StartCopies::pending(validity.filter(|_| ticket.is_some())),
             whole: checkpoint.is_none(),
             expected: self.expected_run(task, worker),
             work: RunWork::default(),
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
@@ -352,7 +352,7 @@
             };
             // A report in response to a call with an older fencing token excludes no start command.
             let fenced = sent >= self.workers[worker].fenced_since;
-            let excluded = fenced || !self.may_start_later(task, &placement, now);
+            let excluded = fenced || !self.may_start_later(&placement, now);
             if expected && excluded && !matched.contains(&task) {
                 let name = self.jobs[task.job].task_name(task);
                 let id = self.workers[worker].info.id.clone();
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/scarce_calls.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/scarce_calls.rs
@@ -123,6 +123,16 @@
         if !job.live() || job.units[unit as usize].waiting == 0 || allowed == 0 {
             return RequestValue::Useless;
         }
+        // The rules of the queue may have changed since.
+        let eligible = |id: &Name| {
+            let worker = self.worker_ids.get(id);
+            worker
+                .is_some_and(|&worker| self.is_eligible(key, plan, &self.workers[worker]))
+        };
+        if job.record.rules.permission.is_none() || !request.workers.iter().any(eligible)
+        {
+            return RequestValue::Useless;
+        }
         let has_room = |id: &Name| {
             self.worker_ids.get(id).is_some_and(|&worker| {
                 let free = self.workers[worker].free();
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/start_copies.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/start_copies.rs
@@ -4,6 +4,8 @@
 
 use crate::BootTime;
 
+use super::delayed_starts::MAX_COMMAND_DELAY;
+
 /// The copies of a start command that its worker may still execute.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct StartCopies {
@@ -12,12 +14,27 @@
     /// When the last copy remained without a response, if any did. The worker may execute that copy
     /// later.
     unanswered_at: Option<BootTime>,
+    /// How long the ticket in the copies is valid, if they carry one that workers check. It keeps other
+    /// incarnations of the worker from executing a copy later.
+    ticket_validity: Option<Duration>,
 }
 
 impl StartCopies {
-    /// Returns the state of a command that is about to be sent.
-    pub(super) fn pending() -> Self {
-        StartCopies { awaiting_outcome: true, unanswered_at: None }
+    /// Returns the state of a command that is about to be sent, with a ticket of the given validity if
+    /// it carries one.
+    pub(super) fn pending(ticket_validity: Option<Duration>) -> Self {
+        StartCopies { awaiting_outcome: true, unanswered_at: None, ticket_validity }
+    }
+
+    /// Returns whether the copies carry a ticket that workers check.
+    pub(super) fn has_ticket(&self) -> bool {
+        self.ticket_validity.is_some()
+    }
+
+    /// Adapts to changed rules of the queue: workers check tickets as long as it requires permission,
+    /// whose validity may have changed.
+    pub(super) fn update_ticket(&mut self, validity: Option<Duration>) {
+        self.ticket_validity = self.ticket_validity.zip(validity).map(|(a, b)| a.max(b));
     }
 
     /// Records that a copy got no response.
@@ -40,10 +57,12 @@
         self.unanswered_at.is_some()
     }
 
-    /// Returns whether a copy may be executed after the given time, if workers execute none more than
-    /// `max_delay` after it got no response.
-    pub(super) fn may_execute(&self, after: BootTime, max_delay: Duration) -> bool {
+    /// Returns whether another incarnation of the worker may execute a copy after the given time.
+    pub(super) fn may_execute(&self, after: BootTime) -> bool {
+        let delay = self
+            .ticket_validity
+            .map_or(MAX_COMMAND_DELAY, |validity| validity.min(MAX_COMMAND_DELAY));
         self.awaiting_outcome
-            || self.unanswered_at.is_some_and(|at| after < at.saturating_add(max_delay))
+            || self.unanswered_at.is_some_and(|at| after < at.saturating_add(delay))
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/timeouts.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/timeouts.rs
@@ -34,7 +34,7 @@
                 let Some(&placement) = self.placement_of(task) else { continue };
                 if !expired {
                     self.sweep_run(task, placement, now);
-                } else if !self.may_run_after_expiry(task, &placement, now) {
+                } else if !self.may_run_after_expiry(&placement, now) {
                     self.expire_run(task, placement, now);
                 }
             }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/unit_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/unit_state.rs
@@ -43,6 +43,8 @@
     /// Until when suspected tasks avoid runs that another crash would end for good; `None` if they do
     /// not wait.
     pub(super) avoids_runs_until: Option<BootTime>,
+    /// Whether no listed worker could run the waiting tasks when this was last checked.
+    pub(super) is_stranded: bool,
     /// Why the last run of a gang ended.
     pub(super) gang_end: GangEnd,
 }
@@ -54,6 +56,15 @@
         self.open_requests == 0 && now >= self.retry_after
     }
 
+    /// Has the unit look for workers at once, whatever earlier searches have found.
+    pub(super) fn restart_search(&mut self) {
+        self.requested_all = 0;
+        self.next_search = BootTime::ZERO;
+        self.next_request = BootTime::ZERO;
+        self.next_preemption = BootTime::ZERO;
+        self.next_attempt = BootTime::ZERO;
+    }
+
     /// Creates the unit of a step, which has a number within its job, with the progress from the record.
     pub(super) fn new(
         record: &JobRecord,
@@ -103,6 +114,7 @@
             next_preemption: BootTime::ZERO,
             next_attempt: BootTime::ZERO,
             avoids_runs_until: None,
+            is_stranded: false,
             gang_end: GangEnd::default(),
         }
     }
--- a/crates/geraniumwinch-fleet/src/queue_rules.rs
+++ b/crates/geraniumwinch-fleet/src/queue_rules.rs
@@ -1,4 +1,4 @@
-//! The rules of a queue. A job keeps those in force when it was accepted.
+//! The rules of a queue. A job follows them, except for the objective that it was accepted with.
 
 use std::time::Duration;
 
@@ -58,3 +58,17 @@
     /// The cost of placement permissions, if the queue requires them.
     pub permission: Option<PermissionCost>,
 }
+
+impl QueueRules {
+    /// Returns the rules of a job that was accepted under these rules, once the queue has the current
+    /// ones: its objective was promised at its acceptance.
+    pub fn followed_by(&self, current: &QueueRules) -> QueueRules {
+        let (stretch, objective) = (self.stretch, self.objective);
+        QueueRules { stretch, objective, ..current.clone() }
+    }
+
+    /// Returns after how many failed runs of a task or gang the job fails; at least one.
+    pub fn attempts(&self) -> usize {
+        self.max_attempts.max(1) as usize
+    }
+}
--- a/crates/geraniumwinch-fleet/src/scheduler_event.rs
+++ b/crates/geraniumwinch-fleet/src/scheduler_event.rs
@@ -161,6 +161,26 @@
         /// The ratio from now on.
         current: Option<DurationRatio>,
     },
+    /// The rules of a queue have changed, and live jobs follow them.
+    QueueChanged {
+        /// The queue.
+        queue: Name,
+        /// The service whose workers run its tasks from now on.
+        service: Name,
+        /// The number of live jobs whose rules have changed.
+        jobs: usize,
+    },
+    /// No listed worker could run the waiting tasks of a step, whatever else runs there.
+    Stranded {
+        /// The step.
+        step: StepName,
+        /// The queue.
+        queue: Name,
+        /// The service whose workers run the queue's tasks.
+        service: Name,
+        /// What the workers lack.
+        reason: &'static str,
+    },
     /// A worker has been quarantined after several failures in a row.
     Quarantined {
         /// The worker.
--- a/crates/geraniumwinch-standins/src/fleet.rs
+++ b/crates/geraniumwinch-standins/src/fleet.rs
@@ -111,6 +111,7 @@
             .route("/restart", web::post().to(restart_worker))
             .route("/worker-state", web::post().to(set_worker_state))
             .route("/worker-cores", web::post().to(set_worker_cores))
+            .route("/worker-service", web::post().to(set_worker_service))
             .route("/odd-workers", web::post().to(list_odd_workers))
             .route("/account", web::get().to(show_runs))
     })
@@ -214,6 +215,25 @@
     HttpResponse::Ok().json(json!({}))
 }
 
+/// A change of the service that a worker lists.
+#[derive(Debug, Deserialize)]
+struct WorkerServiceChange {
+    /// The index of the worker.
+    worker: usize,
+    service: String,
+}
+
+/// Changes the service that a worker lists.
+async fn set_worker_service(
+    store: SharedStore,
+    workers: SharedWorkers,
+    change: web::Json<WorkerServiceChange>,
+) -> HttpResponse {
+    let worker = lock(&workers[change.worker]);
+    lock(&store).set_worker_service(worker.id(), &change.service);
+    HttpResponse::Ok().json(json!({}))
+}
+
 /// Writes or removes entries that name no usable worker.
 async fn list_odd_workers(store: SharedStore, listed: web::Json<bool>) -> HttpResponse {
     lock(&store).list_odd_workers(listed.into_inner());
--- a/crates/geraniumwinch-standins/src/fleet/kv_store.rs
+++ b/crates/geraniumwinch-standins/src/fleet/kv_store.rs
@@ -99,6 +99,15 @@
         }
     }
 
+    /// Changes the service in a worker's entry.
+    pub(super) fn set_worker_service(&mut self, id: &str, service: &str) {
+        let key = format!("servers/{id}");
+        if let Some(mut entry) = self.entry(&key) {
+            entry["service"] = json!(service);
+            self.put(&key, entry.to_string().as_bytes());
+        }
+    }
+
     /// Returns the decoded value of an item, if it is valid.
     fn entry(&self, key: &str) -> Option<Value> {
         let bytes = STANDARD.decode(&self.items.get(key)?.value).ok()?;
--- a/crates/geraniumwinch-tests/src/fleet_cell/platform_control.rs
+++ b/crates/geraniumwinch-tests/src/fleet_cell/platform_control.rs
@@ -12,6 +12,9 @@
 use super::PROXY_PORT;
 use super::UNRESTRICTED_QUEUE;
 
+/// The service that the workers list at first.
+const DEFAULT_SERVICE: &str = "service";
+
 impl FleetCell {
     /// Replaces the proxy's rules and returns the status of the response.
     pub async fn set_rules(&self, rules: &[Value]) -> u16 {
@@ -36,6 +39,12 @@
         self.post("/worker-cores", &json!({ "worker": index, "cores": cores })).await;
     }
 
+    /// Changes the service that a worker lists.
+    pub async fn set_worker_service(&self, index: u16, service: &str) {
+        let change = json!({ "worker": index, "service": service });
+        self.post("/worker-service", &change).await;
+    }
+
     /// Writes entries of another writer to the list of workers, as pairs of an identifier and a
     /// value.
     ///
@@ -67,23 +76,31 @@
     /// Publishes a configuration with the queues `/jobs/`, `/open/` and `/unrestricted/`, which alone
     /// requires no permission; even versions lack [`ROTATED_KEY`].
     pub async fn publish(&self, version: u64) {
+        self.publish_queues(version, DEFAULT_SERVICE, false).await;
+    }
+
+    /// Like [`publish`](Self::publish), with queues whose tasks run on the workers of a service, and
+    /// with permissions in all queues if `restricted` is set.
+    pub async fn publish_queues(&self, version: u64, service: &str, restricted: bool) {
         let route = |name: &str, public: bool| {
             let prefix = format!("/{name}/");
             json!({
                 "name": name, "hostname": FLEET_HOST, "prefix": prefix, "kind": "unsafe",
-                "target_duration_ms": 1000, "priority": 1, "service": "service",
+                "target_duration_ms": 1000, "priority": 1, "service": service,
                 "max_attempts": 2, "stretch": 2.0, "public": public,
                 "advice": { "decide_ms": 1.0, "per_item_ms": 0.1, "validity_ms": 2000 },
             })
         };
         let mut unrestricted = route(UNRESTRICTED_QUEUE, false);
-        unrestricted["advice"] = Value::Null;
+        if !restricted {
+            unrestricted["advice"] = Value::Null;
+        }
         let keys: &[&str] =
             if version.is_multiple_of(2) { &["key-a"] } else { &["key-a", "key-b"] };
         let configuration = json!({
             "version": version,
             "routes": [route("jobs", false), route("open", true), unrestricted],
-            "services": [{ "name": "service" }],
+            "services": [{ "name": service }],
             "limits": {
                 "max_header_bytes": 16384, "max_body_bytes": 262_144,
                 "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
