Keep runs whose ends a worker's report had no room for

Cause: a worker lists its earliest 500 ends and the others once these are acknowledged, but every reader took the list for whole. The present owner gave up runs that were neither running nor listed (run-missing, long before the store was back), and a new owner took a worker as known after its first report, so that tasks whose ends it had not read started.

Change: a report says whether further ends may follow; platform/ knows the page's limit. While they may, a run that is listed nowhere stays placed, and a new owner starts no task of a job read from the store that may have ended unread, until one report had room for all ends.

--- a/crates/geraniumwinch-bench/src/pass_cost.rs
+++ b/crates/geraniumwinch-bench/src/pass_cost.rs
@@ -149,8 +149,12 @@
                 percent: 10,
             })
             .collect();
-        let report =
-            WorkerReport { incarnation: INCARNATION, clock_ms: 1, running, ended };
+        let report = WorkerReport {
+            incarnation: INCARNATION,
+            running,
+            ended,
+            ..WorkerReport::default()
+        };
         self.scheduler.report(worker, &report, self.now, self.now);
     }
 
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
@@ -39,6 +39,9 @@
                 beside = beside
             );
         }
+        SchedulerEvent::EndsListed { worker, all } => {
+            log_event!(Warn, "ends-listed", worker = worker, all = all);
+        }
         SchedulerEvent::Missing { task, run, worker } => {
             log_event!(Warn, "run-missing", task = task, run = run, worker = worker);
         }
--- a/crates/geraniumwinch-cell/tests/common/test_worker.rs
+++ b/crates/geraniumwinch-cell/tests/common/test_worker.rs
@@ -210,6 +210,7 @@
             clock_ms: CLOCK_MS,
             running: running.collect(),
             ended: ended.cloned().collect(),
+            more_ends: false,
         }
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -44,6 +44,7 @@
 mod task_state;
 mod timeouts;
 mod unit_state;
+mod unread_ends;
 mod unreported_runs;
 mod waiting_calls;
 mod waits;
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
@@ -67,6 +67,7 @@
                 RunMatch::Orphan(None) => unknown = true,
             }
         }
+        self.update_unread_ends(worker, report);
         self.abandon_missing_runs(worker, &matched, sent, now);
         let id = self.workers[worker].info.id.clone();
         lost.retain(|run| !matched.contains(&run.task));
@@ -354,6 +355,10 @@
             let fenced = sent >= self.workers[worker].fenced_since;
             let excluded = fenced || !self.may_start_later(&placement, now);
             if expected && excluded && !matched.contains(&task) {
+                if self.may_have_ended_unread(task, worker) {
+                    self.workers[worker].unread_runs.insert(task);
+                    continue;
+                }
                 let name = self.jobs[task.job].task_name(task);
                 let id = self.workers[worker].info.id.clone();
                 let event = SchedulerEvent::Missing {
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/stalled_runs.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/stalled_runs.rs
@@ -34,8 +34,10 @@
         let plan = job.plan(task.unit);
         let done = job.units[task.unit as usize].tasks[task.index as usize].done;
         let limit = STALL_MIN.max(plan.estimate / STALL_ESTIMATE_DIVISOR);
-        let exempt =
-            plan.long_running || done || self.workers[placement.worker].is_silent();
+        let exempt = plan.long_running
+            || done
+            || self.workers[placement.worker].is_silent()
+            || self.is_end_unread(task);
         if exempt
             || now < placement.progressed + limit
             || plan.gang && self.waits_for_members(task, &placement)
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/unreported_runs.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/unreported_runs.rs
@@ -1,4 +1,5 @@
-//! Runs that may exist on workers that have not reported to a new owner yet.
+//! Runs that may exist on workers that have not reported to a new owner yet, and runs that may have
+//! ended there without a report that lists their ends.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -22,18 +23,33 @@
     jobs: HashSet<Name>,
     /// The maximum resources that tasks use on these other workers, by client account.
     used: HashMap<Name, ResourceVector>,
+    /// The jobs with tasks that may have ended on workers that have reported, but not all ends.
+    ended: EndedJobs,
+}
+
+/// Jobs with tasks that may have ended, as far as reports tell.
+#[derive(Debug, Default)]
+struct EndedJobs {
+    /// Whether they may be any jobs of former owners.
+    any: bool,
+    /// The jobs otherwise.
+    jobs: HashSet<Name>,
 }
 
 impl FleetScheduler {
-    /// Returns the runs that may exist on workers that have not reported and whose leases have not
-    /// expired.
+    /// Returns the runs that may exist, or may have ended unread, on workers that have not reported
+    /// all and whose leases have not expired.
     pub(super) fn unreported_runs(&self, now: BootTime) -> UnreportedRuns {
         let mut runs = UnreportedRuns::default();
-        let unreported = self.workers.values();
-        for state in
-            unreported.filter(|state| state.incarnation.is_none() && now < state.expiry)
-        {
+        let states = self.workers.values().filter(|state| now < state.expiry);
+        for state in states.filter(|state| state.may_hide_ends()) {
+            // What runs on a worker that has reported is known.
+            let reported = state.incarnation.is_some();
             match &state.inherited_runs {
+                Some(PossibleRuns::Any) if reported => runs.ended.any = true,
+                Some(PossibleRuns::Only { jobs, .. }) if reported => {
+                    runs.ended.jobs.extend(jobs.iter().cloned());
+                }
                 Some(PossibleRuns::Any) => {
                     let capacity = runs.open_capacity.get_or_insert_default();
                     capacity.add(&state.info.capacity);
@@ -50,7 +66,8 @@
         runs
     }
 
-    /// Returns whether waiting tasks of a job may run on workers that have not reported.
+    /// Returns whether waiting tasks of a job may run on workers that have not reported, or may have
+    /// ended unread.
     pub(super) fn may_run_unreported(
         &self,
         key: JobKey,
@@ -58,6 +75,11 @@
         now: BootTime,
     ) -> bool {
         let job = &self.jobs[key];
+        let ended = &unreported.ended;
+        let inherited = job.accepted_at.is_none();
+        if inherited && (ended.any || ended.jobs.contains(&job.id)) {
+            return true;
+        }
         let possible =
             unreported.open_capacity.is_some() || unreported.jobs.contains(&job.id);
         job.uncertain_until > now && possible
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
@@ -127,6 +127,14 @@
     pub(super) failures: u32,
     /// When the quarantine of the worker ends.
     pub(super) quarantine: BootTime,
+    /// Whether a report of this incarnation has listed all ends, so that all runs of former owners
+    /// there are known.
+    pub(super) has_listed_all: bool,
+    /// Whether the last report had no room for all ends.
+    pub(super) has_more_ends: bool,
+    /// The placed tasks whose runs have ended, as the last report doesn't list them as running, but
+    /// whose ends it had no room for.
+    pub(super) unread_runs: BTreeSet<TaskRef>,
     /// The sequence number of the last processed end.
     pub(super) processed_end: u64,
     /// The sequence number up to which the store holds all ends.
@@ -163,6 +171,9 @@
             orphan_size_unknown: false,
             failures: 0,
             quarantine: BootTime::ZERO,
+            has_listed_all: false,
+            has_more_ends: false,
+            unread_runs: BTreeSet::new(),
             processed_end: 0,
             stored_end: 0,
             unstored_ends: VecDeque::new(),
@@ -218,7 +229,9 @@
                 RecordedRuns::of(possible_runs)
             }
             _ if self.incarnation.is_none() && !takes => RecordedRuns::NoJobs,
-            _ if takes || self.has_orphans() => RecordedRuns::AnyJob,
+            _ if takes || self.has_orphans() || self.may_hide_ends() => {
+                RecordedRuns::AnyJob
+            }
             _ if self.tasks.is_empty() && self.unstored_ends.is_empty() => {
                 RecordedRuns::NoJobs
             }
@@ -226,6 +239,11 @@
         }
     }
 
+    /// Returns whether the worker may have ends of former owners' runs that no report has listed.
+    pub(super) fn may_hide_ends(&self) -> bool {
+        self.inherited_runs.is_some() && !self.has_listed_all
+    }
+
     /// Returns whether nothing runs on the worker: it has reported so, and nothing was started
     /// since.
     pub(super) fn idle(&self) -> bool {
@@ -263,6 +281,9 @@
         self.leaving = !self.info.accepting;
         self.expired_runs.clear();
         self.incarnation = Some(incarnation);
+        self.has_listed_all = false;
+        self.has_more_ends = false;
+        self.unread_runs.clear();
         self.processed_end = 0;
         self.stored_end = 0;
         self.unstored_ends.clear();
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
@@ -175,7 +175,8 @@
     /// whether the worker is gone.
     pub fn remove_if_gone(&mut self, worker: WorkerKey, now: BootTime) -> bool {
         let Some(state) = self.workers.get(worker) else { return true };
-        let empty = state.idle() || (state.tasks.is_empty() && state.expiry <= now);
+        let settled = state.idle() && !state.may_hide_ends();
+        let empty = settled || (state.tasks.is_empty() && state.expiry <= now);
         if state.listed || !state.is_silent() || !empty {
             return false;
         }
--- a/crates/geraniumwinch-fleet/src/scheduler_event.rs
+++ b/crates/geraniumwinch-fleet/src/scheduler_event.rs
@@ -37,6 +37,13 @@
         /// The number of other runs that are left on the worker.
         beside: usize,
     },
+    /// A worker's reports begin to have no room for all ends, or have room for all of them again.
+    EndsListed {
+        /// The worker.
+        worker: Name,
+        /// Whether all ends are listed.
+        all: bool,
+    },
     /// A run is missing from its worker's report.
     Missing {
         /// The task.
--- a/crates/geraniumwinch-fleet/src/worker_report.rs
+++ b/crates/geraniumwinch-fleet/src/worker_report.rs
@@ -42,6 +42,9 @@
     pub clock_ms: u64,
     /// The runs in progress.
     pub running: Vec<RunningRun>,
-    /// The ended runs that were not acknowledged yet.
+    /// The ended runs that were not acknowledged yet, the earliest ones if there are many.
     pub ended: Vec<EndedRun>,
+    /// Whether further runs may have ended that are listed only once these are acknowledged. A run that
+    /// the report doesn't list may be one of them.
+    pub more_ends: bool,
 }
--- a/crates/geraniumwinch-fleet/tests/common/mod.rs
+++ b/crates/geraniumwinch-fleet/tests/common/mod.rs
@@ -162,8 +162,29 @@
         running: Vec<RunningRun>,
         ended: Vec<EndedRun>,
     ) {
-        let report =
-            WorkerReport { incarnation: INCARNATION, clock_ms: 1, running, ended };
+        let report = WorkerReport {
+            incarnation: INCARNATION,
+            running,
+            ended,
+            ..WorkerReport::default()
+        };
+        self.scheduler.report(worker, &report, self.now, self.now);
+    }
+
+    /// Processes a report at the current time that has no room for all ends.
+    pub fn report_part(
+        &mut self,
+        worker: WorkerKey,
+        running: Vec<RunningRun>,
+        ended: Vec<EndedRun>,
+    ) {
+        let report = WorkerReport {
+            incarnation: INCARNATION,
+            running,
+            ended,
+            more_ends: true,
+            ..WorkerReport::default()
+        };
         self.scheduler.report(worker, &report, self.now, self.now);
     }
 
--- a/crates/geraniumwinch-standins/src/fleet/job_worker.rs
+++ b/crates/geraniumwinch-standins/src/fleet/job_worker.rs
@@ -29,6 +29,8 @@
 pub const TICKET_VALIDITY_MS: u64 = 2000;
 /// How long a worker responds to nothing after a crash.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(900);
+/// The number of ends that a report lists at most; the others follow once these are acknowledged.
+const MAX_LISTED_ENDS: usize = 500;
 /// The last word of the specification of a task whose queue requires no permission.
 const UNRESTRICTED: &str = "unrestricted";
 
@@ -277,7 +279,8 @@
         let running = self.runs.iter().filter(|run| run.ended.is_none());
         let running: Vec<Value> =
             running.map(|run| json!([run.task, run.run, "", 50, 0])).collect();
-        let ended = self.unacknowledged.iter().map(|&(number, index)| {
+        let listed = self.unacknowledged.iter().take(MAX_LISTED_ENDS);
+        let ended = listed.map(|&(number, index)| {
             let run = &self.runs[index];
             let outcome = run.ended.map_or("", |(outcome, _)| outcome);
             json!([number, run.task, run.run, outcome, ""])
