Restart long-running tasks however they end

Cause: each end done finished its task, whatever its step. Only failures of long-running steps were exempt, from the limit of attempts.

Change: only a cancellation ends a long-running task. Gangs start again as a whole, mixed jobs live until they are cancelled, and what an earlier version has stored as done starts again. A job that lasts is never late, so that its restarts do not wait behind all jobs in time. Runs that keep ending within 5 s are delayed, by 2 s at most. On the way: the end of a gang's earlier run no longer stops the members of the present one.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -32,6 +32,7 @@
 mod replaced_workers;
 mod reports;
 mod request_size;
+mod restart_delay;
 mod run_phase;
 mod run_work;
 mod scarce_calls;
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/completion.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/completion.rs
@@ -7,6 +7,7 @@
 
 use super::FleetScheduler;
 use super::run_phase::RunPhase;
+use super::task_placement::TaskPlacement;
 use super::task_ref::JobKey;
 use super::task_ref::TaskRef;
 
@@ -19,16 +20,19 @@
         outcome: RunOutcome,
         now: BootTime,
     ) {
-        let gang = self.jobs[task.job].plan(task.unit).gang;
+        let plan = self.jobs[task.job].plan(task.unit);
+        let (gang, lasting) = (plan.gang, plan.long_running);
         match outcome {
+            // Only a cancellation ends a long-running task.
+            RunOutcome::Done if lasting => {}
             RunOutcome::Done if gang => self.finish_gang(task, now),
             RunOutcome::Done => self.finish_task(task, now),
             RunOutcome::Failed => self.count_failure(task, run, now),
             _ if self.is_exhausted(task) => self.end_job(task.job, JobPhase::Failed, now),
             _ => {}
         }
-        if gang && outcome != RunOutcome::Done {
-            self.break_gang(task, now);
+        if gang && (lasting || outcome != RunOutcome::Done) {
+            self.break_gang(task, run, now);
         }
     }
 
@@ -89,12 +93,31 @@
         job.live() && !state.done && state.failed_runs.len() >= attempts
     }
 
-    /// Stops all placed members of a gang after one of them has ended.
-    pub(super) fn break_gang(&mut self, task: TaskRef, now: BootTime) {
+    /// Stops all members of a gang that are placed in the run in which one of them has ended, or an
+    /// earlier one.
+    fn break_gang(&mut self, task: TaskRef, run: u64, now: BootTime) {
         let loss = self.gang_loss(task);
         let members = self.jobs[task.job].units[task.unit as usize].tasks.len() as u32;
         for index in 0..members {
-            self.stop(TaskRef { index, ..task }, loss, now);
+            let member = TaskRef { index, ..task };
+            if self.placement_of(member).is_some_and(|placement| placement.run <= run) {
+                self.stop(member, loss, now);
+            }
+        }
+    }
+
+    /// Delays the next run of a long-running task whose runs keep ending soon by themselves.
+    pub(super) fn delay_restart(
+        &mut self,
+        task: TaskRef,
+        placement: &TaskPlacement,
+        outcome: RunOutcome,
+        now: BootTime,
+    ) {
+        let lasting = self.jobs[task.job].plan(task.unit).long_running;
+        if lasting && matches!(outcome, RunOutcome::Done | RunOutcome::Failed) {
+            let time = now.saturating_sub(placement.started_at);
+            self.task_state_mut(task).restart_delay.record_end(time, now);
         }
     }
 
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/held_ends.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/held_ends.rs
@@ -38,7 +38,9 @@
         now: BootTime,
     ) -> Option<OpenStart> {
         let placement = self.placement_of(task)?;
+        let lasting = self.jobs[task.job].plan(task.unit).long_running;
         let open = ended.outcome == RunOutcome::Done
+            && !lasting
             && !placement.copies.has_ticket()
             && placement.worker == worker
             && placement.run == ended.run
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
@@ -131,14 +131,20 @@
         self.units.iter().any(|unit| unit.waiting > 0)
     }
 
-    /// Returns how late the job would be if its waiting tasks were started now. Scheduled jobs
-    /// always count as in time.
+    /// Returns whether the job has long-running tasks, so that it ends only by a cancellation.
+    pub(super) fn is_lasting(&self) -> bool {
+        self.record.request.steps.iter().any(|plan| plan.long_running)
+    }
+
+    /// Returns how late the job would be if its waiting tasks were started now. Scheduled jobs, and
+    /// jobs with long-running tasks, always count as in time.
     pub(super) fn lateness(&self, unix_time: Duration) -> JobLateness {
         let needed = if self.started { Duration::ZERO } else { self.forecast.path };
         let end = unix_time.saturating_add(needed);
         let allowed = self.objective.saturating_sub(self.record.accepted);
         let late = allowed.saturating_mul(LATE_FACTOR);
-        if self.record.request.schedule.is_some() || end <= self.objective {
+        let timeless = self.record.request.schedule.is_some() || self.is_lasting();
+        if timeless || end <= self.objective {
             JobLateness::InTime
         } else if end <= self.record.accepted.saturating_add(late) {
             JobLateness::Late
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/overdue_jobs.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/overdue_jobs.rs
@@ -63,12 +63,9 @@
 }
 
 impl FleetScheduler {
-    /// Returns whether a job waits behind all others since its result is of little use by now. Jobs
-    /// with long-running tasks never do: their tasks are of use whenever they run.
+    /// Returns whether a job waits behind all others since its result is of little use by now.
     pub(super) fn is_overdue(&self, key: JobKey, unix_time: Duration) -> bool {
-        let job = &self.jobs[key];
-        let lasting = job.record.request.steps.iter().any(|plan| plan.long_running);
-        !lasting && job.lateness(unix_time) == JobLateness::Overdue
+        self.jobs[key].lateness(unix_time) == JobLateness::Overdue
     }
 
     /// Returns how many of `wanted` tasks of a step an overdue job may start in this pass.
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -166,7 +166,7 @@
     ) {
         let job = &self.jobs[key];
         let plan = job.plan(unit).clone();
-        let waiting = job.units[unit as usize].waiting as usize;
+        let waiting = self.startable_tasks(key, unit, now);
         let quota = self.accounts.allows(&job.record.account, &plan.reserved());
         let mut needed = waiting.min(usize::try_from(quota).unwrap_or(usize::MAX));
         if self.is_overdue(key, unix_time) {
@@ -224,6 +224,17 @@
         self.preempt(key, unit, left, now, round);
     }
 
+    /// Returns the number of a unit's waiting tasks that may start now. Those of a long-running step may
+    /// be delayed.
+    fn startable_tasks(&self, key: JobKey, unit: u32, now: BootTime) -> usize {
+        let job = &self.jobs[key];
+        let state = &job.units[unit as usize];
+        if !job.plan(unit).long_running {
+            return state.waiting as usize;
+        }
+        state.tasks.iter().filter(|task| task.is_startable(now)).count()
+    }
+
     /// Starts waiting tasks of a unit, one on each entry of `chosen`. The members of a gang share
     /// their run number and checkpoint.
     pub(super) fn start(
@@ -240,7 +251,7 @@
             .tasks
             .iter()
             .enumerate()
-            .filter(|(_, task)| task.is_waiting())
+            .filter(|(_, task)| task.is_startable(now))
             .map(|(index, _)| index as u32)
             .collect();
         indices.sort_by_key(|&index| !state.tasks[index as usize].is_suspected());
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
@@ -168,6 +168,7 @@
                 self.learn_from_end(task, &placement, ended.outcome, now);
                 self.unassign(task);
                 self.account_end(task, &placement, ended.outcome, now);
+                self.delay_restart(task, &placement, ended.outcome, now);
                 self.update_failures(worker, ended.outcome, now);
                 self.log_end(worker, ended);
                 self.apply_outcome(task, ended.run, ended.outcome, now);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/task_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/task_state.rs
@@ -3,6 +3,9 @@
 use geraniumwinch_core::CrashHistory;
 use geraniumwinch_core::Name;
 
+use crate::BootTime;
+
+use super::restart_delay::RestartDelay;
 use super::task_placement::TaskPlacement;
 
 /// The state of a task.
@@ -19,6 +22,8 @@
     /// The highest known run number.
     pub(super) last_run: u64,
     pub(super) checkpoint: Option<Name>,
+    /// When a long-running task may start again.
+    pub(super) restart_delay: RestartDelay,
     /// Whether the task was preempted for a more urgent job.
     pub(super) preempted: bool,
 }
@@ -29,6 +34,11 @@
         !self.done && self.placement.is_none()
     }
 
+    /// Returns whether the task waits and may start now.
+    pub(super) fn is_startable(&self, now: BootTime) -> bool {
+        self.is_waiting() && !self.restart_delay.holds(now)
+    }
+
     /// Returns whether the task may have crashed a worker.
     pub(super) fn is_suspected(&self) -> bool {
         self.crashes.is_suspected()
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/unit_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/unit_state.rs
@@ -77,7 +77,9 @@
         tasks.resize_with(plan.tasks as usize, TaskState::default);
         let mut remaining = plan.tasks;
         if let Some(progress) = record.progress.get(&number) {
-            for &index in &progress.done {
+            // Records of earlier versions may have long-running tasks that count as done.
+            let done = progress.done.iter().filter(|_| !plan.long_running);
+            for &index in done {
                 if let Some(task) = tasks.get_mut(index as usize)
                     && !task.done
                 {
--- a/crates/geraniumwinch-tests/tests/changed_queues.rs
+++ b/crates/geraniumwinch-tests/tests/changed_queues.rs
@@ -102,6 +102,34 @@
     assert!(!workers.contains(&0), "the second step ran on {workers:?}");
 }
 
+/// Guards against a long-running task that isn't started again on the service to which its queue goes.
+#[test]
+fn a_long_running_task_follows_its_queue() {
+    run_test(async {
+        let cell = FleetCell::start(3, WORKERS).await;
+        for worker in 1..WORKERS {
+            cell.set_worker_service(worker, NEW_SERVICE).await;
+        }
+        tokio::time::sleep(CHANGE_TIME).await;
+        let step = json!({ "count": 1, "cpu": 1000, "mem_mb": 64, "long_running": true });
+        let body = json!({ "spec": "60000 done", "steps": [step] }).to_string();
+        let path = format!("/jobs/{JOB}");
+        let response = cell.call(0, Method::POST, &path, Some(FLEET_KEY), &body).await;
+        assert_eq!(response.status, 200);
+        wait_until("the task runs", async || cell.runs().await.len() == 1).await;
+        cell.publish_queues(2, NEW_SERVICE, false).await;
+        cell.set_worker_state(0, Some("draining")).await;
+        tokio::time::sleep(CHANGE_TIME).await;
+        cell.set_worker_state(0, None).await;
+        wait_until("the task runs on the new service", async || {
+            let runs = cell.runs().await;
+            runs.iter().any(|run| run["how"] == "running" && run["worker"] != 0)
+        })
+        .await;
+        assert_eq!(cell.state_at(0, &path).await.as_deref(), Some("running"));
+    });
+}
+
 /// Guards against starts without permission, refused for ever, of jobs whose queue requires one since
 /// their acceptance.
 #[test]
