Restart services of the own interface that end by themselves

Change: a service's task that succeeds is started again after 500 ms, as a failed one is; recorded successes of services are ignored.

--- a/crates/geraniumwinch-core/src/job_scheduler/attempt_ends.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/attempt_ends.rs
@@ -1,8 +1,11 @@
 //! The ends of task attempts, and what becomes of their tasks.
+//!
+//! A success ends a task for good, but that of a service is restarted: only a cancellation ends it.
 
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::JobKind;
 use crate::TaskId;
 use crate::TeamLedger;
 use crate::WorkerKey;
@@ -19,13 +22,14 @@
 /// The number of different workers on which tasks of a job must fail for the failure to be blamed on
 /// the job.
 const MAX_FAILED_WORKERS: usize = 3;
-/// The delay before a failed task is retried.
-const FAILURE_BACKOFF: Duration = Duration::from_millis(500);
+/// The delay before a failed task is retried, or a task of a service that has ended by itself is
+/// restarted.
+const RESTART_BACKOFF: Duration = Duration::from_millis(500);
 
 impl JobScheduler {
     /// Handles the end of an attempt of a task that is not placed.
     ///
-    /// A success ends the task. After any other end, an unlocated task still waits for its leases, since
+    /// A success ends the task, unless it is a service's. After any other end, an unlocated task still waits for its leases, since
     /// the former owner may have started a later attempt on a worker that has not reported yet.
     pub(super) fn finish_unplaced(
         &mut self,
@@ -36,6 +40,9 @@
         let Some((task, state)) = self.find_unplaced(&report.task) else { return };
         let unlocated = matches!(state, TaskState::Unlocated { .. });
         match report.state {
+            ReportedState::Succeeded if self.is_service(task) => {
+                quarantine::observe_start(&mut self.workers, worker, false, now);
+            }
             ReportedState::Succeeded => {
                 self.discard_wait(task, state);
                 quarantine::observe_start(&mut self.workers, worker, false, now);
@@ -85,6 +92,10 @@
     ) {
         let placement = self.unplace(task, ledger);
         match state {
+            ReportedState::Succeeded if self.is_service(task) => {
+                quarantine::observe_start(&mut self.workers, worker, false, now);
+                self.delay(task, now);
+            }
             ReportedState::Succeeded => {
                 quarantine::observe_start(&mut self.workers, worker, false, now);
                 self.end_task(task, TaskOutcome::Succeeded);
@@ -103,7 +114,7 @@
         placement: Option<TaskPlacement>,
         now: Instant,
     ) {
-        let (key, index) = task;
+        let (key, _) = task;
         let since = placement.map(|placement| placement.since);
         let early = since.is_none_or(|since| now - since < quarantine::EARLY_FAILURE);
         self.record_failure(task, worker, early, now);
@@ -112,11 +123,22 @@
             self.end_task(task, TaskOutcome::Failed);
             return;
         }
-        let until = now + FAILURE_BACKOFF;
+        self.delay(task, now);
+    }
+
+    /// Has a task that is no longer placed wait for [`RESTART_BACKOFF`] until it is queued again.
+    fn delay(&mut self, task: TaskRef, now: Instant) {
+        let (key, index) = task;
+        let until = now + RESTART_BACKOFF;
         self.jobs[key].tasks[index as usize] = TaskState::Delayed { until };
         self.delayed.insert((until, task));
     }
 
+    /// Returns whether a task belongs to a service, which only a cancellation ends.
+    fn is_service(&self, (key, _): TaskRef) -> bool {
+        self.jobs[key].spec.kind == JobKind::Service
+    }
+
     /// Records that a task failed on a worker; an early failure counts against the worker, once a job.
     fn record_failure(
         &mut self,
--- a/crates/geraniumwinch-core/src/job_scheduler/recovery.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/recovery.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use crate::JobId;
+use crate::JobKind;
 use crate::JobSpec;
 use crate::Name;
 use crate::TaskId;
@@ -56,6 +57,10 @@
     pub fn restore_end(&mut self, id: &JobId, index: u32, end: TaskOutcome) {
         let Some(&key) = self.by_id.get(id) else { return };
         let job = &mut self.jobs[key];
+        // Earlier versions have recorded the success of a service's task as its end.
+        if end == TaskOutcome::Succeeded && job.spec.kind == JobKind::Service {
+            return;
+        }
         let Some(&TaskState::Unlocated { until }) = job.tasks.get(index as usize) else {
             return;
         };
--- a/crates/geraniumwinch-core/tests/common/mod.rs
+++ b/crates/geraniumwinch-core/tests/common/mod.rs
@@ -78,8 +78,12 @@
 
     /// Restores a job with one task that a former owner accepted.
     pub fn restore(&mut self) -> JobId {
+        self.restore_job(batch(CPU))
+    }
+
+    /// Restores a job with one task of a former owner.
+    pub fn restore_job(&mut self, spec: JobSpec) -> JobId {
         let job = self.next_job();
-        let spec = batch(CPU);
         self.scheduler.restore(job.clone(), spec, self.team, "queue".into(), self.now);
         job
     }
