Soak: queues that go to other workers while jobs wait and run

A plan draws the general faults and, as often, a configuration by which all queues go to one of two services, each of which has half of the workers. All accepted jobs must end as their responses say, and no task may run twice.

--- a/crates/geraniumwinch-tests/src/fleet_cell.rs
+++ b/crates/geraniumwinch-tests/src/fleet_cell.rs
@@ -34,6 +34,10 @@
 const STORE_PROXY_PORT: u16 = 14_000;
 /// The time between the request of a graceful stop and the forced termination of a process.
 pub const STOP_GRACE: Duration = Duration::from_secs(4);
+/// The service that the workers list at first.
+pub(crate) const DEFAULT_SERVICE: &str = "service";
+/// A service that workers may list later.
+pub const OTHER_SERVICE: &str = "other-service";
 /// The host name of the queues.
 pub const FLEET_HOST: &str = "queue.example";
 
--- a/crates/geraniumwinch-tests/src/fleet_cell/platform_control.rs
+++ b/crates/geraniumwinch-tests/src/fleet_cell/platform_control.rs
@@ -6,15 +6,13 @@
 
 use crate::TestResponse;
 
+use super::DEFAULT_SERVICE;
 use super::FLEET_HOST;
 use super::FleetCell;
 use super::PLATFORM_PORT;
 use super::PROXY_PORT;
 use super::UNRESTRICTED_QUEUE;
 
-/// The service that the workers list at first.
-const DEFAULT_SERVICE: &str = "service";
-
 impl FleetCell {
     /// Replaces the proxy's rules and returns the status of the response.
     pub async fn set_rules(&self, rules: &[Value]) -> u16 {
--- a/crates/geraniumwinch-tests/src/lib.rs
+++ b/crates/geraniumwinch-tests/src/lib.rs
@@ -32,6 +32,7 @@
 pub use self::fleet_cell::FLEET_HOST;
 pub use self::fleet_cell::FLEET_KEY;
 pub use self::fleet_cell::FleetCell;
+pub use self::fleet_cell::OTHER_SERVICE;
 pub use self::fleet_cell::ROTATED_KEY;
 pub use self::fleet_cell::UNRESTRICTED_QUEUE;
 pub use self::fleet_load::FleetLoad;
--- a/crates/geraniumwinch-tests/tests/changed_queues.rs
+++ b/crates/geraniumwinch-tests/tests/changed_queues.rs
@@ -6,14 +6,13 @@
 use awc::http::Method;
 use geraniumwinch_tests::FLEET_KEY;
 use geraniumwinch_tests::FleetCell;
+use geraniumwinch_tests::OTHER_SERVICE;
 use geraniumwinch_tests::UNRESTRICTED_QUEUE;
 use geraniumwinch_tests::run_test;
 use geraniumwinch_tests::wait_until;
 use serde_json::Value;
 use serde_json::json;
 
-/// The service to which the queues go after the change. The first worker doesn't belong to it.
-const NEW_SERVICE: &str = "new-service";
 /// The number of workers.
 const WORKERS: u16 = 4;
 /// The time within which a change of the configuration is in force, and a list of workers is read.
@@ -73,12 +72,12 @@
 async fn work_follows_its_queue(queue: &str, departure: Departure) {
     let mut cell = FleetCell::start(3, WORKERS).await;
     for worker in 1..WORKERS {
-        cell.set_worker_service(worker, NEW_SERVICE).await;
+        cell.set_worker_service(worker, OTHER_SERVICE).await;
     }
     tokio::time::sleep(CHANGE_TIME).await;
     submit_steps(&cell, queue, &format!("2500 done {UNRESTRICTED_QUEUE}")).await;
     wait_until("the first step runs", async || cell.runs().await.len() == 4).await;
-    cell.publish_queues(2, NEW_SERVICE, false).await;
+    cell.publish_queues(2, OTHER_SERVICE, false).await;
     if departure != Departure::Crashed {
         cell.set_worker_state(0, Some("draining")).await;
         tokio::time::sleep(CHANGE_TIME).await;
@@ -108,7 +107,7 @@
     run_test(async {
         let cell = FleetCell::start(3, WORKERS).await;
         for worker in 1..WORKERS {
-            cell.set_worker_service(worker, NEW_SERVICE).await;
+            cell.set_worker_service(worker, OTHER_SERVICE).await;
         }
         tokio::time::sleep(CHANGE_TIME).await;
         let step = json!({ "count": 1, "cpu": 1000, "mem_mb": 64, "long_running": true });
@@ -117,7 +116,7 @@
         let response = cell.call(0, Method::POST, &path, Some(FLEET_KEY), &body).await;
         assert_eq!(response.status, 200);
         wait_until("the task runs", async || cell.runs().await.len() == 1).await;
-        cell.publish_queues(2, NEW_SERVICE, false).await;
+        cell.publish_queues(2, OTHER_SERVICE, false).await;
         cell.set_worker_state(0, Some("draining")).await;
         tokio::time::sleep(CHANGE_TIME).await;
         cell.set_worker_state(0, None).await;
--- a/crates/geraniumwinch-tests/tests/platform_soak.rs
+++ b/crates/geraniumwinch-tests/tests/platform_soak.rs
@@ -10,6 +10,7 @@
 use geraniumwinch_tests::FaultInjector;
 use geraniumwinch_tests::FaultPlan;
 use geraniumwinch_tests::FleetCell;
+use geraniumwinch_tests::OTHER_SERVICE;
 use geraniumwinch_tests::ProcessEnd;
 use geraniumwinch_tests::ROTATED_KEY;
 use geraniumwinch_tests::SentRequest;
@@ -79,6 +80,12 @@
     run_seed(seed, FaultPlan::Evacuations, true);
 }
 
+/// Guards against accepted work that is lost, or runs twice, when its queue goes to other workers.
+#[test_case(500; "seed 500")]
+fn no_job_is_lost_or_run_twice_while_queues_move_under(seed: u64) {
+    run_seed(seed, FaultPlan::Queues, false);
+}
+
 /// Guards against requests without a response on connections that stay open while their process stops:
 /// it exited at a fixed moment, whatever was in progress.
 #[test_case(950; "seed 950")]
@@ -95,6 +102,7 @@
         Ok("permitted") => (FaultPlan::Commands, false),
         Ok("fleet") => (FaultPlan::Fleet, false),
         Ok("evacuations") => (FaultPlan::Evacuations, true),
+        Ok("queues") => (FaultPlan::Queues, false),
         Ok("stops") => (FaultPlan::Stops, false),
         Ok("crashes") => (FaultPlan::Crashes, true),
         _ => (FaultPlan::Commands, true),
@@ -112,6 +120,11 @@
             }
             _ => FleetCell::start_proxied(PROCESSES, WORKERS, LIMIT_MILLIS).await,
         };
+        if plan == FaultPlan::Queues {
+            for worker in (1..WORKERS).step_by(2) {
+                cell.set_worker_service(worker, OTHER_SERVICE).await;
+            }
+        }
         let interval = FAULT_PERIOD / JOBS as u32;
         let mut load = cell.load(seed, JOBS, interval, TASK_MILLIS, unrestricted);
         if plan == FaultPlan::Fleet {
