End the runs of workers that have left as announced at once

Cause: the owner knew only that the worker no longer responds. The list says more: an entry is removed when its worker has left, or after three report intervals of silence, so one that is gone sooner after its last report proves that all runs there have ended.

Change: a list of workers names all entries with their revisions and says whether it is whole; the scheduler keeps since when each entry's last report can be, and gives up the runs of a worker that has announced its departure and is gone within nine tenths of the three intervals. Odd entries, lists that were cut short, entries seen once and crashed workers prove nothing. Starts without a response keep their task as before.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -112,8 +112,9 @@
             settings.worker_lease.mul_f64(1.0 + LEASE_SLACK) + Duration::from_millis(200);
         // A former owner that was partitioned keeps extending leases until its own ownership ends.
         let uncertain_until = began + lease + OWNER_TTL;
-        let scheduler =
-            Rc::new(RefCell::new(FleetScheduler::new(authority.epoch, lease)));
+        let mut scheduler = FleetScheduler::new(authority.epoch, lease);
+        scheduler.set_report_interval(settings.worker_heartbeat);
+        let scheduler = Rc::new(RefCell::new(scheduler));
         let pass_due = Rc::new(Notify::new());
         let evacuations = Rc::new(EvacuationWatch::new(
             ports.clone(),
@@ -326,14 +327,15 @@
     async fn list_workers(self: Rc<Self>) {
         let mut disconnected = false;
         while !self.authority.is_lost() {
+            let sent = self.ports.clock.now();
             match self.ports.directory.list().await {
-                Ok(infos) => {
+                Ok(list) => {
                     if std::mem::take(&mut disconnected) {
                         log_event!(Info, "store-regained", part = "workers");
                     }
                     cell_metrics::set_workers_listed(self.ports.clock.unix_time());
                     let now = self.ports.clock.now();
-                    let added = self.scheduler.borrow_mut().set_workers(infos, now);
+                    let added = self.scheduler.borrow_mut().list_workers(list, sent, now);
                     for worker in added {
                         self.run_worker(worker);
                     }
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/scheduler_log.rs
@@ -76,6 +76,9 @@
         SchedulerEvent::Replaced { worker, address } => {
             log_event!(Warn, "worker-replaced", worker = worker, address = address);
         }
+        SchedulerEvent::Departed { worker, runs } => {
+            log_event!(Info, "worker-departed", worker = worker, runs = runs);
+        }
         SchedulerEvent::Restarted { worker, incarnation } => {
             log_event!(
                 Warn,
--- a/crates/geraniumwinch-cell/src/worker_gateway.rs
+++ b/crates/geraniumwinch-cell/src/worker_gateway.rs
@@ -7,7 +7,7 @@
 use geraniumwinch_fleet::PermissionRequest;
 use geraniumwinch_fleet::RunStart;
 use geraniumwinch_fleet::RunStop;
-use geraniumwinch_fleet::WorkerInfo;
+use geraniumwinch_fleet::WorkerList;
 use geraniumwinch_fleet::WorkerReport;
 
 use crate::CallError;
@@ -145,5 +145,5 @@
 /// A directory of the workers.
 pub trait WorkerDirectory {
     /// Reads the directory. Invalid entries are skipped.
-    fn list(&self) -> LocalBoxFuture<'static, Result<Vec<WorkerInfo>>>;
+    fn list(&self) -> LocalBoxFuture<'static, Result<WorkerList>>;
 }
--- a/crates/geraniumwinch-cell/tests/common/test_node.rs
+++ b/crates/geraniumwinch-cell/tests/common/test_node.rs
@@ -39,7 +39,7 @@
 use geraniumwinch_fleet::QueueRules;
 use geraniumwinch_fleet::RunStop;
 use geraniumwinch_fleet::StepPlan;
-use geraniumwinch_fleet::WorkerInfo;
+use geraniumwinch_fleet::WorkerList;
 use geraniumwinch_fleet::WorkerReport;
 
 use super::memory_store::MemoryStore;
@@ -115,8 +115,8 @@
 }
 
 impl WorkerDirectory for NoPlatform {
-    fn list(&self) -> LocalBoxFuture<'static, Result<Vec<WorkerInfo>>> {
-        async { Ok(Vec::new()) }.boxed_local()
+    fn list(&self) -> LocalBoxFuture<'static, Result<WorkerList>> {
+        async { Ok(WorkerList::default()) }.boxed_local()
     }
 }
 
--- a/crates/geraniumwinch-cell/tests/common/test_worker.rs
+++ b/crates/geraniumwinch-cell/tests/common/test_worker.rs
@@ -32,6 +32,7 @@
 use geraniumwinch_fleet::RunningRun;
 use geraniumwinch_fleet::TaskName;
 use geraniumwinch_fleet::WorkerInfo;
+use geraniumwinch_fleet::WorkerList;
 use geraniumwinch_fleet::WorkerReport;
 use tokio::time::Instant;
 
@@ -281,7 +282,7 @@
 }
 
 impl WorkerDirectory for TestWorker {
-    fn list(&self) -> LocalBoxFuture<'static, Result<Vec<WorkerInfo>>> {
+    fn list(&self) -> LocalBoxFuture<'static, Result<WorkerList>> {
         self.enter(PortCall::List);
         let info = WorkerInfo {
             id: "worker".into(),
@@ -298,7 +299,8 @@
             rack: None,
             incarnation: 1,
         };
-        async move { Ok(vec![info]) }.boxed_local()
+        let list = WorkerList { workers: vec![info], ..WorkerList::default() };
+        async move { Ok(list) }.boxed_local()
     }
 }
 
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -8,6 +8,7 @@
 mod completion;
 mod crashes;
 mod delayed_starts;
+mod departures;
 mod evacuations;
 mod free_workers;
 mod gang_end;
@@ -85,6 +86,7 @@
 use self::admission::WaitingLoad;
 use self::call_claims::CallClaims;
 use self::call_shares::CallShares;
+use self::departures::DepartureWatch;
 use self::job_state::JobState;
 use self::learning::FleetLearning;
 use self::permission_ledger::PermissionLedger;
@@ -142,6 +144,7 @@
     /// The workers that were removed, in case they return.
     former_workers: HashMap<Name, FormerWorker>,
     worker_ids: HashMap<Name, WorkerKey>,
+    departures: DepartureWatch,
     /// The number of workers that were ever added.
     added_workers: u64,
     /// The rules of the queues in the newest configuration; empty before the first one.
@@ -188,6 +191,7 @@
             workers: SlotMap::with_key(),
             former_workers: HashMap::new(),
             worker_ids: HashMap::new(),
+            departures: DepartureWatch::default(),
             added_workers: 0,
             queues: HashMap::new(),
             jobs: SlotMap::with_key(),
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/timeouts.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/timeouts.rs
@@ -28,7 +28,7 @@
         for worker in workers {
             self.release_held_ends(worker, now);
             let state = &self.workers[worker];
-            let expired = state.is_silent() && state.expiry <= now;
+            let expired = state.has_no_lease(now);
             let tasks: Vec<TaskRef> = state.tasks.iter().copied().collect();
             for task in tasks {
                 let Some(&placement) = self.placement_of(task) else { continue };
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_state.rs
@@ -105,6 +105,8 @@
     pub(super) silent_until: BootTime,
     /// Whether another worker has responded at the address: the worker is gone, with all its runs.
     pub(super) replaced: bool,
+    /// Whether the worker has left as announced: nothing runs there any more.
+    pub(super) departed: bool,
     /// Whether the worker has announced that it leaves, so that its end is not a crash.
     pub(super) leaving: bool,
     /// The runs that were abandoned since the worker became silent; it may have crashed under them.
@@ -160,6 +162,7 @@
             missed_at: BootTime::ZERO,
             silent_until: BootTime::ZERO,
             replaced: false,
+            departed: false,
             leaving,
             expired_runs: Vec::new(),
             trial: None,
@@ -185,6 +188,12 @@
         self.silent_since.is_some()
     }
 
+    /// Returns whether no lease is left there: the worker has not responded until its lease ended, or
+    /// it has left.
+    pub(super) fn has_no_lease(&self, now: BootTime) -> bool {
+        self.departed || (self.is_silent() && self.expiry <= now)
+    }
+
     /// Returns whether no worker has responded yet where the entry says, and all calls have failed for
     /// [`UNPROVEN_SILENCE`], or another worker has responded there.
     pub(super) fn is_unproven(&self) -> bool {
@@ -278,6 +287,7 @@
     pub(super) fn begin_incarnation(&mut self, incarnation: u64, now: BootTime) {
         self.fenced_since = now;
         self.replaced = false;
+        self.departed = false;
         self.leaving = !self.info.accepting;
         self.expired_runs.clear();
         self.incarnation = Some(incarnation);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
@@ -37,6 +37,7 @@
                     state.leaving |= !info.accepting;
                     state.info = info;
                     state.listed = true;
+                    state.departed = false;
                 }
                 None => {
                     self.record_former_crash(&info, now);
@@ -176,7 +177,8 @@
     pub fn remove_if_gone(&mut self, worker: WorkerKey, now: BootTime) -> bool {
         let Some(state) = self.workers.get(worker) else { return true };
         let settled = state.idle() && !state.may_hide_ends();
-        let empty = settled || (state.tasks.is_empty() && state.expiry <= now);
+        let over = state.departed || state.expiry <= now;
+        let empty = settled || (state.tasks.is_empty() && over);
         if state.listed || !state.is_silent() || !empty {
             return false;
         }
--- a/crates/geraniumwinch-fleet/src/lib.rs
+++ b/crates/geraniumwinch-fleet/src/lib.rs
@@ -21,6 +21,7 @@
 mod task_name;
 mod wait_tally;
 mod worker_info;
+mod worker_list;
 mod worker_record;
 mod worker_report;
 
@@ -66,6 +67,8 @@
 pub use self::wait_tally::WaitTally;
 pub use self::worker_info::AccountLimit;
 pub use self::worker_info::WorkerInfo;
+pub use self::worker_list::EntryRevision;
+pub use self::worker_list::WorkerList;
 pub use self::worker_record::PossibleRuns;
 pub use self::worker_record::WorkerRecord;
 pub use self::worker_report::EndedRun;
--- a/crates/geraniumwinch-fleet/src/scheduler_event.rs
+++ b/crates/geraniumwinch-fleet/src/scheduler_event.rs
@@ -91,6 +91,13 @@
         /// The address.
         address: Name,
     },
+    /// A worker has left as it had announced.
+    Departed {
+        /// The worker.
+        worker: Name,
+        /// The number of tasks that were placed there.
+        runs: usize,
+    },
     /// A worker reported a new incarnation.
     Restarted {
         /// The worker.
--- a/crates/geraniumwinch-standins/src/fleet.rs
+++ b/crates/geraniumwinch-standins/src/fleet.rs
@@ -112,6 +112,7 @@
             .route("/worker-state", web::post().to(set_worker_state))
             .route("/worker-cores", web::post().to(set_worker_cores))
             .route("/worker-service", web::post().to(set_worker_service))
+            .route("/worker-leave", web::post().to(end_worker))
             .route("/odd-workers", web::post().to(list_odd_workers))
             .route("/account", web::get().to(show_runs))
     })
@@ -234,6 +235,18 @@
     HttpResponse::Ok().json(json!({}))
 }
 
+/// Ends a worker for good and removes its entry.
+async fn end_worker(
+    store: SharedStore,
+    workers: SharedWorkers,
+    index: web::Json<usize>,
+) -> HttpResponse {
+    let mut worker = lock(&workers[index.into_inner()]);
+    worker.leave();
+    lock(&store).set_worker_state(worker.id(), None);
+    HttpResponse::Ok().json(json!({}))
+}
+
 /// Writes or removes entries that name no usable worker.
 async fn list_odd_workers(store: SharedStore, listed: web::Json<bool>) -> HttpResponse {
     lock(&store).list_odd_workers(listed.into_inner());
--- a/crates/geraniumwinch-standins/src/fleet/job_worker.rs
+++ b/crates/geraniumwinch-standins/src/fleet/job_worker.rs
@@ -29,6 +29,8 @@
 pub const TICKET_VALIDITY_MS: u64 = 2000;
 /// How long a worker responds to nothing after a crash.
 const CRASH_DOWNTIME: Duration = Duration::from_millis(900);
+/// A time that is longer than any test.
+const FOREVER: Duration = Duration::from_secs(24 * 3600);
 /// The number of ends that a report lists at most; the others follow once these are acknowledged.
 const MAX_LISTED_ENDS: usize = 500;
 /// The last word of the specification of a task whose queue requires no permission.
@@ -61,7 +63,7 @@
     incarnation: u64,
     /// The ids of former incarnations whose entries the store still has to replace.
     former_ids: Vec<String>,
-    /// When the worker responds again after a crash.
+    /// When the worker responds again after a crash, or after it has left.
     returns_at: Option<Instant>,
 }
 
@@ -105,6 +107,12 @@
         *self = JobWorker { runs, incarnation, former_ids, returns_at, ..new };
     }
 
+    /// Ends the worker for good: all that runs there ends, and it responds to nothing any more.
+    pub(super) fn leave(&mut self) {
+        self.restart();
+        self.returns_at = Some(Instant::now() + FOREVER);
+    }
+
     /// Restarts the worker under another id after some time without responses.
     fn crash(&mut self) {
         self.restart();
--- a/crates/geraniumwinch-tests/src/fleet_cell/platform_control.rs
+++ b/crates/geraniumwinch-tests/src/fleet_cell/platform_control.rs
@@ -32,6 +32,11 @@
         self.post("/worker-state", &json!({ "worker": index, "state": state })).await;
     }
 
+    /// Has a worker leave for good, which ends what runs there and removes its entry.
+    pub async fn end_worker(&self, index: u16) {
+        self.post("/worker-leave", &json!(index)).await;
+    }
+
     /// Changes the number of processors that a worker lists.
     pub async fn set_worker_cores(&self, index: u16, cores: u64) {
         self.post("/worker-cores", &json!({ "worker": index, "cores": cores })).await;
