Bind a task to its worker while a copy of its start may be executed late

Cause: an answered stop, a listed end or a report without the run excludes a delayed copy only in the incarnation that it comes from, but with the run's placement everything known of its copies was dropped.

Until the copies of a run that is over are excluded, its task starts on the same worker only, in the incarnation that excludes them, so that a restart ends its next run; a late copy that runs there is adopted. Other tasks of the step are free, gangs start with such members in place.

Left open: what a former owner has sent.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -18,6 +18,7 @@
 mod job_forecast;
 mod job_lateness;
 mod job_state;
+mod late_starts;
 mod learning;
 mod lost_runs;
 mod overdue_jobs;
@@ -88,6 +89,7 @@
 use self::call_shares::CallShares;
 use self::departures::DepartureWatch;
 use self::job_state::JobState;
+use self::late_starts::LateStarts;
 use self::learning::FleetLearning;
 use self::permission_ledger::PermissionLedger;
 use self::placement_backoff::PlacementBackoff;
@@ -153,6 +155,7 @@
     job_ids: HashMap<Name, JobKey>,
     /// The live jobs, by priority and order of acceptance.
     open_jobs: BTreeSet<(u32, u64, JobKey)>,
+    late_starts: LateStarts,
     /// The jobs with changes that were not handed to the store yet, with the time of the first one.
     dirty: HashMap<JobKey, BootTime>,
     accounts: AccountUsage,
@@ -197,6 +200,7 @@
             jobs: SlotMap::with_key(),
             job_ids: HashMap::new(),
             open_jobs: BTreeSet::new(),
+            late_starts: LateStarts::default(),
             dirty: HashMap::new(),
             accounts: AccountUsage::default(),
             waiting_load: WaitingLoad::default(),
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/held_ends.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/held_ends.rs
@@ -26,8 +26,8 @@
 }
 
 impl FleetScheduler {
-    /// Returns the start command of a run that is done, unless all of its copies are known to be
-    /// excluded in the next incarnation of the worker as well.
+    /// Returns the start command of a run that is done, unless all of its copies, and those of earlier
+    /// runs of the task, are known to be excluded in the next incarnation of the worker as well.
     ///
     /// A ticket keeps other incarnations from executing the start.
     pub(super) fn open_start(
@@ -39,12 +39,14 @@
     ) -> Option<OpenStart> {
         let placement = self.placement_of(task)?;
         let lasting = self.jobs[task.job].plan(task.unit).long_running;
+        let is_late = self.late_starts.contains_task(task);
+        let may_start =
+            !placement.copies.has_ticket() && self.may_start_later(placement, now);
         let open = ended.outcome == RunOutcome::Done
             && !lasting
-            && !placement.copies.has_ticket()
             && placement.worker == worker
             && placement.run == ended.run
-            && self.may_start_later(placement, now);
+            && (is_late || may_start);
         let copies = placement.copies;
         open.then(|| OpenStart { task: ended.task.clone(), run: ended.run, copies })
     }
@@ -60,7 +62,14 @@
         if let Some(task) = self.find_run(worker, name, run) {
             return self.placement_of_mut(task).map(|placement| &mut placement.copies);
         }
-        let ends = &mut self.workers.get_mut(worker)?.unstored_ends;
+        let task = self.find_task(name);
+        let state = self.workers.get_mut(worker)?;
+        let id = state.info.id.clone();
+        if let Some(task) = task.filter(|task| self.late_starts.contains(*task, &id, run))
+        {
+            return self.late_starts.copies_mut(task, &id, run);
+        }
+        let ends = &mut state.unstored_ends;
         let mut open = ends.iter_mut().filter_map(|end| end.open_start.as_mut());
         let open = open.find(|open| open.run == run && open.task == *name);
         open.map(|open| &mut open.copies)
@@ -68,10 +77,20 @@
 
     /// Allows the ends of a worker's runs to be acknowledged whose start commands are no longer open.
     pub(super) fn release_held_ends(&mut self, worker: WorkerKey, now: BootTime) {
-        let state = &mut self.workers[worker];
-        let replaced = state.replaced;
-        for end in &mut state.unstored_ends {
-            end.open_start.take_if(|open| replaced || !open.copies.may_execute(now));
+        let replaced = self.workers[worker].replaced;
+        let is_over = |open: &OpenStart| {
+            let task = self.find_task(&open.task);
+            let is_late = task.is_some_and(|task| self.late_starts.contains_task(task));
+            replaced || !(is_late || open.copies.may_execute(now))
+        };
+        let ends = &self.workers[worker].unstored_ends;
+        let open =
+            ends.iter().filter_map(|end| Some((end.number, end.open_start.as_ref()?)));
+        let over: Vec<u64> =
+            open.filter(|(_, open)| is_over(open)).map(|(number, _)| number).collect();
+        let ends = &mut self.workers[worker].unstored_ends;
+        for end in ends.iter_mut().filter(|end| over.contains(&end.number)) {
+            end.open_start = None;
         }
         self.advance_ends(worker);
     }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/persistence.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/persistence.rs
@@ -147,6 +147,7 @@
             .collect();
         let mut names = Vec::with_capacity(idle.len());
         for key in idle {
+            self.late_starts.forget_job(key);
             if let Some(job) = self.jobs.remove(key) {
                 self.job_ids.remove(&job.id);
                 names.push(job.id);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -176,6 +176,13 @@
         if needed == 0 || partial || self.awaits_crash_record(key, unit, now) {
             return;
         }
+        let pinned = self.pinned_tasks(key, unit);
+        if !pinned.is_empty() && !plan.gang {
+            needed = self.start_pinned(key, unit, &pinned, needed, now, round);
+            if needed == 0 {
+                return;
+            }
+        }
         let free = round.free_workers.get_or_insert_with(|| self.free_workers(now));
         let (mut offers, searched) = self.offers(key, unit, &plan, free, now);
         self.pass_tally.searched += searched as u64;
@@ -189,6 +196,11 @@
             self.sort_by_rack(key, unit, needed, &mut offers);
         }
         let valid = |offer: &WorkerOffer| offer.permission == PermissionState::Valid;
+        if plan.gang && !pinned.is_empty() {
+            offers.retain(valid);
+            self.start_pinned_gang(key, unit, &pinned, offers, now, round);
+            return;
+        }
         let chosen = choose_workers(&offers, needed, valid);
         if chosen.len() == needed {
             self.start(key, unit, &chosen, now, round);
@@ -226,7 +238,7 @@
 
     /// Returns the number of a unit's waiting tasks that may start now. Those of a long-running step may
     /// be delayed.
-    fn startable_tasks(&self, key: JobKey, unit: u32, now: BootTime) -> usize {
+    pub(super) fn startable_tasks(&self, key: JobKey, unit: u32, now: BootTime) -> usize {
         let job = &self.jobs[key];
         let state = &job.units[unit as usize];
         if !job.plan(unit).long_running {
@@ -235,8 +247,7 @@
         state.tasks.iter().filter(|task| task.is_startable(now)).count()
     }
 
-    /// Starts waiting tasks of a unit, one on each entry of `chosen`. The members of a gang share
-    /// their run number and checkpoint.
+    /// Starts waiting tasks of a unit without late starts, one on each entry of `chosen`.
     pub(super) fn start(
         &mut self,
         key: JobKey,
@@ -245,20 +256,41 @@
         now: BootTime,
         round: &mut PlacementRound,
     ) {
-        self.tally_starts(key, chosen.len(), round.unix_time);
+        let pinned = self.pinned_tasks(key, unit);
+        let is_pinned = |index: u32| pinned.iter().any(|task| task.index == index);
         let state = &self.jobs[key].units[unit as usize];
-        let mut indices: Vec<u32> = state
-            .tasks
-            .iter()
-            .enumerate()
+        let startable = state.tasks.iter().enumerate();
+        let mut indices: Vec<u32> = startable
             .filter(|(_, task)| task.is_startable(now))
             .map(|(index, _)| index as u32)
+            .filter(|&index| !is_pinned(index))
             .collect();
+        // A gang starts as a whole or not at all.
+        if self.jobs[key].plan(unit).gang && indices.len() < chosen.len() {
+            return;
+        }
         indices.sort_by_key(|&index| !state.tasks[index as usize].is_suspected());
+        let chosen: Vec<(u32, WorkerKey)> =
+            indices.into_iter().zip(chosen.iter().copied()).collect();
+        self.start_on(key, unit, &chosen, now, round);
+    }
+
+    /// Starts the chosen tasks of a unit, each on a worker. The members of a gang share their run
+    /// number and checkpoint.
+    pub(super) fn start_on(
+        &mut self,
+        key: JobKey,
+        unit: u32,
+        chosen: &[(u32, WorkerKey)],
+        now: BootTime,
+        round: &mut PlacementRound,
+    ) {
+        self.tally_starts(key, chosen.len(), round.unix_time);
+        let state = &self.jobs[key].units[unit as usize];
         let gang = self.jobs[key].plan(unit).gang;
         let highest = state.tasks.iter().map(|task| task.last_run).max().unwrap_or(0);
         let shared = state.tasks.iter().find_map(|task| task.checkpoint.clone());
-        for (&worker, index) in chosen.iter().zip(indices) {
+        for &(index, worker) in chosen {
             let state = &self.jobs[key].units[unit as usize].tasks[index as usize];
             let last = if gang { highest } else { state.last_run };
             let checkpoint = if gang { shared.clone() } else { state.checkpoint.clone() };
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/replaced_workers.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/replaced_workers.rs
@@ -30,6 +30,7 @@
         self.events.push(SchedulerEvent::Replaced { worker: worker_id, address });
         // Ends that the worker has reported stand.
         self.release_held_ends(worker, now);
+        self.late_starts.forget_worker(&id);
         let lost = self.take_lost_runs(worker, now);
         let tasks: Vec<TaskRef> = self.workers[worker].tasks.iter().copied().collect();
         for task in tasks {
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
@@ -69,6 +69,7 @@
         }
         self.update_unread_ends(worker, report);
         self.abandon_missing_runs(worker, &matched, sent, now);
+        self.update_late_starts(worker, sent);
         let id = self.workers[worker].info.id.clone();
         lost.retain(|run| !matched.contains(&run.task));
         self.record_crash(&id, lost, now);
@@ -118,6 +119,7 @@
         if let Some(placement) = self.unassign(task) {
             self.account_abandoned(task, &placement, cause, now);
             self.apply_outcome(task, placement.run, RunOutcome::LeaseExpired, now);
+            self.keep_late_start(task, &placement, now);
         }
     }
 
@@ -172,6 +174,7 @@
                 self.update_failures(worker, ended.outcome, now);
                 self.log_end(worker, ended);
                 self.apply_outcome(task, ended.run, ended.outcome, now);
+                self.keep_late_start(task, &placement, now);
             }
             None if live
                 && matches!(ended.outcome, RunOutcome::Done | RunOutcome::Failed) =>
@@ -285,7 +288,10 @@
     ) -> bool {
         let job = &self.jobs[task.job];
         let state = &job.units[task.unit as usize].tasks[task.index as usize];
-        if !job.live() || state.done || running.run <= state.last_run {
+        let id = &self.workers[worker].info.id;
+        let known = running.run <= state.last_run
+            && !self.late_starts.contains(task, id, running.run);
+        if !job.live() || state.done || known {
             return false;
         }
         let placement = TaskPlacement {
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/timeouts.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/timeouts.rs
@@ -24,6 +24,7 @@
     /// expired, stops runs whose start command got no response, retries stop commands without a
     /// response and stops stalled runs.
     pub fn sweep(&mut self, now: BootTime) {
+        self.late_starts.expire(now);
         let workers: Vec<WorkerKey> = self.workers.keys().collect();
         for worker in workers {
             self.release_held_ends(worker, now);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_offers.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_offers.rs
@@ -76,7 +76,7 @@
 
     /// Returns a worker's offer for tasks of a unit, or `None` if it has no free capacity for them
     /// or may not run them.
-    fn offer(
+    pub(super) fn offer(
         &self,
         key: JobKey,
         unit: u32,
