--- a/crates/geraniumwinch-fleet/tests/pass_cost.rs
+++ b/crates/geraniumwinch-fleet/tests/pass_cost.rs
@@ -8,6 +8,7 @@
 use geraniumwinch_fleet::PermissionCost;
 use geraniumwinch_fleet::PermissionGrant;
 use geraniumwinch_fleet::QueueRules;
+use geraniumwinch_fleet::RunningRun;
 use geraniumwinch_fleet::StepPlan;
 use geraniumwinch_fleet::WorkerKey;
 
@@ -16,6 +17,7 @@
 use self::common::UNIX_TIME;
 use self::common::record;
 use self::common::rules;
+use self::common::running;
 use self::common::step;
 
 /// The number of workers.
@@ -163,21 +165,29 @@
 }
 
 /// Returns how long the last of some waiting gangs takes to ask for new, free workers once the others
-/// have been cancelled. Tasks of the priority `running` fill the former workers.
-fn time_to_request(gangs: usize, running: u32) -> Duration {
+/// have been cancelled. Tasks of the given priority fill the former workers.
+fn time_to_request(gangs: usize, priority: u32) -> Duration {
     let mut cell = TestCell::new(1);
     let ids: Vec<String> = (0..WORKERS).map(|index| format!("w{index}")).collect();
     let mut keys =
         cell.add_workers(&ids.iter().map(String::as_str).collect::<Vec<&str>>());
-    cell.accept("full", record(rules(running), vec![step(WORKERS as u32, 12_000)]));
-    assert_eq!(cell.start_all().len(), WORKERS);
+    cell.accept("full", record(rules(priority), vec![step(WORKERS as u32, 12_000)]));
+    let full = cell.start_all();
+    assert_eq!(full.len(), WORKERS);
     for index in 0..gangs {
         let gang = StepPlan { gang: true, ..step(20, 8_000) };
         cell.accept(&format!("gang-{index}"), record(permitted(1), vec![gang]));
     }
     allow_all(&mut cell);
-    let keep = |cell: &mut TestCell, keys: &[WorkerKey]| {
+    // The running tasks make progress: stalled ones would be stopped, and their capacity awaited.
+    let mut percent = 0;
+    let mut keep = |cell: &mut TestCell, keys: &[WorkerKey]| {
         keys.iter().for_each(|&key| cell.scheduler.extend_lease(key, cell.now));
+        percent = (percent + 1) % 100;
+        for start in &full {
+            let run = RunningRun { percent, ..running(start.task.clone(), start.run) };
+            cell.report(start.worker, vec![run], Vec::new());
+        }
         cell.wait(50);
     };
     for _ in 0..60 {
