--- a/crates/geraniumwinch-fleet/src/job_record.rs
+++ b/crates/geraniumwinch-fleet/src/job_record.rs
@@ -69,7 +69,8 @@
 /// A job with its progress.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct JobRecord {
-    /// The rules of the job's queue at the time of acceptance.
+    /// The rules of the job's queue, as the owner knew them at the last write; those of the objective
+    /// are from the acceptance.
     pub rules: QueueRules,
     /// The client account that the job belongs to.
     pub account: Name,
