Bound a takeover's wait for the configuration

A store that refuses only that read kept it from polling any worker, so that all leases expired and nothing was served; and an_owner_without_configuration_starts_no_task passed without a word of the scheduler.

Change: the wait ends after a second, and the process goes on with the configuration that it has; without one it starts nothing, as before.

On the way: a service of the own interface that is restarted after it has succeeded was said to wait for "the backoff after a failed start".

--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -43,10 +43,10 @@
 use crate::worker_loop::POLL_WAIT;
 use crate::worker_loop::WorkerLoop;
 
-use self::loading::load_catalog;
 use self::loading::load_fences;
 use self::loading::load_jobs;
 use self::loading::load_workers;
+use self::loading::refresh_catalog;
 use self::scheduler_log::log_lost_work;
 use self::scheduler_log::log_scheduler_event;
 
@@ -123,15 +123,14 @@
             Rc::clone(&pass_due),
             settings.evacuation_bound,
         ));
-        let (jobs, fences, workers, evacuated, catalog_read) = tokio::join!(
+        let (jobs, fences, workers, evacuated, ()) = tokio::join!(
             load_jobs(&ports, &authority, &scheduler, uncertain_until),
             load_fences(&ports, &authority),
             load_workers(&ports, &authority, &scheduler, uncertain_until),
             evacuations.load(),
-            load_catalog(&ports, &authority, &catalog),
+            refresh_catalog(&ports, &authority, &catalog),
         );
         let (jobs, fences, workers, ()) = (jobs?, fences?, workers?, evacuated?);
-        let () = catalog_read?;
         let commit_done = Rc::new(Notify::new());
         let journal = Rc::new(RecordJournal::new(
             ports.clone(),
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/loading.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/loading.rs
@@ -22,6 +22,9 @@
 
 /// The delay before a failed read of the store is retried.
 const LOAD_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// The maximum time for which a takeover waits for the configuration. The leases of all workers run
+/// meanwhile.
+const CATALOG_WAIT: Duration = Duration::from_secs(1);
 
 /// Retries a read of the store until it succeeds or the ownership ends.
 macro_rules! read_until_lost {
@@ -78,20 +81,6 @@
     Some(count)
 }
 
-/// Reads the configuration, so that it is no older than that of the former owner.
-pub(super) async fn load_catalog(
-    ports: &CellPorts,
-    authority: &OwnerAuthority,
-    catalog: &CatalogWatch,
-) -> Option<()> {
-    let key = ports.catalogs.key();
-    let item = read_until_lost!(ports, authority, ports.store.get(key));
-    if let Some(item) = item {
-        catalog.apply_if_newer(&item.value, "takeover");
-    }
-    Some(())
-}
-
 /// Reads the revisions of the fence records of all journal lanes.
 pub(super) async fn load_fences(
     ports: &CellPorts,
@@ -121,3 +110,29 @@
     };
     Some(scheduler.borrow_mut().load_workers(records, uncertain_until))
 }
+
+/// Reads the configuration, so that it is no older than that of the former owner, for at most
+/// [`CATALOG_WAIT`]. After that, the process goes on with the one that it has.
+pub(super) async fn refresh_catalog(
+    ports: &CellPorts,
+    authority: &OwnerAuthority,
+    catalog: &CatalogWatch,
+) {
+    let read =
+        tokio::time::timeout(CATALOG_WAIT, load_catalog(ports, authority, catalog));
+    if read.await.is_err() {
+        log_event!(Warn, "takeover-catalog-unread", version = catalog.version());
+    }
+}
+
+/// Reads the configuration; `None` if the ownership ends before.
+async fn load_catalog(
+    ports: &CellPorts,
+    authority: &OwnerAuthority,
+    catalog: &CatalogWatch,
+) -> Option<()> {
+    let key = ports.catalogs.key();
+    let item = read_until_lost!(ports, authority, ports.store.get(key))?;
+    catalog.apply_if_newer(&item.value, "takeover");
+    Some(())
+}
--- a/crates/geraniumwinch-core/src/job_scheduler/job_view.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/job_view.rs
@@ -89,7 +89,7 @@
             return Some("workers that have not reported since the takeover".to_owned());
         }
         if job.tasks.iter().any(|state| matches!(state, TaskState::Delayed { .. })) {
-            return Some("the backoff after a failed start".to_owned());
+            return Some("the backoff after a run that has ended".to_owned());
         }
         if job.tasks.iter().any(reserved) {
             return Some("preempted tasks to leave their worker".to_owned());
--- a/crates/geraniumwinch-tests/tests/platform_end_to_end.rs
+++ b/crates/geraniumwinch-tests/tests/platform_end_to_end.rs
@@ -278,6 +278,32 @@
     });
 }
 
+/// Guards against a takeover that waits for the configuration while the leases of all workers expire: the
+/// store refuses only that read.
+#[test]
+fn a_new_owner_that_can_not_read_the_configuration_keeps_what_runs() {
+    run_test(async {
+        let mut cell = FleetCell::start(2, 2).await;
+        let owner = cell.await_owner().await;
+        let other = 1 - owner;
+        // The estimate is so long that the run doesn't count as stalled.
+        let step =
+            json!({ "count": 1, "cpu": 1000, "mem_mb": 64, "estimate_ms": 60_000 });
+        let body = json!({ "spec": "9000 done", "steps": [step] }).to_string();
+        let path = format!("/jobs/{}", id(1));
+        let sent = cell.call(other, Method::POST, &path, Some(FLEET_KEY), &body).await;
+        assert_eq!(sent.status, 200);
+        wait_until("the task runs", async || cell.runs().await.len() == 1).await;
+        cell.set_faults(json!({ "config_hidden": true })).await;
+        cell.kill(owner);
+        cell.await_state(other, &id(1), "completed").await;
+        let runs = cell.runs().await;
+        assert_eq!(runs.len(), 1, "its lease was kept: {runs:?}");
+        assert_eq!(cell.submit(other, &id(2), "100 done", 1).await, 200);
+        cell.await_state(other, &id(2), "completed").await;
+    });
+}
+
 /// Guards against a process that blocks on log output that is never read.
 #[test]
 fn unread_log_output_does_not_block_the_process() {
