Count the owner's requests, workers' reports and first starts

The log could not tell why an owner stays behind after a peak: refusals that come back, polls that repeat themselves, or admission that doesn't see what a job meets. event=requests and event=reports say so once a second, and four metrics count the same. The owner's reports have a file of their own now.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -4,6 +4,7 @@
 mod job_lookup;
 mod loading;
 mod permission_calls;
+mod reporting;
 mod scheduler_log;
 
 use std::cell::Cell;
@@ -38,6 +39,7 @@
 use crate::peer_service::PeerClient;
 use crate::permission_queue::PermissionQueue;
 use crate::record_journal::RecordJournal;
+use crate::request_tally::RequestTally;
 use crate::task_guard::catch_owner_panic;
 use crate::task_guard::spawn_owner_task;
 use crate::worker_loop::POLL_WAIT;
@@ -47,7 +49,6 @@
 use self::loading::load_jobs;
 use self::loading::load_workers;
 use self::loading::refresh_catalog;
-use self::scheduler_log::log_lost_work;
 use self::scheduler_log::log_scheduler_event;
 
 /// The maximum time between two scheduling passes.
@@ -93,6 +94,8 @@
     lag: Cell<Duration>,
     shares: RefCell<ShareLimiter>,
     accept_delay: RefCell<AcceptDelay>,
+    /// The requests since the last report.
+    requests: Cell<RequestTally>,
 }
 
 impl CellDispatcher {
@@ -179,6 +182,7 @@
             lag: Cell::default(),
             shares: RefCell::default(),
             accept_delay: RefCell::default(),
+            requests: Cell::default(),
         });
         // Reports are judged by the rules in force.
         dispatcher.apply_catalog();
@@ -239,78 +243,6 @@
         }
     }
 
-    /// Logs the scheduler's counts and updates the metrics.
-    fn report_counts(&self, now: BootTime) {
-        let unix_time = self.ports.clock.unix_time();
-        let stranded = self.scheduler.borrow_mut().update_stranded_steps(unix_time);
-        let counts = self.scheduler.borrow().counts(now);
-        cell_metrics::set_counts(counts, stranded);
-        cell_metrics::set_lost_calls(self.sender.loss_ratio());
-        self.report_learning();
-        self.evacuations.report_progress(now);
-        let (passes, busy) = self.pacing.borrow_mut().take();
-        log_event!(
-            Info,
-            "board",
-            live_jobs = counts.live_jobs,
-            stranded_steps = stranded,
-            placed = counts.placed,
-            usable_workers = counts.usable_workers,
-            workers = counts.workers,
-            used = format!("{:.2}", counts.used),
-            running = format!("{:.2}", counts.running),
-            passes = passes,
-            pass_ms = busy.as_millis(),
-            backlog = format!("{:.2}", self.scheduler.borrow().backlog()),
-            waiting_commands = self.sender.waiting_commands(),
-            lost_calls = format!("{:.3}", self.sender.loss_ratio())
-        );
-        self.report_work();
-        let lost_work = self.scheduler.borrow_mut().take_lost_work();
-        lost_work.into_iter().for_each(|(loss, tally)| log_lost_work(loss, tally));
-    }
-
-    /// Records how late a timer was.
-    fn record_lag(&self, lag: Duration) {
-        self.lag.set(self.lag.get().max(lag));
-    }
-
-    /// Logs and counts what the time since the last report was spent on, and what passes did in it.
-    fn report_work(&self) {
-        let lag = self.lag.take();
-        let busy = WorkKind::ALL.map(|kind| self.ports.meter.take(kind));
-        let tally = self.scheduler.borrow_mut().take_pass_tally();
-        cell_metrics::count_work(&busy, lag, &tally);
-        let [_, clients, peers, commands, polls, permissions, records] =
-            busy.map(|time| time.as_millis());
-        log_event!(
-            Info,
-            "work",
-            lag_ms = lag.as_millis(),
-            clients_ms = clients,
-            peers_ms = peers,
-            commands_ms = commands,
-            polls_ms = polls,
-            permissions_ms = permissions,
-            records_ms = records,
-            visited = tally.visited,
-            attempted = tally.attempted,
-            searched = tally.searched,
-            started_in_time = tally.in_time,
-            started_late = tally.late,
-            started_overdue = tally.overdue
-        );
-    }
-
-    /// Updates the metrics of what the scheduler has learned.
-    fn report_learning(&self) {
-        let scheduler = self.scheduler.borrow();
-        for (class, ratio, ends) in scheduler.learned_durations() {
-            cell_metrics::set_durations(class, ratio, ends);
-        }
-        cell_metrics::set_speeds(scheduler.worker_speeds());
-    }
-
     /// Removes the records of jobs that can no longer be queried.
     fn expire_records(&self) {
         let now = self.ports.clock.now();
@@ -422,7 +354,12 @@
     /// Handles a request that only the owner can serve. After a panic it is not known what has become of
     /// the request.
     pub(crate) async fn handle(&self, request: PeerRequest) -> PeerReply {
-        let work = self.serve(request);
+        let (kind, mut tally) = (work_kind(&request), self.requests.get());
+        tally.submissions += u64::from(kind == WorkKind::Submissions);
+        tally.lookups += u64::from(kind == WorkKind::Lookups);
+        tally.heartbeats += u64::from(kind == WorkKind::Heartbeats);
+        self.requests.set(tally);
+        let work = self.ports.meter.meter(kind, self.serve(request));
         let reply = catch_owner_panic("request", &self.authority, work).await;
         reply.unwrap_or(PeerReply::Refused(ErrorKind::StoreUnknown))
     }
@@ -467,3 +404,12 @@
         }
     }
 }
+
+/// Returns the kind of work of a request that only the owner can serve.
+fn work_kind(request: &PeerRequest) -> WorkKind {
+    match request {
+        PeerRequest::Submit(_) => WorkKind::Submissions,
+        PeerRequest::Heartbeat(_) => WorkKind::Heartbeats,
+        _ => WorkKind::Lookups,
+    }
+}
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
@@ -6,6 +6,7 @@
 
 use crate::peer_message::PeerReply;
 use crate::peer_message::SubmitMessage;
+use crate::request_tally::RequestTally;
 
 use super::CellDispatcher;
 
@@ -27,6 +28,7 @@
         if !self.journal.is_pending(&id)
             && let Some(kind) = self.refusal_reason(&record)
         {
+            self.count_submission(|tally| tally.refused += 1);
             return PeerReply::Refused(kind);
         }
         let began = self.ports.clock.now();
@@ -35,6 +37,10 @@
         self.accept_delay.borrow_mut().record(now.saturating_sub(began), now);
         match result {
             Ok(()) => {
+                self.count_submission(|tally| {
+                    tally.stored += 1;
+                    tally.storing += now.saturating_sub(began);
+                });
                 self.pass_due.notify_one();
                 PeerReply::Accepted
             }
@@ -42,6 +48,13 @@
         }
     }
 
+    /// Counts what has become of a submission.
+    fn count_submission(&self, count: impl FnOnce(&mut RequestTally)) {
+        let mut tally = self.requests.get();
+        count(&mut tally);
+        self.requests.set(tally);
+    }
+
     /// Returns why a new job is refused, or `None` if it is admitted.
     ///
     /// A job is refused if the jobs ahead of it would make it late. The threshold is lower for an
--- a/crates/geraniumwinch-cell/src/cell_metrics.rs
+++ b/crates/geraniumwinch-cell/src/cell_metrics.rs
@@ -9,10 +9,12 @@
 use geraniumwinch_core::SpeedTable;
 use geraniumwinch_core::metric_rows;
 use geraniumwinch_fleet::EvacuationProgress;
+use geraniumwinch_fleet::FirstStartTally;
 use geraniumwinch_fleet::FleetCounts;
 use geraniumwinch_fleet::LossTally;
 use geraniumwinch_fleet::PassTally;
 use geraniumwinch_fleet::PermissionCounts;
+use geraniumwinch_fleet::ReportTally;
 use geraniumwinch_fleet::RunLoss;
 use metrics::counter;
 use metrics::gauge;
@@ -21,6 +23,7 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::WorkKind;
+use crate::request_tally::RequestTally;
 
 metric_rows! {
     REFUSALS = "geraniumwinch_cell_refusals_total", "counter", "reason", "Callers' requests refused, by error kind.";
@@ -59,6 +62,10 @@
     PASS_STEPS = "geraniumwinch_cell_pass_steps_total", "counter", "state", "Waiting steps that passes visited, and those that they tried to place.";
     SEARCHED = "geraniumwinch_cell_searched_workers_total", "counter", "", "Workers that passes looked at for waiting steps.";
     STARTED = "geraniumwinch_cell_started_tasks_total", "counter", "lateness", "Tasks started, by whether their jobs could still meet their objective.";
+    SUBMISSIONS = "geraniumwinch_cell_submissions_total", "counter", "outcome", "Jobs handed in at the owner, with repeated attempts: refused before the store was asked, stored, or neither.";
+    REPORTS = "geraniumwinch_cell_worker_reports_total", "counter", "", "Reports of workers that the owner has processed.";
+    REPORTED_ENDS = "geraniumwinch_cell_reported_ends_total", "counter", "known", "Ended runs that these reports listed, by whether an earlier one had listed them.";
+    BEGUN = "geraniumwinch_cell_begun_jobs_total", "counter", "lateness", "Accepted jobs when their first task started, by whether they could still meet their objective.";
     STORE_TIME = "geraniumwinch_cell_commit_seconds", "histogram", "", "Time that a transaction of the journal takes in seconds.";
     ACCEPT_TIME = "geraniumwinch_cell_accept_seconds", "histogram", "", "Time from a job's arrival to its answer in seconds.";
     START_WAIT = "geraniumwinch_cell_first_start_seconds", "histogram", "", "Time from a job's acceptance until a worker says that a task runs in seconds.";
@@ -113,6 +120,24 @@
     counter!(STARTED, "lateness" => "overdue").increment(tally.overdue);
 }
 
+/// Counts the submissions that the owner has served.
+pub(crate) fn count_requests(tally: &RequestTally) {
+    counter!(SUBMISSIONS, "outcome" => "refused").increment(tally.refused);
+    counter!(SUBMISSIONS, "outcome" => "stored").increment(tally.stored);
+    let others = tally.submissions.saturating_sub(tally.refused + tally.stored);
+    counter!(SUBMISSIONS, "outcome" => "other").increment(others);
+}
+
+/// Counts what workers have reported, and how late jobs were when they started.
+pub(crate) fn count_reports(reports: &ReportTally, starts: &FirstStartTally) {
+    counter!(REPORTS).increment(reports.reports);
+    counter!(REPORTED_ENDS, "known" => "false").increment(reports.ends);
+    counter!(REPORTED_ENDS, "known" => "true").increment(reports.known_ends);
+    counter!(BEGUN, "lateness" => "in_time").increment(starts.in_time);
+    counter!(BEGUN, "lateness" => "late").increment(starts.late);
+    counter!(BEGUN, "lateness" => "overdue").increment(starts.overdue);
+}
+
 /// Counts a panic.
 pub(crate) fn count_panic(task: &'static str) {
     counter!(PANICS, "task" => task).increment(1);
--- a/crates/geraniumwinch-cell/src/lib.rs
+++ b/crates/geraniumwinch-cell/src/lib.rs
@@ -40,6 +40,7 @@
 mod record_store;
 mod repeat_timing;
 mod request_forwarder;
+mod request_tally;
 mod response_times;
 mod task_guard;
 mod tracked_body;
--- a/crates/geraniumwinch-cell/src/work_kind.rs
+++ b/crates/geraniumwinch-cell/src/work_kind.rs
@@ -17,11 +17,17 @@
     Permissions,
     /// Transactions of the record journal.
     Records,
+    /// Submissions at the owner, as a part of the requests of clients and processes.
+    Submissions,
+    /// Queries and cancellations at the owner, as a part of these requests.
+    Lookups,
+    /// Heartbeats at the owner, as a part of the requests of processes.
+    Heartbeats,
 }
 
 impl WorkKind {
     /// All kinds, in the order of the variants.
-    pub const ALL: [WorkKind; 7] = [
+    pub const ALL: [WorkKind; 10] = [
         WorkKind::Passes,
         WorkKind::Clients,
         WorkKind::Peers,
@@ -29,6 +35,9 @@
         WorkKind::Polls,
         WorkKind::Permissions,
         WorkKind::Records,
+        WorkKind::Submissions,
+        WorkKind::Lookups,
+        WorkKind::Heartbeats,
     ];
 
     /// Returns the name in logs and metrics.
@@ -41,6 +50,9 @@
             WorkKind::Polls => "polls",
             WorkKind::Permissions => "permissions",
             WorkKind::Records => "records",
+            WorkKind::Submissions => "submissions",
+            WorkKind::Lookups => "lookups",
+            WorkKind::Heartbeats => "heartbeats",
         }
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -71,11 +71,13 @@
 
 use crate::AccountLimit;
 use crate::BootTime;
+use crate::FirstStartTally;
 use crate::JobPhase;
 use crate::JobRecord;
 use crate::LostWork;
 use crate::PassTally;
 use crate::QueueRules;
+use crate::ReportTally;
 use crate::RunLoss;
 use crate::RunStop;
 use crate::SchedulerEvent;
@@ -176,6 +178,8 @@
     call_shares: CallShares,
     lost_work: LostWork,
     pass_tally: PassTally,
+    report_tally: ReportTally,
+    first_start_tally: FirstStartTally,
     /// Whether the worker records must be written again: those in the store may include workers
     /// that were removed, or the last write was rejected.
     records_outdated: bool,
@@ -216,6 +220,8 @@
             call_shares: CallShares::default(),
             lost_work: LostWork::default(),
             pass_tally: PassTally::default(),
+            report_tally: ReportTally::default(),
+            first_start_tally: FirstStartTally::default(),
             records_outdated: false,
             stops: Vec::new(),
             events: Vec::new(),
@@ -324,6 +330,16 @@
         std::mem::take(&mut self.pass_tally)
     }
 
+    /// Returns and clears the counts of what workers have reported.
+    pub fn take_report_tally(&mut self) -> ReportTally {
+        std::mem::take(&mut self.report_tally)
+    }
+
+    /// Returns and clears the counts of the jobs that were started for the first time.
+    pub fn take_first_start_tally(&mut self) -> FirstStartTally {
+        std::mem::take(&mut self.first_start_tally)
+    }
+
     /// Returns a summary of the scheduler's state.
     pub fn counts(&self, now: BootTime) -> FleetCounts {
         let usable = || self.workers.values().filter(|state| state.usable(now));
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
@@ -15,6 +15,7 @@
 
 use super::FleetScheduler;
 use super::WorkerKey;
+use super::job_lateness::JobLateness;
 use super::next_fence;
 use super::run_phase::RunPhase;
 use super::run_work::RunWork;
@@ -53,6 +54,7 @@
             state.silent_until = now;
         }
         state.expired_runs.clear();
+        self.tally_report(worker, report);
         for ended in &report.ended {
             self.process_end(worker, ended, now);
         }
@@ -123,6 +125,18 @@
         }
     }
 
+    /// Counts what a worker's report lists, before its ends are processed.
+    fn tally_report(&mut self, worker: WorkerKey, report: &WorkerReport) {
+        let processed = self.workers[worker].processed_end;
+        let is_known = |ended: &&EndedRun| ended.number <= processed;
+        let known_ends = report.ended.iter().filter(is_known).count() as u64;
+        let tally = &mut self.report_tally;
+        tally.reports += 1;
+        tally.running += report.running.len() as u64;
+        tally.ends += report.ended.len() as u64 - known_ends;
+        tally.known_ends += known_ends;
+    }
+
     /// Processes an ended run in a worker's report, unless it was processed before.
     fn process_end(&mut self, worker: WorkerKey, ended: &EndedRun, now: BootTime) {
         if ended.number <= self.workers[worker].processed_end {
@@ -194,11 +208,20 @@
     /// Records that a worker runs or ran a task of a job.
     pub(super) fn mark_started(&mut self, task: TaskRef, now: BootTime) {
         let job = &mut self.jobs[task.job];
-        let first = !std::mem::replace(&mut job.started, true);
-        if let Some(accepted) = job.accepted_at.filter(|_| first) {
+        let accepted = job.accepted_at.filter(|_| !job.started);
+        if let Some(accepted) = accepted {
             let wait = now.saturating_sub(accepted);
+            let lateness = job.lateness(job.record.accepted.saturating_add(wait));
+            let tally = &mut self.first_start_tally;
+            tally.waits += wait;
+            match lateness {
+                JobLateness::InTime => tally.in_time += 1,
+                JobLateness::Late => tally.late += 1,
+                JobLateness::Overdue => tally.overdue += 1,
+            }
             self.events.push(SchedulerEvent::FirstStart { wait });
         }
+        job.started = true;
     }
 
     /// Queues a log event for an ended run.
--- a/crates/geraniumwinch-fleet/src/lib.rs
+++ b/crates/geraniumwinch-fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! that depends on it.
 
 mod call_budget;
+mod first_start_tally;
 mod fleet_error;
 mod fleet_scheduler;
 mod job_record;
@@ -13,6 +14,7 @@
 mod pass_tally;
 mod permission_counts;
 mod queue_rules;
+mod report_tally;
 mod run_command;
 mod run_outcome;
 mod scheduler_event;
@@ -26,6 +28,7 @@
 mod worker_report;
 
 pub use self::call_budget::CallBudget;
+pub use self::first_start_tally::FirstStartTally;
 pub use self::fleet_error::FleetError;
 pub use self::fleet_error::Result;
 pub use self::fleet_scheduler::EvacuationProgress;
@@ -49,6 +52,7 @@
 pub use self::permission_counts::PermissionCounts;
 pub use self::queue_rules::PermissionCost;
 pub use self::queue_rules::QueueRules;
+pub use self::report_tally::ReportTally;
 pub use self::run_command::CallOrder;
 pub use self::run_command::PermissionGrant;
 pub use self::run_command::PermissionRequest;
