Tests of crowds of clients that don't finish, which fail

In a trial of the users, clients that they don't control ended a process: it ran out of memory. These tests start one process whose settings give it 64 MB, or 256 descriptors, and send 240 or 400 clients with large, chunked, tiny-chunk and excessive bodies, without a key, unfinished heads and silence, and bodies at its other interfaces. They check memory (with what waits unread in the system's buffers), descriptors, that the process lives, and that an ordinary request is answered beside the crowd and after it; no times, no shares. Each runs alone. The two settings don't exist yet and are ignored.

--- a/crates/geraniumwinch-tests/src/fleet_cell.rs
+++ b/crates/geraniumwinch-tests/src/fleet_cell.rs
@@ -13,6 +13,7 @@
 
 use crate::CellAddresses;
 use crate::CellProcess;
+use crate::ProcessLimits;
 use crate::TestClient;
 use crate::wait_until;
 
@@ -53,6 +54,8 @@
     limit: u64,
     /// Whether the processes follow evacuation requests.
     evacuable: bool,
+    /// The limits in the settings of the processes, if any.
+    limits: Option<ProcessLimits>,
     client: TestClient,
 }
 
@@ -60,19 +63,19 @@
     /// Starts a stand-in with 16-core workers and a cell, and waits until all processes accept
     /// client requests.
     pub async fn start(processes: usize, workers: u16) -> FleetCell {
-        FleetCell::start_cell(processes, workers, false, 0, false).await
+        FleetCell::start_cell(processes, workers, false, 0, false, None).await
     }
 
     /// Like [`FleetCell::start`], with processes that follow evacuation requests. The workers are in
     /// the domains `d0` and `d1` by turns.
     pub async fn start_evacuable(processes: usize, workers: u16) -> FleetCell {
-        FleetCell::start_cell(processes, workers, false, 0, true).await
+        FleetCell::start_cell(processes, workers, false, 0, true, None).await
     }
 
     /// Like [`FleetCell::start`], with a proxy in front of the store and the workers, and a CPU
     /// limit of the client account.
     pub async fn start_proxied(processes: usize, workers: u16, limit: u64) -> FleetCell {
-        FleetCell::start_cell(processes, workers, true, limit, false).await
+        FleetCell::start_cell(processes, workers, true, limit, false, None).await
     }
 
     /// Like [`FleetCell::start_proxied`], with processes that follow evacuation requests.
@@ -81,7 +84,16 @@
         workers: u16,
         limit: u64,
     ) -> FleetCell {
-        FleetCell::start_cell(processes, workers, true, limit, true).await
+        FleetCell::start_cell(processes, workers, true, limit, true, None).await
+    }
+
+    /// Like [`FleetCell::start`], with limits in the settings of the processes.
+    pub async fn start_limited(
+        processes: usize,
+        workers: u16,
+        limits: ProcessLimits,
+    ) -> FleetCell {
+        FleetCell::start_cell(processes, workers, false, 0, false, Some(limits)).await
     }
 
     async fn start_cell(
@@ -90,6 +102,7 @@
         proxied: bool,
         limit: u64,
         evacuable: bool,
+        limits: Option<ProcessLimits>,
     ) -> FleetCell {
         let addresses = CellAddresses::reserve();
         let log_dir = std::env::temp_dir().join(format!(
@@ -116,6 +129,7 @@
             proxy,
             limit,
             evacuable,
+            limits,
             client,
         };
         wait_until("the stand-in responds", async || {
@@ -185,6 +199,11 @@
         (0..self.processes.len()).map(url).collect()
     }
 
+    /// Returns the addresses of a process for clients, readiness, peers and metrics.
+    pub fn listen_addresses(&self, index: usize) -> [std::net::SocketAddr; 4] {
+        PORTS.map(|port| self.addresses.entry(0, index, port))
+    }
+
     /// Returns the directory of the settings and log files.
     pub fn log_dir(&self) -> &Path {
         &self.log_dir
--- a/crates/geraniumwinch-tests/src/fleet_cell/cell_processes.rs
+++ b/crates/geraniumwinch-tests/src/fleet_cell/cell_processes.rs
@@ -9,6 +9,7 @@
 
 use crate::CellProcess;
 use crate::ProcessEnd;
+use crate::ProcessLimits;
 use crate::wait_until;
 
 use super::FleetCell;
@@ -52,9 +53,13 @@
         let store = self.store_address(index);
         let permissions = self.addresses.platform(PLATFORM_PORT);
         let evacuation = if self.evacuable { "evacuation-ms = 5000\n" } else { "" };
+        let limits = self.limits.map_or_else(String::new, |limits| {
+            let ProcessLimits { memory_mb, descriptors } = limits;
+            format!("memory-mb = {memory_mb}\ndescriptors = {descriptors}\n")
+        });
         format!(
             "[process]\nname = node-{index}\nfailure-domain = d{index}\n\
-             stop-grace-s = {}\n[vm]\ncpu-share = 1\n[listen]\ncallers = {clients}\n\
+             stop-grace-s = {}\n[vm]\ncpu-share = 1\n{limits}[listen]\ncallers = {clients}\n\
              readiness = {readiness}\npeers = {peers}\nmetrics = {metrics}\n\
              [platform]\nstore = {store}\npermissions = {permissions}\n\
              [workers]\nlease-ms = 6000\nheartbeat-ms = 1500\n{evacuation}\
--- /dev/null
+++ b/crates/geraniumwinch-tests/tests/uncontrolled_clients.rs
@@ -0,0 +1,123 @@
+//! Crowds of clients that send much and don't finish.
+//!
+//! Each test runs alone. It checks that the process lives within the memory and the descriptors that its
+//! settings give it, and that an ordinary request is answered while the crowd stays and afterwards. It
+//! judges no times and no share of requests.
+
+use std::time::Duration;
+
+use geraniumwinch_tests::ClientCrowd;
+use geraniumwinch_tests::CrowdRequest;
+use geraniumwinch_tests::FLEET_HOST;
+use geraniumwinch_tests::FLEET_KEY;
+use geraniumwinch_tests::FleetCell;
+use geraniumwinch_tests::ProcessLimits;
+use geraniumwinch_tests::UsageWatch;
+use geraniumwinch_tests::wait_until;
+use test_case::test_case;
+
+/// The memory of the process in megabytes.
+const MEMORY_MB: u64 = 64;
+/// The number of clients that send bodies.
+const CLIENTS: usize = 240;
+/// Descriptors that are enough for all clients of a crowd.
+const MANY_DESCRIPTORS: usize = 4_000;
+/// Descriptors that are fewer than the clients of a crowd.
+const FEW_DESCRIPTORS: usize = 256;
+/// The number of clients that use up descriptors.
+const DESCRIPTOR_CLIENTS: usize = 400;
+/// How long the crowd stays after it has sent what it could.
+const STAY: Duration = Duration::from_secs(2);
+
+/// The interfaces of a process.
+#[derive(Debug, Clone, Copy)]
+enum Interface {
+    Clients,
+    Readiness,
+    Peers,
+    Metrics,
+}
+
+/// Returns the head of a crowd's requests without the headers that describe the body.
+fn head(key: Option<&str>) -> String {
+    let key = key.map_or_else(String::new, |key| format!("Authorization: {key}\r\n"));
+    format!("POST /jobs/00000000000000ff HTTP/1.1\r\nHost: {FLEET_HOST}\r\n{key}")
+}
+
+/// Sends a crowd to an interface of a process and checks what must hold.
+async fn withstand(
+    interface: Interface,
+    key: Option<&str>,
+    clients: usize,
+    descriptors: usize,
+    request: CrowdRequest,
+) {
+    let limits = ProcessLimits { memory_mb: MEMORY_MB, descriptors };
+    let mut cell = FleetCell::start_limited(1, 2, limits).await;
+    assert_eq!(cell.submit(0, "00000000000000a1", "100", 1).await, 200);
+    let pid = cell.process(0).pid();
+    let address = cell.listen_addresses(0)[interface as usize];
+    let watch = UsageWatch::begin(pid, address);
+    let crowd = ClientCrowd::gather(address, clients, &head(key), request).await;
+    wait_until("an ordinary request is answered beside the crowd", async || {
+        cell.submit(0, "00000000000000a2", "100", 1).await == 200
+    })
+    .await;
+    tokio::time::sleep(STAY).await;
+    drop(crowd);
+    wait_until("an ordinary request is answered after the crowd", async || {
+        cell.submit(0, "00000000000000a3", "100", 1).await == 200
+    })
+    .await;
+    let peak = watch.peak();
+    assert_eq!(cell.process(0).exit_code(), None, "the process has ended");
+    let used = peak.memory / 1_000_000;
+    assert!(used <= MEMORY_MB, "the process used {used} MB of {MEMORY_MB}");
+    let open = peak.descriptors;
+    assert!(open <= descriptors, "{open} descriptors of {descriptors} were open");
+}
+
+/// Guards against a process that runs out of memory when clients don't finish large bodies, or send bodies
+/// beyond the limit (issue 56).
+#[test_case(CrowdRequest::WholeBody; "whole_bodies")]
+#[test_case(CrowdRequest::BodyInPieces; "bodies_in_pieces")]
+#[test_case(CrowdRequest::LargeChunk; "large_chunks")]
+#[test_case(CrowdRequest::TinyChunks; "tiny_chunks")]
+#[test_case(CrowdRequest::AnnouncedExcess; "bodies_announced_beyond_the_limit")]
+#[test_case(CrowdRequest::SentExcess; "bodies_sent_beyond_the_limit")]
+fn bodies_of_a_crowd_stay_within_the_memory(request: CrowdRequest) {
+    let key = Some(FLEET_KEY);
+    let work = withstand(Interface::Clients, key, CLIENTS, MANY_DESCRIPTORS, request);
+    actix_rt::System::new().block_on(work);
+}
+
+/// Guards against the same by clients without a valid key (issue 56).
+#[test]
+fn bodies_without_a_key_stay_within_the_memory() {
+    let request = CrowdRequest::WholeBody;
+    let work = withstand(Interface::Clients, None, CLIENTS, MANY_DESCRIPTORS, request);
+    actix_rt::System::new().block_on(work);
+}
+
+/// Guards against the same on the other interfaces of a process (issue 56).
+#[test_case(Interface::Readiness; "readiness")]
+#[test_case(Interface::Peers; "peers")]
+#[test_case(Interface::Metrics; "metrics")]
+fn bodies_at_other_interfaces_stay_within_the_memory(interface: Interface) {
+    let request = CrowdRequest::WholeBody;
+    let work = withstand(interface, None, CLIENTS, MANY_DESCRIPTORS, request);
+    actix_rt::System::new().block_on(work);
+}
+
+/// Guards against clients that use up the descriptors of a process, so that nobody else is answered while
+/// they stay (issue 56).
+#[test_case(CrowdRequest::BodyInPieces; "unfinished_bodies")]
+#[test_case(CrowdRequest::TinyChunks; "unfinished_chunks")]
+#[test_case(CrowdRequest::UnfinishedHead; "unfinished_heads")]
+#[test_case(CrowdRequest::Silence; "silent_connections")]
+fn connections_of_a_crowd_leave_descriptors(request: CrowdRequest) {
+    let (clients, descriptors) = (DESCRIPTOR_CLIENTS, FEW_DESCRIPTORS);
+    let work =
+        withstand(Interface::Clients, Some(FLEET_KEY), clients, descriptors, request);
+    actix_rt::System::new().block_on(work);
+}
