Keep callers' bodies and connections within the VM's limits

Cause: nothing counted what callers make a process keep. Bodies were collected to their end in doubling buffers, whoever sent them; what was over the limit was read on through buffers of 128 KiB; a chunk of a byte took an entry of 32; nothing ended a body that didn't come or bounded the connections; and the configuration's timeouts were decoded and not used.

Change: one budget for the bodies of each interface, from the VM's memory, in which the largest incomplete body makes room for others; requests that are refused by their head keep no body; bodies have timeouts; connections hand out 4 KiB a turn and are bounded, and the one that has kept the process waiting the longest is closed for a new one. Refusals can be read before the connection ends. The shared part is a crate of its own, geraniumwinch-intake, for the own interface to follow.

In three test files only the type of a closure's argument or a field of the settings is named; no assertion changed.

--- a/crates/geraniumwinch-cell/src/cell_metrics.rs
+++ b/crates/geraniumwinch-cell/src/cell_metrics.rs
@@ -27,6 +27,7 @@
 
 metric_rows! {
     REFUSALS = "geraniumwinch_cell_refusals_total", "counter", "reason", "Callers' requests refused, by error kind.";
+    CLOSED_CONNECTIONS = "geraniumwinch_cell_closed_connections_total", "counter", "", "Connections that waited for their clients and were closed for others, since the maximum number was open.";
     PANICS = "geraniumwinch_cell_panics_total", "counter", "task", "Panics, by the task of the process that they ended.";
     RETRIES = "geraniumwinch_cell_retries_total", "counter", "reason", "Repeated attempts, by what is repeated and why.";
     STARTS = "geraniumwinch_cell_starts_total", "counter", "outcome", "Orders to start a task, by outcome.";
@@ -138,6 +139,11 @@
     counter!(BEGUN, "lateness" => "overdue").increment(starts.overdue);
 }
 
+/// Counts a connection that was closed for another one.
+pub(crate) fn count_closed_connection() {
+    counter!(CLOSED_CONNECTIONS).increment(1);
+}
+
 /// Counts a panic.
 pub(crate) fn count_panic(task: &'static str) {
     counter!(PANICS, "task" => task).increment(1);
--- a/crates/geraniumwinch-cell/src/cell_node.rs
+++ b/crates/geraniumwinch-cell/src/cell_node.rs
@@ -10,20 +10,24 @@
 use futures_util::future::LocalBoxFuture;
 use geraniumwinch_core::log_event;
 use geraniumwinch_fleet::PermissionRequest;
+use geraniumwinch_intake::VmLimits;
 use metrics_exporter_prometheus::PrometheusHandle;
 use snafu::ResultExt;
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::time::Instant;
 
 use crate::CallClient;
 use crate::CellError;
 use crate::CellPorts;
 use crate::CellSettings;
+use crate::ConnectionTimeouts;
 use crate::FetchedCatalog;
 use crate::HttpListener;
 use crate::HttpRequest;
 use crate::HttpResponse;
+use crate::ListenerLimits;
 use crate::ProcessShutdown;
 use crate::RequestForwarder;
 use crate::WorkKind;
@@ -44,6 +48,14 @@
 const READY_MAX_AGE: Duration = Duration::from_millis(1100);
 /// The maximum size of a peer request body in bytes.
 const MAX_PEER_BODY: usize = 4 * 1024 * 1024;
+/// The maximum size of a client's request body in bytes before the first configuration.
+const DEFAULT_MAX_BODY: usize = 256 * 1024;
+/// The maximum size of the body of a readiness probe or a query of the metrics, which have none.
+const MAX_PROBE_BODY: usize = 1024;
+/// The memory that the connections for readiness and metrics are counted by, each in bytes.
+const PROBE_MEMORY: u64 = 8 << 20;
+/// The interval at which the limits of clients are read from the configuration.
+const LIMITS_INTERVAL: Duration = Duration::from_secs(1);
 /// The interval of the metrics upkeep, which keeps the memory of the histograms bounded.
 const METRICS_UPKEEP: Duration = Duration::from_secs(10);
 
@@ -56,6 +68,7 @@
     forwarder: RequestForwarder,
     metrics: PrometheusHandle,
     max_body: Rc<Cell<usize>>,
+    timeouts: Rc<Cell<ConnectionTimeouts>>,
     shutdown: Rc<ProcessShutdown>,
 }
 
@@ -88,7 +101,8 @@
             election,
             forwarder,
             metrics: cell_metrics::install(),
-            max_body: Rc::new(Cell::new(256 * 1024)),
+            max_body: Rc::new(Cell::new(DEFAULT_MAX_BODY)),
+            timeouts: Rc::default(),
             shutdown,
         })
     }
@@ -137,13 +151,30 @@
         let peers = self.handler(Self::handle_peer);
         let readiness = self.handler(Self::handle_readiness);
         let metrics = self.handler(Self::handle_metrics);
-        let peer_body = Rc::new(Cell::new(MAX_PEER_BODY));
-        let body = || Rc::clone(&self.max_body);
+        let vm = settings.vm;
+        log_event!(
+            Info,
+            "limits",
+            memory_mb = vm.memory_bytes / 1_000_000,
+            descriptors = vm.descriptors,
+            connections = vm.connections(),
+            body_bytes = vm.body_bytes(self.max_body.get())
+        );
+        let probe_vm = VmLimits { memory_bytes: PROBE_MEMORY, ..vm };
+        let limits = |bytes: usize, vm: &VmLimits| {
+            ListenerLimits::new(Rc::new(Cell::new(bytes)), vm)
+        };
+        let client_limits = ListenerLimits {
+            timeouts: Rc::clone(&self.timeouts),
+            ..ListenerLimits::new(Rc::clone(&self.max_body), &vm)
+        };
+        let peer_limits = limits(MAX_PEER_BODY, &vm);
+        let probe_limits = || limits(MAX_PROBE_BODY, &probe_vm);
         let (peer_work, client_work) = (Some(WorkKind::Peers), Some(WorkKind::Clients));
-        self.listen(settings.peer_address, peer_body, peers, peer_work).await?;
-        self.listen(settings.client_address, body(), clients, client_work).await?;
-        self.listen(settings.readiness_address, body(), readiness, None).await?;
-        self.listen(settings.metrics_address, body(), metrics, None).await?;
+        self.listen(settings.peer_address, peer_limits, peers, peer_work).await?;
+        self.listen(settings.client_address, client_limits, clients, client_work).await?;
+        self.listen(settings.readiness_address, probe_limits(), readiness, None).await?;
+        self.listen(settings.metrics_address, probe_limits(), metrics, None).await?;
         self.spawn_loops();
         self.await_stop(&settings_file).await?;
         self.stop().await;
@@ -166,12 +197,14 @@
     async fn listen(
         &self,
         address: SocketAddr,
-        max_body: Rc<Cell<usize>>,
+        limits: ListenerLimits,
         handler: HttpHandler,
         work: Option<WorkKind>,
     ) -> Result<(), CellError> {
         let shutdown = Rc::clone(&self.shutdown);
+        let max_body = Rc::clone(&limits.max_body);
         let listener = HttpListener::new(address, max_body, handler, shutdown);
+        let listener = listener.limited(limits);
         let listener = match work {
             Some(kind) => listener.metered(kind, &self.ports.meter),
             None => listener,
@@ -185,7 +218,7 @@
         F: Future<Output = HttpResponse> + 'static,
     {
         let node = Rc::clone(self);
-        Rc::new(move |request| -> LocalBoxFuture<'static, HttpResponse> {
+        Rc::new(move |request: HttpRequest| -> LocalBoxFuture<'static, HttpResponse> {
             Box::pin(handle(Rc::clone(&node), request))
         })
     }
@@ -202,8 +235,9 @@
 
     /// Handles a request of a peer.
     async fn handle_peer(self: Rc<Self>, request: HttpRequest) -> HttpResponse {
-        let request = request.body.as_ref().and_then(peer_service::decode_request);
-        let Some(request) = request else { return HttpResponse::empty(400) };
+        let Some(request) = peer_service::decode_request(&request.body) else {
+            return HttpResponse::empty(400);
+        };
         let reply = match request {
             PeerRequest::OwnerSeen(epoch) => {
                 PeerReply::OwnerSeen(self.election.sees_owner(epoch).await)
@@ -242,14 +276,20 @@
         }
     }
 
-    /// Keeps the body limit in line with the configuration and runs the metrics upkeep.
+    /// Keeps the limits of clients in line with the configuration and runs the metrics upkeep.
     async fn refresh_limits(self: Rc<Self>) {
+        let mut upkeep_at = Instant::now();
         loop {
             if let Some(current) = self.catalog.current() {
-                self.max_body.set(current.catalog.limits.max_body);
+                let limits = current.catalog.limits;
+                self.max_body.set(limits.max_body);
+                self.timeouts.set(ConnectionTimeouts::of(&limits));
+            }
+            if Instant::now() >= upkeep_at {
+                self.metrics.run_upkeep();
+                upkeep_at = Instant::now() + METRICS_UPKEEP;
             }
-            self.metrics.run_upkeep();
-            tokio::time::sleep(METRICS_UPKEEP).await;
+            tokio::time::sleep(LIMITS_INTERVAL).await;
         }
     }
 
--- a/crates/geraniumwinch-cell/src/cell_settings.rs
+++ b/crates/geraniumwinch-cell/src/cell_settings.rs
@@ -1,12 +1,14 @@
 //! The settings of a cell process.
 
 use std::net::SocketAddr;
+use std::num::NonZeroU64;
 use std::str::FromStr;
 use std::time::Duration;
 
 use geraniumwinch_config::ConfigProblem;
 use geraniumwinch_config::IniText;
 use geraniumwinch_core::Name;
+use geraniumwinch_intake::VmLimits;
 
 /// The settings of a cell process.
 #[derive(Debug, Clone, PartialEq)]
@@ -31,6 +33,8 @@
     pub permission_address: Option<SocketAddr>,
     /// The VM's CPU share as a fraction of a core.
     pub cpu_share: f64,
+    /// The limits of the VM.
+    pub vm: VmLimits,
     /// The maximum lease of a worker.
     pub worker_lease: Duration,
     /// The interval at which a worker refreshes its entry in the directory.
@@ -105,6 +109,19 @@
         Duration::from_millis(millis.unwrap_or(0))
     }
 
+    /// Returns the limits of the VM, which the system says where the settings don't.
+    fn vm_limits(&mut self) -> VmLimits {
+        let memory_mb = self.optional_number("vm", "memory-mb");
+        VmLimits::detect(memory_mb, self.optional_number("vm", "descriptors"))
+    }
+
+    /// Returns a number above 0 if it is present and not empty.
+    fn optional_number(&mut self, section: &str, option: &str) -> Option<u64> {
+        self.optional(section, option)?;
+        let number = self.parsed::<NonZeroU64>(section, option, "number above 0");
+        number.map(NonZeroU64::get)
+    }
+
     /// Returns the bound of evacuation requests, if there is one.
     fn evacuation_bound(&mut self) -> Option<Duration> {
         self.optional("workers", "evacuation-ms")?;
@@ -172,6 +189,7 @@
         permission_address: permissions
             .map(|_| reader.address("platform", "permissions")),
         cpu_share: reader.parsed("vm", "cpu-share", "number").unwrap_or(1.0),
+        vm: reader.vm_limits(),
         worker_lease: reader.millis("workers", "lease-ms"),
         worker_heartbeat: reader.millis("workers", "heartbeat-ms"),
         evacuation_bound: reader.evacuation_bound(),
--- a/crates/geraniumwinch-cell/src/exchange_body.rs
+++ b/crates/geraniumwinch-cell/src/exchange_body.rs
@@ -5,6 +5,7 @@
 use std::task::Context;
 use std::task::Poll;
 
+use actix_http::Payload;
 use actix_http::body::BodySize;
 use actix_http::body::MessageBody;
 use bytes::Bytes;
@@ -15,12 +16,19 @@
 pub(crate) struct ExchangeBody {
     bytes: Bytes,
     _exchange: OpenExchange,
+    /// The rest of a request's body that is not read. While it exists, the server closes the connection
+    /// after the response, and gives the client time to read it.
+    _unread: Option<Payload>,
 }
 
 impl ExchangeBody {
     /// Creates the body of an exchange's response.
-    pub(crate) fn new(bytes: Bytes, exchange: OpenExchange) -> Self {
-        ExchangeBody { bytes, _exchange: exchange }
+    pub(crate) fn new(
+        bytes: Bytes,
+        exchange: OpenExchange,
+        unread: Option<Payload>,
+    ) -> Self {
+        ExchangeBody { bytes, _exchange: exchange, _unread: unread }
     }
 }
 
--- a/crates/geraniumwinch-cell/src/exchange_stream.rs
+++ b/crates/geraniumwinch-cell/src/exchange_stream.rs
@@ -1,4 +1,5 @@
-//! The stream of a connection, which tells when the responses in its write buffer are written.
+//! The stream of a connection, which tells when the responses in its write buffer are written, and hands
+//! out what is received in small parts.
 
 use std::io::IoSlice;
 use std::pin::Pin;
@@ -18,16 +19,22 @@
 /// The result of an I/O operation.
 type Result<T> = std::io::Result<T>;
 
+/// The number of bytes that a connection hands out in a turn, so that the server keeps few of them unread,
+/// and few chunks of a body.
+const TURN_BYTES: usize = 4 * 1024;
+
 /// The stream of a connection.
 pub(crate) struct ExchangeStream {
     stream: TcpStream,
+    /// The number of bytes that were handed out in this turn.
+    handed_out: usize,
     pub(crate) exchanges: Rc<ConnectionExchanges>,
 }
 
 impl ExchangeStream {
     /// Creates the stream of a connection with its exchanges.
     pub(crate) fn new(stream: TcpStream, exchanges: Rc<ConnectionExchanges>) -> Self {
-        ExchangeStream { stream, exchanges }
+        ExchangeStream { stream, handed_out: 0, exchanges }
     }
 }
 
@@ -43,7 +50,22 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        if self.handed_out >= TURN_BYTES {
+            self.handed_out = 0;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        let room = buffer.remaining().min(TURN_BYTES - self.handed_out);
+        let mut part = ReadBuf::new(buffer.initialize_unfilled_to(room));
+        let read = Pin::new(&mut self.stream).poll_read(context, &mut part);
+        let count = part.filled().len();
+        buffer.advance(count);
+        if read.is_pending() {
+            self.handed_out = 0;
+        } else {
+            self.handed_out += count;
+        }
+        read
     }
 }
 
--- a/crates/geraniumwinch-cell/src/process_shutdown.rs
+++ b/crates/geraniumwinch-cell/src/process_shutdown.rs
@@ -53,6 +53,11 @@
         })
     }
 
+    /// Returns the clock of the process.
+    pub(crate) fn clock(&self) -> Rc<dyn CellClock> {
+        Rc::clone(&self.clock)
+    }
+
     /// Begins the shutdown of a process that is terminated by force after `grace`.
     pub fn begin(&self, grace: Duration) {
         self.terminated_at.set(Some(self.clock.now() + grace));
--- a/crates/geraniumwinch-cell/tests/common/test_node.rs
+++ b/crates/geraniumwinch-cell/tests/common/test_node.rs
@@ -41,6 +41,7 @@
 use geraniumwinch_fleet::StepPlan;
 use geraniumwinch_fleet::WorkerList;
 use geraniumwinch_fleet::WorkerReport;
+use geraniumwinch_intake::VmLimits;
 
 use super::memory_store::MemoryStore;
 use super::memory_store::SharedStore;
@@ -283,6 +284,7 @@
         store_address: address,
         permission_address: None,
         cpu_share: 1.0,
+        vm: VmLimits::detect(None, None),
         worker_lease: Duration::from_secs(6),
         worker_heartbeat: Duration::from_millis(1500),
         evacuation_bound: None,
--- a/crates/geraniumwinch-core/src/error_kind.rs
+++ b/crates/geraniumwinch-core/src/error_kind.rs
@@ -130,6 +130,10 @@
     DomainUnknown => "domain-unknown", 404, NotRun, NO_RETRY;
     /// Every other failure domain is evacuated already.
     DomainLast => "domain-last", 409, NotRun, NO_RETRY;
+    /// The request body did not arrive in time.
+    BodyLate => "body-late", 408, NotRun, NO_RETRY;
+    /// Request bodies that are not complete use up the memory for them.
+    BodiesFull => "bodies-full", 503, NotRun, ONE_SECOND;
 }
 
 impl std::fmt::Display for ErrorKind {
--- /dev/null
+++ b/crates/geraniumwinch-intake/src/body_budget.rs
@@ -0,0 +1,170 @@
+//! The memory that request bodies share.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::task::Poll;
+use std::task::Waker;
+
+use slotmap::SlotMap;
+use slotmap::new_key_type;
+
+use crate::BodyLease;
+
+new_key_type! {
+    /// Identifies a body within a budget.
+    pub(crate) struct BodyKey;
+}
+
+/// The memory that the request bodies of a process share.
+///
+/// A body that needs more than is left takes it from the largest one that is not complete, which is given
+/// up. If none is larger, it is refused itself.
+#[derive(Debug, Clone)]
+pub struct BodyBudget {
+    table: Arc<Mutex<BodyTable>>,
+}
+
+/// The bodies that are kept.
+#[derive(Debug)]
+struct BodyTable {
+    /// The maximum size of all bodies together, in bytes.
+    limit: usize,
+    /// The size of all bodies but those given up, in bytes.
+    used: usize,
+    /// The number of bodies so far.
+    opened: u64,
+    bodies: SlotMap<BodyKey, OpenBody>,
+}
+
+/// A body that is kept.
+#[derive(Debug)]
+struct OpenBody {
+    /// Its size so far, in bytes.
+    held: usize,
+    /// The position in the order of arrival.
+    serial: u64,
+    state: BodyState,
+    /// The task that receives the body.
+    waker: Option<Waker>,
+}
+
+/// The state of a body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyState {
+    /// Parts of it are missing.
+    Incomplete,
+    /// It is complete, and its request is being served.
+    Complete,
+    /// It was given up for another one.
+    GivenUp,
+}
+
+impl BodyBudget {
+    /// Creates a budget of a number of bytes.
+    pub fn new(limit: usize) -> Self {
+        let bodies = SlotMap::with_key();
+        let table = BodyTable { limit, used: 0, opened: 0, bodies };
+        BodyBudget { table: Arc::new(Mutex::new(table)) }
+    }
+
+    /// Begins to count a body.
+    pub fn open(&self) -> BodyLease {
+        BodyLease::new(self.clone(), self.lock().open())
+    }
+
+    /// Returns the size of all bodies that are kept, in bytes.
+    pub fn used(&self) -> usize {
+        self.lock().used
+    }
+
+    /// Adds bytes to a body and returns whether there is room for them.
+    pub(crate) fn grow(&self, key: BodyKey, bytes: usize) -> bool {
+        self.lock().grow(key, bytes)
+    }
+
+    /// Records that a body is complete; returns whether it had not been given up.
+    pub(crate) fn complete(&self, key: BodyKey) -> bool {
+        let mut table = self.lock();
+        let body = table.bodies.get_mut(key).filter(|body| body.is_kept());
+        body.map(|body| body.state = BodyState::Complete).is_some()
+    }
+
+    /// Waits until a body is given up.
+    pub(crate) fn poll_given_up(&self, key: BodyKey, waker: &Waker) -> Poll<()> {
+        match self.lock().bodies.get_mut(key) {
+            Some(body) if body.is_kept() => {
+                body.waker = Some(waker.clone());
+                Poll::Pending
+            }
+            _ => Poll::Ready(()),
+        }
+    }
+
+    /// Ends the count of a body.
+    pub(crate) fn close(&self, key: BodyKey) {
+        let mut table = self.lock();
+        if let Some(body) = table.bodies.remove(key).filter(OpenBody::is_kept) {
+            table.used -= body.held;
+        }
+    }
+
+    /// Locks the table, which no panic can leave half changed.
+    fn lock(&self) -> MutexGuard<'_, BodyTable> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl OpenBody {
+    /// Returns whether the body was not given up.
+    fn is_kept(&self) -> bool {
+        self.state != BodyState::GivenUp
+    }
+}
+
+impl BodyTable {
+    /// Adds an empty body.
+    fn open(&mut self) -> BodyKey {
+        self.opened += 1;
+        let (serial, state) = (self.opened, BodyState::Incomplete);
+        self.bodies.insert(OpenBody { held: 0, serial, state, waker: None })
+    }
+
+    /// Adds bytes to a body and returns whether there is room for them.
+    fn grow(&mut self, key: BodyKey, bytes: usize) -> bool {
+        let Some(body) = self.bodies.get(key).filter(|body| body.is_kept()) else {
+            return false;
+        };
+        let wanted = body.held.saturating_add(bytes);
+        while self.used.saturating_add(bytes) > self.limit {
+            match self.largest_incomplete(key) {
+                Some((other, held)) if held >= wanted => self.give_up(other),
+                _ => return false,
+            }
+        }
+        self.used += bytes;
+        self.bodies[key].held = wanted;
+        true
+    }
+
+    /// Returns the largest incomplete body but the given one, the oldest of several, and its size.
+    fn largest_incomplete(&self, but: BodyKey) -> Option<(BodyKey, usize)> {
+        let incomplete = |body: &OpenBody| body.state == BodyState::Incomplete;
+        let others =
+            self.bodies.iter().filter(|&(key, body)| key != but && incomplete(body));
+        let largest =
+            others.max_by_key(|(_, body)| (body.held, std::cmp::Reverse(body.serial)));
+        largest.map(|(key, body)| (key, body.held))
+    }
+
+    /// Gives up a body, whose task drops it.
+    fn give_up(&mut self, key: BodyKey) {
+        let body = &mut self.bodies[key];
+        body.state = BodyState::GivenUp;
+        self.used -= body.held;
+        if let Some(waker) = body.waker.take() {
+            waker.wake();
+        }
+    }
+}
