--- a/crates/geraniumwinch-cell/src/call_client.rs
+++ b/crates/geraniumwinch-cell/src/call_client.rs
@@ -22,8 +22,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// The maximum age of a connection.
 const MAX_CONNECTION_AGE: Duration = Duration::from_secs(600);
-/// The maximum size of a response body in bytes.
-const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
+/// The maximum size of a response body in bytes, unless the caller expects less.
+pub const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
 /// An HTTP request.
 #[derive(Debug, Clone)]
@@ -40,6 +40,8 @@
     pub body: Bytes,
     /// The timeout for the complete response.
     pub timeout: Duration,
+    /// The maximum size of the response's body in bytes.
+    pub max_response: usize,
 }
 
 /// An HTTP response.
@@ -114,6 +116,7 @@
         request: CallRequest,
         body: TrackedBody,
     ) -> Result<CallResponse> {
+        let max_response = request.max_response;
         let mut call = self.client.request(request.method, request.url);
         for (name, value) in request.headers {
             call = call.insert_header((name, value));
@@ -126,7 +129,7 @@
         let length = response.headers().get(CONTENT_LENGTH);
         let length =
             length.and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
-        let body = response.body().limit(MAX_RESPONSE_BYTES).await;
+        let body = response.body().limit(max_response).await;
         let body =
             body.map_err(|error| CallError::NoResponse { message: error.to_string() })?;
         if length.is_some_and(|length| body.len() < length) {
--- a/crates/geraniumwinch-cell/src/lib.rs
+++ b/crates/geraniumwinch-cell/src/lib.rs
@@ -61,6 +61,7 @@
 pub use self::call_client::CallClient;
 pub use self::call_client::CallRequest;
 pub use self::call_client::CallResponse;
+pub use self::call_client::MAX_RESPONSE_BYTES;
 pub use self::call_usage::CallUsage;
 pub use self::catalog::CatalogAccount;
 pub use self::catalog::CatalogQueue;
--- a/crates/geraniumwinch-cell/src/peer_service.rs
+++ b/crates/geraniumwinch-cell/src/peer_service.rs
@@ -11,6 +11,7 @@
 use crate::CallRequest;
 use crate::CallResponse;
 use crate::HttpResponse;
+use crate::MAX_RESPONSE_BYTES;
 use crate::Result;
 use crate::peer_message::PeerReply;
 use crate::peer_message::PeerRequest;
@@ -70,6 +71,7 @@
         content_type: CONTENT_TYPE,
         body: body.into(),
         timeout,
+        max_response: MAX_RESPONSE_BYTES,
     })
 }
 
--- a/crates/geraniumwinch-cell/tests/call_client.rs
+++ b/crates/geraniumwinch-cell/tests/call_client.rs
@@ -16,6 +16,10 @@
 #[derive(Clone, Copy)]
 enum Behaviour {
     Respond,
+    /// Responds with a body beyond the limit.
+    Exceed,
+    /// Responds without a length, with bytes beyond the limit and no end.
+    Flood,
     Close,
     Truncate,
     Ignore,
@@ -30,6 +34,7 @@
         content_type: "text/plain",
         body: "x".into(),
         timeout: Duration::from_millis(400),
+        max_response: 1024,
     }
 }
 
@@ -43,11 +48,18 @@
         let _ = stream.read(&mut bytes).expect("the request arrives");
         let text: &[u8] = match behaviour {
             Behaviour::Respond => b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+            Behaviour::Exceed => b"HTTP/1.1 200 OK\r\ncontent-length: 2000\r\n\r\n",
+            Behaviour::Flood => b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
             Behaviour::Truncate => b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok",
             Behaviour::Close | Behaviour::Ignore => b"",
         };
         stream.write_all(text).expect("the client reads");
-        if matches!(behaviour, Behaviour::Ignore) {
+        if matches!(behaviour, Behaviour::Flood) {
+            let chunk =
+                [b"3e8\r\n".to_vec(), vec![b'x'; 1000], b"\r\n".to_vec()].concat();
+            while stream.write_all(&chunk).is_ok() {}
+        }
+        if matches!(behaviour, Behaviour::Ignore | Behaviour::Exceed) {
             std::thread::sleep(Duration::from_secs(2));
         }
     });
@@ -77,6 +89,8 @@
     a_response_is_returned: serve(Behaviour::Respond) => Ok(200),
     a_closed_connection_has_an_unknown_effect:
         serve(Behaviour::Close) => Err(CallError::NoResponse { .. }),
+    a_response_beyond_the_limit_has_an_unknown_effect:
+        serve(Behaviour::Exceed) => Err(CallError::NoResponse { .. }),
     a_truncated_response_has_an_unknown_effect:
         serve(Behaviour::Truncate) => Err(CallError::NoResponse { .. }),
     a_timeout_has_an_unknown_effect:
@@ -154,3 +168,13 @@
     let result = abandon(serve(Behaviour::Ignore));
     assert!(matches!(result, Err(CallError::NoResponse { .. })), "{result:?}");
 }
+
+/// Guards against responses that take memory until the timeout of the call (issue 56).
+#[test]
+fn a_response_that_does_not_end_is_left_at_the_limit() {
+    let result = call(serve(Behaviour::Flood));
+    let Err(CallError::NoResponse { message }) = result else {
+        panic!("unexpected result: {result:?}");
+    };
+    assert!(!message.contains("timed out"), "{message}");
+}
