Keep callers' bodies and connections of the own interface within the VM's limits

Change: a middleware takes bodies in with the budget of geraniumwinch-intake and refuses by the head what the key, the queue or the length refuses; of too many incomplete bodies the oldest is given up; the receive buffer and the connections are bounded. Two settings override what the system says of the VM.

Measured: the crowds at an entry process, with the two settings left out since the code before refuses them: 8 of 9 tests failed (156 to 255 MB of 64, 432 and 434 of 256 descriptors), the one with bodies announced beyond the limit passed. With the change 7 passed; the two with unfinished heads and silent connections passed after 42 s with a timeout of 5 s for heads, which is 3 s since.

--- a/crates/geraniumwinch-cell/src/cell_node.rs
+++ b/crates/geraniumwinch-cell/src/cell_node.rs
@@ -35,6 +35,7 @@
 use crate::cell_error::SignalsSnafu;
 use crate::cell_metrics;
 use crate::http_listener::HttpHandler;
+use crate::listener_limits::CONNECTION_BYTES;
 use crate::owner_election::OwnerElection;
 use crate::owner_watch::OwnerWatch;
 use crate::peer_message::PeerReply;
@@ -157,7 +158,7 @@
             "limits",
             memory_mb = vm.memory_bytes / 1_000_000,
             descriptors = vm.descriptors,
-            connections = vm.connections(),
+            connections = vm.connections(CONNECTION_BYTES),
             body_bytes = vm.body_bytes(self.max_body.get())
         );
         let probe_vm = VmLimits { memory_bytes: PROBE_MEMORY, ..vm };
--- a/crates/geraniumwinch-cell/src/listener_limits.rs
+++ b/crates/geraniumwinch-cell/src/listener_limits.rs
@@ -13,6 +13,10 @@
 /// The time in which a body must be complete. One of a megabyte needs less than 20 kilobytes a second.
 const MAX_BODY_TIME: Duration = Duration::from_secs(60);
 
+/// The memory that a connection takes at most beside the body of its request, in bytes: buffers of the
+/// process and of the system.
+pub(crate) const CONNECTION_BYTES: u64 = 64 * 1024;
+
 /// The timeouts of a listener's connections.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConnectionTimeouts {
@@ -61,7 +65,7 @@
     /// Creates the limits of a listener on a VM, with the usual timeouts.
     pub fn new(max_body: Rc<Cell<usize>>, vm: &VmLimits) -> Self {
         let bodies = BodyBudget::new(vm.body_bytes(max_body.get()));
-        let connections = vm.connections();
+        let connections = vm.connections(CONNECTION_BYTES);
         ListenerLimits { max_body, timeouts: Rc::default(), bodies, connections }
     }
 
--- a/crates/geraniumwinch-config/src/node_settings.rs
+++ b/crates/geraniumwinch-config/src/node_settings.rs
@@ -78,6 +78,10 @@
     pub operator_key: KeyHash,
     /// Maximum size of a request body, in bytes.
     pub max_body: usize,
+    /// Memory of the VM in megabytes; `None` if the system says it.
+    pub memory_mb: Option<u64>,
+    /// Number of descriptors that the process may open; `None` if the system says it.
+    pub descriptors: Option<u64>,
     /// Maximum size of a response that is buffered before it is forwarded, in bytes.
     pub max_buffer: usize,
     /// Maximum number of connections from this process to one endpoint.
@@ -126,6 +130,8 @@
             config_poll: reader.millis("configuration", "poll-ms"),
             operator_key: reader.hash("operator", "key-sha256"),
             max_body: reader.number("limits", "body-bytes") as usize,
+            memory_mb: given(reader.number("limits", "memory-mb")),
+            descriptors: given(reader.number("limits", "descriptors")),
             max_buffer: reader.number("limits", "buffer-bytes") as usize,
             endpoint_connections: reader.number("limits", "endpoint-connections")
                 as usize,
@@ -152,3 +158,8 @@
         self.domains.iter().map(|seeds| seeds.domain.clone()).collect()
     }
 }
+
+/// Returns a number unless it is 0.
+fn given(number: u64) -> Option<u64> {
+    (number > 0).then_some(number)
+}
--- a/crates/geraniumwinch-config/src/node_settings/setting_row.rs
+++ b/crates/geraniumwinch-config/src/node_settings/setting_row.rs
@@ -140,6 +140,20 @@
         (1024, 1_073_741_824),
         "The maximum size in bytes of a request body.",
     ),
+    number(
+        "limits",
+        "memory-mb",
+        "0",
+        (0, 67_108_864),
+        "The VM's memory in megabytes, from which the memory for request bodies and connections follows; 0 for what the system says.",
+    ),
+    number(
+        "limits",
+        "descriptors",
+        "0",
+        (0, 1_073_741_824),
+        "How many descriptors the process may open, from which the number of connections follows; 0 for the system's limit.",
+    ),
     number(
         "limits",
         "buffer-bytes",
--- a/crates/geraniumwinch-intake/src/body_budget.rs
+++ b/crates/geraniumwinch-intake/src/body_budget.rs
@@ -31,6 +31,8 @@
 struct BodyTable {
     /// The maximum size of all bodies together, in bytes.
     limit: usize,
+    /// The maximum number of incomplete bodies.
+    max_incomplete: usize,
     /// The size of all bodies but those given up, in bytes.
     used: usize,
     /// The number of bodies so far.
@@ -65,10 +67,17 @@
     /// Creates a budget of a number of bytes.
     pub fn new(limit: usize) -> Self {
         let bodies = SlotMap::with_key();
-        let table = BodyTable { limit, used: 0, opened: 0, bodies };
+        let (used, opened, max_incomplete) = (0, 0, usize::MAX);
+        let table = BodyTable { limit, max_incomplete, used, opened, bodies };
         BodyBudget { table: Arc::new(Mutex::new(table)) }
     }
 
+    /// Sets the maximum number of incomplete bodies. A further one takes the place of the oldest.
+    pub fn with_incomplete(self, max_incomplete: usize) -> Self {
+        self.lock().max_incomplete = max_incomplete;
+        self
+    }
+
     /// Begins to count a body.
     pub fn open(&self) -> BodyLease {
         BodyLease::new(self.clone(), self.lock().open())
@@ -127,6 +136,12 @@
     /// Adds an empty body.
     fn open(&mut self) -> BodyKey {
         self.opened += 1;
+        let incomplete = |body: &OpenBody| body.state == BodyState::Incomplete;
+        let open = || self.bodies.iter().filter(|(_, body)| incomplete(body));
+        if open().count() >= self.max_incomplete {
+            let oldest = open().min_by_key(|(_, body)| body.serial).map(|(key, _)| key);
+            oldest.into_iter().for_each(|key| self.give_up(key));
+        }
         let (serial, state) = (self.opened, BodyState::Incomplete);
         self.bodies.insert(OpenBody { held: 0, serial, state, waker: None })
     }
--- a/crates/geraniumwinch-intake/src/vm_limits.rs
+++ b/crates/geraniumwinch-intake/src/vm_limits.rs
@@ -15,9 +15,6 @@
 const MIN_BODIES: u64 = 4;
 /// The share of the memory that the connections of callers may take.
 const CONNECTION_MEMORY_SHARE: u64 = 4;
-/// The memory that a connection takes at most beside the body of its request, in bytes: buffers of the
-/// process and of the system.
-const CONNECTION_BYTES: u64 = 64 << 10;
 /// The descriptors that are kept for files.
 const FILE_DESCRIPTORS: u64 = 200;
 /// The share of the descriptors that the connections of callers may take. Workers, the store and other
@@ -56,9 +53,10 @@
         usize::try_from(share.max(least)).unwrap_or(usize::MAX)
     }
 
-    /// Returns how many connections of callers may be open.
-    pub fn connections(&self) -> usize {
-        let by_memory = self.memory_bytes / CONNECTION_MEMORY_SHARE / CONNECTION_BYTES;
+    /// Returns how many connections of callers may be open, each of which takes `connection_bytes` at most
+    /// beside the body of its request.
+    pub fn connections(&self, connection_bytes: u64) -> usize {
+        let by_memory = self.memory_bytes / CONNECTION_MEMORY_SHARE / connection_bytes;
         let files = FILE_DESCRIPTORS.min(self.descriptors / 4);
         let by_descriptors = (self.descriptors - files) / CONNECTION_DESCRIPTOR_SHARE;
         let connections = by_memory.min(by_descriptors).max(MIN_CONNECTIONS);
--- a/crates/geraniumwinch-intake/tests/body_budget.rs
+++ b/crates/geraniumwinch-intake/tests/body_budget.rs
@@ -70,3 +70,15 @@
     drop(small);
     assert_eq!(budget.used(), 0);
 }
+
+#[test]
+fn the_oldest_of_too_many_incomplete_bodies_is_given_up() {
+    let budget = BodyBudget::new(LIMIT).with_incomplete(2);
+    let complete = body(&budget, 1);
+    assert!(complete.complete());
+    let (oldest, older) = (body(&budget, 1), body(&budget, 500));
+    assert!(!is_given_up(&oldest));
+    let newest = body(&budget, 1);
+    assert!(is_given_up(&oldest) && !is_given_up(&older) && !is_given_up(&newest));
+    assert!(!is_given_up(&complete));
+}
--- a/crates/geraniumwinch-intake/tests/vm_limits.rs
+++ b/crates/geraniumwinch-intake/tests/vm_limits.rs
@@ -5,6 +5,8 @@
 
 /// The largest body that the usual limits allow, in bytes.
 const MAX_BODY: usize = 256 * 1024;
+/// What a connection takes at most, in bytes.
+const CONNECTION_BYTES: u64 = 64 * 1024;
 
 /// The bodies of two interfaces and all connections take at most half of the memory, and the connections at
 /// most a quarter of the descriptors.
@@ -14,8 +16,8 @@
 #[test_case(64_000, 1 << 20; "a VM without limits")]
 fn callers_get_a_part(memory_mb: u64, descriptors: u64) {
     let vm = VmLimits::detect(Some(memory_mb), Some(descriptors));
-    let connections = vm.connections() as u64;
-    let bytes = 2 * vm.body_bytes(MAX_BODY) as u64 + connections * 64 * 1024;
+    let connections = vm.connections(CONNECTION_BYTES) as u64;
+    let bytes = 2 * vm.body_bytes(MAX_BODY) as u64 + connections * CONNECTION_BYTES;
     assert!(bytes <= vm.memory_bytes / 2, "{bytes} bytes");
     assert!(connections <= descriptors / 4, "{connections} connections");
     assert!(connections >= 16, "{connections} connections");
--- a/crates/geraniumwinch-node/src/entry_server.rs
+++ b/crates/geraniumwinch-node/src/entry_server.rs
@@ -1,7 +1,10 @@
 //! The HTTP server for clients and operators.
 
+mod body_intake;
 mod retry_budgets;
 
+use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -21,12 +24,16 @@
 use actix_web::middleware::from_fn;
 use actix_web::web;
 use geraniumwinch_config::KeyHash;
+use geraniumwinch_config::NodeSettings;
 use geraniumwinch_config::StalePolicy;
 use geraniumwinch_core::ErrorKind;
 use geraniumwinch_core::Name;
 use geraniumwinch_core::RecordDigest;
 use geraniumwinch_core::home_domain;
+use geraniumwinch_intake::VmLimits;
 use geraniumwinch_wire::RecordKey;
+use nix::sys::socket::setsockopt;
+use nix::sys::socket::sockopt::RcvBuf;
 use snafu::ResultExt;
 use tokio::sync::mpsc;
 
@@ -44,6 +51,8 @@
 use crate::request_forwarder::forward;
 use crate::slot_client::SlotRequirements;
 
+use self::body_intake::BodyIntake;
+use self::body_intake::take_in_body;
 use self::retry_budgets::RetryBudgets;
 
 /// Number of threads of the HTTP server.
@@ -55,6 +64,16 @@
 /// How long an idle connection is kept open.
 const KEEP_ALIVE: Duration = Duration::from_secs(60);
 
+/// The timeout for receiving request headers.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(3);
+/// The memory that a connection takes at most beside the body of its request, in bytes: buffers of the
+/// server and of the system.
+const CONNECTION_BYTES: u64 = 256 * 1024;
+/// The size of a connection's receive buffer in the system, in bytes.
+const RECEIVE_BUFFER: usize = 32 * 1024;
+/// How long a connection stays open after a response to a request whose body is not read to its end, so
+/// that the client can read the response.
+const LINGER_TIME: Duration = Duration::from_secs(1);
 /// How long the server waits beyond the stop limit for the last responses to be written.
 const LAST_RESPONSES_TIME: Duration = Duration::from_secs(2);
 
@@ -66,6 +85,8 @@
     pub(crate) publisher: mpsc::UnboundedSender<PublishRequest>,
     /// The budgets for retries.
     pub(crate) budgets: Arc<RetryBudgets>,
+    /// What request bodies may take.
+    pub(crate) intake: Arc<BodyIntake>,
 }
 
 impl EntryState {
@@ -73,7 +94,12 @@
         shared: Arc<NodeShared>,
         publisher: mpsc::UnboundedSender<PublishRequest>,
     ) -> Self {
-        EntryState { shared, publisher, budgets: Arc::new(RetryBudgets::default()) }
+        let budgets = Arc::new(RetryBudgets::default());
+        let settings = &shared.settings;
+        let vm = vm_limits(settings);
+        let connections = vm.connections(CONNECTION_BYTES);
+        let intake = BodyIntake::new(settings.max_body, &vm, connections);
+        EntryState { shared, publisher, budgets, intake }
     }
 }
 
@@ -81,16 +107,35 @@
 pub(crate) fn start(state: EntryState) -> Result<Server> {
     let address = state.shared.settings.http;
     let limit = state.shared.settings.stop_limit;
+    let vm = vm_limits(&state.shared.settings);
+    let connections = vm.connections(CONNECTION_BYTES);
+    let listener = listen(address).context(HttpListenSnafu { address })?;
     let server = HttpServer::new(move || build_app(state.clone()))
         .workers(HTTP_THREADS)
+        .max_connections(connections / HTTP_THREADS)
         .keep_alive(KEEP_ALIVE)
+        .client_request_timeout(HEADER_TIMEOUT)
+        .client_disconnect_timeout(LINGER_TIME)
         .disable_signals()
         .shutdown_timeout((limit + LAST_RESPONSES_TIME).as_secs())
-        .bind(address)
+        .listen(listener)
         .context(HttpListenSnafu { address })?;
     Ok(server.run())
 }
 
+/// Binds an address and listens on it. A connection inherits the size of the receive buffer.
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let listener = TcpListener::bind(address)?;
+    // A system without this keeps more of what clients send before it is read.
+    let _ = setsockopt(&listener, RcvBuf, &RECEIVE_BUFFER);
+    Ok(listener)
+}
+
+/// Returns the limits of the VM, which the system says where the settings don't.
+fn vm_limits(settings: &NodeSettings) -> VmLimits {
+    VmLimits::detect(settings.memory_mb, settings.descriptors)
+}
+
 /// Builds the application of one server thread.
 fn build_app(
     state: EntryState,
@@ -108,6 +153,7 @@
     App::new()
         .app_data(web::Data::new(state))
         .app_data(payload)
+        .wrap(from_fn(take_in_body))
         .wrap(from_fn(respond_before_exit))
         .route("/healthz", web::get().to(health))
         .route("/metrics", web::get().to(metrics))
--- a/crates/geraniumwinch-tests/tests/uncontrolled_clients.rs
+++ b/crates/geraniumwinch-tests/tests/uncontrolled_clients.rs
@@ -6,12 +6,16 @@
 
 use std::time::Duration;
 
+use awc::http::Method;
+use geraniumwinch_tests::CellPlan;
 use geraniumwinch_tests::ClientCrowd;
 use geraniumwinch_tests::CrowdRequest;
 use geraniumwinch_tests::FLEET_HOST;
 use geraniumwinch_tests::FLEET_KEY;
 use geraniumwinch_tests::FleetCell;
 use geraniumwinch_tests::ProcessLimits;
+use geraniumwinch_tests::TestCell;
+use geraniumwinch_tests::TestClient;
 use geraniumwinch_tests::UsageWatch;
 use geraniumwinch_tests::wait_until;
 use test_case::test_case;
@@ -38,6 +42,9 @@
     Metrics,
 }
 
+/// A key of the own interface.
+const OWN_KEY: &str = "Bearer key-of-yard-a";
+
 /// Returns the head of a crowd's requests without the headers that describe the body.
 fn head(key: Option<&str>) -> String {
     let key = key.map_or_else(String::new, |key| format!("Authorization: {key}\r\n"));
@@ -69,11 +76,54 @@
         cell.submit(0, "00000000000000a3", "100", 1).await == 200
     })
     .await;
-    let peak = watch.peak();
     assert_eq!(cell.process(0).exit_code(), None, "the process has ended");
-    let used = peak.memory / 1_000_000;
+    check_peak(&watch, descriptors);
+}
+
+/// Sends a crowd to an entry process of the own interface and checks what must hold.
+async fn withstand_at_entry(
+    key: Option<&str>,
+    clients: usize,
+    descriptors: usize,
+    request: CrowdRequest,
+) {
+    let mut plan = CellPlan::new(1, 1, 2, 0);
+    plan.settings = vec![
+        ("limits", "body-bytes", (256 << 10).to_string()),
+        ("limits", "memory-mb", MEMORY_MB.to_string()),
+        ("limits", "descriptors", descriptors.to_string()),
+    ];
+    let mut cell = TestCell::start(plan).await;
+    let client = TestClient::default();
+    let url = format!("{}/v1/queues/exchange/requests/price?ms=5", cell.entry_url(0, 0));
+    let headers = [("Authorization", OWN_KEY)];
+    let ordinary =
+        async || client.send(Method::POST, &url, &headers, "body").await.status == 200;
+    wait_until("an ordinary request is answered before the crowd", ordinary).await;
+    let address = cell.entry_url(0, 0).trim_start_matches("http://").parse();
+    let address = address.expect("the address of the process");
+    let pid = cell.entries[&(0, 0)].pid();
+    let watch = UsageWatch::begin(pid, address);
+    let key = key.map_or_else(String::new, |key| format!("Authorization: {key}\r\n"));
+    let head = format!(
+        "POST /v1/queues/exchange/requests/price HTTP/1.1\r\nHost: {address}\r\n{key}"
+    );
+    let crowd = ClientCrowd::gather(address, clients, &head, request).await;
+    wait_until("an ordinary request is answered beside the crowd", ordinary).await;
+    tokio::time::sleep(STAY).await;
+    drop(crowd);
+    wait_until("an ordinary request is answered after the crowd", ordinary).await;
+    let process = cell.entries.get_mut(&(0, 0)).expect("the entry process");
+    assert_eq!(process.exit_code(), None, "the process has ended");
+    check_peak(&watch, descriptors);
+}
+
+/// Checks that the peak of a process is within its limits.
+fn check_peak(watch: &UsageWatch, descriptors: usize) {
+    let peak = watch.peak();
+    let (used, open) = (peak.memory / 1_000_000, peak.descriptors);
+    println!("at most {used} MB and {open} descriptors");
     assert!(used <= MEMORY_MB, "the process used {used} MB of {MEMORY_MB}");
-    let open = peak.descriptors;
     assert!(open <= descriptors, "{open} descriptors of {descriptors} were open");
 }
 
@@ -121,3 +171,32 @@
         withstand(Interface::Clients, Some(FLEET_KEY), clients, descriptors, request);
     actix_rt::System::new().block_on(work);
 }
+
+/// Guards against the same in an entry process of the own interface (issue 56, related path).
+#[test_case(CrowdRequest::WholeBody; "whole_bodies")]
+#[test_case(CrowdRequest::LargeChunk; "large_chunks")]
+#[test_case(CrowdRequest::TinyChunks; "tiny_chunks")]
+#[test_case(CrowdRequest::AnnouncedExcess; "bodies_announced_beyond_the_limit")]
+#[test_case(CrowdRequest::SentExcess; "bodies_sent_beyond_the_limit")]
+fn bodies_of_a_crowd_at_an_entry_stay_within_the_memory(request: CrowdRequest) {
+    let work = withstand_at_entry(Some(OWN_KEY), CLIENTS, MANY_DESCRIPTORS, request);
+    actix_rt::System::new().block_on(work);
+}
+
+/// Guards against the same by clients without a key (issue 56, related path).
+#[test]
+fn bodies_without_a_key_at_an_entry_stay_within_the_memory() {
+    let request = CrowdRequest::WholeBody;
+    let work = withstand_at_entry(None, CLIENTS, MANY_DESCRIPTORS, request);
+    actix_rt::System::new().block_on(work);
+}
+
+/// Guards against clients that use up the descriptors of an entry process (issue 56, related path).
+#[test_case(CrowdRequest::WholeBody; "unfinished_bodies")]
+#[test_case(CrowdRequest::UnfinishedHead; "unfinished_heads")]
+#[test_case(CrowdRequest::Silence; "silent_connections")]
+fn connections_of_a_crowd_leave_descriptors_at_an_entry(request: CrowdRequest) {
+    let (clients, descriptors) = (DESCRIPTOR_CLIENTS, FEW_DESCRIPTORS);
+    let work = withstand_at_entry(Some(OWN_KEY), clients, descriptors, request);
+    actix_rt::System::new().block_on(work);
+}
