Keep no state of occurrences that are far ahead

Cause: the scheduler created 1.2 KB for each occurrence of a job when it was accepted or loaded, and passes visited all of them.

Change: a unit has a state of its own once something has happened to it; until then all occurrences share one for each step. Passes, admission, stranded steps and the accounts of a takeover visit only what is due.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -47,6 +47,7 @@
 mod task_state;
 mod timeouts;
 mod unit_state;
+mod unit_table;
 mod unread_ends;
 mod unreported_runs;
 mod waiting_calls;
@@ -472,10 +473,9 @@
     /// Returns the placed tasks of a job.
     fn placed_tasks(&self, key: JobKey) -> Vec<TaskRef> {
         let mut placed = Vec::new();
-        for (number, unit) in self.jobs[key].units.iter().enumerate() {
-            for (index, task) in unit.tasks.iter().enumerate() {
+        for (unit, state) in self.jobs[key].units.touched() {
+            for (index, task) in state.tasks.iter().enumerate() {
                 if task.placement.is_some() {
-                    let unit = number as u32;
                     placed.push(TaskRef { job: key, unit, index: index as u32 });
                 }
             }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/admission.rs
@@ -16,7 +16,6 @@
 use super::FleetScheduler;
 use super::job_lateness::JobLateness;
 use super::job_state::critical_path;
-use super::unit_state::UnitState;
 use super::waiting_calls::WaitingCalls;
 use super::worker_state::WorkerState;
 
@@ -89,9 +88,9 @@
         for &(priority, _, key) in &self.open_jobs {
             let job = &self.jobs[key];
             let in_time = job.lateness(unix_time) == JobLateness::InTime;
-            for unit in 0..job.units.len() as u32 {
-                let UnitState { waiting, occurrence, .. } = job.units[unit as usize];
-                if waiting == 0 || !job.record.request.is_due(occurrence, unix_time) {
+            for unit in job.due_units(unix_time) {
+                let waiting = job.units[unit as usize].waiting;
+                if waiting == 0 {
                     continue;
                 }
                 let plan = job.plan(unit);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/completion.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/completion.rs
@@ -66,7 +66,7 @@
     /// Each run number counts once, and failures of long-running tasks are not counted.
     pub(super) fn count_failure(&mut self, task: TaskRef, run: u64, now: BootTime) {
         let job = &mut self.jobs[task.job];
-        let plan = &job.record.request.steps[job.units[task.unit as usize].step as usize];
+        let plan = job.plan(task.unit);
         let gang = plan.gang;
         if plan.long_running {
             return;
@@ -136,7 +136,7 @@
         job.record.phase = phase;
         self.open_jobs.remove(&(job.record.rules.priority, job.serial, key));
         let id = job.id.clone();
-        for unit in 0..job.units.len() as u32 {
+        for unit in job.units.touched_numbers() {
             self.release_reservation(key, unit);
             self.call_claims.release(key, unit);
             self.reset_gang_end(TaskRef { job: key, unit, index: 0 });
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/evacuations.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/evacuations.rs
@@ -85,10 +85,10 @@
     fn release_evacuated_reservations(&mut self) {
         let mut affected: Vec<(JobKey, u32)> = Vec::new();
         for &(_, _, key) in &self.open_jobs {
-            for (unit, state) in self.jobs[key].units.iter().enumerate() {
+            for (unit, state) in self.jobs[key].units.touched() {
                 let Some(reservation) = &state.reservation else { continue };
                 if reservation.workers().iter().any(|&worker| self.is_evacuated(worker)) {
-                    affected.push((key, unit as u32));
+                    affected.push((key, unit));
                 }
             }
         }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/gang_end.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/gang_end.rs
@@ -4,7 +4,7 @@
 use crate::LossTally;
 
 /// Why the current run of a gang ended, and the losses that wait for that cause.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct GangEnd {
     pub(super) cause: Option<LossCause>,
     pub(super) pending: LossTally,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/gang_reservation.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/gang_reservation.rs
@@ -18,7 +18,7 @@
 const RESERVATION_TIME: Duration = Duration::from_millis(1200);
 
 /// Capacity on workers that is reserved for the tasks of a gang.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct GangReservation {
     /// The worker of each task.
     workers: Vec<WorkerKey>,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
@@ -3,6 +3,7 @@
 //! A unit is one step of one occurrence of a job. The units of a job are numbered
 //! `occurrence * steps + step`.
 
+use std::ops::Range;
 use std::time::Duration;
 
 use geraniumwinch_core::Name;
@@ -21,7 +22,7 @@
 use super::job_forecast::JobForecast;
 use super::job_lateness::JobLateness;
 use super::task_ref::TaskRef;
-use super::unit_state::UnitState;
+use super::unit_table::UnitTable;
 
 /// The number of workers that a permission request is assumed to name when the critical path is
 /// estimated.
@@ -67,7 +68,7 @@
     /// What the job has waited for.
     pub(super) waits: WaitTally,
     /// The units, by number.
-    pub(super) units: Vec<UnitState>,
+    pub(super) units: UnitTable,
 }
 
 impl JobState {
@@ -78,7 +79,7 @@
         serial: u64,
         forecast: JobForecast,
     ) -> Self {
-        let units = create_units(&record);
+        let units = UnitTable::new(&record);
         let started = !record.progress.is_empty();
         let stored_phase = record.phase;
         let objective = objective(&record);
@@ -104,12 +105,30 @@
 
     /// Returns the plan of a unit's step.
     pub(super) fn plan(&self, unit: u32) -> &StepPlan {
-        &self.record.request.steps[self.units[unit as usize].step as usize]
+        &self.record.request.steps[self.step(unit) as usize]
+    }
+
+    /// Returns the position of a unit's step.
+    fn step(&self, unit: u32) -> u32 {
+        unit % self.record.request.steps.len() as u32
+    }
+
+    /// Returns the number of a unit's occurrence.
+    pub(super) fn occurrence(&self, unit: u32) -> u32 {
+        unit / self.record.request.steps.len() as u32
+    }
+
+    /// Returns the units whose occurrences are due at a time since the Unix epoch.
+    pub(super) fn due_units(&self, unix_time: Duration) -> Range<u32> {
+        let request = &self.record.request;
+        let due = request.due_occurrences(unix_time) as usize;
+        let units = due.saturating_mul(request.steps.len()).min(self.units.len());
+        0..units as u32
     }
 
     pub(super) fn step_name(&self, unit: u32) -> StepName {
-        let state = &self.units[unit as usize];
-        StepName { job: self.id.clone(), occurrence: state.occurrence, step: state.step }
+        let (occurrence, step) = (self.occurrence(unit), self.step(unit));
+        StepName { job: self.id.clone(), occurrence, step }
     }
 
     pub(super) fn task_name(&self, task: TaskRef) -> TaskName {
@@ -155,18 +174,17 @@
 
     /// Returns whether all steps that a unit depends on are done.
     pub(super) fn ready(&self, unit: u32) -> bool {
-        let state = &self.units[unit as usize];
-        let first = state.occurrence as usize * self.record.request.steps.len();
-        let before = &self.record.request.steps[state.step as usize].after;
+        let first = self.occurrence(unit) as usize * self.record.request.steps.len();
+        let before = &self.plan(unit).after;
         before.iter().all(|&step| self.units[first + step as usize].remaining == 0)
     }
 
     /// Returns the crashes of workers under all tasks.
     fn task_crashes(&self) -> Vec<TaskCrash> {
         let mut crashes = Vec::new();
-        for (unit, state) in self.units.iter().enumerate() {
+        for (unit, state) in self.units.touched() {
             for (index, task) in state.tasks.iter().enumerate() {
-                let (unit, index) = (unit as u32, index as u32);
+                let index = index as u32;
                 let of_task = task.crashes.iter();
                 crashes.extend(of_task.map(|&crash| TaskCrash { unit, index, crash }));
             }
@@ -177,7 +195,7 @@
     /// Copies the progress of the units into the record.
     pub(super) fn update_progress(&mut self) {
         self.record.crashes = self.task_crashes();
-        for (number, unit) in self.units.iter().enumerate() {
+        for (number, unit) in self.units.touched() {
             let tasks = || unit.tasks.iter().enumerate();
             let done: Vec<u32> = tasks()
                 .filter(|(_, task)| task.done)
@@ -190,7 +208,7 @@
                 .collect();
             if !done.is_empty() || !failed.is_empty() {
                 let progress = UnitProgress { done, failed };
-                self.record.progress.insert(number as u32, progress);
+                self.record.progress.insert(number, progress);
             }
         }
     }
@@ -223,19 +241,3 @@
     }
     ends.into_iter().max().unwrap_or_default()
 }
-
-/// Creates the units of a job. An ended job has none.
-fn create_units(record: &JobRecord) -> Vec<UnitState> {
-    if record.phase != JobPhase::Live {
-        return Vec::new();
-    }
-    let steps = &record.request.steps;
-    let mut units = Vec::with_capacity(steps.len());
-    for occurrence in 0..record.request.occurrences() {
-        for (step, plan) in steps.iter().enumerate() {
-            let number = units.len() as u32;
-            units.push(UnitState::new(record, occurrence, step as u32, plan, number));
-        }
-    }
-    units
-}
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/permission_table.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/permission_table.rs
@@ -36,7 +36,7 @@
 ///
 /// Placement looks at the grants of each waiting unit in each pass, so both lists are kept sorted by
 /// worker.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct PermissionTable {
     /// The workers about which the service has decided.
     requested: Vec<WorkerKey>,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -77,13 +77,14 @@
         let mut round = PlacementRound { calls, unix_time, ..PlacementRound::default() };
         self.begin_permission_pass(now);
         let unreported = self.unreported_runs(now);
-        self.accounts.set_unreported(self.unreported_usage(&unreported, now));
+        let usage = self.unreported_usage(&unreported, unix_time, now);
+        self.accounts.set_unreported(usage);
         self.backoff.begin_pass();
         for key in self.jobs_by_priority(unix_time) {
             if self.may_run_unreported(key, &unreported, now) {
                 continue;
             }
-            for unit in 0..self.jobs[key].units.len() as u32 {
+            for unit in self.jobs[key].due_units(unix_time) {
                 if !self.due(key, unit, unix_time) {
                     continue;
                 }
@@ -119,7 +120,7 @@
         let job = &self.jobs[key];
         let state = &job.units[unit as usize];
         state.waiting > 0
-            && job.record.request.is_due(state.occurrence, unix_time)
+            && job.record.request.is_due(job.occurrence(unit), unix_time)
             && job.ready(unit)
     }
 
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/queue_changes.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/queue_changes.rs
@@ -94,13 +94,13 @@
         job.objective = objective(&job.record);
         let validity = job.record.rules.permission.map(|cost| cost.validity);
         let former_validity = former.permission.map(|cost| cost.validity);
-        let tasks = job.units.iter_mut().flat_map(|unit| &mut unit.tasks);
+        let tasks = job.units.touched_mut().flat_map(|unit| &mut unit.tasks);
         for placement in tasks.filter_map(|task| task.placement.as_mut()) {
             placement.copies.update_ticket(validity);
         }
         if let Some((former, current)) = former_validity.zip(validity) {
             let shorter = former.saturating_sub(current);
-            let units = job.units.iter_mut();
+            let units = job.units.touched_mut();
             units.for_each(|unit| unit.permissions.shorten(shorter));
         }
     }
@@ -108,7 +108,7 @@
     /// Has all units of a job look for workers again at once, without the reservations that gangs hold
     /// under former rules.
     fn restart_searches(&mut self, key: JobKey) {
-        for unit in 0..self.jobs[key].units.len() as u32 {
+        for unit in self.jobs[key].units.touched_numbers() {
             self.release_reservation(key, unit);
             self.call_claims.release(key, unit);
             self.jobs[key].units[unit as usize].restart_search();
@@ -120,9 +120,11 @@
     fn fail_if_exhausted(&mut self, key: JobKey, now: BootTime) {
         let job = &self.jobs[key];
         let attempts = job.record.rules.attempts();
-        let mut tasks = job.units.iter().flat_map(|unit| &unit.tasks);
-        let exhausted =
-            tasks.any(|task| task.is_waiting() && task.failed_runs.len() >= attempts);
+        let exhausted = job
+            .units
+            .touched()
+            .flat_map(|(_, unit)| &unit.tasks)
+            .any(|task| task.is_waiting() && task.failed_runs.len() >= attempts);
         if job.live() && exhausted {
             self.end_job(key, JobPhase::Failed, now);
         }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/task_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/task_state.rs
@@ -9,7 +9,7 @@
 use super::task_placement::TaskPlacement;
 
 /// The state of a task.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub(super) struct TaskState {
     /// Whether the work is done. Members of a finished gang may still run for a moment.
     pub(super) done: bool,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/unit_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/unit_state.rs
@@ -1,8 +1,9 @@
 //! The scheduler's state of a unit: one step of one occurrence of a job.
 
 use crate::BootTime;
-use crate::JobRecord;
 use crate::StepPlan;
+use crate::TaskCrash;
+use crate::UnitProgress;
 
 use super::gang_end::GangEnd;
 use super::gang_reservation::GangReservation;
@@ -10,12 +11,8 @@
 use super::task_state::TaskState;
 
 /// The state of a unit.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct UnitState {
-    /// The number of the occurrence.
-    pub(super) occurrence: u32,
-    /// The position of the step.
-    pub(super) step: u32,
     pub(super) tasks: Vec<TaskState>,
     /// The number of tasks that are not done.
     pub(super) remaining: u32,
@@ -65,47 +62,14 @@
         self.next_attempt = BootTime::ZERO;
     }
 
-    /// Creates the unit of a step, which has a number within its job, with the progress from the record.
-    pub(super) fn new(
-        record: &JobRecord,
-        occurrence: u32,
-        step: u32,
-        plan: &StepPlan,
-        number: u32,
-    ) -> Self {
+    /// Creates a unit of a step to which nothing has happened.
+    pub(super) fn new(plan: &StepPlan) -> Self {
         let mut tasks: Vec<TaskState> = Vec::new();
         tasks.resize_with(plan.tasks as usize, TaskState::default);
-        let mut remaining = plan.tasks;
-        if let Some(progress) = record.progress.get(&number) {
-            // Records of earlier versions may have long-running tasks that count as done.
-            let done = progress.done.iter().filter(|_| !plan.long_running);
-            for &index in done {
-                if let Some(task) = tasks.get_mut(index as usize)
-                    && !task.done
-                {
-                    task.done = true;
-                    remaining -= 1;
-                }
-            }
-            for &(index, run) in &progress.failed {
-                if let Some(task) = tasks.get_mut(index as usize) {
-                    task.failed_runs.push(run);
-                    task.last_run = task.last_run.max(run);
-                }
-            }
-        }
-        for recorded in record.crashes.iter().filter(|crash| crash.unit == number) {
-            if let Some(task) = tasks.get_mut(recorded.index as usize) {
-                task.crashes.add(recorded.crash);
-                task.last_run = task.last_run.max(recorded.crash.run);
-            }
-        }
         UnitState {
-            occurrence,
-            step,
             tasks,
-            remaining,
-            waiting: remaining,
+            remaining: plan.tasks,
+            waiting: plan.tasks,
             permissions: PermissionTable::default(),
             open_requests: 0,
             retry_after: BootTime::ZERO,
@@ -120,4 +84,33 @@
             gang_end: GangEnd::default(),
         }
     }
+
+    /// Applies the progress from the job's record.
+    pub(super) fn apply_progress(&mut self, plan: &StepPlan, progress: &UnitProgress) {
+        // Records of earlier versions may have long-running tasks that count as done.
+        let done = progress.done.iter().filter(|_| !plan.long_running);
+        for &index in done {
+            if let Some(task) = self.tasks.get_mut(index as usize)
+                && !task.done
+            {
+                task.done = true;
+                self.remaining -= 1;
+                self.waiting -= 1;
+            }
+        }
+        for &(index, run) in &progress.failed {
+            if let Some(task) = self.tasks.get_mut(index as usize) {
+                task.failed_runs.push(run);
+                task.last_run = task.last_run.max(run);
+            }
+        }
+    }
+
+    /// Applies a crash of a worker under a task from the job's record.
+    pub(super) fn apply_crash(&mut self, recorded: &TaskCrash) {
+        if let Some(task) = self.tasks.get_mut(recorded.index as usize) {
+            task.crashes.add(recorded.crash);
+            task.last_run = task.last_run.max(recorded.crash.run);
+        }
+    }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/unreported_runs.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/unreported_runs.rs
@@ -3,6 +3,7 @@
 
 use std::collections::HashMap;
 use std::collections::HashSet;
+use std::time::Duration;
 
 use geraniumwinch_core::Name;
 use geraniumwinch_core::ResourceVector;
@@ -92,6 +93,7 @@
     pub(super) fn unreported_usage(
         &self,
         unreported: &UnreportedRuns,
+        unix_time: Duration,
         now: BootTime,
     ) -> HashMap<Name, ResourceVector> {
         let mut all = unreported.used.clone();
@@ -103,7 +105,7 @@
                 continue;
             }
             let used = waiting.entry(job.record.account.clone()).or_default();
-            for unit in 0..job.units.len() as u32 {
+            for unit in job.due_units(unix_time) {
                 if job.ready(unit) {
                     let size = job.plan(unit).reserved();
                     let tasks = job.units[unit as usize].waiting;
--- a/crates/geraniumwinch-fleet/src/job_request.rs
+++ b/crates/geraniumwinch-fleet/src/job_request.rs
@@ -43,6 +43,19 @@
         self.schedule.is_none_or(|schedule| schedule.due(occurrence) <= unix_time)
     }
 
+    /// Returns the number of occurrences that are due at a time since the Unix epoch. The others are due
+    /// later, in the order of their numbers.
+    pub fn due_occurrences(&self, unix_time: Duration) -> u32 {
+        let Some(schedule) = self.schedule else { return 1 };
+        if unix_time < schedule.first {
+            return 0;
+        }
+        let passed = unix_time.saturating_sub(schedule.first).as_nanos();
+        let due = passed.checked_div(schedule.interval.as_nanos());
+        let due = due.and_then(|due| u32::try_from(due).ok()).unwrap_or(u32::MAX);
+        due.saturating_add(1).min(schedule.repeats)
+    }
+
     /// Returns the number of occurrences.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.repeats)
