Refuse jobs that arrive after their cancellation

Cause: the owner forgot a cancellation that it had answered with 410.

A new owner doesn't know the cancellations of the former one, which stays open.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -24,6 +24,7 @@
 use crate::AcceptDelay;
 use crate::CellPorts;
 use crate::CellSettings;
+use crate::WithdrawnJobs;
 use crate::WorkKind;
 use crate::catalog_watch::CatalogWatch;
 use crate::cell_metrics;
@@ -95,6 +96,7 @@
     lag: Cell<Duration>,
     shares: RefCell<ShareLimiter>,
     accept_delay: RefCell<AcceptDelay>,
+    withdrawn_jobs: RefCell<WithdrawnJobs>,
     /// The requests since the last report.
     requests: Cell<RequestTally>,
 }
@@ -183,6 +185,7 @@
             lag: Cell::default(),
             shares: RefCell::default(),
             accept_delay: RefCell::default(),
+            withdrawn_jobs: RefCell::default(),
             requests: Cell::default(),
         });
         // Reports are judged by the rules in force.
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
@@ -21,6 +21,11 @@
             return PeerReply::Accepted;
         }
         let SubmitMessage { id, rules, account, request } = message;
+        let now = self.ports.clock.now();
+        if self.withdrawn_jobs.borrow().refuses(&id, now) {
+            self.count_submission(|tally| tally.refused += 1);
+            return PeerReply::Refused(ErrorKind::JobWithdrawn);
+        }
         let unix_time = self.ports.clock.unix_time();
         // The process that took the request may have another version of the configuration.
         let rules = self.scheduler.borrow().rules_in_force(rules);
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/job_lookup.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/job_lookup.rs
@@ -37,6 +37,9 @@
             // The job may have arrived while the ownership was being confirmed.
             self.await_submission(job).await;
             if !cancel() {
+                // An attempt to submit it may still be on its way.
+                let now = self.ports.clock.now();
+                self.withdrawn_jobs.borrow_mut().add(job, now);
                 return PeerReply::State(None);
             }
         }
--- a/crates/geraniumwinch-core/src/error_kind.rs
+++ b/crates/geraniumwinch-core/src/error_kind.rs
@@ -134,6 +134,8 @@
     BodyLate => "body-late", 408, NotRun, NO_RETRY;
     /// Request bodies that are not complete use up the memory for them.
     BodiesFull => "bodies-full", 503, NotRun, ONE_SECOND;
+    /// The job was cancelled before it arrived.
+    JobWithdrawn => "job-withdrawn", 503, NotRun, LONG_RETRY;
 }
 
 impl std::fmt::Display for ErrorKind {
