Let tasks of many minutes end

A worker reports whole percents.

Cause: the limit hung on the client's rough estimate alone, and nothing was learned from a run that had been stopped.

Change: the limit is also three times what a percent has taken the run, and doubles with each run of the task that counted as stalled.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/stalled_runs.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/stalled_runs.rs
@@ -19,6 +19,11 @@
 /// A run counts as stalled after no progress for its estimated duration divided by this number, if
 /// that is longer than the minimum.
 const STALL_ESTIMATE_DIVISOR: u32 = 3;
+/// A run counts as stalled after no progress for the time that this many percent have taken it, if that is
+/// longer.
+const STALL_PERCENTS: u32 = 3;
+/// How often the time is doubled at most.
+const MAX_DOUBLINGS: u32 = 12;
 /// The progress in percent of a run that has done all of its work.
 const FULL_PERCENT: u32 = 100;
 
@@ -33,7 +38,7 @@
         let job = &self.jobs[task.job];
         let plan = job.plan(task.unit);
         let done = job.units[task.unit as usize].tasks[task.index as usize].done;
-        let limit = STALL_MIN.max(plan.estimate / STALL_ESTIMATE_DIVISOR);
+        let limit = self.stall_limit(task, &placement);
         let exempt = plan.long_running
             || done
             || self.workers[placement.worker].is_silent()
@@ -51,10 +56,24 @@
             percent: placement.percent,
             age: now.saturating_sub(placement.started_at),
         });
+        let stalls = &mut self.task_state_mut(task).stalls;
+        *stalls = stalls.saturating_add(1);
         self.record_failure(placement.worker, now);
         self.stop(task, RunLoss::single(LossCause::Stalled), now);
     }
 
+    /// Returns the time without progress after which a run counts as stalled: by its task's estimate, and by
+    /// the rate that the run has shown. It doubles with each run of the task that counted as stalled, since
+    /// the whole percents of a task that lasts change seldom.
+    fn stall_limit(&self, task: TaskRef, placement: &TaskPlacement) -> Duration {
+        let estimate = self.jobs[task.job].plan(task.unit).estimate;
+        let worked = placement.progressed.saturating_sub(placement.started_at);
+        let for_percent = worked.checked_div(placement.percent).unwrap_or_default();
+        let shown = for_percent.saturating_mul(STALL_PERCENTS);
+        let limit = STALL_MIN.max(estimate / STALL_ESTIMATE_DIVISOR).max(shown);
+        limit.saturating_mul(1 << self.task_state(task).stalls.min(MAX_DOUBLINGS))
+    }
+
     /// Returns whether a member of a gang has done its work, but another member has not. A member
     /// that stands still counts as stalled by itself.
     fn waits_for_members(&self, task: TaskRef, placement: &TaskPlacement) -> bool {
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/task_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/task_state.rs
@@ -24,6 +24,8 @@
     pub(super) checkpoint: Option<Name>,
     /// When a long-running task may start again.
     pub(super) restart_delay: RestartDelay,
+    /// The number of runs that counted as stalled.
+    pub(super) stalls: u32,
     /// Whether the task was preempted for a more urgent job.
     pub(super) preempted: bool,
 }
