Keep idle connections of peers open, and allow more of them

Change: half of the descriptors for peers, and of their connections only those are closed that owe the rest of a body.

Measured: idle_connections_of_peers_stay_open passes; without keeps_idle there was nothing to test. 14 tests of bodies and 10 of the budget pass.

--- a/crates/geraniumwinch-cell/src/cell_node.rs
+++ b/crates/geraniumwinch-cell/src/cell_node.rs
@@ -169,7 +169,11 @@
             timeouts: Rc::clone(&self.timeouts),
             ..ListenerLimits::new(Rc::clone(&self.max_body), &vm)
         };
-        let peer_limits = limits(MAX_PEER_BODY, &vm);
+        let peer_limits = ListenerLimits {
+            connections: vm.peer_connections(),
+            keeps_idle: true,
+            ..limits(MAX_PEER_BODY, &vm)
+        };
         let probe_limits = || limits(MAX_PROBE_BODY, &probe_vm);
         let (peer_work, client_work) = (Some(WorkKind::Peers), Some(WorkKind::Clients));
         self.listen(settings.peer_address, peer_limits, peers, peer_work).await?;
--- a/crates/geraniumwinch-cell/src/connection_table.rs
+++ b/crates/geraniumwinch-cell/src/connection_table.rs
@@ -14,6 +14,7 @@
 use tokio::sync::Notify;
 
 use crate::CellClock;
+use crate::ListenerLimits;
 use crate::cell_metrics;
 
 new_key_type! {
@@ -46,6 +47,8 @@
     clock: Rc<dyn CellClock>,
     /// The maximum number of connections.
     max: usize,
+    /// Whether idle connections are not closed for others.
+    keeps_idle: bool,
     entries: RefCell<SlotMap<ConnectionKey, TableEntry>>,
     /// Notified when a connection has ended, or waits for its client from now on.
     changed: Notify,
@@ -59,10 +62,11 @@
 
 impl ConnectionTable {
     /// Creates the table of a listener.
-    pub(crate) fn new(clock: Rc<dyn CellClock>, max: usize) -> Rc<Self> {
+    pub(crate) fn new(clock: Rc<dyn CellClock>, limits: &ListenerLimits) -> Rc<Self> {
         Rc::new(ConnectionTable {
             clock,
-            max,
+            max: limits.connections,
+            keeps_idle: limits.keeps_idle,
             entries: RefCell::default(),
             changed: Notify::new(),
         })
@@ -111,9 +115,14 @@
     /// else of the idle ones, that which has waited the longest.
     fn longest_waiting(&self) -> Option<ConnectionKey> {
         let entries = self.entries.borrow();
-        let waiting = entries.iter().filter(|(_, entry)| {
-            entry.phase != ConnectionPhase::Serving && entry.task.is_some()
-        });
+        let waits = |phase| match phase {
+            ConnectionPhase::Serving => false,
+            ConnectionPhase::Idle => !self.keeps_idle,
+            ConnectionPhase::Receiving => true,
+        };
+        let waiting = entries
+            .iter()
+            .filter(|(_, entry)| waits(entry.phase) && entry.task.is_some());
         let longest = waiting
             .max_by_key(|(_, entry)| (entry.phase, std::cmp::Reverse(entry.since)));
         longest.map(|(key, _)| key)
--- a/crates/geraniumwinch-cell/src/http_listener.rs
+++ b/crates/geraniumwinch-cell/src/http_listener.rs
@@ -104,8 +104,7 @@
 
     /// Accepts and serves connections.
     async fn serve(&self, listener: &TcpListener) {
-        let connections =
-            ConnectionTable::new(self.shutdown.clock(), self.limits.connections);
+        let connections = ConnectionTable::new(self.shutdown.clock(), &self.limits);
         while self.serve_with_timeouts(listener, &connections).await {}
     }
 
--- a/crates/geraniumwinch-cell/src/listener_limits.rs
+++ b/crates/geraniumwinch-cell/src/listener_limits.rs
@@ -59,6 +59,9 @@
     pub bodies: BodyBudget,
     /// The maximum number of connections.
     pub connections: usize,
+    /// Whether idle connections stay open though the maximum number is. A client that sends a request on a
+    /// connection while it is closed does not know what has become of the request.
+    pub keeps_idle: bool,
 }
 
 impl ListenerLimits {
@@ -66,7 +69,8 @@
     pub fn new(max_body: Rc<Cell<usize>>, vm: &VmLimits) -> Self {
         let bodies = BodyBudget::new(vm.body_bytes(max_body.get()));
         let connections = vm.connections(CONNECTION_BYTES);
-        ListenerLimits { max_body, timeouts: Rc::default(), bodies, connections }
+        let (timeouts, keeps_idle) = (Rc::default(), false);
+        ListenerLimits { max_body, timeouts, bodies, connections, keeps_idle }
     }
 
     /// Returns the limits of a body.
--- a/crates/geraniumwinch-cell/tests/request_bodies.rs
+++ b/crates/geraniumwinch-cell/tests/request_bodies.rs
@@ -66,6 +66,16 @@
         body_bytes: usize,
         connections: usize,
         idle: Option<Duration>,
+    ) -> TestServer {
+        TestServer::start_keeping(false, body_bytes, connections, idle).await
+    }
+
+    /// Starts a server that keeps idle connections open or does not.
+    async fn start_keeping(
+        keeps_idle: bool,
+        body_bytes: usize,
+        connections: usize,
+        idle: Option<Duration>,
     ) -> TestServer {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let address = listener.local_addr().expect("it listens");
@@ -80,6 +90,7 @@
             timeouts: Rc::new(Cell::new(ConnectionTimeouts { idle, ..usual })),
             bodies: bodies.clone(),
             connections,
+            keeps_idle,
         };
         let shutdown = ProcessShutdown::new(Rc::new(BootClock));
         let max_body = Rc::clone(&limits.max_body);
@@ -241,3 +252,26 @@
         assert!(end.is_ok(), "the first connection is still open");
     });
 }
+
+/// Guards against peers that lose a request on a connection which is closed for another one.
+#[test]
+fn idle_connections_of_peers_stay_open() {
+    run(async {
+        let server = TestServer::start_keeping(true, 4 * MAX_BODY, 2, None).await;
+        let mut idle = Vec::new();
+        for _ in 0..2 {
+            let mut stream = server.send(request("/", 3, 3)).await;
+            read_until(&mut stream, "\r\n\r\n3").await;
+            idle.push(stream);
+        }
+        let mut waiting = server.send(request("/", 4, 4)).await;
+        for stream in &mut idle {
+            stream.write_all(&request("/", 5, 5)).await.expect("still open");
+            let response = read_until(stream, "\r\n\r\n5").await;
+            assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        }
+        idle.pop();
+        let response = read_until(&mut waiting, "\r\n\r\n4").await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+    });
+}
--- a/crates/geraniumwinch-intake/src/vm_limits.rs
+++ b/crates/geraniumwinch-intake/src/vm_limits.rs
@@ -20,6 +20,9 @@
 /// The share of the descriptors that the connections of callers may take. Workers, the store and other
 /// processes need the others.
 const CONNECTION_DESCRIPTOR_SHARE: u64 = 4;
+/// The share of the descriptors that the connections of other processes may take: the owner serves the
+/// requests of all.
+const PEER_DESCRIPTOR_SHARE: u64 = 2;
 /// The minimum number of connections.
 const MIN_CONNECTIONS: u64 = 16;
 
@@ -57,11 +60,21 @@
     /// beside the body of its request.
     pub fn connections(&self, connection_bytes: u64) -> usize {
         let by_memory = self.memory_bytes / CONNECTION_MEMORY_SHARE / connection_bytes;
-        let files = FILE_DESCRIPTORS.min(self.descriptors / 4);
-        let by_descriptors = (self.descriptors - files) / CONNECTION_DESCRIPTOR_SHARE;
+        let by_descriptors = self.socket_descriptors() / CONNECTION_DESCRIPTOR_SHARE;
         let connections = by_memory.min(by_descriptors).max(MIN_CONNECTIONS);
         usize::try_from(connections).unwrap_or(usize::MAX)
     }
+
+    /// Returns how many connections of other processes of the cell may be open.
+    pub fn peer_connections(&self) -> usize {
+        let connections = self.socket_descriptors() / PEER_DESCRIPTOR_SHARE;
+        usize::try_from(connections.max(MIN_CONNECTIONS)).unwrap_or(usize::MAX)
+    }
+
+    /// Returns the number of descriptors that are left for connections.
+    fn socket_descriptors(&self) -> u64 {
+        self.descriptors - FILE_DESCRIPTORS.min(self.descriptors / 4)
+    }
 }
 
 /// Returns the memory of the system in bytes, if it says so.
