--- a/crates/geraniumwinch-cell/src/cell_node.rs
+++ b/crates/geraniumwinch-cell/src/cell_node.rs
@@ -53,7 +53,8 @@
 const DEFAULT_MAX_BODY: usize = 256 * 1024;
 /// The maximum size of the body of a readiness probe or a query of the metrics, which have none.
 const MAX_PROBE_BODY: usize = 1024;
-/// The memory that the connections for readiness and metrics are counted by, each in bytes.
+/// The memory of a VM in bytes from which the limits of the interfaces for readiness and metrics follow,
+/// whatever the VM has.
 const PROBE_MEMORY: u64 = 8 << 20;
 /// The interval at which the limits of clients are read from the configuration.
 const LIMITS_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/geraniumwinch-cell/src/listener_limits.rs
+++ b/crates/geraniumwinch-cell/src/listener_limits.rs
@@ -13,7 +13,7 @@
 /// The time in which a body must be complete. One of a megabyte needs less than 20 kilobytes a second.
 const MAX_BODY_TIME: Duration = Duration::from_secs(60);
 
-/// The memory that a connection takes at most beside the body of its request, in bytes: buffers of the
+/// What a connection counts beside the body of its request, in bytes: buffers of the
 /// process and of the system.
 pub(crate) const CONNECTION_BYTES: u64 = 64 * 1024;
 
--- a/crates/geraniumwinch-cell/tests/lost_ownership.rs
+++ b/crates/geraniumwinch-cell/tests/lost_ownership.rs
@@ -18,7 +18,7 @@
 const OWNERSHIP_TIME: Duration = Duration::from_millis(20);
 
 /// Guards against jobs that are refused although the next owner could take them: a former owner refused
-/// those that it had not stored (163 of 300 at a paused owner that was deposed, KNOWN-RED.txt).
+/// those that it had not stored.
 #[test]
 fn jobs_that_a_former_owner_has_not_stored_are_handed_to_the_next_one() {
     run_test(async {
--- a/crates/geraniumwinch-intake/src/vm_limits.rs
+++ b/crates/geraniumwinch-intake/src/vm_limits.rs
@@ -56,7 +56,7 @@
         usize::try_from(share.max(least)).unwrap_or(usize::MAX)
     }
 
-    /// Returns how many connections of callers may be open, each of which takes `connection_bytes` at most
+    /// Returns how many connections of callers may be open, if each of them is counted as `connection_bytes`
     /// beside the body of its request.
     pub fn connections(&self, connection_bytes: u64) -> usize {
         let by_memory = self.memory_bytes / CONNECTION_MEMORY_SHARE / connection_bytes;
--- a/crates/geraniumwinch-node/src/entry_server.rs
+++ b/crates/geraniumwinch-node/src/entry_server.rs
@@ -66,7 +66,7 @@
 
 /// The timeout for receiving request headers.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(3);
-/// The memory that a connection takes at most beside the body of its request, in bytes: buffers of the
+/// What a connection counts beside the body of its request, in bytes: buffers of the
 /// server and of the system.
 const CONNECTION_BYTES: u64 = 256 * 1024;
 /// The size of a connection's receive buffer in the system, in bytes.
