Wait for the processes that mirror accepted jobs

What callers saw: a job that was accepted during an outage of the store was never run after its owner had been killed, though a process that mirrored it lived.

Besides, a batch was sent to further processes only if the first refused it.

Change: a batch is sent to all recorded processes at once; one that confirms is enough. After an expired lease a new owner asks all at once, and again until each has answered or been silent for a lease; reading the record is repeated. It renews its own lease meanwhile, and gives the takeover up when the store has lost it.

--- a/crates/geraniumwinch-node/src/journal.rs
+++ b/crates/geraniumwinch-node/src/journal.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
 use geraniumwinch_core::Name;
 use geraniumwinch_core::log_event;
 use geraniumwinch_wire::JournalEntry;
@@ -282,7 +284,7 @@
         }
     }
 
-    /// Mirrors a batch to another process of the domain; returns whether one has confirmed it.
+    /// Mirrors a batch to the other processes of the domain; returns whether one has confirmed it.
     ///
     /// Only processes in the stored list of members are used, since a new owner requests the
     /// mirrored entries from these alone.
@@ -292,13 +294,17 @@
             sequence: batch.sequence,
             entries: batch.entries.clone(),
         });
-        for (_, member) in self.shared.members.list() {
-            if member.stopping || !member.in_store_record {
-                continue;
-            }
-            let call =
-                self.shared.link.call(member.address, message.clone(), MIRROR_TIMEOUT);
-            if matches!(call.await, Ok(PeerMessage::Done)) {
+        let members = self.shared.members.list();
+        let members = members
+            .iter()
+            .filter(|(_, member)| !member.stopping && member.in_store_record);
+        let mut calls: FuturesUnordered<_> = members
+            .map(|(_, member)| {
+                self.shared.link.call(member.address, message.clone(), MIRROR_TIMEOUT)
+            })
+            .collect();
+        while let Some(response) = calls.next().await {
+            if matches!(response, Ok(PeerMessage::Done)) {
                 return true;
             }
         }
--- a/crates/geraniumwinch-node/src/ownership/take_over.rs
+++ b/crates/geraniumwinch-node/src/ownership/take_over.rs
@@ -1,18 +1,23 @@
 //! Taking over a domain by a claim or a handover, and handing it over.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use geraniumwinch_core::AllowanceTable;
 use geraniumwinch_core::Name;
 use geraniumwinch_core::log_event;
 use geraniumwinch_wire::HandoverState;
 use geraniumwinch_wire::JournalEntry;
+use geraniumwinch_wire::MirrorBatch;
 use geraniumwinch_wire::OwnerView;
 use geraniumwinch_wire::PeerMessage;
 use rand::Rng;
 
 use crate::NodeError;
+use crate::Result;
 use crate::allowance_balancer::read_allowances;
 use crate::dispatcher::FreezeDispatcher;
 use crate::dispatcher::ReportedGrants;
@@ -38,6 +43,8 @@
 const HANDOVER_TIMEOUT: Duration = Duration::from_millis(3000);
 /// Delay before a failed read from the store is retried.
 const READ_RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Number of renewals of the lease per lease period while the state is read.
+const RENEWALS_PER_LEASE: u32 = 4;
 /// Number of reads that try to find out whether a claim without a response took effect.
 const CLAIM_READ_ATTEMPTS: u32 = 20;
 
@@ -76,7 +83,7 @@
             None => TakeoverKind::First,
         };
         if let Some((record, lease)) = self.write_claim(conditions, epoch).await {
-            self.start_ownership(record, lease, kind).await;
+            let _ = self.start_ownership(record, lease, kind).await;
         }
     }
 
@@ -152,18 +159,27 @@
     }
 
     /// Opens the fence, recovers the domain's state and starts its dispatcher.
-    async fn start_ownership(&self, record: OwnerRecord, lease: i64, kind: TakeoverKind) {
+    ///
+    /// Returns whether the domain is still owned once its state is recovered.
+    async fn start_ownership(
+        &self,
+        record: OwnerRecord,
+        lease: i64,
+        kind: TakeoverKind,
+    ) -> bool {
         let shared = &self.shared;
         let epoch = record.view.epoch;
         let started = shared.now();
         shared.members.clear();
         shared.fence.open(epoch, started);
-        let (mut entries, mirrored) = self.read_entries().await;
-        entries.extend(mirrored.iter().cloned());
-        let allowances = self.read_allowances().await;
-        self.read_evacuations().await;
-        let vms = self.ports.vm_list.read(shared.domain()).await.unwrap_or_default();
-        let state = RecoveredState { entries, allowances, vms };
+        let (state, mirrored) = tokio::select! {
+            recovered = self.recover(&kind) => recovered,
+            () = self.renew_until_lost(lease) => {
+                log_event!(Warn, "takeover-abandoned", domain = shared.domain(), epoch = epoch);
+                shared.fence.close();
+                return false;
+            }
+        };
         let owned = OwnedDomain::start(
             shared.clone(),
             self.ports.clone(),
@@ -190,6 +206,39 @@
             epoch = epoch,
             took_ms = (shared.now() - started).as_millis(),
         );
+        true
+    }
+
+    /// Reads the state of the domain, and the entries that only its processes mirror.
+    async fn recover(&self, kind: &TakeoverKind) -> (RecoveredState, Vec<JournalEntry>) {
+        let mut entries = self.read_journal().await;
+        let mirrored = self.read_mirrored(kind).await;
+        log_event!(
+            Info,
+            "journal-read",
+            domain = self.shared.domain(),
+            entries = entries.len(),
+            mirrored = mirrored.len(),
+        );
+        entries.extend(mirrored.iter().cloned());
+        let allowances = self.read_allowances().await;
+        self.read_evacuations().await;
+        let vms = self.ports.vm_list.read(self.shared.domain()).await;
+        let vms = vms.unwrap_or_default();
+        (RecoveredState { entries, allowances, vms }, mirrored)
+    }
+
+    /// Renews the lease of a takeover until the store no longer has it.
+    async fn renew_until_lost(&self, lease: i64) {
+        loop {
+            tokio::time::sleep(self.shared.settings.owner_lease / RENEWALS_PER_LEASE)
+                .await;
+            let renewed = self.ports.store.renew_lease(lease).await;
+            self.shared.record_store_call(renewed.is_ok());
+            if matches!(renewed, Ok(false)) {
+                return;
+            }
+        }
     }
 
     /// Reads the division of the teams' limits, retrying failed reads.
@@ -230,53 +279,90 @@
 
     /// Announces the new owner to the other processes of the domain.
     async fn announce_ownership(&self, view: &OwnerView) {
-        for address in self.member_addresses().await {
+        // A process that misses the announcement finds the owner in the store.
+        for address in self.member_addresses().await.unwrap_or_default() {
             self.shared.link.send(address, PeerMessage::Announce(view.clone()));
         }
     }
 
-    /// Reads the journal from the store, and the entries that other processes mirror.
-    async fn read_entries(&self) -> (Vec<JournalEntry>, Vec<JournalEntry>) {
-        let store = &self.ports.store;
-        let entries = loop {
-            match read_journal(store.as_ref(), self.shared.domain()).await {
-                Ok(entries) => break entries,
+    /// Reads the journal from the store, retrying failed reads.
+    async fn read_journal(&self) -> Vec<JournalEntry> {
+        loop {
+            match read_journal(self.ports.store.as_ref(), self.shared.domain()).await {
+                Ok(entries) => return entries,
                 Err(error) => {
                     log_event!(Warn, "journal-unread", error = error);
                     tokio::time::sleep(READ_RETRY_DELAY).await;
                 }
             }
+        }
+    }
+
+    /// Reads the entries that this and the other processes of the domain mirror, in order.
+    async fn read_mirrored(&self, kind: &TakeoverKind) -> Vec<JournalEntry> {
+        let patience = match kind {
+            TakeoverKind::LeaseExpired(_) => self.shared.settings.owner_lease,
+            // A handover follows the last write of the journal.
+            TakeoverKind::First | TakeoverKind::Handover(_) => Duration::ZERO,
         };
-        let mut batches = self.shared.mirror.batches();
-        for address in self.member_addresses().await {
-            let timeout = self.shared.settings.peer_heartbeat * 2;
-            let response =
-                self.shared.link.call(address, PeerMessage::MirrorRequest, timeout).await;
-            if let Ok(PeerMessage::MirrorResponse(more)) = response {
-                batches.extend(more);
+        let addresses = self.read_member_addresses().await.into_iter();
+        let calls = addresses.map(|address| self.request_mirrored(address, patience));
+        let responses = join_all(calls).await;
+        // Several processes mirror the same batches.
+        let batches: BTreeMap<(u64, u64), Vec<JournalEntry>> = responses
+            .into_iter()
+            .chain([self.shared.mirror.batches()])
+            .flatten()
+            .map(|batch| ((batch.epoch, batch.sequence), batch.entries))
+            .collect();
+        batches.into_values().flatten().collect()
+    }
+
+    /// Asks a process for the entries that it mirrors, again and again until it has been silent for
+    /// `patience`.
+    async fn request_mirrored(
+        &self,
+        address: SocketAddr,
+        patience: Duration,
+    ) -> Vec<MirrorBatch> {
+        let timeout = self.shared.settings.peer_heartbeat * 2;
+        let started = self.shared.now();
+        loop {
+            let call =
+                self.shared.link.call(address, PeerMessage::MirrorRequest, timeout);
+            if let Ok(PeerMessage::MirrorResponse(batches)) = call.await {
+                return batches;
+            }
+            if self.shared.now().saturating_duration_since(started) >= patience {
+                log_event!(Error, "mirror-unread", peer = address);
+                return Vec::new();
+            }
+        }
+    }
+
+    /// Returns the peer addresses of the domain's other processes, retrying failed reads.
+    async fn read_member_addresses(&self) -> Vec<SocketAddr> {
+        loop {
+            match self.member_addresses().await {
+                Ok(addresses) => return addresses,
+                Err(error) => {
+                    log_event!(Warn, "members-unread", error = error);
+                    tokio::time::sleep(READ_RETRY_DELAY).await;
+                }
             }
         }
-        log_event!(
-            Info,
-            "journal-read",
-            domain = self.shared.domain(),
-            entries = entries.len(),
-            mirrored = batches.len(),
-        );
-        batches.sort_by_key(|batch| (batch.epoch, batch.sequence));
-        (entries, batches.into_iter().flat_map(|batch| batch.entries).collect())
     }
 
-    /// Returns the peer addresses of the domain's other processes.
-    async fn member_addresses(&self) -> Vec<std::net::SocketAddr> {
+    /// Reads the peer addresses of the domain's other processes.
+    async fn member_addresses(&self) -> Result<Vec<SocketAddr>> {
         let own = self.shared.link.identity().address;
         let key = store_keys::members(self.shared.domain());
-        let record = self.ports.store.get(&key).await.ok().flatten();
+        let record = self.ports.store.get(&key).await?;
         let value = record.and_then(|record| {
             serde_json::from_slice::<MembersValue>(&record.value).ok()
         });
         let addresses = value.map(|value| value.addresses).unwrap_or_default();
-        addresses.into_iter().filter(|address| *address != own).collect()
+        Ok(addresses.into_iter().filter(|address| *address != own).collect())
     }
 
     /// Takes over the domain from its owner, which has frozen its dispatcher.
@@ -291,13 +377,8 @@
         let epoch = state.epoch + 1;
         match self.write_claim(vec![condition], epoch).await {
             Some((record, lease)) => {
-                self.start_ownership(
-                    record,
-                    lease,
-                    TakeoverKind::Handover(Box::new(state)),
-                )
-                .await;
-                true
+                let kind = TakeoverKind::Handover(Box::new(state));
+                self.start_ownership(record, lease, kind).await
             }
             None => false,
         }
