Say what the store has only of the present ownership

What callers saw: a job that was accepted during an outage of the store was lost with its owner, although another process had mirrored it.

The number was kept from an earlier ownership of the same process, so new batches were dropped at the next heartbeat. It also counted from the first write, although the entries that a new owner inherits can take several batches, and its dispatcher could write before them.

Change: the number is 0 when an ownership begins, and stays so until all inherited entries are in the store; they are written before anything else.

The part on several batches has no test of its own.

--- a/crates/geraniumwinch-node/src/journal.rs
+++ b/crates/geraniumwinch-node/src/journal.rs
@@ -83,6 +83,10 @@
     epoch: u64,
     owner_revision: i64,
     sequence: u64,
+    /// Number of first batches that contain what other processes mirrored in earlier epochs.
+    ///
+    /// These processes are told that the store has a batch only once it has all of these.
+    inherited_batches: u64,
     /// Number of batches written since the last snapshot.
     since_snapshot: u64,
     snapshot_requested: bool,
@@ -100,11 +104,14 @@
 
 impl JournalWriter {
     /// Creates a writer for an epoch whose ownership record is at a revision in the store.
+    ///
+    /// Its first request must contain the `inherited` entries that were only mirrored so far.
     pub(crate) fn new(
         shared: Arc<NodeShared>,
         store: Rc<dyn PlatformStore>,
         epoch: u64,
         owner_revision: i64,
+        inherited: usize,
     ) -> Self {
         JournalWriter {
             shared,
@@ -112,6 +119,7 @@
             epoch,
             owner_revision,
             sequence: 0,
+            inherited_batches: inherited.div_ceil(MAX_BATCH) as u64,
             since_snapshot: 0,
             snapshot_requested: false,
             backlog: VecDeque::new(),
@@ -268,7 +276,9 @@
             Err(_) => WriteOutcome::Failed,
         };
         if matches!(outcome, WriteOutcome::Written) {
-            self.shared.committed_sequence.store(batch.sequence, Ordering::Relaxed);
+            if batch.sequence >= self.inherited_batches {
+                self.shared.committed_sequence.store(batch.sequence, Ordering::Relaxed);
+            }
             node_metrics::record_journal(self.shared.now() - started);
         }
         outcome
--- a/crates/geraniumwinch-node/src/mirror_table.rs
+++ b/crates/geraniumwinch-node/src/mirror_table.rs
@@ -31,8 +31,8 @@
 
     /// Drops the batches up to a sequence number of an epoch, which are in the store by now.
     ///
-    /// The first batch of an epoch contains the batches that other processes mirrored in earlier
-    /// epochs, so nothing is dropped until it is in the store.
+    /// An owner gives 0 until the store has the batches that other processes mirrored in earlier
+    /// epochs, so nothing is dropped before.
     pub(crate) fn drop_committed(&self, epoch: u64, sequence: u64) {
         if sequence == 0 {
             return;
--- a/crates/geraniumwinch-node/src/ownership/owned_domain.rs
+++ b/crates/geraniumwinch-node/src/ownership/owned_domain.rs
@@ -46,6 +46,8 @@
 pub(super) struct RecoveredState {
     /// The journal entries, from the store and from the mirrors of other processes.
     pub(super) entries: Vec<JournalEntry>,
+    /// The entries that only other processes mirror so far.
+    pub(super) mirrored: Vec<JournalEntry>,
     /// The division of the teams' limits.
     pub(super) allowances: AllowanceTable,
     /// The VM list.
@@ -78,9 +80,22 @@
         kind: TakeoverKind,
         state: RecoveredState,
     ) -> OwnedDomain {
-        let RecoveredState { entries, allowances, vms } = state;
+        let RecoveredState { entries, mirrored, allowances, vms } = state;
         let epoch = record.view.epoch;
         let (journal, journal_requests) = mpsc::unbounded_channel();
+        let writer = JournalWriter::new(
+            shared.clone(),
+            ports.store.clone(),
+            epoch,
+            record.revision,
+            mirrored.len(),
+        );
+        if !mirrored.is_empty() {
+            // Before the dispatcher sends anything: see `JournalWriter::inherited_batches`.
+            let done = Box::new(|_| {});
+            let first = JournalRequest { entries: mirrored, snapshot: false, done };
+            let _ = journal.send(first);
+        }
         let (worker_client, client_requests) = mpsc::unbounded_channel();
         let arbiter = Arbiter::new();
         let init = DispatcherInit {
@@ -97,12 +112,6 @@
             Dispatcher::restore(init)
         });
         let lost = Rc::new(Cell::new(false));
-        let writer = JournalWriter::new(
-            shared.clone(),
-            ports.store.clone(),
-            epoch,
-            record.revision,
-        );
         let lost_flag = lost.clone();
         let journal_loop = actix_rt::spawn(async move {
             if writer.run(journal_requests).await {
@@ -295,12 +304,6 @@
         }
     }
 
-    /// Writes entries to the journal that were only mirrored by other processes so far.
-    pub(super) fn journal_mirrored(&self, entries: Vec<JournalEntry>) {
-        let request = JournalRequest { entries, snapshot: false, done: Box::new(|_| {}) };
-        let _ = self.journal.send(request);
-    }
-
     /// Waits until the journal writer has processed all earlier requests.
     pub(super) async fn flush(&self) {
         let (sender, receiver) = oneshot::channel();
--- a/crates/geraniumwinch-node/src/ownership/take_over.rs
+++ b/crates/geraniumwinch-node/src/ownership/take_over.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_util::future::join_all;
@@ -171,8 +172,9 @@
         let epoch = record.view.epoch;
         let started = shared.now();
         shared.members.clear();
+        shared.committed_sequence.store(0, Ordering::Relaxed);
         shared.fence.open(epoch, started);
-        let (state, mirrored) = tokio::select! {
+        let state = tokio::select! {
             recovered = self.recover(&kind) => recovered,
             () = self.renew_until_lost(lease) => {
                 log_event!(Warn, "takeover-abandoned", domain = shared.domain(), epoch = epoch);
@@ -188,9 +190,6 @@
             kind,
             state,
         );
-        if !mirrored.is_empty() {
-            owned.journal_mirrored(mirrored);
-        }
         let dispatcher = owned.dispatcher();
         let held = shared.held_slots.granted_by(shared.domain(), shared.now());
         dispatcher.do_send(ReportedGrants { from: shared.link.identity().clone(), held });
@@ -209,8 +208,8 @@
         true
     }
 
-    /// Reads the state of the domain, and the entries that only its processes mirror.
-    async fn recover(&self, kind: &TakeoverKind) -> (RecoveredState, Vec<JournalEntry>) {
+    /// Reads the state of the domain.
+    async fn recover(&self, kind: &TakeoverKind) -> RecoveredState {
         let mut entries = self.read_journal().await;
         let mirrored = self.read_mirrored(kind).await;
         log_event!(
@@ -225,7 +224,7 @@
         self.read_evacuations().await;
         let vms = self.ports.vm_list.read(self.shared.domain()).await;
         let vms = vms.unwrap_or_default();
-        (RecoveredState { entries, allowances, vms }, mirrored)
+        RecoveredState { entries, mirrored, allowances, vms }
     }
 
     /// Renews the lease of a takeover until the store no longer has it.
--- a/crates/geraniumwinch-tests/tests/mirrored_jobs.rs
+++ b/crates/geraniumwinch-tests/tests/mirrored_jobs.rs
@@ -108,3 +108,36 @@
         assert_eq!(takeovers.sum::<usize>(), 2, "a new owner must keep its lease");
     });
 }
+
+/// Guards against accepted jobs that are lost as an owner that has owned the domain before tells
+/// others that the store has what it has not.
+#[test]
+fn a_mirrored_job_survives_an_owner_that_owned_the_domain_before() {
+    run_test(async {
+        let mut cell = start_domain(2).await;
+        let first = cell.owner_of(0).await.expect("an owner");
+        let second = 1 - first;
+        assert_eq!(submit(&cell, first).await.status, 202);
+        await_jobs(&cell, 1).await;
+        // The last ends are journaled, too, so that the next owners write nothing.
+        tokio::time::sleep(JOINING).await;
+        cell.entries[&(0, first)].freeze();
+        await_event(&cell, second, "ownership-taken").await;
+        cell.entries[&(0, first)].resume();
+        cell.entries.get_mut(&(0, second)).unwrap().kill();
+        wait_until("the first owner owns the domain again", async || {
+            let log = cell.entries[&(0, first)].log();
+            log.matches("event=ownership-taken ").count() == 2
+        })
+        .await;
+        cell.start_entry(0, second);
+        cell.wait_ready(1).await;
+        tokio::time::sleep(JOINING).await;
+        submit_during_outage(&cell, first).await;
+        // Several heartbeats say meanwhile what the store has.
+        tokio::time::sleep(Duration::from_millis(1000)).await;
+        cell.entries.get_mut(&(0, first)).unwrap().kill();
+        cell.set_store_faults(json!({})).await;
+        await_jobs(&cell, 2).await;
+    });
+}
