Print the logs of a failed test's processes

One failure there could not be told from three other causes (docs/incidents/mirrored-jobs.md).

Change: each process of a test that panics prints whether it has ended and how, and the last 25 lines of its log. `make test` leaves backtraces out, so that the logs fit into what is kept of the output.

--- a/Makefile
+++ b/Makefile
@@ -33,5 +33,6 @@
 		'SOAK_SEED={} cargo nextest run -p geraniumwinch-tests --test platform_soak \
 		--run-ignored only > target/soak-{}.log 2>&1 && echo {} passed || echo {} FAILED'
 
+# Backtraces are left out, so that the logs of a failed test's processes fit into what is kept of the output.
 test: build
-	cargo nextest run --workspace --no-fail-fast -E "$$(.ci/known-red)"
+	RUST_BACKTRACE=0 cargo nextest run --workspace --no-fail-fast -E "$$(.ci/known-red)"
--- a/crates/geraniumwinch-tests/src/cell_process.rs
+++ b/crates/geraniumwinch-tests/src/cell_process.rs
@@ -13,6 +13,11 @@
 use nix::unistd::Pid;
 use tokio::task::JoinHandle;
 
+/// Number of lines of its log that are printed for each process of a failed test.
+const REPORTED_LINES: usize = 25;
+/// Maximum length of such a line in characters.
+const REPORTED_LENGTH: usize = 300;
+
 /// A child process, which is killed on drop.
 #[derive(Debug)]
 pub struct CellProcess {
@@ -123,10 +128,29 @@
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
+
+    /// Prints whether the process has ended, and the last lines of its log.
+    fn print_report(&mut self) {
+        let state = match self.child.try_wait() {
+            Ok(Some(status)) => format!("ended, {status}"),
+            Ok(None) => "running".to_owned(),
+            Err(error) => error.to_string(),
+        };
+        let name = self.log.file_stem().unwrap_or_default().to_string_lossy();
+        eprintln!("process {name}: {state}");
+        let log = self.log();
+        let lines: Vec<&str> = log.lines().collect();
+        for line in &lines[lines.len().saturating_sub(REPORTED_LINES)..] {
+            eprintln!("  {}", line.chars().take(REPORTED_LENGTH).collect::<String>());
+        }
+    }
 }
 
 impl Drop for CellProcess {
     fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.print_report();
+        }
         self.kill();
     }
 }
