Carry peer messages over TCP without the library that aborts

What callers saw: after an owner had been killed, another process of its domain ended, too, and the entry that a caller used gave no response (2 of 16 runs of `one_owner` with the owner killed, several tests at once).

Cause: the C library below `nng` 1.0.1 locks a destroyed lock and aborts when a message is sent while the connection to a peer is being closed. Its sockets are written and closed by threads of its own, so no order of calls on our side excludes it, and the binding has no newer release.

Change: each process opens one TCP connection to each peer that it sends to and writes each message after its length. Queues are bounded, nothing is written twice, and calls have the timeouts that they had. Received messages count in a budget, and connections are bounded by the descriptors of the VM.

--- a/crates/geraniumwinch-node/src/entry_server.rs
+++ b/crates/geraniumwinch-node/src/entry_server.rs
@@ -3,8 +3,6 @@
 mod body_intake;
 mod retry_budgets;
 
-use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -32,12 +30,11 @@
 use geraniumwinch_core::home_domain;
 use geraniumwinch_intake::VmLimits;
 use geraniumwinch_wire::RecordKey;
-use nix::sys::socket::setsockopt;
-use nix::sys::socket::sockopt::RcvBuf;
 use snafu::ResultExt;
 use tokio::sync::mpsc;
 
 use crate::Result;
+use crate::bounded_listener::listen;
 use crate::endpoint_exchange::EndpointRequest;
 use crate::evacuation_handlers;
 use crate::forwarded_response::is_hop_by_hop_header;
@@ -69,8 +66,6 @@
 /// What a connection counts beside the body of its request, in bytes: buffers of the
 /// server and of the system.
 const CONNECTION_BYTES: u64 = 256 * 1024;
-/// The size of a connection's receive buffer in the system, in bytes.
-const RECEIVE_BUFFER: usize = 32 * 1024;
 /// How long a connection stays open after a response to a request whose body is not read to its end, so
 /// that the client can read the response.
 const LINGER_TIME: Duration = Duration::from_secs(1);
@@ -123,16 +118,8 @@
     Ok(server.run())
 }
 
-/// Binds an address and listens on it. A connection inherits the size of the receive buffer.
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let listener = TcpListener::bind(address)?;
-    // A system without this keeps more of what clients send before it is read.
-    let _ = setsockopt(&listener, RcvBuf, &RECEIVE_BUFFER);
-    Ok(listener)
-}
-
 /// Returns the limits of the VM, which the system says where the settings don't.
-fn vm_limits(settings: &NodeSettings) -> VmLimits {
+pub(crate) fn vm_limits(settings: &NodeSettings) -> VmLimits {
     VmLimits::detect(settings.memory_mb, settings.descriptors)
 }
 
--- a/crates/geraniumwinch-node/src/lib.rs
+++ b/crates/geraniumwinch-node/src/lib.rs
@@ -1,6 +1,7 @@
 //! A process of the system: HTTP entry, dispatcher, configuration publisher and peer communication.
 
 mod allowance_balancer;
+mod bounded_listener;
 mod catalog_state;
 mod config_sync;
 mod dispatcher;
--- a/crates/geraniumwinch-node/src/node_error.rs
+++ b/crates/geraniumwinch-node/src/node_error.rs
@@ -13,8 +13,8 @@
     PeerListen {
         /// The address from the settings, which may be in use or not be this VM's.
         address: SocketAddr,
-        /// The error of the messaging library.
-        source: nng::Error,
+        /// The error of the operating system.
+        source: std::io::Error,
     },
     /// Listening on the HTTP address failed.
     #[snafu(display("can't listen for clients on {address}: {source}"))]
--- a/crates/geraniumwinch-node/src/node_metrics.rs
+++ b/crates/geraniumwinch-node/src/node_metrics.rs
@@ -67,6 +67,11 @@
     counter!(MESSAGES, "fate" => outcome).increment(1);
 }
 
+/// Counts peer messages that were not delivered, or may not have been.
+pub(crate) fn count_dropped(messages: u64) {
+    counter!(MESSAGES, "fate" => "dropped").increment(messages);
+}
+
 /// Counts a sent peer message and its size.
 pub(crate) fn count_sent(bytes: usize) {
     count_message("sent");
--- a/crates/geraniumwinch-node/src/node_supervisor.rs
+++ b/crates/geraniumwinch-node/src/node_supervisor.rs
@@ -61,7 +61,8 @@
     let shared = create_shared(settings, clock);
     let (ownership, ownership_requests) = mpsc::unbounded_channel();
     let router = PeerRouter::new(shared.clone(), ownership.clone());
-    shared.link.listen(Box::new(move |envelope| router.route(envelope)))?;
+    let vm = entry_server::vm_limits(&shared.settings);
+    shared.link.listen(&vm, Box::new(move |envelope| router.route(envelope)))?;
     let ports = Rc::new(platform_ports(&shared.settings));
     start_loops(&shared, &ports, ownership_requests);
     let publisher = start_publisher(&shared, &ports);
@@ -193,7 +194,7 @@
     {
         tokio::time::sleep(STOP_POLL_PERIOD).await;
     }
-    // The threads of the messaging library may still be sending the last releases.
+    // The last releases may still be on their way to the peers.
     tokio::time::sleep(STOP_POLL_PERIOD * 5).await;
     log_event!(Info, "process-stopped", process = shared.settings.name);
 }
--- a/crates/geraniumwinch-node/src/peer_link.rs
+++ b/crates/geraniumwinch-node/src/peer_link.rs
@@ -1,5 +1,11 @@
 //! The message transport between the system's own processes.
 
+mod connection_table;
+mod frame_batch;
+mod peer_queue;
+mod peer_receiver;
+mod peer_sender;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -8,52 +14,43 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use actix_rt::Arbiter;
 use geraniumwinch_core::log_event;
-use geraniumwinch_wire::MAX_MESSAGE_BYTES;
+use geraniumwinch_intake::VmLimits;
 use geraniumwinch_wire::PeerEnvelope;
 use geraniumwinch_wire::PeerIdentity;
 use geraniumwinch_wire::PeerMessage;
-use nng::Protocol;
-use nng::Socket;
-use nng::options::Options;
-use nng::options::ReconnectMaxTime;
-use nng::options::ReconnectMinTime;
-use nng::options::RecvMaxSize;
-use nng::options::SendBufferSize;
 use snafu::ResultExt;
 
 use crate::NodeError;
 use crate::Result;
+use crate::bounded_listener::listen;
 use crate::node_error::PeerListenSnafu;
 use crate::node_metrics;
 use crate::pending_calls::PendingCalls;
 use crate::shared_lock::lock;
 
-/// Number of messages that are buffered until a peer is connected; further ones are dropped.
-const SEND_BUFFER_MESSAGES: i32 = 2048;
-/// Minimum and maximum interval between two attempts to connect to a peer.
-const RECONNECT: (Duration, Duration) =
-    (Duration::from_millis(20), Duration::from_millis(250));
+use self::frame_batch::FrameBatch;
+use self::peer_queue::PeerQueue;
+use self::peer_receiver::PeerReceiver;
+use self::peer_sender::PeerSender;
+
 /// How long the connection to a peer is kept open after the last message.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// Handles a received message.
 pub(crate) type EnvelopeHandler = Box<dyn Fn(PeerEnvelope) + Send + Sync>;
 
-/// The outgoing connection to a peer, with the time of its last use.
-struct PeerConnection {
-    socket: Socket,
-    used: Instant,
-}
-
 /// Sends messages to peers and receives messages from them.
 ///
-/// Each process listens on one socket of the Pull protocol and opens one socket of the Push
-/// protocol per peer. A message is delivered at most once, since neither protocol resends.
+/// Each process accepts connections from its peers and opens one to each peer that it sends to. A message
+/// is delivered at most once, since it is written only once.
 pub(crate) struct PeerLink {
     identity: PeerIdentity,
     local: SocketAddr,
-    connections: Mutex<HashMap<SocketAddr, PeerConnection>>,
+    /// The thread that sends and receives.
+    thread: Arbiter,
+    queues: Mutex<HashMap<SocketAddr, PeerQueue>>,
     calls: PendingCalls,
     handler: OnceLock<EnvelopeHandler>,
 }
@@ -64,38 +61,29 @@
         Arc::new(PeerLink {
             identity,
             local,
-            connections: Mutex::new(HashMap::new()),
+            thread: Arbiter::new(),
+            queues: Mutex::new(HashMap::new()),
             calls: PendingCalls::new(),
             handler: OnceLock::new(),
         })
     }
 
-    /// Starts to receive; `handler` is called with every message except awaited responses.
-    pub(crate) fn listen(self: &Arc<Self>, handler: EnvelopeHandler) -> Result<()> {
-        let address = self.local;
-        let context = || PeerListenSnafu { address };
-        let socket = Socket::new(Protocol::Pull0).with_context(|_| context())?;
-        socket.set_opt::<RecvMaxSize>(MAX_MESSAGE_BYTES).with_context(|_| context())?;
-        socket.listen(&format!("tcp://{address}")).with_context(|_| context())?;
+    /// Starts to receive on a VM; `handler` is called with every message except awaited responses.
+    pub(crate) fn listen(
+        self: &Arc<Self>,
+        vm: &VmLimits,
+        handler: EnvelopeHandler,
+    ) -> Result<()> {
         if self.handler.set(handler).is_err() {
             unreachable!("the link listens once");
         }
-        let link = Arc::clone(self);
-        std::thread::spawn(move || link.receive(&socket));
+        let address = self.local;
+        let listener = listen(address).context(PeerListenSnafu { address })?;
+        let (link, vm) = (self.clone(), *vm);
+        self.thread.spawn_fn(move || PeerReceiver::start(link, listener, &vm));
         Ok(())
     }
 
-    /// Receives messages until the process ends.
-    fn receive(&self, socket: &Socket) {
-        loop {
-            match socket.recv() {
-                Ok(message) => self.handle_bytes(&message),
-                Err(nng::Error::Closed) => return,
-                Err(error) => log_event!(Warn, "peer-receive-failed", error = error),
-            }
-        }
-    }
-
     /// Decodes a message and routes it.
     fn handle_bytes(&self, message: &[u8]) {
         match PeerEnvelope::decode(message) {
@@ -179,46 +167,31 @@
             }
         };
         node_metrics::count_sent(bytes.len());
-        if let Err(error) = self.send_bytes(to, &bytes) {
+        if !self.enqueue(to, bytes) {
             node_metrics::count_message("dropped");
-            log_event!(Debug, "peer-send-failed", peer = to, error = error);
+            log_event!(Debug, "peer-queue-full", peer = to);
         }
     }
 
-    /// Sends bytes over the connection to a peer, which is opened if there is none.
-    fn send_bytes(
-        &self,
-        to: SocketAddr,
-        bytes: &[u8],
-    ) -> std::result::Result<(), nng::Error> {
-        let mut connections = lock(&self.connections);
-        let now = Instant::now();
-        let connection = match connections.entry(to) {
-            std::collections::hash_map::Entry::Occupied(entry) => entry.into_mut(),
-            std::collections::hash_map::Entry::Vacant(entry) => {
-                let socket = self.connect(to)?;
-                entry.insert(PeerConnection { socket, used: now })
-            }
-        };
-        connection.used = now;
-        connection.socket.try_send(bytes).map_err(|(_, error)| error)
-    }
-
-    /// Opens a connection to a peer from the IP address of this process.
-    fn connect(&self, to: SocketAddr) -> std::result::Result<Socket, nng::Error> {
-        let socket = Socket::new(Protocol::Push0)?;
-        socket.set_opt::<SendBufferSize>(SEND_BUFFER_MESSAGES)?;
-        socket.set_opt::<ReconnectMinTime>(Some(RECONNECT.0))?;
-        socket.set_opt::<ReconnectMaxTime>(Some(RECONNECT.1))?;
-        socket.dial_async(&format!("tcp://{};{to}", self.local.ip()))?;
-        Ok(socket)
+    /// Queues an encoded message for a peer, and returns whether there was space for it.
+    fn enqueue(&self, to: SocketAddr, bytes: Vec<u8>) -> bool {
+        let mut queues = lock(&self.queues);
+        let queue = queues.entry(to).or_insert_with(|| {
+            let (queue, messages) = PeerQueue::open();
+            let local = self.local.ip();
+            self.thread.spawn_fn(move || {
+                actix_rt::spawn(PeerSender::new(local, to, messages).run());
+            });
+            queue
+        });
+        queue.push(bytes)
     }
 
-    /// Closes the connections that have been idle for [`IDLE_TIMEOUT`].
+    /// Ends the senders that have been idle for [`IDLE_TIMEOUT`].
     pub(crate) fn close_idle(&self, now: Instant) {
-        let mut connections = lock(&self.connections);
-        connections.retain(|_, connection| {
-            now.saturating_duration_since(connection.used) < IDLE_TIMEOUT
+        let mut queues = lock(&self.queues);
+        queues.retain(|_, queue| {
+            now.saturating_duration_since(queue.used()) < IDLE_TIMEOUT
         });
     }
 }
