Keep bodies within the budget until those given up are dropped

What callers saw: nothing yet; a crowd that sends large messages to the port for peers of the own interface took twice the memory of the VM, which can end the process.

Cause: a body that needs room takes it from the largest incomplete one, which is marked and dropped by its own task later. Until then both were kept, and a crowd of 240 senders could have many of them at once.

Change: a body waits for the memory that was given up for it until that is dropped; one that fails says so before its refusal is written. The crowds at the port for peers are tests of their own, with the same bound.

--- a/crates/geraniumwinch-intake/src/body_budget.rs
+++ b/crates/geraniumwinch-intake/src/body_budget.rs
@@ -35,6 +35,8 @@
     max_incomplete: usize,
     /// The size of all bodies but those given up, in bytes.
     used: usize,
+    /// The size of the bodies that were given up and are not dropped yet, in bytes.
+    leaving: usize,
     /// The number of bodies so far.
     opened: u64,
     bodies: SlotMap<BodyKey, OpenBody>,
@@ -50,6 +52,8 @@
     state: BodyState,
     /// The task that receives the body.
     waker: Option<Waker>,
+    /// Whether that task waits until bodies that were given up are dropped.
+    waits_for_room: bool,
 }
 
 /// The state of a body.
@@ -67,8 +71,8 @@
     /// Creates a budget of a number of bytes.
     pub fn new(limit: usize) -> Self {
         let bodies = SlotMap::with_key();
-        let (used, opened, max_incomplete) = (0, 0, usize::MAX);
-        let table = BodyTable { limit, max_incomplete, used, opened, bodies };
+        let (used, leaving, opened, max_incomplete) = (0, 0, 0, usize::MAX);
+        let table = BodyTable { limit, max_incomplete, used, leaving, opened, bodies };
         BodyBudget { table: Arc::new(Mutex::new(table)) }
     }
 
@@ -111,12 +115,31 @@
         }
     }
 
+    /// Waits until the memory that a body was allowed to take is free; the result is whether the body was
+    /// not given up meanwhile.
+    pub(crate) fn poll_room(&self, key: BodyKey, waker: &Waker) -> Poll<bool> {
+        let mut table = self.lock();
+        let has_room = table.used + table.leaving <= table.limit;
+        match table.bodies.get_mut(key).filter(|body| body.is_kept()) {
+            Some(body) => {
+                body.waits_for_room = !has_room;
+                body.waker = Some(waker.clone());
+                if has_room { Poll::Ready(true) } else { Poll::Pending }
+            }
+            None => Poll::Ready(false),
+        }
+    }
+
+    /// Records that nothing of a body is kept any more.
+    pub(crate) fn release(&self, key: BodyKey) {
+        self.lock().release(key);
+    }
+
     /// Ends the count of a body.
     pub(crate) fn close(&self, key: BodyKey) {
         let mut table = self.lock();
-        if let Some(body) = table.bodies.remove(key).filter(OpenBody::is_kept) {
-            table.used -= body.held;
-        }
+        table.release(key);
+        table.bodies.remove(key);
     }
 
     /// Locks the table, which no panic can leave half changed.
@@ -143,7 +166,23 @@
             oldest.into_iter().for_each(|key| self.give_up(key));
         }
         let (serial, state) = (self.opened, BodyState::Incomplete);
-        self.bodies.insert(OpenBody { held: 0, serial, state, waker: None })
+        let (waker, waits_for_room) = (None, false);
+        self.bodies.insert(OpenBody { held: 0, serial, state, waker, waits_for_room })
+    }
+
+    /// Records that nothing of a body is kept any more, so that others can take its place.
+    fn release(&mut self, key: BodyKey) {
+        let Some(body) = self.bodies.get_mut(key) else { return };
+        let held = std::mem::take(&mut body.held);
+        if body.is_kept() {
+            self.used -= held;
+        } else {
+            self.leaving -= held;
+        }
+        for waiting in self.bodies.values_mut().filter(|body| body.waits_for_room) {
+            waiting.waits_for_room = false;
+            waiting.waker.take().into_iter().for_each(Waker::wake);
+        }
     }
 
     /// Adds bytes to a body and returns whether there is room for them.
@@ -178,6 +217,7 @@
         let body = &mut self.bodies[key];
         body.state = BodyState::GivenUp;
         self.used -= body.held;
+        self.leaving += body.held;
         if let Some(waker) = body.waker.take() {
             waker.wake();
         }
--- a/crates/geraniumwinch-intake/src/body_lease.rs
+++ b/crates/geraniumwinch-intake/src/body_lease.rs
@@ -24,6 +24,17 @@
         self.budget.grow(self.key, bytes)
     }
 
+    /// Waits until the memory for the added bytes is free, since bodies that were given up for it may not be
+    /// dropped yet; the result is whether this body was not given up meanwhile.
+    pub fn poll_room(&self, context: &mut Context<'_>) -> Poll<bool> {
+        self.budget.poll_room(self.key, context.waker())
+    }
+
+    /// Records that nothing of the body is kept any more.
+    pub fn release(&self) {
+        self.budget.release(self.key);
+    }
+
     /// Records that the body is complete, so that it is not given up any more; returns whether it had not
     /// been given up.
     pub fn complete(&self) -> bool {
--- a/crates/geraniumwinch-intake/src/body_reader.rs
+++ b/crates/geraniumwinch-intake/src/body_reader.rs
@@ -29,10 +29,26 @@
     if announced.is_some_and(|length| length > limits.max_bytes as u64) {
         return Err(ErrorKind::BodyTooLarge);
     }
+    let body = collect(payload, limits, lease).await;
+    if body.is_err() {
+        lease.release();
+    }
+    body
+}
+
+/// Reads a body to its end.
+async fn collect<S, E>(
+    payload: &mut S,
+    limits: &BodyLimits,
+    lease: &BodyLease,
+) -> Result<Bytes>
+where
+    S: Stream<Item = std::result::Result<Bytes, E>> + Unpin,
+{
     let due = Instant::now() + limits.max_time;
     let mut body = Vec::new();
     while let Some(chunk) = next_chunk(payload, limits, due, lease).await? {
-        append(&mut body, &chunk, limits.max_bytes, lease)?;
+        append(&mut body, &chunk, limits.max_bytes, lease).await?;
     }
     if lease.complete() { Ok(body.into()) } else { Err(ErrorKind::BodiesFull) }
 }
@@ -87,7 +103,7 @@
 }
 
 /// Appends a chunk to a body. Its memory grows by doubling, and no further than the limit.
-fn append(
+async fn append(
     body: &mut Vec<u8>,
     chunk: &[u8],
     max_bytes: usize,
@@ -102,6 +118,9 @@
         if !lease.grow(capacity - body.capacity()) {
             return Err(ErrorKind::BodiesFull);
         }
+        if !poll_fn(|context| lease.poll_room(context)).await {
+            return Err(ErrorKind::BodiesFull);
+        }
         body.reserve_exact(capacity - body.len());
     }
     body.extend_from_slice(chunk);
--- a/crates/geraniumwinch-intake/tests/body_budget.rs
+++ b/crates/geraniumwinch-intake/tests/body_budget.rs
@@ -82,3 +82,19 @@
     assert!(is_given_up(&oldest) && !is_given_up(&older) && !is_given_up(&newest));
     assert!(!is_given_up(&complete));
 }
+
+/// Guards against bodies that together take more than the budget until those given up are dropped.
+#[test]
+fn a_body_waits_until_what_was_given_up_for_it_is_dropped() {
+    let budget = BodyBudget::new(LIMIT);
+    let has_room = |lease: &BodyLease| {
+        lease.poll_room(&mut Context::from_waker(Waker::noop())).is_ready()
+    };
+    let (large, small) = (body(&budget, 1000), body(&budget, 20));
+    assert!(is_given_up(&large) && !has_room(&small));
+    large.release();
+    assert!(has_room(&small));
+    drop(large);
+    assert!(has_room(&small));
+    assert_eq!(budget.used(), 20);
+}
--- a/crates/geraniumwinch-tests/src/test_cell.rs
+++ b/crates/geraniumwinch-tests/src/test_cell.rs
@@ -1,6 +1,7 @@
 //! Cells of real processes and stand-ins.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use awc::http::Method;
@@ -312,6 +313,11 @@
         sections.into_iter().map(|(name, lines)| format!("[{name}]\n{lines}\n")).collect()
     }
 
+    /// Returns the address of an entry process for peers.
+    pub fn peer_address(&self, domain: usize, index: usize) -> SocketAddr {
+        self.addresses.entry(domain, index, PEER_PORT)
+    }
+
     /// Returns the URL of an entry process.
     pub fn entry_url(&self, domain: usize, index: usize) -> String {
         format!("http://{}", self.addresses.entry(domain, index, HTTP_PORT))
--- a/crates/geraniumwinch-tests/tests/uncontrolled_clients.rs
+++ b/crates/geraniumwinch-tests/tests/uncontrolled_clients.rs
@@ -118,6 +118,42 @@
     check_peak(&watch, descriptors);
 }
 
+/// Sends a crowd to the port for peers of an entry process that owns its domain, and checks what must hold
+/// for a request through another process. `message` is what each client sends.
+async fn withstand_at_peer_port(
+    clients: usize,
+    descriptors: usize,
+    message: &str,
+    request: CrowdRequest,
+) {
+    let mut plan = CellPlan::new(1, 2, 2, 0);
+    plan.settings = vec![
+        ("limits", "memory-mb", MEMORY_MB.to_string()),
+        ("limits", "descriptors", descriptors.to_string()),
+    ];
+    let mut cell = TestCell::start(plan).await;
+    let owner = cell.owner_of(0).await.expect("an owner");
+    let client = TestClient::default();
+    let other = cell.entry_url(0, 1 - owner);
+    let url = format!("{other}/v1/queues/exchange/requests/price?ms=5");
+    let headers = [("Authorization", OWN_KEY)];
+    let ordinary =
+        async || client.send(Method::POST, &url, &headers, "body").await.status == 200;
+    wait_until("an ordinary request is answered before the crowd", ordinary).await;
+    let address = cell.peer_address(0, owner);
+    let watch = UsageWatch::begin(cell.entries[&(0, owner)].pid(), address);
+    let crowd = ClientCrowd::gather(address, clients, message, request).await;
+    assert!(!crowd.is_empty());
+    wait_until("an ordinary request is answered beside the crowd", ordinary).await;
+    tokio::time::sleep(STAY).await;
+    wait_until("an ordinary request is answered beside the crowd", ordinary).await;
+    drop(crowd);
+    wait_until("an ordinary request is answered after the crowd", ordinary).await;
+    let process = cell.entries.get_mut(&(0, owner)).expect("the entry process");
+    assert_eq!(process.exit_code(), None, "the process has ended");
+    check_peak(&watch, descriptors);
+}
+
 /// Checks that the peak of a process is within its limits.
 fn check_peak(watch: &UsageWatch, descriptors: usize) {
     let peak = watch.peak();
@@ -200,3 +236,26 @@
     let work = withstand_at_entry(Some(OWN_KEY), clients, descriptors, request);
     actix_rt::System::new().block_on(work);
 }
+
+/// The length of a message of 1,000,000 bytes, as it precedes the message.
+const MESSAGE_LENGTH: &str = "@B\u{f}\0";
+
+/// Guards against a process that runs out of memory when what connects to its port for peers doesn't finish
+/// messages, or is not a peer (issue 56, related path).
+#[test_case(MESSAGE_LENGTH, 999_999; "unfinished_messages")]
+#[test_case("POST /peer HTTP/1.1\r\n\r\n", 999_999; "foreign_messages")]
+fn messages_of_a_crowd_stay_within_the_memory(start: &str, bytes: usize) {
+    let message = format!("{start}{}", "x".repeat(bytes));
+    let request = CrowdRequest::UnfinishedHead;
+    let work = withstand_at_peer_port(CLIENTS, MANY_DESCRIPTORS, &message, request);
+    actix_rt::System::new().block_on(work);
+}
+
+/// Guards against what uses up the descriptors of a process at its port for peers (issue 56, related path).
+#[test_case(CrowdRequest::Silence; "silent_connections")]
+#[test_case(CrowdRequest::UnfinishedHead; "unfinished_lengths")]
+fn connections_of_a_crowd_leave_descriptors_at_the_peer_port(request: CrowdRequest) {
+    let (clients, descriptors) = (DESCRIPTOR_CLIENTS, FEW_DESCRIPTORS);
+    let work = withstand_at_peer_port(clients, descriptors, "@B", request);
+    actix_rt::System::new().block_on(work);
+}
