Count crashes that fall between owners

Cause: a crash is counted once its worker is known to be gone, three seconds after its last sign, and only by an owner that knows the run.

Change: when a worker becomes silent, the runs that are suspected if it has crashed are written into the records of their jobs. An owner that learns that the worker is gone, or runs as another incarnation, counts the crash under them, whoever started them; a worker that answers takes them back.

--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -20,6 +20,7 @@
 mod job_state;
 mod late_starts;
 mod learning;
+mod lost_contacts;
 mod lost_runs;
 mod overdue_jobs;
 mod permission_ledger;
@@ -94,6 +95,7 @@
 use self::job_state::JobState;
 use self::late_starts::LateStarts;
 use self::learning::FleetLearning;
+use self::lost_contacts::NotedRun;
 use self::permission_ledger::PermissionLedger;
 use self::placement_backoff::PlacementBackoff;
 use self::run_phase::RunPhase;
@@ -146,6 +148,8 @@
     /// How long a worker's lease lasts after the last command that extends it.
     lease: Duration,
     workers: SlotMap<WorkerKey, WorkerState>,
+    /// The runs whose workers have become silent, by worker, also those of former owners.
+    noted_runs: HashMap<Name, Vec<NotedRun>>,
     /// The workers that were removed, in case they return.
     former_workers: HashMap<Name, FormerWorker>,
     worker_ids: HashMap<Name, WorkerKey>,
@@ -197,6 +201,7 @@
             first_run: epoch.saturating_sub(1) * RUNS_PER_EPOCH,
             lease,
             workers: SlotMap::with_key(),
+            noted_runs: HashMap::new(),
             former_workers: HashMap::new(),
             worker_ids: HashMap::new(),
             departures: DepartureWatch::default(),
@@ -266,6 +271,7 @@
     pub fn load_job(&mut self, id: Name, record: JobRecord, uncertain_until: BootTime) {
         let key = self.insert(id, record);
         self.jobs[key].uncertain_until = uncertain_until;
+        self.load_lost_contacts(key);
     }
 
     /// Adds a job that has just been stored; does nothing if the job is already known.
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/crashes.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/crashes.rs
@@ -45,6 +45,8 @@
         worker: WorkerKey,
         now: BootTime,
     ) -> Vec<LostRun> {
+        let id = self.workers[worker].info.id.clone();
+        let noted = self.take_lost_contacts(&id, now);
         let state = &mut self.workers[worker];
         let mut lost = std::mem::take(&mut state.expired_runs);
         if state.leaving {
@@ -53,6 +55,7 @@
         let tasks: Vec<TaskRef> = state.tasks.iter().copied().collect();
         let placed = tasks.into_iter().filter_map(|task| self.lost_run(task, now));
         lost.extend(placed);
+        lost.extend(noted.into_iter().map(|noted| noted.run));
         lost
     }
 
@@ -107,7 +110,7 @@
     }
 
     /// Returns whether a task of a known job still has to be done.
-    fn is_unfinished(&self, task: TaskRef) -> bool {
+    pub(super) fn is_unfinished(&self, task: TaskRef) -> bool {
         let live = self.jobs.get(task.job).is_some_and(|job| job.live());
         live && !self.task_state(task).done
     }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
@@ -195,6 +195,7 @@
     /// Copies the progress of the units into the record.
     pub(super) fn update_progress(&mut self) {
         self.record.crashes = self.task_crashes();
+        self.record.lost_contacts = self.lost_contacts();
         for (number, unit) in self.units.touched() {
             let tasks = || unit.tasks.iter().enumerate();
             let done: Vec<u32> = tasks()
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
@@ -54,6 +54,11 @@
             state.silent_until = now;
         }
         state.expired_runs.clear();
+        let id = state.info.id.clone();
+        let noted = self.take_lost_contacts(&id, now).into_iter().filter(|noted| {
+            noted.incarnation.is_some_and(|former| former != report.incarnation)
+        });
+        lost.extend(noted.map(|noted| noted.run));
         self.tally_report(worker, report);
         for ended in &report.ended {
             self.process_end(worker, ended, now);
@@ -111,8 +116,12 @@
     /// Marks a worker as silent, after it did not respond to calls.
     pub fn mark_silent(&mut self, worker: WorkerKey, now: BootTime) {
         if let Some(state) = self.workers.get_mut(worker) {
+            let has_answered = state.silent_since.is_none();
             state.silent_since.get_or_insert(now);
             state.missed_at = now;
+            if has_answered {
+                self.note_lost_contacts(worker, now);
+            }
         }
     }
 
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/task_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/task_state.rs
@@ -4,6 +4,7 @@
 use geraniumwinch_core::Name;
 
 use crate::BootTime;
+use crate::LostContact;
 
 use super::restart_delay::RestartDelay;
 use super::task_placement::TaskPlacement;
@@ -19,6 +20,8 @@
     pub(super) failed_runs: Vec<u64>,
     /// The crashes of workers under the task since a run last lasted much longer.
     pub(super) crashes: CrashHistory,
+    /// The runs whose workers have become silent, as long as it is not known whether they have crashed.
+    pub(super) lost_contacts: Vec<LostContact>,
     /// The highest known run number.
     pub(super) last_run: u64,
     pub(super) checkpoint: Option<Name>,
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/workers.rs
@@ -187,8 +187,12 @@
             self.worker_ids.remove(&state.info.id);
             let WorkerInfo { id, address, incarnation, .. } = state.info.clone();
             let fence = state.fence;
-            let expired_runs =
-                if state.leaving { Vec::new() } else { state.expired_runs };
+            let noted = self.take_lost_contacts(&id, now).into_iter();
+            let mut expired_runs = state.expired_runs;
+            expired_runs.extend(noted.map(|noted| noted.run));
+            if state.leaving {
+                expired_runs.clear();
+            }
             let former = FormerWorker { fence, address, incarnation, expired_runs };
             self.former_workers.insert(id, former);
         }
--- a/crates/geraniumwinch-fleet/src/job_record.rs
+++ b/crates/geraniumwinch-fleet/src/job_record.rs
@@ -10,6 +10,7 @@
 use snafu::ResultExt;
 
 use crate::JobRequest;
+use crate::LostContact;
 use crate::QueueRules;
 use crate::Result;
 use crate::fleet_error::DecodeSnafu;
@@ -87,6 +88,9 @@
     /// do not know them ignore them.
     #[serde(skip)]
     pub crashes: Vec<TaskCrash>,
+    /// The runs whose workers have become silent. They follow the crashes in the store in the same way.
+    #[serde(skip)]
+    pub lost_contacts: Vec<LostContact>,
 }
 
 impl JobRecord {
@@ -98,18 +102,31 @@
         request: JobRequest,
     ) -> Self {
         let phase = JobPhase::Live;
-        let (progress, crashes) = (BTreeMap::new(), Vec::new());
-        JobRecord { rules, account, accepted, phase, request, progress, crashes }
+        let (progress, crashes, lost_contacts) = (BTreeMap::new(), vec![], vec![]);
+        JobRecord {
+            rules,
+            account,
+            accepted,
+            phase,
+            request,
+            progress,
+            crashes,
+            lost_contacts,
+        }
     }
 
     /// Encodes the record for the store: a byte with the format number, then the record in
-    /// postcard, then the crashes if there are any.
+    /// postcard, then the crashes and the lost contacts, each if it or what follows is not empty.
     pub fn encode(&self) -> Result<Vec<u8>> {
-        let bytes = postcard::to_extend(self, vec![FORMAT]).context(EncodeSnafu)?;
-        if self.crashes.is_empty() {
-            return Ok(bytes);
+        let mut bytes = postcard::to_extend(self, vec![FORMAT]).context(EncodeSnafu)?;
+        if !self.crashes.is_empty() || !self.lost_contacts.is_empty() {
+            bytes = postcard::to_extend(&self.crashes, bytes).context(EncodeSnafu)?;
+        }
+        if !self.lost_contacts.is_empty() {
+            bytes =
+                postcard::to_extend(&self.lost_contacts, bytes).context(EncodeSnafu)?;
         }
-        postcard::to_extend(&self.crashes, bytes).context(EncodeSnafu)
+        Ok(bytes)
     }
 
     /// Decodes a record from the store.
@@ -127,8 +144,13 @@
     fn decode_current(bytes: &[u8]) -> Result<JobRecord> {
         let (mut record, rest): (JobRecord, &[u8]) =
             postcard::take_from_bytes(bytes).context(DecodeSnafu)?;
+        let mut rest = rest;
+        if !rest.is_empty() {
+            (record.crashes, rest) =
+                postcard::take_from_bytes(rest).context(DecodeSnafu)?;
+        }
         if !rest.is_empty() {
-            record.crashes = postcard::from_bytes(rest).context(DecodeSnafu)?;
+            record.lost_contacts = postcard::from_bytes(rest).context(DecodeSnafu)?;
         }
         Ok(record)
     }
--- a/crates/geraniumwinch-fleet/tests/takeover.rs
+++ b/crates/geraniumwinch-fleet/tests/takeover.rs
@@ -9,6 +9,7 @@
 use geraniumwinch_fleet::AccountLimit;
 use geraniumwinch_fleet::JobPhase;
 use geraniumwinch_fleet::JobRecord;
+use geraniumwinch_fleet::LostContact;
 use geraniumwinch_fleet::PossibleRuns;
 use geraniumwinch_fleet::RunOutcome;
 use geraniumwinch_fleet::TaskCrash;
@@ -391,6 +392,21 @@
     let bytes = job.encode().expect("the record encodes");
     assert!(bytes.starts_with(&without));
     assert_eq!(JobRecord::decode(&bytes).expect("the record decodes"), job);
+    let contact = LostContact {
+        unit: 0,
+        index: 0,
+        worker: "w".into(),
+        incarnation: Some(5),
+        crash,
+    };
+    job.lost_contacts = vec![contact];
+    let longer = job.encode().expect("the record encodes");
+    assert!(longer.starts_with(&bytes));
+    assert_eq!(JobRecord::decode(&longer).expect("the record decodes"), job);
+    let crashes: Vec<TaskCrash> =
+        postcard::from_bytes(&longer[without.len()..]).expect("they are readable");
+    assert_eq!(crashes, job.crashes);
+    job.lost_contacts.clear();
     job.crashes.clear();
     let former: JobRecord = postcard::from_bytes(&bytes[1..]).expect("it is readable");
     assert_eq!(former, job);
