Ask for mirrored entries in pages

What callers would see: after an outage of the store of some minutes at the designed size, all jobs accepted in it are lost with their owner.

Cause: a new owner asked a process for everything that it mirrors in one message. Above 4 MB the response could not be encoded, so none was sent, and the new owner went on without it. Found by reading, on the way of the fault of the late mirror.

Change: the request names the last batch that is known, and the response has the next ones, up to a megabyte; the time that a process may be silent counts from its last page.

--- a/crates/geraniumwinch-node/src/ownership/take_over.rs
+++ b/crates/geraniumwinch-node/src/ownership/take_over.rs
@@ -317,24 +317,32 @@
         batches.into_values().flatten().collect()
     }
 
-    /// Asks a process for the entries that it mirrors, again and again until it has been silent for
-    /// `patience`.
+    /// Asks a process for the entries that it mirrors, page by page and again and again until it has been
+    /// silent for `patience`.
     async fn request_mirrored(
         &self,
         address: SocketAddr,
         patience: Duration,
     ) -> Vec<MirrorBatch> {
         let timeout = self.shared.settings.peer_heartbeat * 2;
-        let started = self.shared.now();
+        let mut batches: Vec<MirrorBatch> = Vec::new();
+        let mut heard = self.shared.now();
         loop {
-            let call =
-                self.shared.link.call(address, PeerMessage::MirrorRequest, timeout);
-            if let Ok(PeerMessage::MirrorResponse(batches)) = call.await {
-                return batches;
-            }
-            if self.shared.now().saturating_duration_since(started) >= patience {
-                log_event!(Error, "mirror-unread", peer = address);
-                return Vec::new();
+            let after = batches.last().map(|batch| (batch.epoch, batch.sequence));
+            let request = PeerMessage::MirrorRequest { after };
+            match self.shared.link.call(address, request, timeout).await {
+                Ok(PeerMessage::MirrorResponse(page)) if page.is_empty() => {
+                    return batches;
+                }
+                Ok(PeerMessage::MirrorResponse(page)) => {
+                    batches.extend(page);
+                    heard = self.shared.now();
+                }
+                _ if self.shared.now().saturating_duration_since(heard) >= patience => {
+                    log_event!(Error, "mirror-unread", peer = address);
+                    return batches;
+                }
+                _ => {}
             }
         }
     }
--- a/crates/geraniumwinch-node/src/peer_router.rs
+++ b/crates/geraniumwinch-node/src/peer_router.rs
@@ -68,8 +68,8 @@
                 let response = if kept { PeerMessage::Done } else { refused };
                 self.respond(&from, correlation, response);
             }
-            PeerMessage::MirrorRequest => {
-                let batches = self.shared.mirror.batches();
+            PeerMessage::MirrorRequest { after } => {
+                let batches = self.shared.mirror.page(after);
                 self.respond(&from, correlation, PeerMessage::MirrorResponse(batches));
             }
             PeerMessage::Announce(view) => self.handle_announcement(&from, view),
--- a/crates/geraniumwinch-wire/src/peer_message.rs
+++ b/crates/geraniumwinch-wire/src/peer_message.rs
@@ -180,6 +180,13 @@
     pub entries: Vec<JournalEntry>,
 }
 
+impl MirrorBatch {
+    /// Returns the size of the batch in a message, in bytes.
+    pub fn encoded_bytes(&self) -> usize {
+        postcard::to_stdvec(self).map_or(usize::MAX, |bytes| bytes.len())
+    }
+}
+
 /// The changes that lead to a revision of the configuration.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ConfigUpdate {
@@ -325,9 +332,12 @@
     /// Sends journal entries that are not in the store yet to another process of the domain, which
     /// mirrors them.
     MirrorAppend(MirrorBatch),
-    /// Requests the journal entries that a process mirrors.
-    MirrorRequest,
-    /// Responds with the mirrored journal entries.
+    /// Requests the journal entries that a process mirrors, in order.
+    MirrorRequest {
+        /// The epoch and the sequence number of the last batch that is known.
+        after: Option<(u64, u64)>,
+    },
+    /// Responds with the next mirrored batches, as many as fit; there are none at the end.
     MirrorResponse(Vec<MirrorBatch>),
     /// Exchanges digests between owners.
     Digest(Box<DomainDigest>),
