Claim a domain once its members are known

What callers saw: requests beyond the slots of an endpoint, after a takeover with a store that refuses one read.

Cause: a process that claims a domain reads its members, and as the owner awaits their reports of the slots that they hold. A failed read counted as "no members", so it granted slots while others held them.

Change: with an unreadable record the domain is not claimed; the next attempt follows a heartbeat later. A record that can't be decoded counts as before, and is logged.

The store's stand-in can refuse the reads of some keys for it.

--- a/crates/geraniumwinch-node/src/ownership/owner_record.rs
+++ b/crates/geraniumwinch-node/src/ownership/owner_record.rs
@@ -29,7 +29,7 @@
 }
 
 /// The stored list of a domain's processes.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 pub(super) struct MembersValue {
     /// The names of the processes.
     pub(super) names: Vec<Name>,
--- a/crates/geraniumwinch-node/src/ownership/take_over.rs
+++ b/crates/geraniumwinch-node/src/ownership/take_over.rs
@@ -65,7 +65,13 @@
             Some(record) => {
                 let key = store_keys::owner(domain);
                 conditions.push(StoreCondition::Unchanged(key, record.revision));
-                members = self.read_members().await;
+                members = match self.read_members().await {
+                    Ok(members) => members,
+                    // They may hold slots, so the domain is claimed once they are known.
+                    Err(error) => {
+                        return log_event!(Warn, "members-unread", error = error);
+                    }
+                };
                 members.insert(record.view.name.clone());
             }
             None => conditions.push(StoreCondition::Absent(store_keys::owner(domain))),
@@ -148,15 +154,21 @@
     }
 
     /// Reads the names of the domain's processes from the store.
-    async fn read_members(&self) -> BTreeSet<Name> {
+    async fn read_members(&self) -> Result<BTreeSet<Name>> {
+        Ok(self.read_members_record().await?.names.into_iter().collect())
+    }
+
+    /// Reads the processes of the domain from the store; there are none before the first record.
+    async fn read_members_record(&self) -> Result<MembersValue> {
         let key = store_keys::members(self.shared.domain());
-        let Ok(Some(record)) = self.ports.store.get(&key).await else {
-            return BTreeSet::new();
+        let Some(record) = self.ports.store.get(&key).await? else {
+            return Ok(MembersValue::default());
         };
-        match serde_json::from_slice::<MembersValue>(&record.value) {
-            Ok(value) => value.names.into_iter().collect(),
-            Err(_) => BTreeSet::new(),
-        }
+        Ok(serde_json::from_slice(&record.value).unwrap_or_else(|error| {
+            // No later read helps, and a domain without an owner would serve nothing.
+            log_event!(Error, "members-unreadable", key = key, error = error);
+            MembersValue::default()
+        }))
     }
 
     /// Opens the fence, recovers the domain's state and starts its dispatcher.
@@ -363,12 +375,7 @@
     /// Reads the peer addresses of the domain's other processes.
     async fn member_addresses(&self) -> Result<Vec<SocketAddr>> {
         let own = self.shared.link.identity().address;
-        let key = store_keys::members(self.shared.domain());
-        let record = self.ports.store.get(&key).await?;
-        let value = record.and_then(|record| {
-            serde_json::from_slice::<MembersValue>(&record.value).ok()
-        });
-        let addresses = value.map(|value| value.addresses).unwrap_or_default();
+        let addresses = self.read_members_record().await?.addresses;
         Ok(addresses.into_iter().filter(|address| *address != own).collect())
     }
 
--- a/crates/geraniumwinch-standins/src/platform_store.rs
+++ b/crates/geraniumwinch-standins/src/platform_store.rs
@@ -36,7 +36,7 @@
 }
 
 /// The injected faults.
-#[derive(Debug, Clone, Copy, Default, Deserialize)]
+#[derive(Debug, Clone, Default, Deserialize)]
 #[serde(default)]
 struct StoreFaults {
     /// Refuse every call with status 503.
@@ -47,6 +47,17 @@
     slow_ms: u64,
     /// The number of further writes that are applied but reported as failed.
     lose_answers: u64,
+    /// Refuse reads of keys that contain this, unless it is empty.
+    unreadable: String,
+}
+
+impl StoreFaults {
+    /// Returns whether a read is refused.
+    fn hides(&self, body: &Value) -> bool {
+        let key = decode_bytes(&body["key"]);
+        let key = String::from_utf8_lossy(&key);
+        !self.unreadable.is_empty() && key.contains(&self.unreadable)
+    }
 }
 
 /// The contents, the faults and the statistics of the store.
@@ -114,7 +125,7 @@
         let mut state = lock(&store);
         *state.calls.entry(path.clone()).or_default() += 1;
         state.bytes_in += body.len() as u64;
-        state.faults
+        state.faults.clone()
     };
     if faults.hang {
         tokio::time::sleep(Duration::from_secs(30)).await;
@@ -128,6 +139,9 @@
     let Ok(body) = serde_json::from_slice::<Value>(&body) else {
         return invalid_argument_response("the request body is not valid JSON");
     };
+    if path == "kv/range" && faults.hides(&body) {
+        return unavailable_response();
+    }
     let mut state = lock(&store);
     state.expire_leases();
     let before = state.revision;
--- a/crates/geraniumwinch-tests/tests/one_owner.rs
+++ b/crates/geraniumwinch-tests/tests/one_owner.rs
@@ -220,6 +220,61 @@
     });
 }
 
+/// Guards against a new owner that grants slots which another process still holds, since it takes members
+/// that it can't read from the store for none, or drops a report that arrives while it reads its state.
+#[test_case("/members/"; "that can not be read")]
+#[test_case(""; "that report early")]
+fn a_takeover_awaits_the_slots_of_members(unreadable: &str) {
+    run_test(async {
+        let set = default_configuration(1000)
+            .replace("default-deadline-ms = 10000", "default-deadline-ms = 6000")
+            .replace("max-deadline-ms = 20000", "max-deadline-ms = 6000");
+        let plan = CellPlan::new(1, 3, 1, 1).with_configuration(set);
+        let mut cell = TestCell::start(plan).await;
+        let owner = settled_owner(&cell, Duration::from_millis(9000)).await;
+        let others: Vec<usize> = (0..3).filter(|&index| index != owner).collect();
+        let (holder, successor) = (others[0], others[1]);
+        let url = |index, ms| {
+            let entry = cell.entry_url(0, index);
+            format!("{entry}/v1/queues/exchange/requests/price?ms={ms}")
+        };
+        // The holder has seven of the eight slots, and can't claim the domain itself.
+        let held: Vec<_> = (0..7).map(|_| spawn_request(url(holder, 5700))).collect();
+        let small = url(successor, 20);
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        cell.entries[&(0, holder)].freeze();
+        cell.set_store_faults(json!({ "unreadable": unreadable })).await;
+        cell.entries.get_mut(&(0, owner)).unwrap().kill();
+        let load: Vec<_> = (0..8).map(|_| spawn_load(small.clone(), 5000)).collect();
+        tokio::time::sleep(Duration::from_millis(2700)).await;
+        cell.set_store_faults(json!({})).await;
+        cell.entries[&(0, holder)].resume();
+        for task in load.into_iter().chain(held) {
+            task.await.expect("the task ends");
+        }
+        assert_eq!(cell.ledger().await.over_slots, 0, "slots were granted twice");
+    });
+}
+
+/// Sends a request in a task of its own.
+fn spawn_request(url: String) -> actix_rt::task::JoinHandle<()> {
+    actix_rt::spawn(async move {
+        let response = TestClient::default().send(Method::GET, &url, &[KEY], "").await;
+        assert_eq!(response.status, 200, "{:?}", response.body);
+    })
+}
+
+/// Sends requests one after the other for a time in milliseconds, whatever becomes of them.
+fn spawn_load(url: String, time_ms: u64) -> actix_rt::task::JoinHandle<()> {
+    actix_rt::spawn(async move {
+        let started = std::time::Instant::now();
+        while started.elapsed() < Duration::from_millis(time_ms) {
+            TestClient::default().send(Method::GET, &url, &[KEY], "").await;
+            tokio::time::sleep(Duration::from_millis(10)).await;
+        }
+    })
+}
+
 #[test]
 fn running_tasks_survive_a_takeover() {
     run_test(async {
