--- a/crates/geraniumwinch-fleet/tests/common/mod.rs
+++ b/crates/geraniumwinch-fleet/tests/common/mod.rs
@@ -16,6 +16,7 @@
 use geraniumwinch_fleet::RunOutcome;
 use geraniumwinch_fleet::RunStart;
 use geraniumwinch_fleet::RunningRun;
+use geraniumwinch_fleet::SchedulerEvent;
 use geraniumwinch_fleet::StartOutcome;
 use geraniumwinch_fleet::StepName;
 use geraniumwinch_fleet::StepPlan;
@@ -25,6 +26,8 @@
 use geraniumwinch_fleet::WorkerRecord;
 use geraniumwinch_fleet::WorkerReport;
 
+/// The number of starts that the platform allows: three that crash their workers, and two more.
+pub const MAX_STARTS: usize = 5;
 /// The maximum lease of a worker.
 pub const LEASE: Duration = Duration::from_millis(6350);
 /// The number of long permission requests allowed in one placement pass.
@@ -55,6 +58,14 @@
     pub now: BootTime,
 }
 
+/// Returns whether a scheduler has given up a job.
+pub fn given_up(cell: &mut TestCell) -> bool {
+    let failed = JobPhase::Failed.as_str();
+    cell.scheduler.take_events().iter().any(|event| {
+        matches!(event, SchedulerEvent::JobEnded { phase, .. } if *phase == failed)
+    })
+}
+
 /// Creates the entry of a worker with 16 processors in the platform's list.
 pub fn worker_info(id: &str) -> WorkerInfo {
     WorkerInfo {
