--- a/crates/geraniumwinch-node/src/ownership/take_over.rs
+++ b/crates/geraniumwinch-node/src/ownership/take_over.rs
@@ -313,7 +313,7 @@
     async fn read_mirrored(&self, kind: &TakeoverKind) -> Vec<JournalEntry> {
         let patience = match kind {
             TakeoverKind::LeaseExpired(_) => self.shared.settings.owner_lease,
-            // A handover follows the last write of the journal.
+            // The former owner lives, and the store answers: only what it has not written yet is mirrored.
             TakeoverKind::First | TakeoverKind::Handover(_) => Duration::ZERO,
         };
         let addresses = self.read_member_addresses().await.into_iter();
--- a/crates/geraniumwinch-tests/tests/one_owner.rs
+++ b/crates/geraniumwinch-tests/tests/one_owner.rs
@@ -221,7 +221,7 @@
 }
 
 /// Guards against a new owner that grants slots which another process still holds, since it takes members
-/// that it can't read from the store for none, or drops a report that arrives while it reads its state.
+/// that it can't read from the store for none. In the other case they report while it reads its state.
 #[test_case("/members/"; "that can not be read")]
 #[test_case(""; "that report early")]
 fn a_takeover_awaits_the_slots_of_members(unreadable: &str) {
