--- a/review/standins-3/src/cases.rs
+++ b/review/standins-3/src/cases.rs
@@ -1,6 +1,7 @@
 //! The cases. Each returns what was seen of a broken rule, or `None`.
 
 mod crashes;
+mod withdrawn;
 
 use std::sync::Arc;
 use std::thread;
@@ -14,6 +15,7 @@
 pub fn run(case: &str, record: &Arc<Record>, trouble: bool) -> Outcome<Option<String>> {
     match case {
         "crashes" => crashes::run(record, trouble),
+        "withdrawn" => withdrawn::run(record, trouble),
         _ => Err(format!("no case {case:?}")),
     }
 }
--- a/review/standins-3/src/cell.rs
+++ b/review/standins-3/src/cell.rs
@@ -77,10 +77,22 @@
     format!("127.{}.{}.{}", 10 + id % 200, 1 + id / 200 % 250, 1 + id / 50_000 % 250)
 }
 
-fn free_address() -> Outcome<SocketAddr> {
-    let listener =
-        TcpListener::bind((run_ip(), 0)).map_err(|e| e.to_string())?;
-    listener.local_addr().map_err(|e| e.to_string())
+/// The first port that is tried, below those that the system hands out to clients.
+const FIRST_PORT: u16 = 7000;
+
+/// Returns a free address of this run that was not returned before.
+pub fn free_address() -> std::io::Result<SocketAddr> {
+    static NEXT: Mutex<u16> = Mutex::new(FIRST_PORT);
+    let mut next = NEXT.lock().unwrap();
+    loop {
+        let port = *next;
+        *next += 1;
+        match TcpListener::bind((run_ip(), port)) {
+            Ok(listener) => return listener.local_addr(),
+            Err(error) if port > FIRST_PORT + 20_000 => return Err(error),
+            Err(_) => {}
+        }
+    }
 }
 
 /// Returns a route without advice.
@@ -99,8 +111,8 @@
         processes: usize,
     ) -> Outcome<Cell> {
         let store = Store::default();
-        let loopback: SocketAddr = format!("{}:0", run_ip()).parse().expect("an address");
-        let platform = store.serve(loopback).map_err(|e| e.to_string())?;
+        let address = free_address().map_err(|e| e.to_string())?;
+        let platform = store.serve(address).map_err(|e| e.to_string())?;
         let tenant = |index: usize, name: &str| {
             json!({"name": name, "api_keys": [KEYS[index]], "priority": 1, "weight": 26,
                 "cap": {"cpu": 871307, "mem_mb": 1000526, "gpu": 0}})
@@ -147,8 +159,8 @@
     }
 
     fn add_process(&mut self, index: usize) -> Outcome<()> {
-        let [client, readiness, peers, metrics] =
-            [free_address()?, free_address()?, free_address()?, free_address()?];
+        let free = || free_address().map_err(|e| e.to_string());
+        let [client, readiness, peers, metrics] = [free()?, free()?, free()?, free()?];
         let settings = self.folder.join(format!("{index}.ini"));
         let log = self.folder.join(format!("{index}.log"));
         let store = self._platform.address;
--- a/review/standins-3/src/worker.rs
+++ b/review/standins-3/src/worker.rs
@@ -101,9 +101,7 @@
         record: &Arc<Record>,
         events: &Arc<Mutex<Vec<RunEvent>>>,
     ) -> std::io::Result<Arc<Worker>> {
-        let free = std::net::TcpListener::bind((crate::cell::run_ip(), 0))?;
-        let address = free.local_addr()?;
-        drop(free);
+        let address = crate::cell::free_address()?;
         let worker = Arc::new(Worker {
             address,
             kind,
