--- a/review/standins-3/src/cases.rs
+++ b/review/standins-3/src/cases.rs
@@ -1,6 +1,7 @@
 //! The cases. Each returns what was seen of a broken rule, or `None`.
 
 mod crashes;
+mod twin_ids;
 mod withdrawn;
 
 use std::sync::Arc;
@@ -16,6 +17,7 @@
     match case {
         "crashes" => crashes::run(record, trouble),
         "withdrawn" => withdrawn::run(record, trouble),
+        "twin-ids" => twin_ids::run(record, trouble),
         _ => Err(format!("no case {case:?}")),
     }
 }
