--- a/review/standins-3/src/cases.rs
+++ b/review/standins-3/src/cases.rs
@@ -1,6 +1,7 @@
 //! The cases. Each returns what was seen of a broken rule, or `None`.
 
 mod crashes;
+mod relabelled;
 mod twin_ids;
 mod withdrawn;
 
@@ -18,6 +19,7 @@
         "crashes" => crashes::run(record, trouble),
         "withdrawn" => withdrawn::run(record, trouble),
         "twin-ids" => twin_ids::run(record, trouble),
+        "relabelled" => relabelled::run(record, trouble),
         _ => Err(format!("no case {case:?}")),
     }
 }
