--- a/review/standins-3/src/cases.rs
+++ b/review/standins-3/src/cases.rs
@@ -1,8 +1,10 @@
 //! The cases. Each returns what was seen of a broken rule, or `None`.
 
 mod crashes;
+mod fill;
 mod relabelled;
 mod twin_ids;
+mod wide_steps;
 mod withdrawn;
 
 use std::sync::Arc;
@@ -20,6 +22,8 @@
         "withdrawn" => withdrawn::run(record, trouble),
         "twin-ids" => twin_ids::run(record, trouble),
         "relabelled" => relabelled::run(record, trouble),
+        "wide-steps" => wide_steps::run(record, trouble),
+        "fill" => fill::run(record, trouble),
         _ => Err(format!("no case {case:?}")),
     }
 }
--- a/review/standins-3/src/cases/wide_steps.rs
+++ b/review/standins-3/src/cases/wide_steps.rs
@@ -35,10 +35,13 @@
     while began.elapsed() < Duration::from_secs(60) {
         if next < jobs {
             let id = format!("/lohu930/00000000000014{next:02x}");
-            let body = format!(
+            let body = if std::env::var("SCHED").is_ok() { format!(
+                r#"{{"spec":"20","steps":[{{"count":2,"cpu":100,"mem_mb":10,"estimate_ms":1}}],"repeats":{count},"start_ms":{},"interval_ms":1000}}"#,
+                crate::worker::unix_ms() - 1000 * count as u64
+            ) } else { format!(
                 r#"{{"spec":"200","steps":[{{"count":{count},"cpu":1000,"mem_mb":100,"estimate_ms":200}}],"repeats":1,"start_ms":{},"interval_ms":1000}}"#,
                 crate::worker::unix_ms() + 15_000 - 100 * next as u64
-            );
+            ) };
             let answer = cell.call(next % PROCESSES, "POST", &id, KEYS[0], &body);
             if answer.is_some_and(|(status, _)| status == 200) {
                 ids.push(id);
