Review case 12: a few wide submissions end every process in turn (Fault)

Cause: a state of some 300 bytes for every task of a step, twice once the step is due, and no bound on memory at admission. Case: review/12/run.sh, eight submissions of 65,000 tasks, due together; the stand-in platform kills a process over 260 MiB.

The cancelled submission is case 13 now.

--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Two executors crash, one after the other, under a submission's only task.
+# A machine stands still with a submission unread, its client cancels elsewhere, and the owner is killed.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run. TROUBLE=0: the same without
 # the disruption.
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
@@ -11,7 +11,7 @@
         exit 2
     fi
 done
-"$driver" crashes "$here/record.txt"
+"$driver" withdrawn "$here/record.txt"
 code=$?
 [ "$code" -le 2 ] || code=2
 exit "$code"
--- a/review/standins-3/src/cases.rs
+++ b/review/standins-3/src/cases.rs
@@ -1,9 +1,9 @@
 //! The cases. Each returns what was seen of a broken rule, or `None`.
 
 mod bounced;
-mod crashes;
 mod relabelled;
 mod twin_ids;
+mod wide_steps;
 mod withdrawn;
 
 use std::sync::Arc;
@@ -18,8 +18,8 @@
 pub fn run(case: &str, record: &Arc<Record>, trouble: bool) -> Outcome<Option<String>> {
     match case {
         "bounced" => bounced::run(record, trouble),
+        "wide-steps" => wide_steps::run(record, trouble),
         "withdrawn" => withdrawn::run(record, trouble),
-        "crashes" => crashes::run(record, trouble),
         "twin-ids" => twin_ids::run(record, trouble),
         "relabelled" => relabelled::run(record, trouble),
         _ => Err(format!("no case {case:?}")),
