Review case 12: a former owner's late order runs a task twice (TWICE)

Cause: what may still be executed of a start without an answer is in the owner's memory only, so the next owner starts the task elsewhere and the next life of the executor carries the order out.

--- a/review/standins-3/src/cases.rs
+++ b/review/standins-3/src/cases.rs
@@ -1,8 +1,8 @@
 //! The cases. Each returns what was seen of a broken rule, or `None`.
 
 mod bounced;
+mod former_order;
 mod relabelled;
-mod twin_ids;
 mod wide_steps;
 mod withdrawn;
 
@@ -18,9 +18,9 @@
 pub fn run(case: &str, record: &Arc<Record>, trouble: bool) -> Outcome<Option<String>> {
     match case {
         "bounced" => bounced::run(record, trouble),
-        "wide-steps" => wide_steps::run(record, trouble),
+        "former-order" => former_order::run(record, trouble),
         "withdrawn" => withdrawn::run(record, trouble),
-        "twin-ids" => twin_ids::run(record, trouble),
+        "wide-steps" => wide_steps::run(record, trouble),
         "relabelled" => relabelled::run(record, trouble),
         _ => Err(format!("no case {case:?}")),
     }
--- a/review/standins-3/src/http.rs
+++ b/review/standins-3/src/http.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 
 /// A request as the server read it.
+#[derive(Clone)]
 pub struct Request {
     pub method: String,
     pub path: String,
--- a/review/standins-3/src/worker.rs
+++ b/review/standins-3/src/worker.rs
@@ -45,7 +45,6 @@
     pub labels: Vec<String>,
     pub task: String,
     pub run: u64,
-    pub spec: String,
     /// `start`, or how the run has ended.
     pub what: &'static str,
 }
@@ -83,6 +82,9 @@
     life: Mutex<Option<Life>>,
     ended: Condvar,
     server: Mutex<Option<Server>>,
+    /// The task whose next order to start gets no answer and is carried out late.
+    held_task: Mutex<Option<String>>,
+    held_order: Mutex<Option<Request>>,
 }
 
 pub fn unix_ms() -> u64 {
@@ -115,6 +117,8 @@
             life: Mutex::new(None),
             ended: Condvar::new(),
             server: Mutex::new(None),
+            held_task: Mutex::new(None),
+            held_order: Mutex::new(None),
         });
         worker.begin_life(id, labels)?;
         let beating = Arc::clone(&worker);
@@ -175,7 +179,7 @@
         if let Some(life) = life {
             self.record.line(&format!("executor {} crashes", life.id));
             for run in &life.running {
-                self.note(&life, &run.task, run.run, "", "crashed");
+                self.note(&life, &run.task, run.run, "crashed");
             }
         }
         self.ended.notify_all();
@@ -186,6 +190,27 @@
         self.life.lock().unwrap().as_ref().map(|life| life.id.clone())
     }
 
+    /// Leaves the next order to start a task without an answer, and keeps it.
+    pub fn hold_order(&self, task: &str) {
+        *self.held_task.lock().unwrap() = Some(task.to_owned());
+    }
+
+    /// Returns whether an order is kept.
+    pub fn holds_order(&self) -> bool {
+        self.held_order.lock().unwrap().is_some()
+    }
+
+    /// Carries out the order that was kept, if any.
+    pub fn carry_out_held(&self) {
+        let held = self.held_order.lock().unwrap().take();
+        if let Some(request) = held {
+            self.record.line("the late order is carried out now");
+            let response = self.answer(&request);
+            let text = response.map(|(status, body)| format!("{status} {}", String::from_utf8_lossy(&body)));
+            self.record.line(&format!("its answer, which nobody hears: {text:?}"));
+        }
+    }
+
     fn beat(&self) {
         let life = self.life.lock().unwrap();
         let Some(life) = life.as_ref() else { return };
@@ -200,7 +225,7 @@
         self.store.put(&format!("servers/{}", life.id), &entry);
     }
 
-    fn note(&self, life: &Life, task: &str, run: u64, spec: &str, what: &'static str) {
+    fn note(&self, life: &Life, task: &str, run: u64, what: &'static str) {
         self.record.line(&format!("executor {}: {what} {task} run {run}", life.id));
         self.events.lock().unwrap().push(RunEvent {
             at_ms: self.record.now_ms(),
@@ -208,7 +233,6 @@
             labels: life.labels.clone(),
             task: task.to_owned(),
             run,
-            spec: spec.to_owned(),
             what,
         });
     }
@@ -219,7 +243,7 @@
         let closed = life.closed.entry(run.task.clone()).or_default();
         *closed = run.run.max(*closed);
         life.ended.push((life.last_end, run.task.clone(), run.run, how));
-        self.note(life, &run.task, run.run, "", how);
+        self.note(life, &run.task, run.run, how);
         self.ended.notify_all();
     }
 
@@ -237,6 +261,22 @@
     }
 
     fn handle(&self, request: &Request) -> Option<Response> {
+        if request.path == "/-/run-start" {
+            let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
+            let mut held_task = self.held_task.lock().unwrap();
+            if held_task.is_some() && held_task.as_deref() == body["task"].as_str() {
+                self.record.line(&format!("an order to start {} gets no answer", body["task"]));
+                *held_task = None;
+                *self.held_order.lock().unwrap() = Some(request.clone());
+                drop(held_task);
+                thread::sleep(Duration::from_secs(15));
+                return None;
+            }
+        }
+        self.answer(request)
+    }
+
+    fn answer(&self, request: &Request) -> Option<Response> {
         let body: Value = serde_json::from_slice(&request.body).unwrap_or_default();
         let expected = request.headers.get("geraniumwinch-expect-instance");
         let number = |name: &str| body[name].as_u64().unwrap_or(0);
@@ -286,7 +326,7 @@
                 }
                 let work = Duration::from_millis(work);
                 let task = task.to_owned();
-                self.note(life, &task, run, spec, "start");
+                self.note(life, &task, run, "start");
                 life.running.push(Run { task, run, began: Instant::now(), work });
                 answer(life, None)
             }
