--- a/crates/geraniumwinch-cell/src/command_sender/start_commands.rs
+++ b/crates/geraniumwinch-cell/src/command_sender/start_commands.rs
@@ -11,6 +11,7 @@
 use geraniumwinch_core::log_event;
 use geraniumwinch_fleet::BootTime;
 use geraniumwinch_fleet::RunStart;
+use geraniumwinch_fleet::StartEffect;
 use geraniumwinch_fleet::StartOutcome;
 use geraniumwinch_fleet::WorkerKey;
 
@@ -245,11 +246,17 @@
             return Err(CommandError::Call(CallError::NotSent { message }));
         };
         self.scheduler.borrow_mut().extend_lease(worker, now);
+        let (task, run) = (start.task.clone(), start.run);
+        self.scheduler.borrow_mut().start_sent(worker, &task, run);
         let command = StartCommand { start, lease_end_ms };
         let result = self.ports.workers.start(target.clone(), command).await;
         drop(slot);
+        let answered = self.ports.clock.now();
+        let effect = start_effect(&result);
+        let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.start_settled(worker, &task, run, effect, answered);
+        drop(scheduler);
         if result.is_ok() {
-            let answered = self.ports.clock.now();
             let took = answered.saturating_sub(now);
             self.timing.borrow_mut().record_command(took, answered);
         }
@@ -276,6 +283,15 @@
     }
 }
 
+/// Returns what a copy of a start command that was sent has done.
+fn start_effect(result: &CommandResult<()>) -> StartEffect {
+    match result {
+        Ok(()) => StartEffect::Executed,
+        Err(_) if is_unanswered(result) => StartEffect::Unknown,
+        Err(_) => StartEffect::None,
+    }
+}
+
 /// Returns whether a command got no response, so that its worker may execute it later.
 fn is_unanswered(result: &CommandResult<()>) -> bool {
     matches!(result, Err(CommandError::Call(error)) if !error.had_no_effect())
--- a/crates/geraniumwinch-cell/tests/common/memory_store.rs
+++ b/crates/geraniumwinch-cell/tests/common/memory_store.rs
@@ -108,6 +108,11 @@
         self.remove(key, self.next_revision());
     }
 
+    /// Returns the value of an item.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        self.items.borrow().get(key).map(|item| item.value.clone())
+    }
+
     /// Returns whether an item exists.
     pub fn contains(&self, key: &str) -> bool {
         self.items.borrow().contains_key(key)
--- a/crates/geraniumwinch-cell/tests/common/test_node.rs
+++ b/crates/geraniumwinch-cell/tests/common/test_node.rs
@@ -222,6 +222,12 @@
         matches!(status, Ok(Some(JobStatus::Ended(JobPhase::Completed))))
     }
 
+    /// Returns whether a job has ended in any way.
+    pub async fn is_ended(&self, id: &str) -> bool {
+        let status = self.node.forwarder().query(id.into(), CLIENT_TIMEOUT).await;
+        matches!(status, Ok(Some(JobStatus::Ended(_))))
+    }
+
     /// Returns whether a job exists.
     pub async fn exists(&self, id: &str) -> std::result::Result<bool, ErrorKind> {
         let status = self.node.forwarder().query(id.into(), CLIENT_TIMEOUT).await;
--- a/crates/geraniumwinch-cell/tests/common/test_worker.rs
+++ b/crates/geraniumwinch-cell/tests/common/test_worker.rs
@@ -1,5 +1,5 @@
-//! A platform with one worker, which may leave start commands without a response, and whose calls may
-//! panic.
+//! A platform with one or a few workers, which may leave start commands without a response or may be gone,
+//! and whose calls may panic.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -87,6 +87,12 @@
     panicking: Cell<Option<PortCall>>,
     /// Whether the worker accepts tasks according to its entry.
     accepting: Cell<bool>,
+    /// The number of workers in the list. What they have received is counted together.
+    count: Cell<u8>,
+    /// Whether no connection to the workers can be opened.
+    unreachable: Rc<Cell<bool>>,
+    /// The incarnation of the workers.
+    incarnation: Cell<u64>,
 }
 
 impl TestWorker {
@@ -106,9 +112,38 @@
             responds,
             panicking: Cell::default(),
             accepting: Cell::new(true),
+            count: Cell::new(1),
+            unreachable: Rc::default(),
+            incarnation: Cell::new(1),
         })
     }
 
+    /// Lists several workers.
+    pub fn list(&self, count: u8) {
+        self.count.set(count);
+    }
+
+    /// Has all connections to the workers fail from now on, as they have crashed, and leaves open calls without
+    /// a response.
+    pub fn crash(&self) {
+        self.unreachable.set(true);
+    }
+
+    /// Has the workers respond again, as another incarnation.
+    pub fn restart(&self) {
+        self.unreachable.set(false);
+        self.incarnation.set(self.incarnation.get() + 1);
+    }
+
+    /// Returns the error of a call to workers that are gone.
+    fn check_reachable(&self) -> CommandResult<()> {
+        if !self.unreachable.get() {
+            return Ok(());
+        }
+        let message = "the connection was refused".to_owned();
+        Err(CommandError::Call(CallError::NotSent { message }))
+    }
+
     /// Has the next call of a kind panic.
     pub fn panic_at(&self, call: PortCall) {
         self.panicking.set(Some(call));
@@ -198,7 +233,7 @@
     }
 
     /// Returns the report with the ends after `acknowledged`.
-    fn report(&self, acknowledged: u64) -> WorkerReport {
+    fn report(&self, acknowledged: u64, incarnation: u64) -> WorkerReport {
         let running = self.running.iter().map(|(task, run, _)| RunningRun {
             task: task.clone(),
             run: *run,
@@ -207,7 +242,7 @@
         });
         let ended = self.ended.iter().filter(|end| end.number > acknowledged);
         WorkerReport {
-            incarnation: 1,
+            incarnation,
             clock_ms: CLOCK_MS,
             running: running.collect(),
             ended: ended.cloned().collect(),
@@ -224,7 +259,9 @@
     ) -> LocalBoxFuture<'static, CommandResult<()>> {
         self.enter(PortCall::Start);
         let (runs, responds) = (Rc::clone(&self.runs), self.responds);
+        let reachable = self.check_reachable();
         async move {
+            reachable?;
             let done_at = responds.then(|| Instant::now() + RUN_TIME);
             runs.borrow_mut().begin(command.start, done_at);
             if responds {
@@ -256,12 +293,20 @@
         command: PollCommand,
     ) -> LocalBoxFuture<'static, CommandResult<WorkerReport>> {
         self.enter(PortCall::Poll);
-        let runs = Rc::clone(&self.runs);
+        let (runs, incarnation) = (Rc::clone(&self.runs), self.incarnation.get());
+        let (reachable, unreachable) =
+            (self.check_reachable(), Rc::clone(&self.unreachable));
         async move {
+            reachable?;
             let end = Instant::now() + command.wait;
             loop {
+                if unreachable.get() {
+                    tokio::time::sleep(COMMAND_TIMEOUT).await;
+                    let message = "timed out".to_owned();
+                    return Err(CommandError::Call(CallError::NoResponse { message }));
+                }
                 runs.borrow_mut().end_done();
-                let report = runs.borrow().report(command.acknowledged);
+                let report = runs.borrow().report(command.acknowledged, incarnation);
                 if !report.ended.is_empty() || Instant::now() >= end {
                     return Ok(report);
                 }
@@ -284,10 +329,10 @@
 impl WorkerDirectory for TestWorker {
     fn list(&self) -> LocalBoxFuture<'static, Result<WorkerList>> {
         self.enter(PortCall::List);
-        let info = WorkerInfo {
-            id: "worker".into(),
+        let info = |number: u8| WorkerInfo {
+            id: format!("worker-{number}").into(),
             service: "service".into(),
-            address: "10.0.0.1:1".into(),
+            address: format!("10.0.0.{number}:1").into(),
             domain: DOMAIN.into(),
             accepting: self.accepting.get(),
             capacity: ResourceVector {
@@ -299,7 +344,8 @@
             rack: None,
             incarnation: 1,
         };
-        let list = WorkerList { workers: vec![info], ..WorkerList::default() };
+        let workers = (1..=self.count.get()).map(info).collect();
+        let list = WorkerList { workers, ..WorkerList::default() };
         async move { Ok(list) }.boxed_local()
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/command_responses.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/command_responses.rs
@@ -2,6 +2,7 @@
 
 use crate::BootTime;
 use crate::LossCause;
+use crate::StartEffect;
 use crate::StartOutcome;
 use crate::TaskName;
 
@@ -12,6 +13,33 @@
 use super::worker_state::WorkerState;
 
 impl FleetScheduler {
+    /// Records that a copy of a start command is about to be sent. Until then, the worker has certainly not
+    /// begun the run.
+    pub fn start_sent(&mut self, worker: WorkerKey, name: &TaskName, run: u64) {
+        if let Some(copies) = self.copies_mut(worker, name, run) {
+            copies.record_sent();
+        }
+    }
+
+    /// Records the effect of a copy of a start command that was sent. If the worker has certainly not begun
+    /// the run, the run is no longer suspected of having crashed it.
+    pub fn start_settled(
+        &mut self,
+        worker: WorkerKey,
+        name: &TaskName,
+        run: u64,
+        effect: StartEffect,
+        now: BootTime,
+    ) {
+        let Some(copies) = self.copies_mut(worker, name, run) else { return };
+        copies.record_effect(effect);
+        if !copies.may_have_begun()
+            && let Some(task) = self.find_task(name)
+        {
+            self.clear_suspicion(worker, task, run, now);
+        }
+    }
+
     /// Records that a copy of a start command got no response.
     ///
     /// The worker may have executed it, or may still execute it, so no refusal of another copy
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/crashes.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/crashes.rs
@@ -59,12 +59,15 @@
         lost
     }
 
-    /// Returns the run of a placed task as lost; `None` if it had ended before.
+    /// Returns the run of a placed task as lost; `None` if it had ended before, or has certainly not begun.
     pub(super) fn lost_run(&self, task: TaskRef, now: BootTime) -> Option<LostRun> {
         if self.is_end_unread(task) {
             return None;
         }
         let placement = self.placement_of(task)?;
+        if !placement.may_have_begun() {
+            return None;
+        }
         let silent_since = self.workers[placement.worker].silent_since;
         let age = silent_since.unwrap_or(now).saturating_sub(placement.started_at);
         let (run, confirmed) = (placement.run, placement.confirmed);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/lost_contacts.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/lost_contacts.rs
@@ -49,6 +49,32 @@
         }
     }
 
+    /// Forgets that a run may have crashed its worker, since the worker has certainly not begun it. Other runs
+    /// there may be suspected in its place.
+    pub(super) fn clear_suspicion(
+        &mut self,
+        worker: WorkerKey,
+        task: TaskRef,
+        run: u64,
+        now: BootTime,
+    ) {
+        let is_run = |lost: &LostRun| lost.task == task && lost.crash.run == run;
+        let state = &mut self.workers[worker];
+        state.expired_runs.retain(|lost| !is_run(lost));
+        let silent = state.is_silent();
+        let Some(noted) = self.noted_runs.get_mut(&state.info.id) else { return };
+        let before = noted.len();
+        noted.retain(|noted| !is_run(&noted.run));
+        if noted.len() == before {
+            return;
+        }
+        self.task_state_mut(task).remove_contact(run);
+        self.mark_dirty(task.job, now);
+        if silent {
+            self.note_lost_contacts(worker, now);
+        }
+    }
+
     /// Adds the lost contacts of a job that was read from the store.
     pub(super) fn load_lost_contacts(&mut self, job: JobKey) {
         for contact in self.jobs[job].record.lost_contacts.clone() {
@@ -63,7 +89,12 @@
     /// Keeps a run whose worker has become silent.
     fn note_run(&mut self, worker: Name, noted: NotedRun) {
         let NotedRun { run: LostRun { task, crash }, incarnation } = noted;
-        self.noted_runs.entry(worker.clone()).or_default().push(noted);
+        let runs = self.noted_runs.entry(worker.clone()).or_default();
+        runs.retain(|known| {
+            let LostRun { task: other, crash: lost } = known.run;
+            (other, lost.run) != (task, crash.run)
+        });
+        runs.push(noted);
         let TaskRef { unit, index, .. } = task;
         let contact = LostContact { unit, index, worker, incarnation, crash };
         self.task_state_mut(task).add_contact(contact);
@@ -117,6 +148,11 @@
         self.lost_contacts.push(contact);
     }
 
+    /// Removes a run.
+    fn remove_contact(&mut self, run: u64) {
+        self.lost_contacts.retain(|known| known.crash.run != run);
+    }
+
     /// Removes the runs on a worker, and returns whether there were any.
     fn remove_contacts(&mut self, worker: &Name) -> bool {
         let before = self.lost_contacts.len();
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/start_copies.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/start_copies.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::BootTime;
+use crate::StartEffect;
 
 use super::delayed_starts::MAX_COMMAND_DELAY;
 
@@ -17,13 +18,17 @@
     /// How long the ticket in the copies is valid, if they carry one that workers check. It keeps other
     /// incarnations of the worker from executing a copy later.
     ticket_validity: Option<Duration>,
+    /// The number of copies that were sent and whose effect is not known yet.
+    open: u8,
+    /// Whether a copy was executed or has got no response for good.
+    begun: bool,
 }
 
 impl StartCopies {
     /// Returns the state of a command that is about to be sent, with a ticket of the given validity if
     /// it carries one.
     pub(super) fn pending(ticket_validity: Option<Duration>) -> Self {
-        StartCopies { awaiting_outcome: true, unanswered_at: None, ticket_validity }
+        StartCopies { awaiting_outcome: true, ticket_validity, ..StartCopies::default() }
     }
 
     /// Returns whether the copies carry a ticket that workers check.
@@ -37,9 +42,30 @@
         self.ticket_validity = self.ticket_validity.zip(validity).map(|(a, b)| a.max(b));
     }
 
-    /// Records that a copy got no response.
+    /// Records that a copy is about to be sent.
+    pub(super) fn record_sent(&mut self) {
+        self.open = self.open.saturating_add(1);
+    }
+
+    /// Records the effect of a copy that was sent. If none of them has had any, no copy is unanswered.
+    pub(super) fn record_effect(&mut self, effect: StartEffect) {
+        self.open = self.open.saturating_sub(1);
+        self.begun |= effect != StartEffect::None;
+        if self.open == 0 && !self.begun {
+            self.unanswered_at = None;
+        }
+    }
+
+    /// Returns whether the worker may have begun the run: a copy was sent, and neither a failed connection
+    /// nor a refusal proves that nothing has come of it.
+    pub(super) fn may_have_begun(&self) -> bool {
+        self.open > 0 || self.begun || self.is_unanswered()
+    }
+
+    /// Records that a copy has got no response so far.
     pub(super) fn record_unanswered(&mut self, now: BootTime) {
         self.unanswered_at = Some(now);
+        self.begun |= self.open == 0;
     }
 
     /// Records that all copies that were sent so far got a response.
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/task_placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/task_placement.rs
@@ -39,6 +39,11 @@
 }
 
 impl TaskPlacement {
+    /// Returns whether the worker has begun the run or may have.
+    pub(super) fn may_have_begun(&self) -> bool {
+        self.confirmed || self.copies.may_have_begun()
+    }
+
     /// Returns how long the run has worked since its last checkpoint.
     pub(super) fn unsaved(&self, now: BootTime) -> Duration {
         let saved_at = self.work.saved_at.unwrap_or_default();
--- a/crates/geraniumwinch-fleet/src/job_record.rs
+++ b/crates/geraniumwinch-fleet/src/job_record.rs
@@ -88,7 +88,8 @@
     /// do not know them ignore them.
     #[serde(skip)]
     pub crashes: Vec<TaskCrash>,
-    /// The runs whose workers have become silent. They follow the crashes in the store in the same way.
+    /// The runs whose workers have become silent. They follow the crashes in the store in the same way, in a
+    /// section of their own: what earlier versions wrote may have runs that have certainly not begun.
     #[serde(skip)]
     pub lost_contacts: Vec<LostContact>,
 }
@@ -116,11 +117,14 @@
     }
 
     /// Encodes the record for the store: a byte with the format number, then the record in
-    /// postcard, then the crashes and the lost contacts, each if it or what follows is not empty.
+    /// postcard, then, unless both are empty, the crashes, the lost contacts of earlier versions, of which
+    /// there are none, and those of this version if there are any.
     pub fn encode(&self) -> Result<Vec<u8>> {
         let mut bytes = postcard::to_extend(self, vec![FORMAT]).context(EncodeSnafu)?;
         if !self.crashes.is_empty() || !self.lost_contacts.is_empty() {
             bytes = postcard::to_extend(&self.crashes, bytes).context(EncodeSnafu)?;
+            let former: Vec<LostContact> = Vec::new();
+            bytes = postcard::to_extend(&former, bytes).context(EncodeSnafu)?;
         }
         if !self.lost_contacts.is_empty() {
             bytes =
@@ -149,9 +153,24 @@
             (record.crashes, rest) =
                 postcard::take_from_bytes(rest).context(DecodeSnafu)?;
         }
+        // Earlier versions have left their lost contacts out if there were none.
+        let by_earlier_version = rest.first().is_none_or(|&count| count > 0);
         if !rest.is_empty() {
+            (record.lost_contacts, rest) =
+                postcard::take_from_bytes(rest).context(DecodeSnafu)?;
+        }
+        if by_earlier_version {
+            record.keep_confirmed_runs();
+        } else if !rest.is_empty() {
             record.lost_contacts = postcard::from_bytes(rest).context(DecodeSnafu)?;
         }
         Ok(record)
     }
+
+    /// Drops the crashes and lost contacts that an earlier version may have written for runs that have
+    /// certainly not begun: all that no worker had confirmed.
+    fn keep_confirmed_runs(&mut self) {
+        self.crashes.retain(|recorded| recorded.crash.confirmed);
+        self.lost_contacts.retain(|contact| contact.crash.confirmed);
+    }
 }
--- a/crates/geraniumwinch-fleet/src/lib.rs
+++ b/crates/geraniumwinch-fleet/src/lib.rs
@@ -61,6 +61,7 @@
 pub use self::run_command::RequestValue;
 pub use self::run_command::RunStart;
 pub use self::run_command::RunStop;
+pub use self::run_command::StartEffect;
 pub use self::run_command::StartOutcome;
 pub use self::run_command::StartTicket;
 pub use self::run_outcome::RunOutcome;
--- a/crates/geraniumwinch-fleet/src/run_command.rs
+++ b/crates/geraniumwinch-fleet/src/run_command.rs
@@ -56,6 +56,17 @@
     pub run: u64,
 }
 
+/// What a copy of a command to start a task has done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StartEffect {
+    /// Nothing, for certain: no connection was opened, or the worker has refused the command.
+    None,
+    /// The worker has executed the command.
+    Executed,
+    /// The worker has received the command, or may have, and its response is lost.
+    Unknown,
+}
+
 /// The outcome of a command to start a task: the response to its last copy. Copies without a
 /// response are recorded with [`FleetScheduler::start_unanswered`].
 ///
--- a/crates/geraniumwinch-fleet/tests/common/mod.rs
+++ b/crates/geraniumwinch-fleet/tests/common/mod.rs
@@ -17,6 +17,7 @@
 use geraniumwinch_fleet::RunStart;
 use geraniumwinch_fleet::RunningRun;
 use geraniumwinch_fleet::SchedulerEvent;
+use geraniumwinch_fleet::StartEffect;
 use geraniumwinch_fleet::StartOutcome;
 use geraniumwinch_fleet::StepName;
 use geraniumwinch_fleet::StepPlan;
@@ -219,6 +220,17 @@
         starts
     }
 
+    /// Tells the scheduler that a copy of a start is sent.
+    pub fn send(&mut self, start: &RunStart) {
+        self.scheduler.start_sent(start.worker, &start.task, start.run);
+    }
+
+    /// Tells the scheduler the effect of a copy of a start that was sent.
+    pub fn settle(&mut self, start: &RunStart, effect: StartEffect) {
+        let now = self.now;
+        self.scheduler.start_settled(start.worker, &start.task, start.run, effect, now);
+    }
+
     /// Passes the outcome of a start to the scheduler.
     pub fn outcome(&mut self, start: &RunStart, outcome: StartOutcome) {
         let now = self.now;
