Don't blame a job in the domains' scheduler for starts that were refused

A start that a worker refused, or that could not be sent, was handled as a failed attempt, and three such workers failed a job that had never begun.

Change: such a start puts its task back and has the job avoid the worker, and the first one of a job still counts towards the worker's quarantine; the job is blamed only for attempts that have begun and failed. An attempt that a new owner only supposes to be running counts as unconfirmed when its worker crashes, so that it is no evidence by itself.

--- a/crates/geraniumwinch-core/src/job_scheduler/attempt_ends.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/attempt_ends.rs
@@ -106,6 +106,26 @@
         self.start_reserved(worker, now);
     }
 
+    /// Ends an attempt that its worker has certainly not begun, and retries its task after a backoff.
+    pub(super) fn refuse_attempt(
+        &mut self,
+        task: TaskRef,
+        worker: WorkerKey,
+        ledger: &mut TeamLedger,
+        now: Instant,
+    ) {
+        let placement = self.unplace(task, ledger);
+        let early = is_early(placement, now);
+        let job = &mut self.jobs[task.0];
+        let first_here =
+            job.refused_by.insert(worker) && !job.failed_on.contains(&worker);
+        if early && first_here {
+            quarantine::observe_start(&mut self.workers, worker, true, now);
+        }
+        self.delay(task, now);
+        self.start_reserved(worker, now);
+    }
+
     /// Retries a failed task after a backoff, or ends the task if its job has failed on too many workers.
     fn retry_failed(
         &mut self,
@@ -115,9 +135,7 @@
         now: Instant,
     ) {
         let (key, _) = task;
-        let since = placement.map(|placement| placement.since);
-        let early = since.is_none_or(|since| now - since < quarantine::EARLY_FAILURE);
-        self.record_failure(task, worker, early, now);
+        self.record_failure(task, worker, is_early(placement, now), now);
         let job_blamed = self.jobs[key].failed_on.len() >= MAX_FAILED_WORKERS;
         if job_blamed {
             self.end_task(task, TaskOutcome::Failed);
@@ -147,9 +165,17 @@
         early: bool,
         now: Instant,
     ) {
-        let first_here = self.jobs[task.0].failed_on.insert(worker);
+        let job = &mut self.jobs[task.0];
+        let first_here =
+            job.failed_on.insert(worker) && !job.refused_by.contains(&worker);
         if early && first_here {
             quarantine::observe_start(&mut self.workers, worker, true, now);
         }
     }
 }
+
+/// Returns whether an attempt that ends now has ended early; one whose placement is unknown counts as such.
+fn is_early(placement: Option<TaskPlacement>, now: Instant) -> bool {
+    let since = placement.map(|placement| placement.since);
+    since.is_none_or(|since| now - since < quarantine::EARLY_FAILURE)
+}
--- a/crates/geraniumwinch-core/src/job_scheduler/command_outcomes.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/command_outcomes.rs
@@ -32,18 +32,13 @@
         }
     }
 
-    /// Handles a start that the worker refused, or whose command was never sent.
+    /// Handles a start that the worker refused, or whose command was never sent. The attempt has not begun, so it
+    /// says something about the worker, but nothing about the job.
     pub fn start_refused(&mut self, id: &TaskId, ledger: &mut TeamLedger, now: Instant) {
         self.answer_start(id);
         let Some((task, placement)) = self.find_placed(id) else { return };
         if placement.phase == TaskPhase::Starting {
-            self.finish_attempt(
-                task,
-                placement.worker,
-                ReportedState::Failed,
-                ledger,
-                now,
-            );
+            self.refuse_attempt(task, placement.worker, ledger, now);
         }
     }
 
--- a/crates/geraniumwinch-core/src/job_scheduler/crashes.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/crashes.rs
@@ -31,7 +31,8 @@
         answered: Option<Instant>,
     ) -> Self {
         let age = answered.map(|at| at.saturating_duration_since(placement.since));
-        let crash = RunCrash::new(placement.attempt, age.unwrap_or_default(), true);
+        let confirmed = placement.start_expires.is_none();
+        let crash = RunCrash::new(placement.attempt, age.unwrap_or_default(), confirmed);
         LostAttempt { task, crash }
     }
 }
--- a/crates/geraniumwinch-core/src/job_scheduler/job_state.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/job_state.rs
@@ -100,11 +100,18 @@
     pub(super) cancelled: bool,
     /// The workers on which tasks of the job have failed.
     pub(super) failed_on: BTreeSet<WorkerKey>,
+    /// The workers that have refused starts of the job, or that no start could be sent to.
+    pub(super) refused_by: BTreeSet<WorkerKey>,
     /// The crashes of workers under tasks, by index.
     pub(super) crashes: BTreeMap<u32, CrashHistory>,
 }
 
 impl JobState {
+    /// Returns whether a worker is avoided, since tasks of the job have failed there or starts were refused.
+    pub(super) fn avoids(&self, worker: WorkerKey) -> bool {
+        self.failed_on.contains(&worker) || self.refused_by.contains(&worker)
+    }
+
     /// Creates a job whose tasks are all pending.
     pub(super) fn new(
         id: JobId,
@@ -127,6 +134,7 @@
             queued: false,
             cancelled: false,
             failed_on: BTreeSet::new(),
+            refused_by: BTreeSet::new(),
             crashes: BTreeMap::new(),
         }
     }
--- a/crates/geraniumwinch-core/src/job_scheduler/placement.rs
+++ b/crates/geraniumwinch-core/src/job_scheduler/placement.rs
@@ -207,7 +207,7 @@
     /// Selects a worker for the next task of a job.
     ///
     /// The tasks of a service are spread over racks; other jobs avoid workers on which their tasks
-    /// have failed.
+    /// have failed or that have refused them.
     fn choose_worker(
         &self,
         key: JobKey,
@@ -219,7 +219,7 @@
             return self.spread_fit(key, reserved, now);
         }
         let best = self.workers.best_fit(&job.spec.size, reserved, now)?;
-        if !job.failed_on.contains(&best) {
+        if !job.avoids(best) {
             return Some(best);
         }
         let fitting = |worker: WorkerKey| {
@@ -227,9 +227,7 @@
             let free = state.spec.capacity.minus(&state.booked);
             (state.takes_work(now) && job.spec.size.fits(&free)).then_some(worker)
         };
-        let usable = |other: &WorkerKey| {
-            !job.failed_on.contains(other) && !reserved.contains(other)
-        };
+        let usable = |other: &WorkerKey| !job.avoids(*other) && !reserved.contains(other);
         let mut others = self.workers.iter().filter(|(other, _)| usable(other));
         others.find_map(|(other, _)| fitting(other)).or(Some(best))
     }
