--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -33,6 +33,7 @@
 use crate::member_table::MemberTable;
 use crate::owner_authority::OwnerAuthority;
 use crate::owner_election::OWNER_TTL;
+use crate::owner_record::job_key;
 use crate::pass_pacing::PassPacing;
 use crate::peer_message::MemberInfo;
 use crate::peer_message::PeerReply;
@@ -48,6 +49,7 @@
 
 use self::loading::load_fences;
 use self::loading::load_jobs;
+use self::loading::load_withdrawn_jobs;
 use self::loading::load_workers;
 use self::loading::refresh_catalog;
 use self::scheduler_log::log_scheduler_event;
@@ -129,14 +131,16 @@
             Rc::clone(&pass_due),
             settings.evacuation_bound,
         ));
-        let (jobs, fences, workers, evacuated, ()) = tokio::join!(
+        let (jobs, withdrawn_jobs, fences, workers, evacuated, ()) = tokio::join!(
             load_jobs(&ports, &authority, &scheduler, uncertain_until),
+            load_withdrawn_jobs(&ports, &authority),
             load_fences(&ports, &authority),
             load_workers(&ports, &authority, &scheduler, uncertain_until),
             evacuations.load(),
             refresh_catalog(&ports, &authority, &catalog),
         );
-        let (jobs, fences, workers, ()) = (jobs?, fences?, workers?, evacuated?);
+        let (jobs, withdrawn_jobs) = (jobs?, withdrawn_jobs?);
+        let (fences, workers, ()) = (fences?, workers?, evacuated?);
         let commit_done = Rc::new(Notify::new());
         let journal = Rc::new(RecordJournal::new(
             ports.clone(),
@@ -185,7 +189,7 @@
             lag: Cell::default(),
             shares: RefCell::default(),
             accept_delay: RefCell::default(),
-            withdrawn_jobs: RefCell::default(),
+            withdrawn_jobs: RefCell::new(withdrawn_jobs),
             requests: Cell::default(),
         });
         // Reports are judged by the rules in force.
@@ -247,14 +251,16 @@
         }
     }
 
-    /// Removes the records of jobs that can no longer be queried.
+    /// Removes the records of jobs that can no longer be queried, and of cancellations that no longer count.
     fn expire_records(&self) {
         let now = self.ports.clock.now();
         let retention = self.settings.job_retention.saturating_add(EXPIRE_INTERVAL);
         let expired =
             self.scheduler.borrow_mut().expire_jobs(now, retention, EXPIRE_LIMIT);
-        if !expired.is_empty() {
-            self.journal.remove(expired);
+        let mut keys: Vec<String> = expired.iter().map(job_key).collect();
+        keys.extend(self.withdrawn_jobs.borrow_mut().take_expired(now));
+        if !keys.is_empty() {
+            self.journal.remove(keys);
         }
     }
 
@@ -377,7 +383,7 @@
             PeerRequest::Heartbeat(member) => self.register_member(member, now),
             PeerRequest::Submit(message) => self.submit(message).await,
             PeerRequest::Query(job) => self.query(&job, now).await,
-            PeerRequest::Cancel(job) => self.cancel(&job, now).await,
+            PeerRequest::Cancel(message) => self.cancel(message, now).await,
             PeerRequest::Waiting(queue) => {
                 PeerReply::Waiting(self.scheduler.borrow().waiting_jobs(&queue) as u64)
             }
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
@@ -49,13 +49,7 @@
                 self.pass_due.notify_one();
                 PeerReply::Accepted
             }
-            // The job is certain not to be stored by this owner, and the next one may take it.
-            Err(ErrorKind::StoreUnavailable | ErrorKind::DomainUnowned)
-                if self.authority.is_lost() =>
-            {
-                PeerReply::NotOwner
-            }
-            Err(kind) => PeerReply::Refused(kind),
+            Err(kind) => self.uncommitted_reply(kind),
         }
     }
 
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/job_lookup.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/job_lookup.rs
@@ -7,6 +7,7 @@
 use geraniumwinch_fleet::BootTime;
 use geraniumwinch_fleet::JobPhase;
 
+use crate::peer_message::CancelMessage;
 use crate::peer_message::PeerReply;
 
 use super::CellDispatcher;
@@ -27,7 +28,12 @@
     }
 
     /// Cancels a job and replies when the cancellation is stored.
-    pub(super) async fn cancel(&self, job: &Name, now: BootTime) -> PeerReply {
+    pub(super) async fn cancel(
+        &self,
+        message: CancelMessage,
+        now: BootTime,
+    ) -> PeerReply {
+        let job = &message.id;
         self.await_submission(job).await;
         let cancel = || self.scheduler.borrow_mut().cancel(job, now);
         if !cancel() {
@@ -37,10 +43,7 @@
             // The job may have arrived while the ownership was being confirmed.
             self.await_submission(job).await;
             if !cancel() {
-                // An attempt to submit it may still be on its way.
-                let now = self.ports.clock.now();
-                self.withdrawn_jobs.borrow_mut().add(job, now);
-                return PeerReply::State(None);
+                return self.withdraw(message).await;
             }
         }
         self.pass_due.notify_one();
@@ -48,6 +51,33 @@
         self.await_end(job).await
     }
 
+    /// Cancels a job that is not known: an attempt to submit it may still be on its way, and may reach the
+    /// next owner.
+    async fn withdraw(&self, message: CancelMessage) -> PeerReply {
+        let CancelMessage { id, account } = message;
+        let now = self.ports.clock.now();
+        let key = self.withdrawn_jobs.borrow_mut().add(&id, &account, now);
+        let Some(key) = key else {
+            return PeerReply::Refused(ErrorKind::TeamLimit);
+        };
+        match self.journal.withdraw(key, account).await {
+            Ok(()) => PeerReply::State(None),
+            Err(kind) => self.uncommitted_reply(kind),
+        }
+    }
+
+    /// Returns the reply to a request whose change was not committed for certain, or may have been. One that
+    /// was not committed by an owner that has been replaced may be served by the next one.
+    pub(super) fn uncommitted_reply(&self, kind: ErrorKind) -> PeerReply {
+        let uncommitted =
+            matches!(kind, ErrorKind::StoreUnavailable | ErrorKind::DomainUnowned);
+        if uncommitted && self.authority.is_lost() {
+            PeerReply::NotOwner
+        } else {
+            PeerReply::Refused(kind)
+        }
+    }
+
     /// Waits until a submitted job is stored or refused.
     async fn await_submission(&self, job: &Name) {
         loop {
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/loading.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/loading.rs
@@ -11,10 +11,13 @@
 use geraniumwinch_fleet::WorkerKey;
 
 use crate::CellPorts;
+use crate::StoreItem;
+use crate::WithdrawnJobs;
 use crate::catalog_watch::CatalogWatch;
 use crate::owner_authority::OwnerAuthority;
 use crate::owner_record::FENCE_PREFIX;
 use crate::owner_record::JOB_PREFIX;
+use crate::owner_record::WITHDRAWN_PREFIX;
 use crate::owner_record::WORKERS_KEY;
 use crate::owner_record::decode_workers;
 use crate::owner_record::fence_key;
@@ -44,6 +47,38 @@
     };
 }
 
+/// Reads all items whose keys start with a prefix, page by page; `None` if the ownership ends before.
+async fn load_pages(
+    ports: &CellPorts,
+    authority: &OwnerAuthority,
+    prefix: &str,
+    mut read: impl FnMut(&StoreItem),
+) -> Option<()> {
+    let mut after = String::new();
+    loop {
+        let page = read_until_lost!(ports, authority, ports.store.list(prefix, &after));
+        page.items.iter().for_each(&mut read);
+        match page.items.last() {
+            Some(last) if page.has_more => after = last.key.clone(),
+            _ => return Some(()),
+        }
+    }
+}
+
+/// Loads the cancellations that former owners have answered although the jobs were not known.
+pub(super) async fn load_withdrawn_jobs(
+    ports: &CellPorts,
+    authority: &OwnerAuthority,
+) -> Option<WithdrawnJobs> {
+    let mut withdrawn = WithdrawnJobs::new(authority.epoch);
+    let read = |item: &StoreItem| {
+        let account = String::from_utf8_lossy(&item.value);
+        withdrawn.load(&item.key, account.as_ref().into(), ports.clock.now());
+    };
+    load_pages(ports, authority, WITHDRAWN_PREFIX, read).await?;
+    Some(withdrawn)
+}
+
 /// Loads all jobs into the scheduler and returns their number.
 pub(super) async fn load_jobs(
     ports: &CellPorts,
@@ -51,27 +86,17 @@
     scheduler: &RefCell<FleetScheduler>,
     uncertain_until: BootTime,
 ) -> Option<usize> {
-    let mut after = String::new();
     let mut records = Vec::new();
-    loop {
-        let page =
-            read_until_lost!(ports, authority, ports.store.list(JOB_PREFIX, &after));
-        for item in &page.items {
-            match JobRecord::decode(&item.value) {
-                Ok(record) => {
-                    let id: Name = item.key[JOB_PREFIX.len()..].into();
-                    records.push((id, record));
-                }
-                Err(error) => {
-                    log_event!(Error, "record-unreadable", key = item.key, error = error);
-                }
-            }
+    let read = |item: &StoreItem| match JobRecord::decode(&item.value) {
+        Ok(record) => {
+            let id: Name = item.key[JOB_PREFIX.len()..].into();
+            records.push((id, record));
         }
-        match page.items.last() {
-            Some(last) if page.has_more => after = last.key.clone(),
-            _ => break,
+        Err(error) => {
+            log_event!(Error, "record-unreadable", key = item.key, error = error);
         }
-    }
+    };
+    load_pages(ports, authority, JOB_PREFIX, read).await?;
     records.sort_by_key(|(_, record)| record.accepted);
     let count = records.len();
     let mut scheduler = scheduler.borrow_mut();
--- a/crates/geraniumwinch-cell/src/cell_node.rs
+++ b/crates/geraniumwinch-cell/src/cell_node.rs
@@ -30,6 +30,7 @@
 use crate::ListenerLimits;
 use crate::ProcessShutdown;
 use crate::RequestForwarder;
+use crate::SuspensionWatch;
 use crate::WorkKind;
 use crate::catalog_watch::CatalogWatch;
 use crate::cell_error::SignalsSnafu;
@@ -72,6 +73,7 @@
     max_body: Rc<Cell<usize>>,
     timeouts: Rc<Cell<ConnectionTimeouts>>,
     shutdown: Rc<ProcessShutdown>,
+    suspension: Rc<SuspensionWatch>,
 }
 
 impl CellNode {
@@ -89,12 +91,14 @@
             peers.clone(),
         );
         let shutdown = ProcessShutdown::new(Rc::clone(&ports.clock));
+        let suspension = SuspensionWatch::new(Rc::clone(&ports.clock));
         let forwarder = RequestForwarder::new(
             ports.clone(),
             Rc::clone(&settings),
             Rc::clone(&election),
             peers,
             Rc::clone(&shutdown),
+            Rc::clone(&suspension),
         );
         Rc::new(CellNode {
             settings,
@@ -106,6 +110,7 @@
             max_body: Rc::new(Cell::new(DEFAULT_MAX_BODY)),
             timeouts: Rc::default(),
             shutdown,
+            suspension,
         })
     }
 
@@ -195,6 +200,8 @@
         spawn_loop("owner-watch", move || Rc::clone(&watch).run().boxed_local());
         let election = Rc::clone(&self.election);
         spawn_loop("election", move || Rc::clone(&election).run().boxed_local());
+        let suspension = Rc::clone(&self.suspension);
+        spawn_loop("suspension", move || Rc::clone(&suspension).run().boxed_local());
         let node = Rc::clone(self);
         spawn_loop("upkeep", move || Rc::clone(&node).refresh_limits().boxed_local());
     }
--- a/crates/geraniumwinch-cell/src/owner_record.rs
+++ b/crates/geraniumwinch-cell/src/owner_record.rs
@@ -22,6 +22,8 @@
 pub(crate) const WORKERS_KEY: &str = "cell/workers";
 /// The prefix of job keys.
 pub(crate) const JOB_PREFIX: &str = "job/";
+/// The prefix of the keys of cancellations of jobs that were not known. The value is the client account.
+pub(crate) const WITHDRAWN_PREFIX: &str = "withdrawn/";
 
 /// The owner of the cell.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -93,6 +95,11 @@
     format!("{FENCE_PREFIX}{lane}")
 }
 
+/// Returns the key of a job.
+pub(crate) fn job_key(job: &Name) -> String {
+    format!("{JOB_PREFIX}{job}")
+}
+
 /// Encodes the workers on which tasks may run.
 pub(crate) fn encode_workers(workers: &[WorkerRecord]) -> Vec<u8> {
     postcard::to_stdvec(workers).expect("encoding records into memory cannot fail")
--- a/crates/geraniumwinch-cell/src/peer_message.rs
+++ b/crates/geraniumwinch-cell/src/peer_message.rs
@@ -28,6 +28,15 @@
     pub(crate) request: JobRequest,
 }
 
+/// A cancellation by a client.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct CancelMessage {
+    /// The identifier of the job.
+    pub(crate) id: Name,
+    /// The client account.
+    pub(crate) account: Name,
+}
+
 /// The information that a process reports to the owner.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct MemberInfo {
@@ -80,7 +89,7 @@
     /// Queries the state of a job; handled only by the owner.
     Query(Name),
     /// Cancels a job; handled only by the owner.
-    Cancel(Name),
+    Cancel(CancelMessage),
     /// Requests the number of a queue's waiting jobs; handled only by the owner.
     Waiting(Name),
     /// Requests a call to the permission service.
--- a/crates/geraniumwinch-cell/src/record_journal.rs
+++ b/crates/geraniumwinch-cell/src/record_journal.rs
@@ -31,6 +31,7 @@
 use self::journal_batch::BatchOutcome;
 use self::journal_batch::JournalBatch;
 use self::journal_batch::NewJob;
+use self::journal_batch::NewWithdrawal;
 
 /// The maximum number of entries of a transaction.
 const MAX_ENTRIES: usize = 32;
@@ -47,10 +48,12 @@
 /// The maximum number of concurrent transactions while attempts fail. More transactions would only
 /// leave more jobs without a response.
 const FAILING_LANE_COUNT: usize = 2;
+/// The maximum number of cancellations of unknown jobs in a transaction, so that there is room for jobs.
+const MAX_WITHDRAWALS: usize = 8;
 /// The size of the job records in a transaction, in bytes, beyond which no further job is added.
 const MAX_BATCH_BYTES: usize = 512 * 1024;
 
-/// Receives the result of storing a job.
+/// Receives the result of storing what a client has sent.
 type Waiter = oneshot::Sender<Result<(), ErrorKind>>;
 
 /// The journal of jobs and their progress in the store.
@@ -67,7 +70,9 @@
     lanes: Vec<CommitLane>,
     queue: RefCell<VecDeque<NewJob>>,
     waiters: RefCell<HashMap<Name, Vec<Waiter>>>,
-    removals: RefCell<Vec<Name>>,
+    /// The cancellations of unknown jobs that are not part of a transaction yet.
+    withdrawals: RefCell<VecDeque<NewWithdrawal>>,
+    removals: RefCell<Vec<String>>,
     /// Whether a transaction with the workers' record is in flight.
     workers_in_flight: Cell<bool>,
     /// Since when transactions have been attempted without success.
@@ -102,6 +107,7 @@
             lanes: lanes.map(|(number, fence)| CommitLane::new(number, fence)).collect(),
             queue: RefCell::default(),
             waiters: RefCell::default(),
+            withdrawals: RefCell::default(),
             removals: RefCell::default(),
             workers_in_flight: Cell::new(false),
             failing_since: Cell::new(None),
@@ -126,9 +132,7 @@
                 waiting.push(sender);
                 receiver
             } else {
-                if self.is_stalled() && !self.is_probe_due() {
-                    return Err(ErrorKind::StoreUnavailable);
-                }
+                self.check_store()?;
                 let Ok(bytes) = record.encode() else {
                     return Err(ErrorKind::JobMalformed);
                 };
@@ -142,14 +146,37 @@
         receiver.await.unwrap_or(Err(ErrorKind::StoreUnknown))
     }
 
+    /// Stores the cancellation of a job that is not known. Returns once it is stored, was refused or the
+    /// outcome is unknown.
+    pub(crate) async fn withdraw(
+        &self,
+        key: String,
+        account: Name,
+    ) -> Result<(), ErrorKind> {
+        self.check_store()?;
+        let (waiter, receiver) = oneshot::channel();
+        let withdrawal = NewWithdrawal { key, account, waiter };
+        self.withdrawals.borrow_mut().push_back(withdrawal);
+        self.wake.notify_one();
+        receiver.await.unwrap_or(Err(ErrorKind::StoreUnknown))
+    }
+
+    /// Refuses new contents while the store is stalled, unless they are tried to see whether it responds.
+    fn check_store(&self) -> Result<(), ErrorKind> {
+        if self.is_stalled() && !self.is_probe_due() {
+            return Err(ErrorKind::StoreUnavailable);
+        }
+        Ok(())
+    }
+
     /// Returns whether a job is waiting to be stored.
     pub(crate) fn is_pending(&self, id: &Name) -> bool {
         self.waiters.borrow().contains_key(id)
     }
 
-    /// Removes the records of jobs that can no longer be queried.
-    pub(crate) fn remove(&self, jobs: Vec<Name>) {
-        self.removals.borrow_mut().extend(jobs);
+    /// Removes items that are no longer needed.
+    pub(crate) fn remove(&self, keys: Vec<String>) {
+        self.removals.borrow_mut().extend(keys);
         self.wake.notify_one();
     }
 
@@ -238,6 +265,10 @@
         let mut batch = JournalBatch::default();
         let mut entries = MAX_ENTRIES - RESERVED_ENTRIES;
         let mut bytes = 0;
+        let mut withdrawals = self.withdrawals.borrow_mut();
+        let count = withdrawals.len().min(MAX_WITHDRAWALS);
+        batch.withdrawals.extend(withdrawals.drain(..count));
+        entries -= count;
         let mut queue = self.queue.borrow_mut();
         while entries > 0 && bytes < MAX_BATCH_BYTES {
             let Some(job) = queue.pop_front() else { break };
@@ -262,23 +293,21 @@
             Err(error) => log_event!(Error, "record-unwritable", error = error),
         }
         // Removals are not urgent, and use only the room that is left.
-        batch.is_full = entries == 0 || bytes >= MAX_BATCH_BYTES;
+        batch.is_full =
+            entries == 0 || bytes >= MAX_BATCH_BYTES || !withdrawals.is_empty();
         let mut removals = self.removals.borrow_mut();
         let kept = removals.len().saturating_sub(entries);
         batch.removals = removals.split_off(kept);
         batch
     }
 
-    /// Refuses the jobs that are not part of a transaction yet.
+    /// Refuses what clients wait for and is not part of a transaction yet.
     fn refuse_queued(&self) {
-        let queued: Vec<NewJob> = self.queue.borrow_mut().drain(..).collect();
-        for job in queued {
-            self.complete_waiters(&job.id, Err(ErrorKind::StoreUnavailable));
-        }
+        self.fail_queued(ErrorKind::StoreUnavailable);
         self.commit_done.notify_waiters();
     }
 
-    /// Reports the outcome of a transaction to the scheduler and to the waiting submissions.
+    /// Reports the outcome of a transaction to the scheduler and to the waiting clients.
     fn finish_batch(&self, batch: JournalBatch, outcome: BatchOutcome) {
         let result = outcome.result();
         let mut scheduler = self.scheduler.borrow_mut();
@@ -288,6 +317,9 @@
             }
             self.complete_waiters(&job.id, result);
         }
+        for withdrawal in batch.withdrawals {
+            withdrawal.complete(result);
+        }
         for (write, phase) in batch.records {
             if outcome == BatchOutcome::Committed {
                 scheduler.write_completed(&write.job, write.version, phase);
@@ -311,6 +343,17 @@
         self.commit_done.notify_waiters();
     }
 
+    /// Fails what clients wait for and is not part of a transaction yet.
+    fn fail_queued(&self, kind: ErrorKind) {
+        let queued: Vec<NewJob> = self.queue.borrow_mut().drain(..).collect();
+        for job in queued {
+            self.complete_waiters(&job.id, Err(kind));
+        }
+        for withdrawal in self.withdrawals.borrow_mut().drain(..) {
+            withdrawal.complete(Err(kind));
+        }
+    }
+
     /// Sends the result to the submissions that wait for a job.
     fn complete_waiters(&self, id: &Name, result: Result<(), ErrorKind>) {
         for waiter in self.waiters.borrow_mut().remove(id).unwrap_or_default() {
@@ -321,10 +364,7 @@
 
     /// Fails the remaining submissions after the ownership has ended.
     pub(crate) fn fail_waiters(&self) {
-        let queued: Vec<NewJob> = self.queue.borrow_mut().drain(..).collect();
-        for job in queued {
-            self.complete_waiters(&job.id, Err(ErrorKind::DomainUnowned));
-        }
+        self.fail_queued(ErrorKind::DomainUnowned);
         let left: Vec<Name> = self.waiters.borrow().keys().cloned().collect();
         for id in left {
             self.complete_waiters(&id, Err(ErrorKind::StoreUnknown));
--- a/crates/geraniumwinch-cell/src/record_journal/commit_attempts.rs
+++ b/crates/geraniumwinch-cell/src/record_journal/commit_attempts.rs
@@ -12,11 +12,11 @@
 use crate::StoreWrite;
 use crate::cell_metrics;
 use crate::owner_record::FenceRecord;
-use crate::owner_record::JOB_PREFIX;
 use crate::owner_record::OWNER_KEY;
 use crate::owner_record::WORKERS_KEY;
 use crate::owner_record::encode_workers;
 use crate::owner_record::fence_key;
+use crate::owner_record::job_key;
 
 use super::RecordJournal;
 use super::commit_lane::CommitLane;
@@ -51,16 +51,19 @@
         let jobs = batch.jobs.iter().map(|job| (&job.id, &job.bytes));
         let records = batch.records.iter().map(|(write, _)| (&write.job, &write.bytes));
         for (job, bytes) in jobs.chain(records) {
-            let key = format!("{JOB_PREFIX}{job}");
-            writes.push(StoreWrite { key, value: bytes.clone(), lease: None });
+            let (key, value) = (job_key(job), bytes.clone());
+            writes.push(StoreWrite { key, value, lease: None });
+        }
+        for withdrawal in &batch.withdrawals {
+            let key = withdrawal.key.clone();
+            let value = withdrawal.account.as_bytes().to_vec();
+            writes.push(StoreWrite { key, value, lease: None });
         }
         if let Some(workers) = &batch.workers {
             let value = encode_workers(workers);
             writes.push(StoreWrite { key: WORKERS_KEY.to_owned(), value, lease: None });
         }
-        let removals =
-            batch.removals.iter().map(|job| format!("{JOB_PREFIX}{job}")).collect();
-        StoreTransaction { expected, writes, removals }
+        StoreTransaction { expected, writes, removals: batch.removals.clone() }
     }
 
     /// Attempts to commit a batch until the outcome is final or the ownership ends.
@@ -103,7 +106,7 @@
                     maybe_committed |= !error.had_no_effect();
                     if self.record_failure(&error, began)
                         && !maybe_committed
-                        && !batch.jobs.is_empty()
+                        && batch.has_waiters()
                     {
                         return BatchOutcome::NotCommitted;
                     }
--- a/crates/geraniumwinch-cell/src/record_journal/journal_batch.rs
+++ b/crates/geraniumwinch-cell/src/record_journal/journal_batch.rs
@@ -7,6 +7,8 @@
 use geraniumwinch_fleet::RecordWrite;
 use geraniumwinch_fleet::WorkerRecord;
 
+use super::Waiter;
+
 /// A job to be stored.
 pub(super) struct NewJob {
     /// The identifier chosen by the client.
@@ -17,6 +19,24 @@
     pub(super) bytes: Vec<u8>,
 }
 
+/// A cancellation of a job that is not known, to be stored.
+pub(super) struct NewWithdrawal {
+    /// The key.
+    pub(super) key: String,
+    /// The client account.
+    pub(super) account: Name,
+    /// Receives the result.
+    pub(super) waiter: Waiter,
+}
+
+impl NewWithdrawal {
+    /// Sends the result to the client.
+    pub(super) fn complete(self, result: Result<(), ErrorKind>) {
+        // The receiver is gone if the client has disconnected.
+        let _ = self.waiter.send(result);
+    }
+}
+
 /// The contents of a journal transaction, without its conditions.
 #[derive(Default)]
 pub(super) struct JournalBatch {
@@ -24,8 +44,10 @@
     pub(super) jobs: Vec<NewJob>,
     /// The changed records and the job phases that they contain.
     pub(super) records: Vec<(RecordWrite, JobPhase)>,
-    /// The jobs whose records are removed.
-    pub(super) removals: Vec<Name>,
+    /// The cancellations of jobs that are not known.
+    pub(super) withdrawals: Vec<NewWithdrawal>,
+    /// The keys that are removed.
+    pub(super) removals: Vec<String>,
     /// The workers on which tasks may run, if the stored record has to change.
     pub(super) workers: Option<Vec<WorkerRecord>>,
     /// Whether new jobs and changed records leave no room.
@@ -36,10 +58,16 @@
     /// Returns whether there is nothing to write.
     pub(super) fn is_empty(&self) -> bool {
         self.jobs.is_empty()
+            && self.withdrawals.is_empty()
             && self.records.is_empty()
             && self.removals.is_empty()
             && self.workers.is_none()
     }
+
+    /// Returns whether clients wait for the outcome.
+    pub(super) fn has_waiters(&self) -> bool {
+        !self.jobs.is_empty() || !self.withdrawals.is_empty()
+    }
 }
 
 /// The outcome of a transaction.
@@ -60,7 +88,7 @@
         if maybe_committed { BatchOutcome::Unknown } else { BatchOutcome::NotCommitted }
     }
 
-    /// Returns the result for submissions that wait for a job of the transaction.
+    /// Returns the result for the clients that wait for the transaction.
     pub(super) fn result(self) -> Result<(), ErrorKind> {
         match self {
             BatchOutcome::Committed => Ok(()),
--- a/crates/geraniumwinch-cell/src/request_forwarder.rs
+++ b/crates/geraniumwinch-cell/src/request_forwarder.rs
@@ -14,9 +14,11 @@
 use crate::CellPorts;
 use crate::CellSettings;
 use crate::ProcessShutdown;
+use crate::SuspensionWatch;
 use crate::cell_metrics;
 use crate::owner_election::OwnerElection;
 use crate::owner_record::OwnerRecord;
+use crate::peer_message::CancelMessage;
 use crate::peer_message::PeerReply;
 use crate::peer_message::PeerRequest;
 use crate::peer_message::SubmitMessage;
@@ -68,6 +70,7 @@
     election: Rc<OwnerElection>,
     peers: PeerClient,
     shutdown: Rc<ProcessShutdown>,
+    suspension: Rc<SuspensionWatch>,
 }
 
 impl RequestForwarder {
@@ -77,8 +80,9 @@
         election: Rc<OwnerElection>,
         peers: PeerClient,
         shutdown: Rc<ProcessShutdown>,
+        suspension: Rc<SuspensionWatch>,
     ) -> Self {
-        RequestForwarder { ports, settings, election, peers, shutdown }
+        RequestForwarder { ports, settings, election, peers, shutdown, suspension }
     }
 
     /// Submits a job. `client_timeout` is how long the client waits for the response.
@@ -95,7 +99,11 @@
         let began = self.ports.clock.now();
         let queue = rules.queue.clone();
         let message = SubmitMessage { id: id.clone(), rules, account, request };
-        let reply = self.forward(PeerRequest::Submit(message), client_timeout).await;
+        let reply = if self.suspension.may_have_waited() {
+            Err(ErrorKind::RequestOutdated)
+        } else {
+            self.forward(PeerRequest::Submit(message), client_timeout).await
+        };
         let result = match reply {
             Ok(PeerReply::Accepted) => Ok(()),
             Ok(PeerReply::Refused(kind)) | Err(kind) => Err(kind),
@@ -129,13 +137,15 @@
         }
     }
 
-    /// Cancels a job and returns whether it is known.
+    /// Cancels a job for a client account and returns whether it is known.
     pub async fn cancel(
         &self,
         id: Name,
+        account: Name,
         client_timeout: Duration,
     ) -> ForwardResult<bool> {
-        let reply = self.forward(PeerRequest::Cancel(id.clone()), client_timeout).await;
+        let message = CancelMessage { id: id.clone(), account };
+        let reply = self.forward(PeerRequest::Cancel(message), client_timeout).await;
         let result = match reply {
             Ok(PeerReply::State(state)) => Ok(state.is_some()),
             Ok(PeerReply::Refused(kind)) | Err(kind) => Err(kind),
--- a/crates/geraniumwinch-cell/tests/common/test_node.rs
+++ b/crates/geraniumwinch-cell/tests/common/test_node.rs
@@ -213,7 +213,17 @@
 
     /// Cancels a job and returns whether it exists.
     pub async fn cancel(&self, id: &str) -> std::result::Result<bool, ErrorKind> {
-        self.node.forwarder().cancel(id.into(), CLIENT_TIMEOUT).await
+        self.cancel_as("account", id).await
+    }
+
+    /// Cancels a job for a client account and returns whether it exists.
+    pub async fn cancel_as(
+        &self,
+        account: &str,
+        id: &str,
+    ) -> std::result::Result<bool, ErrorKind> {
+        let forwarder = self.node.forwarder();
+        forwarder.cancel(id.into(), account.into(), CLIENT_TIMEOUT).await
     }
 
     /// Returns whether a job is shown as completed.
