Submit jobs that can run in the tests of suspended processes

The spec of frozen_entry's jobs lacked the word by which the stand-in's workers start a task without permission, so each start was refused and the check that no task starts could not fail; only that of the job's state could.

--- a/crates/geraniumwinch-tests/tests/frozen_entry.rs
+++ b/crates/geraniumwinch-tests/tests/frozen_entry.rs
@@ -97,7 +97,7 @@
 /// Submits a job to a suspended process with further fields of its step, and leaves without a response.
 async fn submit_and_leave(cell: &FleetCell, process: usize, path: &str, fields: &str) {
     let body = format!(
-        r#"{{"spec":"100","steps":[{{"count":1,"cpu":1000,"mem_mb":64,"estimate_ms":100{fields}}}]}}"#
+        r#"{{"spec":"100 done unrestricted","steps":[{{"count":1,"cpu":1000,"mem_mb":64,"estimate_ms":100{fields}}}]}}"#
     );
     let request = format!(
         "POST {path} HTTP/1.1\r\nHost: {FLEET_HOST}\r\nAuthorization: {FLEET_KEY}\r\n\
