--- a/crates/geraniumwinch-core/src/resource_vector.rs
+++ b/crates/geraniumwinch-core/src/resource_vector.rs
@@ -40,6 +40,15 @@
         self.accelerators = self.accelerators.saturating_add(other.accelerators);
     }
 
+    /// Returns the amounts of several such vectors together.
+    pub fn times(&self, count: u32) -> ResourceVector {
+        ResourceVector {
+            cpu_millis: self.cpu_millis.saturating_mul(count.into()),
+            memory_bytes: self.memory_bytes.saturating_mul(count.into()),
+            accelerators: self.accelerators.saturating_mul(count),
+        }
+    }
+
     /// Subtracts another vector, saturating at zero.
     pub fn subtract(&mut self, other: &ResourceVector) {
         self.cpu_millis = self.cpu_millis.saturating_sub(other.cpu_millis);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -46,6 +46,7 @@
 mod task_placement;
 mod task_ref;
 mod task_state;
+mod task_table;
 mod timeouts;
 mod unit_state;
 mod unit_table;
@@ -374,7 +375,7 @@
         let unit = name.step.occurrence.checked_mul(steps)? + name.step.step;
         let tasks = &state.units.get(unit as usize)?.tasks;
         let task = TaskRef { job, unit, index: name.index };
-        ((name.index as usize) < tasks.len()).then_some(task)
+        tasks.contains(name.index).then_some(task)
     }
 
     /// Returns the state of a task.
@@ -434,6 +435,7 @@
         if state.is_waiting() {
             unit.waiting += 1;
         }
+        unit.tasks.settle(task.index);
         let mut evacuated = false;
         if let Some(worker) = self.workers.get_mut(placement.worker) {
             worker.used.subtract(&size);
@@ -480,9 +482,9 @@
     fn placed_tasks(&self, key: JobKey) -> Vec<TaskRef> {
         let mut placed = Vec::new();
         for (unit, state) in self.jobs[key].units.touched() {
-            for (index, task) in state.tasks.iter().enumerate() {
+            for (index, task) in state.tasks.touched() {
                 if task.placement.is_some() {
-                    placed.push(TaskRef { job: key, unit, index: index as u32 });
+                    placed.push(TaskRef { job: key, unit, index });
                 }
             }
         }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/completion.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/completion.rs
@@ -38,16 +38,17 @@
 
     /// Marks a task as done.
     pub(super) fn finish_task(&mut self, task: TaskRef, now: BootTime) {
-        let unit = &mut self.jobs[task.job].units[task.unit as usize];
-        let state = &mut unit.tasks[task.index as usize];
-        if state.done {
+        if self.task_state(task).done {
             return;
         }
+        let unit = &mut self.jobs[task.job].units[task.unit as usize];
+        let state = &mut unit.tasks[task.index as usize];
         if state.is_waiting() {
             unit.waiting -= 1;
         }
         state.done = true;
         unit.remaining -= 1;
+        unit.tasks.settle(task.index);
         self.mark_dirty(task.job, now);
         self.complete_if_done(task.job, now);
     }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/crashes.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/crashes.rs
@@ -177,8 +177,8 @@
         let job = &self.jobs[key];
         let (version, until) = job.crash_write;
         let unstored = job.stored_version < version && now < until;
-        let mut tasks = job.units[unit as usize].tasks.iter();
-        unstored && tasks.any(|task| task.is_waiting() && !task.crashes.is_empty())
+        let mut tasks = job.units[unit as usize].tasks.touched();
+        unstored && tasks.any(|(_, task)| task.is_waiting() && !task.crashes.is_empty())
     }
 
     /// Returns whether a task of another job has just started on a worker. If the worker crashed, it
@@ -250,6 +250,6 @@
     /// Returns whether a unit has waiting tasks that are suspected of crashing their workers.
     pub(super) fn has_suspects(&self, key: JobKey, unit: u32) -> bool {
         let tasks = &self.jobs[key].units[unit as usize].tasks;
-        tasks.iter().any(|task| task.is_suspected() && task.is_waiting())
+        tasks.touched().any(|(_, task)| task.is_suspected() && task.is_waiting())
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
@@ -183,8 +183,7 @@
     fn task_crashes(&self) -> Vec<TaskCrash> {
         let mut crashes = Vec::new();
         for (unit, state) in self.units.touched() {
-            for (index, task) in state.tasks.iter().enumerate() {
-                let index = index as u32;
+            for (index, task) in state.tasks.touched() {
                 let of_task = task.crashes.iter();
                 crashes.extend(of_task.map(|&crash| TaskCrash { unit, index, crash }));
             }
@@ -197,14 +196,12 @@
         self.record.crashes = self.task_crashes();
         self.record.lost_contacts = self.lost_contacts();
         for (number, unit) in self.units.touched() {
-            let tasks = || unit.tasks.iter().enumerate();
-            let done: Vec<u32> = tasks()
-                .filter(|(_, task)| task.done)
-                .map(|(index, _)| index as u32)
-                .collect();
-            let failed: Vec<(u32, u64)> = tasks()
+            let done: Vec<u32> = unit.tasks.done();
+            let failed: Vec<(u32, u64)> = unit
+                .tasks
+                .touched()
                 .flat_map(|(index, task)| {
-                    task.failed_runs.iter().map(move |&run| (index as u32, run))
+                    task.failed_runs.iter().map(move |&run| (index, run))
                 })
                 .collect();
             if !done.is_empty() || !failed.is_empty() {
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/learning.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/learning.rs
@@ -140,8 +140,8 @@
         let unit = &self.jobs[task.job].units[task.unit as usize];
         let (mut first, mut last) = (BootTime::MAX, BootTime::ZERO);
         let mut slowest = f64::INFINITY;
-        for member in &unit.tasks {
-            let placement = member.placement.as_ref()?;
+        for member in 0..unit.tasks.len() {
+            let placement = unit.tasks[member].placement.as_ref()?;
             let begin = self.measurable_since(task, placement)?;
             first = first.min(begin);
             last = last.max(begin);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/lost_contacts.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/lost_contacts.rs
@@ -124,7 +124,7 @@
     /// Returns whether the job has a task, as its record in the store may not say.
     fn has_task(&self, task: TaskRef) -> bool {
         let unit = self.units.get(task.unit as usize);
-        unit.is_some_and(|unit| (task.index as usize) < unit.tasks.len())
+        unit.is_some_and(|unit| unit.tasks.contains(task.index))
     }
 
     /// Returns the lost contacts under all tasks that still have to be done.
@@ -132,8 +132,8 @@
         if !self.live() {
             return Vec::new();
         }
-        let tasks = self.units.touched().flat_map(|(_, unit)| &unit.tasks);
-        let unfinished = tasks.filter(|task| !task.done);
+        let tasks = self.units.touched().flat_map(|(_, unit)| unit.tasks.touched());
+        let unfinished = tasks.map(|(_, task)| task).filter(|task| !task.done);
         unfinished.flat_map(|task| &task.lost_contacts).cloned().collect()
     }
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -245,7 +245,7 @@
         if !job.plan(unit).long_running {
             return state.waiting as usize;
         }
-        state.tasks.iter().filter(|task| task.is_startable(now)).count()
+        state.tasks.count_startable(now)
     }
 
     /// Starts waiting tasks of a unit without late starts, one on each entry of `chosen`.
@@ -259,21 +259,18 @@
     ) {
         let pinned = self.pinned_tasks(key, unit);
         let is_pinned = |index: u32| pinned.iter().any(|task| task.index == index);
-        let state = &self.jobs[key].units[unit as usize];
-        let startable = state.tasks.iter().enumerate();
-        let mut indices: Vec<u32> = startable
-            .filter(|(_, task)| task.is_startable(now))
-            .map(|(index, _)| index as u32)
-            .filter(|&index| !is_pinned(index))
-            .collect();
+        let tasks = &self.jobs[key].units[unit as usize].tasks;
+        let is_suspected = |index: &u32| tasks[*index as usize].is_suspected();
+        let touched = tasks.touched().filter(|(_, task)| task.is_startable(now));
+        let suspects = touched.map(|(index, _)| index).filter(is_suspected);
+        let others = tasks.startable(now).filter(|index| !is_suspected(index));
+        let indices = suspects.chain(others).filter(|&index| !is_pinned(index));
+        let starts: Vec<(u32, WorkerKey)> = indices.zip(chosen.iter().copied()).collect();
         // A gang starts as a whole or not at all.
-        if self.jobs[key].plan(unit).gang && indices.len() < chosen.len() {
+        if self.jobs[key].plan(unit).gang && starts.len() < chosen.len() {
             return;
         }
-        indices.sort_by_key(|&index| !state.tasks[index as usize].is_suspected());
-        let chosen: Vec<(u32, WorkerKey)> =
-            indices.into_iter().zip(chosen.iter().copied()).collect();
-        self.start_on(key, unit, &chosen, now, round);
+        self.start_on(key, unit, &starts, now, round);
     }
 
     /// Starts the chosen tasks of a unit, each on a worker. The members of a gang share their run
@@ -289,8 +286,9 @@
         self.tally_starts(key, chosen.len(), round.unix_time);
         let state = &self.jobs[key].units[unit as usize];
         let gang = self.jobs[key].plan(unit).gang;
-        let highest = state.tasks.iter().map(|task| task.last_run).max().unwrap_or(0);
-        let shared = state.tasks.iter().find_map(|task| task.checkpoint.clone());
+        let tasks = || state.tasks.touched().map(|(_, task)| task);
+        let highest = tasks().map(|task| task.last_run).max().unwrap_or(0);
+        let shared = tasks().find_map(|task| task.checkpoint.clone());
         for &(index, worker) in chosen {
             let state = &self.jobs[key].units[unit as usize].tasks[index as usize];
             let last = if gang { highest } else { state.last_run };
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/queue_changes.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/queue_changes.rs
@@ -94,7 +94,7 @@
         job.objective = objective(&job.record);
         let validity = job.record.rules.permission.map(|cost| cost.validity);
         let former_validity = former.permission.map(|cost| cost.validity);
-        let tasks = job.units.touched_mut().flat_map(|unit| &mut unit.tasks);
+        let tasks = job.units.touched_mut().flat_map(|unit| unit.tasks.touched_mut());
         for placement in tasks.filter_map(|task| task.placement.as_mut()) {
             placement.copies.update_ticket(validity);
         }
@@ -123,8 +123,8 @@
         let exhausted = job
             .units
             .touched()
-            .flat_map(|(_, unit)| &unit.tasks)
-            .any(|task| task.is_waiting() && task.failed_runs.len() >= attempts);
+            .flat_map(|(_, unit)| unit.tasks.touched())
+            .any(|(_, task)| task.is_waiting() && task.failed_runs.len() >= attempts);
         if job.live() && exhausted {
             self.end_job(key, JobPhase::Failed, now);
         }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/racks.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/racks.rs
@@ -21,7 +21,7 @@
         offers: &mut [WorkerOffer],
     ) {
         let mut placed: HashMap<Option<&Name>, usize> = HashMap::new();
-        for task in &self.jobs[key].units[unit as usize].tasks {
+        for (_, task) in self.jobs[key].units[unit as usize].tasks.touched() {
             if let Some(worker) = task.placement.and_then(|p| self.workers.get(p.worker))
             {
                 *placed.entry(worker.info.rack.as_ref()).or_default() += 1;
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
@@ -212,6 +212,8 @@
             }
             _ => {}
         }
+        let unit = &mut self.jobs[task.job].units[task.unit as usize];
+        unit.tasks.settle(task.index);
     }
 
     /// Records that a worker runs or ran a task of a job.
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/stalled_runs.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/stalled_runs.rs
@@ -78,7 +78,8 @@
     /// that stands still counts as stalled by itself.
     fn waits_for_members(&self, task: TaskRef, placement: &TaskPlacement) -> bool {
         let members = &self.jobs[task.job].units[task.unit as usize].tasks;
-        let mut placed = members.iter().filter_map(|member| member.placement.as_ref());
+        let mut placed =
+            members.touched().filter_map(|(_, member)| member.placement.as_ref());
         placement.percent >= FULL_PERCENT
             && placed.any(|member| member.percent < FULL_PERCENT)
     }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/task_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/task_state.rs
@@ -44,6 +44,15 @@
         self.is_waiting() && !self.restart_delay.holds(now)
     }
 
+    /// Returns whether the task is done and nothing else has to be known of it. Its failures and checkpoint no
+    /// longer matter, and run numbers matter only to tasks that start again.
+    pub(super) fn is_settled(&self) -> bool {
+        self.done
+            && self.placement.is_none()
+            && self.crashes.is_empty()
+            && self.lost_contacts.is_empty()
+    }
+
     /// Returns whether the task may have crashed a worker.
     pub(super) fn is_suspected(&self) -> bool {
         self.crashes.is_suspected()
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/unit_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/unit_state.rs
@@ -8,12 +8,12 @@
 use super::gang_end::GangEnd;
 use super::gang_reservation::GangReservation;
 use super::permission_table::PermissionTable;
-use super::task_state::TaskState;
+use super::task_table::TaskTable;
 
 /// The state of a unit.
 #[derive(Debug, Clone)]
 pub(super) struct UnitState {
-    pub(super) tasks: Vec<TaskState>,
+    pub(super) tasks: TaskTable,
     /// The number of tasks that are not done.
     pub(super) remaining: u32,
     /// The number of tasks that are neither done nor placed.
@@ -64,10 +64,8 @@
 
     /// Creates a unit of a step to which nothing has happened.
     pub(super) fn new(plan: &StepPlan) -> Self {
-        let mut tasks: Vec<TaskState> = Vec::new();
-        tasks.resize_with(plan.tasks as usize, TaskState::default);
         UnitState {
-            tasks,
+            tasks: TaskTable::new(plan.tasks),
             remaining: plan.tasks,
             waiting: plan.tasks,
             permissions: PermissionTable::default(),
@@ -90,16 +88,17 @@
         // Records of earlier versions may have long-running tasks that count as done.
         let done = progress.done.iter().filter(|_| !plan.long_running);
         for &index in done {
-            if let Some(task) = self.tasks.get_mut(index as usize)
+            if let Some(task) = self.tasks.get_mut(index)
                 && !task.done
             {
                 task.done = true;
                 self.remaining -= 1;
                 self.waiting -= 1;
             }
+            self.tasks.settle(index);
         }
         for &(index, run) in &progress.failed {
-            if let Some(task) = self.tasks.get_mut(index as usize) {
+            if let Some(task) = self.tasks.get_mut(index) {
                 task.failed_runs.push(run);
                 task.last_run = task.last_run.max(run);
             }
@@ -108,7 +107,7 @@
 
     /// Applies a crash of a worker under a task from the job's record.
     pub(super) fn apply_crash(&mut self, recorded: &TaskCrash) {
-        if let Some(task) = self.tasks.get_mut(recorded.index as usize) {
+        if let Some(task) = self.tasks.get_mut(recorded.index) {
             task.crashes.add(recorded.crash);
             task.last_run = task.last_run.max(recorded.crash.run);
         }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/unreported_runs.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/unreported_runs.rs
@@ -109,7 +109,7 @@
                 if job.ready(unit) {
                     let size = job.plan(unit).reserved();
                     let tasks = job.units[unit as usize].waiting;
-                    (0..tasks).for_each(|_| used.add(&size));
+                    used.add(&size.times(tasks));
                 }
             }
         }
