--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod job_lookup;
+mod job_memory;
 mod loading;
 mod permission_calls;
 mod reporting;
--- a/crates/geraniumwinch-cell/src/cell_dispatcher/reporting.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/reporting.rs
@@ -26,6 +26,8 @@
             Info,
             "board",
             live_jobs = counts.live_jobs,
+            job_kilobytes = self.scheduler.borrow().memory_use().total() / 1000,
+            max_job_kilobytes = self.job_bytes() / 1000,
             stranded_steps = stranded,
             placed = counts.placed,
             usable_workers = counts.usable_workers,
--- a/crates/geraniumwinch-cell/src/member_table.rs
+++ b/crates/geraniumwinch-cell/src/member_table.rs
@@ -42,6 +42,11 @@
             .collect()
     }
 
+    /// Returns the least memory for jobs that a known process has, in bytes.
+    pub(crate) fn smallest_job_bytes(&self) -> Option<u64> {
+        self.members.values().map(|(member, _)| member.job_bytes).min()
+    }
+
     /// Returns all known processes.
     pub(crate) fn all(&self) -> Vec<MemberInfo> {
         self.members.values().map(|(member, _)| member.clone()).collect()
--- a/crates/geraniumwinch-cell/src/owner_election.rs
+++ b/crates/geraniumwinch-cell/src/owner_election.rs
@@ -175,6 +175,7 @@
             domain: self.settings.domain.clone(),
             version: self.catalog.version(),
             size: self.size,
+            job_bytes: self.settings.vm.job_bytes(),
             stopping: self.stopping.get(),
         }
     }
--- a/crates/geraniumwinch-cell/src/peer_message.rs
+++ b/crates/geraniumwinch-cell/src/peer_message.rs
@@ -50,6 +50,8 @@
     pub(crate) version: u64,
     /// The size of its VM.
     pub(crate) size: VmSize,
+    /// The memory that its VM has for jobs in bytes.
+    pub(crate) job_bytes: u64,
     /// Whether the process is stopping.
     pub(crate) stopping: bool,
 }
--- a/crates/geraniumwinch-cell/src/record_journal.rs
+++ b/crates/geraniumwinch-cell/src/record_journal.rs
@@ -5,6 +5,7 @@
 mod journal_batch;
 
 use std::cell::Cell;
+use std::cell::Ref;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -18,6 +19,7 @@
 use geraniumwinch_fleet::FleetScheduler;
 use geraniumwinch_fleet::JobPhase;
 use geraniumwinch_fleet::JobRecord;
+use geraniumwinch_fleet::MemoryUse;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 
@@ -70,6 +72,8 @@
     lanes: Vec<CommitLane>,
     queue: RefCell<VecDeque<NewJob>>,
     waiters: RefCell<HashMap<Name, Vec<Waiter>>>,
+    /// The memory of the jobs that are being stored.
+    pending_memory: RefCell<MemoryUse>,
     /// The cancellations of unknown jobs that are not part of a transaction yet.
     withdrawals: RefCell<VecDeque<NewWithdrawal>>,
     removals: RefCell<Vec<String>>,
@@ -107,6 +111,7 @@
             lanes: lanes.map(|(number, fence)| CommitLane::new(number, fence)).collect(),
             queue: RefCell::default(),
             waiters: RefCell::default(),
+            pending_memory: RefCell::default(),
             withdrawals: RefCell::default(),
             removals: RefCell::default(),
             workers_in_flight: Cell::new(false),
@@ -136,8 +141,12 @@
                 let Ok(bytes) = record.encode() else {
                     return Err(ErrorKind::JobMalformed);
                 };
+                if record.may_outgrow_store(bytes.len()) {
+                    return Err(ErrorKind::BodyTooLarge);
+                }
                 let (sender, receiver) = oneshot::channel();
                 waiters.insert(id.clone(), vec![sender]);
+                self.count_pending(&record, MemoryUse::add_job);
                 self.queue.borrow_mut().push_back(NewJob { id, record, bytes });
                 receiver
             }
@@ -169,6 +178,21 @@
         Ok(())
     }
 
+    /// Returns the memory that is counted for the jobs that are being stored.
+    pub(crate) fn pending_memory(&self) -> Ref<'_, MemoryUse> {
+        self.pending_memory.borrow()
+    }
+
+    /// Counts a job that is to be stored, or no longer is.
+    fn count_pending(
+        &self,
+        record: &JobRecord,
+        count: fn(&mut MemoryUse, account: &Name, bytes: u64),
+    ) {
+        let mut pending = self.pending_memory.borrow_mut();
+        count(&mut pending, &record.account, record.memory_bytes());
+    }
+
     /// Returns whether a job is waiting to be stored.
     pub(crate) fn is_pending(&self, id: &Name) -> bool {
         self.waiters.borrow().contains_key(id)
@@ -312,6 +336,7 @@
         let result = outcome.result();
         let mut scheduler = self.scheduler.borrow_mut();
         for job in batch.jobs {
+            self.count_pending(&job.record, MemoryUse::remove_job);
             if outcome == BatchOutcome::Committed {
                 scheduler.accept(job.id.clone(), job.record, self.ports.clock.now());
             }
@@ -347,6 +372,7 @@
     fn fail_queued(&self, kind: ErrorKind) {
         let queued: Vec<NewJob> = self.queue.borrow_mut().drain(..).collect();
         for job in queued {
+            self.count_pending(&job.record, MemoryUse::remove_job);
             self.complete_waiters(&job.id, Err(kind));
         }
         for withdrawal in self.withdrawals.borrow_mut().drain(..) {
--- a/crates/geraniumwinch-cell/tests/common/test_node.rs
+++ b/crates/geraniumwinch-cell/tests/common/test_node.rs
@@ -201,11 +201,21 @@
         &self,
         id: &str,
         request: JobRequest,
+    ) -> std::result::Result<(), ErrorKind> {
+        self.submit_as("account", id, request).await
+    }
+
+    /// Submits a job for a client account.
+    pub async fn submit_as(
+        &self,
+        account: &str,
+        id: &str,
+        request: JobRequest,
     ) -> std::result::Result<(), ErrorKind> {
         let submission = JobSubmission {
             id: id.into(),
             rules: rules(),
-            account: "account".into(),
+            account: account.into(),
             request,
         };
         self.node.forwarder().submit(submission, CLIENT_TIMEOUT).await
--- a/crates/geraniumwinch-core/src/error_kind.rs
+++ b/crates/geraniumwinch-core/src/error_kind.rs
@@ -136,6 +136,8 @@
     BodiesFull => "bodies-full", 503, NotRun, ONE_SECOND;
     /// The job was cancelled before it arrived.
     JobWithdrawn => "job-withdrawn", 503, NotRun, LONG_RETRY;
+    /// The jobs that were accepted use up the memory for jobs.
+    JobsFull => "jobs-full", 503, NotRun, TWO_SECONDS;
     /// The request may have waited for long while the process was suspended.
     RequestOutdated => "request-outdated", 503, NotRun, RETRY_NOW;
 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -78,6 +78,7 @@
 use crate::JobPhase;
 use crate::JobRecord;
 use crate::LostWork;
+use crate::MemoryUse;
 use crate::PassTally;
 use crate::QueueRules;
 use crate::ReportTally;
@@ -167,6 +168,7 @@
     /// The jobs with changes that were not handed to the store yet, with the time of the first one.
     dirty: HashMap<JobKey, BootTime>,
     accounts: AccountUsage,
+    memory_use: MemoryUse,
     waiting_load: WaitingLoad,
     waiting_calls: WaitingCalls,
     /// The average time that the first calls to the permission service for a step take, by queue.
@@ -214,6 +216,7 @@
             late_starts: LateStarts::default(),
             dirty: HashMap::new(),
             accounts: AccountUsage::default(),
+            memory_use: MemoryUse::default(),
             waiting_load: WaitingLoad::default(),
             waiting_calls: WaitingCalls::default(),
             first_call_times: HashMap::new(),
@@ -296,9 +299,19 @@
         if live {
             self.open_jobs.insert((priority, serial, key));
         }
+        let job = &self.jobs[key];
+        self.memory_use.add_job(&job.record.account, job.memory_bytes);
+        if !live {
+            self.memory_use.end_job(&job.record.account, job.memory_bytes);
+        }
         key
     }
 
+    /// Returns the memory that is counted for the jobs.
+    pub fn memory_use(&self) -> &MemoryUse {
+        &self.memory_use
+    }
+
     /// Returns the phase of a job as the store holds it, and whether any task was started.
     pub fn stored_state(&self, id: &str) -> Option<(JobPhase, bool)> {
         let &key = self.job_ids.get(id)?;
@@ -435,7 +448,6 @@
         if state.is_waiting() {
             unit.waiting += 1;
         }
-        unit.tasks.settle(task.index);
         let mut evacuated = false;
         if let Some(worker) = self.workers.get_mut(placement.worker) {
             worker.used.subtract(&size);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/completion.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/completion.rs
@@ -4,6 +4,7 @@
 use crate::JobPhase;
 use crate::RunOutcome;
 use crate::SchedulerEvent;
+use crate::UnitProgress;
 
 use super::FleetScheduler;
 use super::run_phase::RunPhase;
@@ -48,11 +49,25 @@
         }
         state.done = true;
         unit.remaining -= 1;
-        unit.tasks.settle(task.index);
+        self.settle_task(task);
         self.mark_dirty(task.job, now);
         self.complete_if_done(task.job, now);
     }
 
+    /// Forgets what is known of a task that is done, and of its unit if it was the last one, as far as it no
+    /// longer matters.
+    pub(super) fn settle_task(&mut self, task: TaskRef) {
+        let job = &mut self.jobs[task.job];
+        job.units[task.unit as usize].tasks.settle(task.index);
+        let tasks = job.plan(task.unit).tasks;
+        if job.units.settle(task.unit as usize) {
+            let progress =
+                UnitProgress { done: (0..tasks).collect(), failed: Vec::new() };
+            job.record.progress.insert(task.unit, progress);
+            self.call_claims.release(task.job, task.unit);
+        }
+    }
+
     /// Marks all tasks of a gang as done.
     pub(super) fn finish_gang(&mut self, task: TaskRef, now: BootTime) {
         self.release_reservation(task.job, task.unit);
@@ -135,6 +150,7 @@
     pub(super) fn end_job(&mut self, key: JobKey, phase: JobPhase, now: BootTime) {
         let job = &mut self.jobs[key];
         job.record.phase = phase;
+        self.memory_use.end_job(&job.record.account, job.memory_bytes);
         self.open_jobs.remove(&(job.record.rules.priority, job.serial, key));
         let id = job.id.clone();
         for unit in job.units.touched_numbers() {
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/job_state.rs
@@ -40,6 +40,8 @@
     pub(super) id: Name,
     /// The record. Its progress is updated from the units only when it is written.
     pub(super) record: JobRecord,
+    /// The memory that is counted for the job in bytes.
+    pub(super) memory_bytes: u64,
     /// The phase in the store.
     pub(super) stored_phase: JobPhase,
     /// The number of changes since the job was added to the scheduler.
@@ -81,11 +83,13 @@
     ) -> Self {
         let units = UnitTable::new(&record);
         let started = !record.progress.is_empty();
+        let memory_bytes = record.memory_bytes();
         let stored_phase = record.phase;
         let objective = objective(&record);
         JobState {
             id,
             record,
+            memory_bytes,
             stored_phase,
             version: 0,
             stored_version: 0,
@@ -103,6 +107,12 @@
         }
     }
 
+    /// Forgets what only a job that has not ended needs. The record in the store has it neither.
+    pub(super) fn forget_progress(&mut self) {
+        self.record.request.spec = "".into();
+        self.record.progress.clear();
+    }
+
     /// Returns the plan of a unit's step.
     pub(super) fn plan(&self, unit: u32) -> &StepPlan {
         &self.record.request.steps[self.step(unit) as usize]
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/persistence.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/persistence.rs
@@ -136,6 +136,7 @@
             if job.live() || !stored || self.dirty.contains_key(&key) {
                 continue;
             }
+            job.forget_progress();
             let ended_by = *job.ended_by.get_or_insert(now);
             if ended_by.saturating_add(retention) <= now && expired.len() < limit {
                 expired.push(key);
@@ -150,6 +151,7 @@
             self.late_starts.forget_job(key);
             if let Some(job) = self.jobs.remove(key) {
                 self.job_ids.remove(&job.id);
+                self.memory_use.forget_job(&job.record.account, job.memory_bytes);
                 names.push(job.id);
             }
         }
@@ -162,7 +164,7 @@
     if record.phase == JobPhase::Live {
         return record.encode();
     }
-    let request = JobRequest { spec: "".into(), steps: Vec::new(), schedule: None };
+    let request = JobRequest::default();
     let rules = record.rules.clone();
     let account = record.account.clone();
     let mut slim = JobRecord::new(rules, account, record.accepted, request);
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/reports.rs
@@ -128,6 +128,7 @@
     /// Abandons the run of a task, without a reported end, so that the task waits again.
     pub(super) fn abandon_run(&mut self, task: TaskRef, cause: LossCause, now: BootTime) {
         if let Some(placement) = self.unassign(task) {
+            self.settle_task(task);
             self.account_abandoned(task, &placement, cause, now);
             self.apply_outcome(task, placement.run, RunOutcome::LeaseExpired, now);
             self.keep_late_start(task, &placement, now);
@@ -212,8 +213,7 @@
             }
             _ => {}
         }
-        let unit = &mut self.jobs[task.job].units[task.unit as usize];
-        unit.tasks.settle(task.index);
+        self.settle_task(task);
     }
 
     /// Records that a worker runs or ran a task of a job.
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/task_table.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/task_table.rs
@@ -34,6 +34,12 @@
         TaskTable { count, settled: Vec::new(), touched: BTreeMap::new() }
     }
 
+    /// Returns as many tasks that are done.
+    pub(super) fn finished(&self) -> Self {
+        let settled = vec![true; self.len()];
+        TaskTable { count: self.count, settled, touched: BTreeMap::new() }
+    }
+
     /// Returns the number of tasks.
     pub(super) fn len(&self) -> usize {
         self.count as usize
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/unit_state.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/unit_state.rs
@@ -83,6 +83,18 @@
         }
     }
 
+    /// Returns this unit, to which nothing has happened, with all of its tasks done.
+    pub(super) fn finished(&self) -> Self {
+        let tasks = self.tasks.finished();
+        UnitState { tasks, remaining: 0, waiting: 0, ..self.clone() }
+    }
+
+    /// Returns whether all tasks are done and nothing else has to be known of the unit.
+    pub(super) fn is_settled(&self) -> bool {
+        let idle = self.open_requests == 0 && self.reservation.is_none();
+        self.remaining == 0 && idle && self.tasks.touched().next().is_none()
+    }
+
     /// Applies the progress from the job's record.
     pub(super) fn apply_progress(&mut self, plan: &StepPlan, progress: &UnitProgress) {
         // Records of earlier versions may have long-running tasks that count as done.
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/unit_table.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/unit_table.rs
@@ -1,7 +1,7 @@
 //! The units of a job: the steps of its occurrences.
 //!
 //! A schedule may have very many occurrences, nearly all of which are far ahead. So a unit has a state of its
-//! own only once something has happened to it.
+//! own only from when something has happened to it until all of its tasks are done.
 
 use std::ops::Index;
 use std::ops::IndexMut;
@@ -12,25 +12,29 @@
 use super::unit_state::UnitState;
 
 /// The units of a job, by number.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(super) struct UnitTable {
     /// For each step, a unit to which nothing has happened.
     untouched: Vec<UnitState>,
-    /// The units; `None` if nothing has happened to one.
+    /// For each step, a unit whose tasks are all done; empty before the first one.
+    finished: Vec<UnitState>,
+    /// The units that have a state of their own.
     units: Vec<Option<Box<UnitState>>>,
+    /// Whether all tasks of a unit without a state of its own are done; empty before the first one.
+    is_finished: Vec<bool>,
 }
 
 impl UnitTable {
     /// Creates the units of a job, with the progress from its record. An ended job has none.
     pub(super) fn new(record: &JobRecord) -> Self {
         if record.phase != JobPhase::Live {
-            return UnitTable { untouched: Vec::new(), units: Vec::new() };
+            return UnitTable::default();
         }
         let steps = &record.request.steps;
         let untouched: Vec<UnitState> = steps.iter().map(UnitState::new).collect();
         let count = steps.len() * record.request.occurrences() as usize;
         let units = std::iter::repeat_with(|| None).take(count).collect();
-        let mut table = UnitTable { untouched, units };
+        let mut table = UnitTable { untouched, units, ..UnitTable::default() };
         for (&number, progress) in &record.progress {
             if let Some(plan) = steps.get(number as usize % steps.len().max(1))
                 && (number as usize) < count
@@ -43,9 +47,36 @@
                 table[recorded.unit as usize].apply_crash(recorded);
             }
         }
+        for &number in record.progress.keys() {
+            table.settle(number as usize);
+        }
         table
     }
 
+    /// Forgets the state of a unit whose tasks are all done and of which nothing else has to be known, and
+    /// returns whether it did. A job without a schedule has few units, which keep theirs.
+    pub(super) fn settle(&mut self, unit: usize) -> bool {
+        let steps = self.untouched.len();
+        let settled = self.units.get(unit).and_then(|state| state.as_ref());
+        if self.units.len() <= steps || !settled.is_some_and(|state| state.is_settled()) {
+            return false;
+        }
+        if self.finished.is_empty() {
+            self.finished = self.untouched.iter().map(UnitState::finished).collect();
+            self.is_finished = vec![false; self.units.len()];
+        }
+        self.units[unit] = None;
+        self.is_finished[unit] = true;
+        true
+    }
+
+    /// Returns the state of a unit without one of its own.
+    fn common_state(&self, unit: usize) -> &UnitState {
+        let finished = self.is_finished.get(unit).is_some_and(|&finished| finished);
+        let states = if finished { &self.finished } else { &self.untouched };
+        &states[unit % states.len()]
+    }
+
     /// Returns the number of units.
     pub(super) fn len(&self) -> usize {
         self.units.len()
@@ -56,12 +87,12 @@
         (unit < self.len()).then(|| &self[unit])
     }
 
-    /// Returns all units, also those to which nothing has happened.
+    /// Returns all units, also those without a state of their own.
     pub(super) fn iter(&self) -> impl Iterator<Item = &UnitState> {
         (0..self.len()).map(|unit| &self[unit])
     }
 
-    /// Returns the units to which something has happened, with their numbers.
+    /// Returns the units with a state of their own, with their numbers.
     pub(super) fn touched(&self) -> impl Iterator<Item = (u32, &UnitState)> {
         let units = self.units.iter().enumerate();
         units.filter_map(|(number, unit)| Some((number as u32, unit.as_deref()?)))
@@ -72,7 +103,7 @@
         self.units.iter_mut().filter_map(|unit| unit.as_deref_mut())
     }
 
-    /// Returns the numbers of the units to which something has happened.
+    /// Returns the numbers of the units with a state of their own.
     pub(super) fn touched_numbers(&self) -> Vec<u32> {
         self.touched().map(|(number, _)| number).collect()
     }
@@ -84,15 +115,16 @@
     fn index(&self, unit: usize) -> &UnitState {
         match &self.units[unit] {
             Some(touched) => touched,
-            None => &self.untouched[unit % self.untouched.len()],
+            None => self.common_state(unit),
         }
     }
 }
 
 impl IndexMut<usize> for UnitTable {
     fn index_mut(&mut self, unit: usize) -> &mut UnitState {
-        let untouched = &self.untouched;
-        self.units[unit]
-            .get_or_insert_with(|| Box::new(untouched[unit % untouched.len()].clone()))
+        if self.units[unit].is_none() {
+            self.units[unit] = Some(Box::new(self.common_state(unit).clone()));
+        }
+        self.units[unit].as_mut().expect("the unit has a state of its own")
     }
 }
--- a/crates/geraniumwinch-fleet/src/job_request.rs
+++ b/crates/geraniumwinch-fleet/src/job_request.rs
@@ -37,6 +37,13 @@
     pub schedule: Option<JobSchedule>,
 }
 
+impl Default for JobRequest {
+    /// Returns a request without steps, as the record of an ended job has it.
+    fn default() -> Self {
+        JobRequest { spec: "".into(), steps: Vec::new(), schedule: None }
+    }
+}
+
 impl JobRequest {
     /// Returns whether an occurrence is due at a time since the Unix epoch.
     pub fn is_due(&self, occurrence: u32, unix_time: Duration) -> bool {
--- a/crates/geraniumwinch-intake/src/vm_limits.rs
+++ b/crates/geraniumwinch-intake/src/vm_limits.rs
@@ -15,6 +15,8 @@
 const MIN_BODIES: u64 = 4;
 /// The share of the memory that the connections of callers may take.
 const CONNECTION_MEMORY_SHARE: u64 = 4;
+/// The share of the memory that the jobs of a cell may take.
+const JOB_MEMORY_SHARE: u64 = 4;
 /// The descriptors that are kept for files.
 const FILE_DESCRIPTORS: u64 = 200;
 /// The share of the descriptors that the connections of callers may take. Workers, the store and other
@@ -56,6 +58,11 @@
         usize::try_from(share.max(least)).unwrap_or(usize::MAX)
     }
 
+    /// Returns the memory that the jobs of a cell may take, in bytes.
+    pub fn job_bytes(&self) -> u64 {
+        self.memory_bytes / JOB_MEMORY_SHARE
+    }
+
     /// Returns how many connections of callers may be open, if each of them is counted as `connection_bytes`
     /// beside the body of its request.
     pub fn connections(&self, connection_bytes: u64) -> usize {
