--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -10,6 +10,7 @@
 mod delayed_starts;
 mod departures;
 mod evacuations;
+mod fleet_counts;
 mod free_workers;
 mod gang_end;
 mod gang_fit;
@@ -59,6 +60,7 @@
 mod workers;
 
 pub use self::evacuations::EvacuationProgress;
+pub use self::fleet_counts::FleetCounts;
 pub use self::persistence::RecordWrite;
 pub use self::placement::PlacementRound;
 
@@ -68,7 +70,6 @@
 use std::time::Duration;
 
 use geraniumwinch_core::Name;
-use geraniumwinch_core::ResourceVector;
 use slotmap::SlotMap;
 use slotmap::new_key_type;
 
@@ -122,23 +123,6 @@
 /// apart that the tokens of a later epoch are higher.
 pub const FENCES_PER_EPOCH: u64 = 1 << 10;
 
-/// A summary of the scheduler's state for logs and metrics.
-#[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct FleetCounts {
-    /// The number of jobs that have not ended.
-    pub live_jobs: usize,
-    /// The number of tasks that are placed on a worker.
-    pub placed: usize,
-    /// The number of workers that accept tasks now.
-    pub usable_workers: usize,
-    /// The number of known workers.
-    pub workers: usize,
-    /// The fraction of the usable workers' processor capacity that is reserved.
-    pub used: f64,
-    /// The fraction of the usable workers' processor capacity that tasks have.
-    pub running: f64,
-}
-
 /// Tracks the jobs and workers of a cell, and decides which task runs where.
 ///
 /// The owner of the cell passes in worker reports and the outcomes of commands, and sends the
@@ -361,22 +345,6 @@
         std::mem::take(&mut self.first_start_tally)
     }
 
-    /// Returns a summary of the scheduler's state.
-    pub fn counts(&self, now: BootTime) -> FleetCounts {
-        let usable = || self.workers.values().filter(|state| state.usable(now));
-        let used: ResourceVector = usable().map(|state| &state.used).sum();
-        let total: ResourceVector = usable().map(|state| &state.info.capacity).sum();
-        let total = total.cpu_millis.max(1) as f64;
-        FleetCounts {
-            live_jobs: self.open_jobs.len(),
-            placed: self.workers.values().map(|state| state.tasks.len()).sum(),
-            usable_workers: usable().count(),
-            workers: self.workers.len(),
-            used: used.cpu_millis as f64 / total,
-            running: self.placed_cpu_millis() as f64 / total,
-        }
-    }
-
     /// Resolves the name of a task, which may come from a worker and may be out of range.
     fn find_task(&self, name: &TaskName) -> Option<TaskRef> {
         let &job = self.job_ids.get(&name.step.job)?;
