--- a/crates/geraniumwinch-tests/src/fleet_cell/cell_processes.rs
+++ b/crates/geraniumwinch-tests/src/fleet_cell/cell_processes.rs
@@ -10,6 +10,7 @@
 use crate::CellProcess;
 use crate::ProcessEnd;
 use crate::ProcessLimits;
+use crate::ProcessUsage;
 use crate::wait_until;
 
 use super::FleetCell;
@@ -162,6 +163,17 @@
         self.processes[index].as_mut().expect("a running process")
     }
 
+    /// Checks that a process uses at most `max_mb` megabytes of memory.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it uses more.
+    pub fn check_memory(&mut self, index: usize, max_mb: u64) {
+        let used = ProcessUsage::of(self.process(index).pid()).memory / 1_000_000;
+        println!("process {index} uses {used} MB");
+        assert!(used <= max_mb, "process {index} uses {used} MB of {max_mb}");
+    }
+
     /// Returns the panics in the logs of the processes.
     pub fn panics(&self) -> Vec<String> {
         let log =
--- a/crates/geraniumwinch-tests/tests/long_schedules.rs
+++ b/crates/geraniumwinch-tests/tests/long_schedules.rs
@@ -3,7 +3,6 @@
 use awc::http::Method;
 use geraniumwinch_tests::FLEET_KEY;
 use geraniumwinch_tests::FleetCell;
-use geraniumwinch_tests::ProcessUsage;
 use geraniumwinch_tests::run_test;
 use geraniumwinch_tests::unix_millis;
 use geraniumwinch_tests::wait_until;
@@ -30,13 +29,6 @@
     cell.call(index, Method::POST, &path, Some(FLEET_KEY), &body.to_string()).await.status
 }
 
-/// Checks the memory of a process.
-fn check_memory(cell: &mut FleetCell, index: usize) {
-    let used = ProcessUsage::of(cell.process(index).pid()).memory / 1_000_000;
-    println!("process {index} uses {used} MB");
-    assert!(used <= MEMORY_MB, "process {index} uses {used} MB of {MEMORY_MB}");
-}
-
 /// Guards against a few accepted schedules that take all memory of each owner, one after the other
 /// (review/6, LOST).
 #[test]
@@ -51,14 +43,14 @@
             })
             .await;
         }
-        check_memory(&mut cell, owner);
+        cell.check_memory(owner, MEMORY_MB);
         cell.kill(owner);
         wait_until("the next owner knows the schedules", async || {
             let path = format!("/unrestricted/{:016x}", SCHEDULES - 1);
             cell.state_at(other, &path).await.as_deref() == Some("pending")
         })
         .await;
-        check_memory(&mut cell, other);
+        cell.check_memory(other, MEMORY_MB);
         assert_eq!(cell.submit(other, "00000000000000a1", "100", 1).await, 200);
         cell.await_state(other, "00000000000000a1", "completed").await;
     });
--- a/crates/geraniumwinch-tests/tests/wide_steps.rs
+++ b/crates/geraniumwinch-tests/tests/wide_steps.rs
@@ -3,7 +3,6 @@
 use awc::http::Method;
 use geraniumwinch_tests::FLEET_KEY;
 use geraniumwinch_tests::FleetCell;
-use geraniumwinch_tests::ProcessUsage;
 use geraniumwinch_tests::run_test;
 use geraniumwinch_tests::unix_millis;
 use geraniumwinch_tests::wait_until;
@@ -28,13 +27,6 @@
     cell.call(index, Method::POST, &path, Some(FLEET_KEY), &body.to_string()).await.status
 }
 
-/// Checks the memory of a process.
-fn check_memory(cell: &mut FleetCell, index: usize) {
-    let used = ProcessUsage::of(cell.process(index).pid()).memory / 1_000_000;
-    println!("process {index} uses {used} MB");
-    assert!(used <= MEMORY_MB, "process {index} uses {used} MB of {MEMORY_MB}");
-}
-
 /// Waits until a process shows that tasks of all jobs run or ran, or that they wait behind others.
 async fn await_jobs(cell: &FleetCell, index: usize) {
     wait_until("the owner knows the jobs, and one of them runs", async || {
@@ -66,7 +58,7 @@
             .await;
         }
         await_jobs(&cell, other).await;
-        check_memory(&mut cell, owner);
+        cell.check_memory(owner, MEMORY_MB);
         cell.kill(owner);
         wait_until("another process owns the cell", async || {
             let path = "/unrestricted/00000000000000a1";
@@ -74,6 +66,6 @@
         })
         .await;
         await_jobs(&cell, other).await;
-        check_memory(&mut cell, other);
+        cell.check_memory(other, MEMORY_MB);
     });
 }
