Weigh the part of an account in the memory for jobs in a type of its own

So that its bounds have a test: an account alone uses half, a third without weight and two thirds with much, and there is room for another one each time. Nothing else changes.

--- a/crates/geraniumwinch-cell/src/cell_dispatcher/job_memory.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/job_memory.rs
@@ -4,29 +4,25 @@
 use geraniumwinch_core::Name;
 use geraniumwinch_fleet::JobRecord;
 
-use super::CellDispatcher;
+use crate::JobRoom;
 
-/// The range of an account's weight relative to the average one. Whatever its weight, an account can use a
-/// third of the memory for jobs if it is alone, and leaves a third to others.
-const MIN_WEIGHT_RATIO: f64 = 0.5;
-const MAX_WEIGHT_RATIO: f64 = 2.0;
+use super::CellDispatcher;
 
 impl CellDispatcher {
-    /// Returns why there is no room for a new job in memory, or `None` if there is.
-    ///
-    /// An account may use as much as is left for all others, times its weight relative to the average one. So
-    /// there is always room for an account that uses little, and any process of the cell that becomes the
-    /// owner has room for what was accepted.
+    /// Returns why there is no room for a new job in memory, or `None` if there is. Any process of the cell that
+    /// becomes the owner has room for what was accepted.
     pub(super) fn memory_refusal(&self, record: &JobRecord) -> Option<ErrorKind> {
         let scheduler = self.scheduler.borrow();
         let (held, pending) = (scheduler.memory_use(), self.journal.pending_memory());
-        let own = held.of_account(&record.account) + pending.of_account(&record.account);
-        let total = held.total() + pending.total();
-        let bytes = record.memory_bytes();
-        let left = self.job_bytes().saturating_sub(total.saturating_add(bytes)) as f64;
-        if own.saturating_add(bytes) as f64 <= left * self.weight_ratio(&record.account) {
+        let room = JobRoom {
+            limit: self.job_bytes(),
+            total: held.total() + pending.total(),
+            own: held.of_account(&record.account) + pending.of_account(&record.account),
+            weight_ratio: self.weight_ratio(&record.account),
+        };
+        if room.takes(record.memory_bytes()) {
             None
-        } else if own > 0 {
+        } else if room.own > 0 {
             Some(ErrorKind::TeamLimit)
         } else {
             Some(ErrorKind::JobsFull)
@@ -48,7 +44,6 @@
         let weight = limits().find(|limit| limit.account == *account);
         let ratio =
             weight.map(|limit| limit.weight as f64 * limits().count() as f64 / total);
-        let ratio = ratio.filter(|ratio| ratio.is_finite()).unwrap_or(1.0);
-        ratio.clamp(MIN_WEIGHT_RATIO, MAX_WEIGHT_RATIO)
+        ratio.filter(|ratio| ratio.is_finite()).unwrap_or(1.0)
     }
 }
--- a/crates/geraniumwinch-cell/tests/job_memory.rs
+++ b/crates/geraniumwinch-cell/tests/job_memory.rs
@@ -7,11 +7,13 @@
 
 use futures_util::future::join_all;
 use geraniumwinch_cell::CellSettings;
+use geraniumwinch_cell::JobRoom;
 use geraniumwinch_core::ErrorKind;
 use geraniumwinch_core::RunState;
 use geraniumwinch_fleet::JobRequest;
 use geraniumwinch_fleet::JobSchedule;
 use geraniumwinch_intake::VmLimits;
+use test_case::test_case;
 
 use self::common::memory_store::MemoryStore;
 use self::common::test_node::TestNode;
@@ -126,6 +128,22 @@
     });
 }
 
+/// Guards against an account that shuts out others by its weight, or is shut out by its own.
+#[test_case(1.0, 50; "of average weight")]
+#[test_case(2.0, 66; "of twice the average weight")]
+#[test_case(1e9, 66; "of very great weight")]
+#[test_case(0.0, 33; "without weight")]
+fn an_account_alone_uses_its_part(weight_ratio: f64, expected: u64) {
+    let mut room = JobRoom { limit: 100, total: 0, own: 0, weight_ratio };
+    while room.takes(1) {
+        room.total += 1;
+        room.own += 1;
+    }
+    assert_eq!(room.own, expected);
+    let other = JobRoom { own: 0, weight_ratio: 0.5, ..room };
+    assert!(other.takes(10), "there is no room for another account");
+}
+
 /// Guards against jobs that are refused although the former ones have ended.
 #[test]
 fn ended_jobs_leave_room() {
