--- a/crates/geraniumwinch-cell/tests/common/test_node.rs
+++ b/crates/geraniumwinch-cell/tests/common/test_node.rs
@@ -264,10 +264,15 @@
     }
 }
 
-/// Returns the encoded record of a job that another process has stored.
+/// Returns the encoded record of a job without steps that another process has stored.
 pub fn stored_job() -> Vec<u8> {
+    stored_request(request())
+}
+
+/// Returns the encoded record of a job that another process has stored.
+pub fn stored_request(request: JobRequest) -> Vec<u8> {
     let accepted = Duration::from_secs(1);
-    let record = JobRecord::new(rules(), "account".into(), accepted, request());
+    let record = JobRecord::new(rules(), "account".into(), accepted, request);
     record.encode().expect("the record is encodable")
 }
 
--- a/crates/geraniumwinch-cell/tests/job_memory.rs
+++ b/crates/geraniumwinch-cell/tests/job_memory.rs
@@ -20,6 +20,7 @@
 use self::common::test_node::job_request;
 use self::common::test_node::run_test;
 use self::common::test_node::settings;
+use self::common::test_node::stored_request;
 use self::common::test_worker::TestWorker;
 
 /// The memory of the VM in bytes, a quarter of which is for jobs.
@@ -34,9 +35,14 @@
 
 /// Starts a process on a small VM and waits until it owns the cell.
 async fn start() -> TestNode {
+    start_on(Rc::default()).await
+}
+
+/// Like [`start`], on a store.
+async fn start_on(store: Rc<MemoryStore>) -> TestNode {
     let vm = VmLimits { memory_bytes: MEMORY_BYTES, ..VmLimits::detect(None, None) };
     let settings = CellSettings { vm, ..settings() };
-    let node = TestNode::start_on(TestWorker::silent(), Rc::default(), settings);
+    let node = TestNode::start_on(TestWorker::silent(), store, settings);
     node.await_owner().await;
     node
 }
@@ -113,6 +119,26 @@
     });
 }
 
+/// Guards against jobs that are denied or lost, or an owner that ends, since earlier versions have accepted more
+/// than there is room for.
+#[test]
+fn stored_jobs_beyond_the_room_are_kept_and_no_more_are_accepted() {
+    run_test(async {
+        let store = Rc::new(MemoryStore::default());
+        let ids: Vec<String> = (0..JOBS).map(|number| format!("{number:016x}")).collect();
+        for id in &ids {
+            store.put(&format!("job/{id}"), stored_request(wide_request()));
+        }
+        let node = start_on(store).await;
+        for id in &ids {
+            assert_eq!(node.exists(id).await, Ok(true));
+        }
+        let refusal = node.submit_as("other", "0000000000000fff", job_request(1)).await;
+        check_refusal(refusal.expect_err("a job was accepted"));
+        assert_eq!(node.cancel(&ids[0]).await, Ok(true));
+    });
+}
+
 /// Guards against jobs that are all accepted because none of them is stored yet.
 #[test]
 fn jobs_that_are_being_stored_count() {
