--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -23,6 +23,7 @@
 mod learning;
 mod lost_contacts;
 mod lost_runs;
+mod open_units;
 mod overdue_jobs;
 mod permission_ledger;
 mod permission_table;
@@ -61,6 +62,7 @@
 
 pub use self::evacuations::EvacuationProgress;
 pub use self::fleet_counts::FleetCounts;
+pub(crate) use self::open_units::MAX_OPEN_OCCURRENCES;
 pub use self::persistence::RecordWrite;
 pub use self::placement::PlacementRound;
 
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -84,7 +84,7 @@
             if self.may_run_unreported(key, &unreported, now) {
                 continue;
             }
-            for unit in self.jobs[key].due_units(unix_time) {
+            for unit in self.jobs[key].open_units(unix_time) {
                 if !self.due(key, unit, unix_time) {
                     continue;
                 }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/stranded_steps.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/stranded_steps.rs
@@ -24,7 +24,7 @@
         let mut found = Vec::new();
         let capacities = self.kind_capacities();
         for &(_, _, key) in &self.open_jobs {
-            for unit in self.jobs[key].due_units(unix_time) {
+            for unit in self.jobs[key].open_units(unix_time) {
                 let due = self.due(key, unit, unix_time);
                 let reason = due.then(|| self.stranded_reason(key, unit, &capacities));
                 let reason = reason.flatten();
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/task_table.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/task_table.rs
@@ -92,6 +92,10 @@
     pub(super) fn settle(&mut self, index: u32) {
         if self.touched.get(&index).is_some_and(|state| state.is_settled()) {
             self.touched.remove(&index);
+            if self.touched.is_empty() {
+                // The map gives its memory back.
+                self.touched = BTreeMap::new();
+            }
             self.settled.resize(self.count as usize, false);
             self.settled[index as usize] = true;
         }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/unit_table.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/unit_table.rs
@@ -14,7 +14,8 @@
 /// The units of a job, by number.
 #[derive(Debug, Default)]
 pub(super) struct UnitTable {
-    /// For each step, a unit to which nothing has happened.
+    /// For each step, a unit to which nothing has happened; empty if there is a single occurrence, whose units
+    /// have a state of their own from the beginning.
     untouched: Vec<UnitState>,
     /// For each step, a unit whose tasks are all done; empty before the first one.
     finished: Vec<UnitState>,
@@ -31,10 +32,15 @@
             return UnitTable::default();
         }
         let steps = &record.request.steps;
-        let untouched: Vec<UnitState> = steps.iter().map(UnitState::new).collect();
+        let states = steps.iter().map(UnitState::new);
         let count = steps.len() * record.request.occurrences() as usize;
-        let units = std::iter::repeat_with(|| None).take(count).collect();
-        let mut table = UnitTable { untouched, units, ..UnitTable::default() };
+        let mut table = UnitTable::default();
+        if count <= steps.len() {
+            table.units = states.take(count).map(|state| Some(Box::new(state))).collect();
+        } else {
+            table.untouched = states.collect();
+            table.units = std::iter::repeat_with(|| None).take(count).collect();
+        }
         for (&number, progress) in &record.progress {
             if let Some(plan) = steps.get(number as usize % steps.len().max(1))
                 && (number as usize) < count
@@ -54,11 +60,11 @@
     }
 
     /// Forgets the state of a unit whose tasks are all done and of which nothing else has to be known, and
-    /// returns whether it did. A job without a schedule has few units, which keep theirs.
+    /// returns whether it did. The units of a job with a single occurrence keep theirs.
     pub(super) fn settle(&mut self, unit: usize) -> bool {
-        let steps = self.untouched.len();
         let settled = self.units.get(unit).and_then(|state| state.as_ref());
-        if self.units.len() <= steps || !settled.is_some_and(|state| state.is_settled()) {
+        let settled = settled.is_some_and(|state| state.is_settled());
+        if self.untouched.is_empty() || !settled {
             return false;
         }
         if self.finished.is_empty() {
--- a/crates/geraniumwinch-fleet/src/job_memory.rs
+++ b/crates/geraniumwinch-fleet/src/job_memory.rs
@@ -4,13 +4,16 @@
 
 use crate::JobRecord;
 use crate::StepPlan;
+use crate::fleet_scheduler::MAX_OPEN_OCCURRENCES;
 
 /// What a live job takes beside its parts, in bytes.
 const JOB_BYTES: u64 = 2_048;
-/// What a step takes beside its plan, in bytes: the states that its units have in common.
+/// What a step takes beside its plan, in bytes: the state of its unit, or those that its units have in common.
 const STEP_BYTES: u64 = 512;
-/// What a unit takes in bytes, whether it is far ahead or done. The few units between have more.
+/// What a unit takes in bytes, whether it is far ahead or done.
 const UNIT_BYTES: u64 = 128;
+/// What a unit takes beside that in bytes while its tasks wait and are tried.
+const OPEN_UNIT_BYTES: u64 = 512;
 /// What a task takes in bytes, whether it waits or is done, with the copies of a record that is written to the
 /// store. The tasks that run have more; the workers bound their number.
 const TASK_BYTES: u64 = 24;
@@ -22,8 +25,12 @@
     pub fn memory_bytes(&self) -> u64 {
         let steps = &self.request.steps;
         let plans: u64 = steps.iter().map(plan_bytes).sum();
-        let units = self.unit_count();
-        let parts = units.saturating_mul(UNIT_BYTES);
+        let mut parts = self.unit_count().saturating_mul(UNIT_BYTES);
+        if self.request.occurrences() > 1 {
+            let open = self.request.occurrences().min(MAX_OPEN_OCCURRENCES);
+            let open_units = steps.len() as u64 * u64::from(open);
+            parts = parts.saturating_add(open_units.saturating_mul(OPEN_UNIT_BYTES));
+        }
         let parts = parts.saturating_add(self.task_count().saturating_mul(TASK_BYTES));
         let spec = self.request.spec.len() as u64;
         (JOB_BYTES + spec + plans).saturating_add(parts)
