--- a/crates/geraniumwinch-cell/src/cell_dispatcher.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher.rs
@@ -316,7 +316,9 @@
     fn run_pass(self: &Rc<Self>) {
         let now = self.ports.clock.now();
         self.apply_catalog();
+        let job_bytes = self.job_bytes();
         let mut scheduler = self.scheduler.borrow_mut();
+        scheduler.set_placed_memory(job_bytes);
         scheduler.sweep(now);
         let mut requests = Vec::new();
         let mut starts = Vec::new();
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler.rs
@@ -29,6 +29,7 @@
 mod permission_table;
 mod permissions;
 mod persistence;
+mod placed_tasks;
 mod placement;
 mod placement_backoff;
 mod preemption;
@@ -102,6 +103,7 @@
 use self::learning::FleetLearning;
 use self::lost_contacts::NotedRun;
 use self::permission_ledger::PermissionLedger;
+use self::placed_tasks::PlacedTasks;
 use self::placement_backoff::PlacementBackoff;
 use self::run_phase::RunPhase;
 use self::task_placement::TaskPlacement;
@@ -162,6 +164,7 @@
     backoff: PlacementBackoff,
     /// The load of the tasks that are placed outside evacuated domains, by priority.
     placed_load: BTreeMap<u32, PlacedLoad>,
+    placed_tasks: PlacedTasks,
     /// The failure domains whose workers get no new tasks.
     evacuated_domains: BTreeSet<Name>,
     /// The estimated share of workers that the permission service allows, by queue.
@@ -208,6 +211,7 @@
             first_call_times: HashMap::new(),
             backoff: PlacementBackoff::default(),
             placed_load: BTreeMap::new(),
+            placed_tasks: PlacedTasks::default(),
             evacuated_domains: BTreeSet::new(),
             allowed_share: HashMap::new(),
             learning: FleetLearning::default(),
@@ -398,6 +402,7 @@
         let worker = &mut self.workers[placement.worker];
         worker.used.add(&size);
         worker.tasks.insert(task);
+        self.placed_tasks.add();
         if !worker.evacuated {
             let load = self.placed_load.entry(job.record.rules.priority).or_default();
             load.add_task(job.plan(task.unit), placement.expected);
@@ -415,6 +420,7 @@
         let unit = &mut job.units[task.unit as usize];
         let state = &mut unit.tasks[task.index as usize];
         let placement = state.placement.take()?;
+        self.placed_tasks.remove();
         if state.is_waiting() {
             unit.waiting += 1;
         }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/placement.rs
@@ -170,6 +170,7 @@
         let waiting = self.startable_tasks(key, unit, now);
         let quota = self.accounts.allows(&job.record.account, &plan.reserved());
         let mut needed = waiting.min(usize::try_from(quota).unwrap_or(usize::MAX));
+        needed = needed.min(self.placeable_tasks(job.record.rules.priority));
         if self.is_overdue(key, unix_time) {
             needed = self.overdue_copies(&plan, needed, now, round);
         }
--- a/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_offers.rs
+++ b/crates/geraniumwinch-fleet/src/fleet_scheduler/worker_offers.rs
@@ -142,7 +142,7 @@
         worker: WorkerKey,
         free: &ResourceVector,
     ) -> u32 {
-        let fits = copies_that_fit(&plan.reserved(), free);
+        let fits = copies_that_fit(&plan.reserved(), free).min(self.placeable_on(worker));
         if plan.max_per_worker == 0 {
             return fits;
         }
