--- a/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
+++ b/crates/geraniumwinch-cell/src/cell_dispatcher/admission.rs
@@ -62,8 +62,8 @@
 
     /// Returns why a new job is refused, or `None` if it is admitted.
     ///
-    /// A job is refused if there is no room for it, or if the jobs ahead of it would make it late. The threshold is lower for an
-    /// account that has exceeded its share.
+    /// A job is refused if there is no room for it, or if the jobs ahead of it would make it late. The
+    /// threshold is lower for an account that has exceeded its share.
     fn refusal_reason(&self, record: &JobRecord) -> Option<ErrorKind> {
         let within_share = self.charge_share(&record.account);
         if let Some(kind) = self.memory_refusal(record) {
--- a/crates/geraniumwinch-cell/src/withdrawn_jobs.rs
+++ b/crates/geraniumwinch-cell/src/withdrawn_jobs.rs
@@ -15,8 +15,8 @@
 use crate::owner_record::WITHDRAWN_PREFIX;
 
 /// How long attempts to submit a job are refused after its cancellation. Those that were sent before have
-/// arrived by then, or are refused: receiving a request takes 63 s at most, and one that may have waited for
-/// more than 15 s at a suspended process isn't taken.
+/// arrived by then, or are refused: a body takes 60 s at most, a head as long as the configuration allows, 3 s
+/// without one, and a request that may have waited for 15 s or more at a suspended process isn't taken.
 const RETENTION: Duration = Duration::from_secs(90);
 /// The maximum number of cancellations that are remembered.
 const MAX_WITHDRAWALS: usize = 10_000;
